--- /dev/null
+++ b/src/connection/liveness.rs
@@ -0,0 +1,1 @@
+//! Detection of connections that have gone silent.
--- /dev/null
+++ b/src/connection/reassembly.rs
@@ -0,0 +1,1 @@
+//! Ordered, duplicate-free assembly of a stream at an entry.
--- /dev/null
+++ b/src/connection/retention.rs
@@ -0,0 +1,1 @@
+//! Chunks that an agent keeps until the entry has acknowledged them.
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,183 @@
+//! The closed list of error kinds and the answer each one maps to.
+
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Whether a failed request ran on a target.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Execution {
+    /// It is certain that no target started the request.
+    NotRun,
+    /// A target started the request.
+    Started,
+    /// Nobody can tell any more.
+    Unknown,
+}
+
+/// One row of the table from error kind to answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    /// Name in error bodies, logs and metrics.
+    pub name: &'static str,
+    /// HTTP status code.
+    pub status: u16,
+    /// What is known about the execution.
+    pub execution: Execution,
+    /// Seconds for the `Retry-After` header.
+    pub retry_after_s: Option<u32>,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $kind:ident => $name:literal, $status:literal, $execution:ident, $retry:expr;)*) => {
+        /// Every kind of failure that a caller, operator or peer can see.
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum ErrorKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl ErrorKind {
+            /// All kinds, in the order of `docs/errors.md`.
+            pub const ALL: &'static [Self] = &[$(Self::$kind,)*];
+
+            /// Returns the answer for this kind.
+            ///
+            /// ```
+            /// use yuccalatch::error::ErrorKind;
+            ///
+            /// assert_eq!(ErrorKind::RateLimited.answer().status, 429);
+            /// ```
+            pub const fn answer(self) -> Answer {
+                match self {
+                    $(Self::$kind => Answer {
+                        name: $name,
+                        status: $status,
+                        execution: Execution::$execution,
+                        retry_after_s: $retry,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// The request is malformed.
+    BadRequest => "bad_request", 400, NotRun, None;
+    /// The body is larger than the configured limit.
+    BodyTooLarge => "body_too_large", 413, NotRun, None;
+    /// The body did not arrive in time.
+    BodyTimeout => "body_timeout", 408, NotRun, None;
+    /// The key is missing, unknown or withdrawn.
+    UnknownKey => "unknown_key", 401, NotRun, None;
+    /// The organisation of the key may not use the route.
+    Forbidden => "forbidden", 403, NotRun, None;
+    /// No route matches.
+    RouteNotFound => "route_not_found", 404, NotRun, None;
+    /// The route does not accept the method.
+    MethodNotAllowed => "method_not_allowed", 405, NotRun, None;
+    /// The organisation is over its rate and burst.
+    RateLimited => "rate_limited", 429, NotRun, Some(1);
+    /// The request costs more tokens than the burst of the organisation.
+    CostAboveBurst => "cost_above_burst", 413, NotRun, None;
+    /// The queue of every candidate target is full.
+    Overloaded => "overloaded", 503, NotRun, Some(1);
+    /// No live target serves the route.
+    NoTarget => "no_target", 503, NotRun, Some(2);
+    /// The process is stopping.
+    Stopping => "stopping", 503, NotRun, Some(1);
+    /// No configuration has been received yet.
+    NotReady => "not_ready", 503, NotRun, Some(1);
+    /// The entry is cut off and cannot know of withdrawn keys.
+    KeysStale => "keys_stale", 503, NotRun, Some(2);
+    /// The deadline passed before a target started the request.
+    DeadlineBeforeStart => "deadline_before_start", 504, NotRun, Some(1);
+    /// The attempt was barred before it started.
+    Barred => "barred", 409, NotRun, None;
+    /// The attempt named another incarnation of the agent.
+    WrongIncarnation => "wrong_incarnation", 409, NotRun, None;
+    /// The target does not serve the version that the attempt named.
+    WrongVersion => "wrong_version", 409, NotRun, None;
+    /// Nobody can vouch that the idempotency key is new.
+    IdempotencyUnverified => "idempotency_unverified", 503, NotRun, Some(5);
+    /// The idempotency key was used with another request.
+    IdempotencyConflict => "idempotency_conflict", 422, NotRun, None;
+    /// The attempt id is already known.
+    DuplicateAttempt => "duplicate_attempt", 409, Unknown, None;
+    /// The target failed while it ran the request.
+    TargetFailed => "target_failed", 502, Started, None;
+    /// The connection broke and the outcome cannot be learned.
+    OutcomeUnknown => "outcome_unknown", 502, Unknown, None;
+    /// The deadline passed while the request ran.
+    DeadlineExceeded => "deadline_exceeded", 504, Started, None;
+    /// The stream cannot be continued from the last chunk.
+    StreamBroken => "stream_broken", 502, Started, None;
+    /// The ticket or object is invalid.
+    TicketInvalid => "ticket_invalid", 400, NotRun, None;
+    /// The ticket number was used with other content.
+    TicketConflict => "ticket_conflict", 409, NotRun, None;
+    /// A ticket with a higher number has touched the same object.
+    TicketOutdated => "ticket_outdated", 409, NotRun, None;
+    /// A move cannot finish by the requested time.
+    MoveInfeasible => "move_infeasible", 422, NotRun, None;
+    /// An order carries an old fencing number.
+    OrderFenced => "order_fenced", 409, NotRun, None;
+    /// The object API does not answer or answers garbage.
+    PlatformUnavailable => "platform_unavailable", 503, Unknown, Some(5);
+    /// A conditional update found another version.
+    PlatformConflict => "platform_conflict", 409, NotRun, None;
+    /// A peer does not answer.
+    PeerUnavailable => "peer_unavailable", 503, Unknown, Some(1);
+    /// The settings are invalid.
+    SettingsInvalid => "settings_invalid", 400, NotRun, None;
+    /// The command line is invalid.
+    UsageInvalid => "usage_invalid", 400, NotRun, None;
+    /// A file or socket operation failed.
+    Io => "io", 500, Unknown, None;
+    /// A defect in the program.
+    Internal => "internal", 500, Unknown, None;
+}
+
+impl ErrorKind {
+    /// Returns the name used in error bodies, logs and metrics.
+    ///
+    /// ```
+    /// use yuccalatch::error::ErrorKind;
+    ///
+    /// assert_eq!(ErrorKind::NoTarget.name(), "no_target");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        self.answer().name
+    }
+
+    /// Returns whether it is certain that no target started the request.
+    ///
+    /// ```
+    /// use yuccalatch::error::ErrorKind;
+    ///
+    /// assert!(ErrorKind::Overloaded.is_not_run());
+    /// assert!(!ErrorKind::OutcomeUnknown.is_not_run());
+    /// ```
+    pub const fn is_not_run(self) -> bool {
+        matches!(self.answer().execution, Execution::NotRun)
+    }
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl std::error::Error for ErrorKind {}
+
+/// Error report whose context is an [`ErrorKind`].
+pub type Report = error_stack::Report<ErrorKind>;
+
+/// Result whose error is a [`Report`].
+pub type Result<T> = std::result::Result<T, Report>;
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,122 @@
+//! Numbered log events. The catalogue for operators is `docs/events.md`.
+//!
+//! Numbers never change their meaning; a retired number is not used again.
+
+use std::fmt;
+
+macro_rules! events {
+    ($($(#[$doc:meta])* $event:ident = $code:literal;)*) => {
+        /// Every event that the programs log.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Event {
+            $($(#[$doc])* $event = $code,)*
+        }
+
+        impl Event {
+            /// All events, in numeric order.
+            pub const ALL: &'static [Self] = &[$(Self::$event,)*];
+
+            /// Returns the name as it stands in the catalogue.
+            ///
+            /// ```
+            /// use yuccalatch::event::Event;
+            ///
+            /// assert_eq!(Event::Started.name(), "Started");
+            /// ```
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$event => stringify!($event),)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// A process has started and listens.
+    Started = 1001;
+    /// A process begins a graceful stop.
+    Stopping = 1002;
+    /// A process has finished its graceful stop.
+    Stopped = 1003;
+    /// A process cannot go on.
+    Fatal = 1004;
+    /// A request was answered.
+    RequestDone = 2001;
+    /// A request was refused.
+    RequestRefused = 2002;
+    /// A request failed after it had started.
+    RequestFailed = 2003;
+    /// An attempt failed and the request is tried again.
+    AttemptRetried = 2004;
+    /// A stream was resumed on a new connection.
+    StreamResumed = 3001;
+    /// A stream was continued on another target.
+    StreamContinued = 3002;
+    /// A connection missed its heartbeats.
+    ConnectionSilent = 3003;
+    /// An attempt was barred.
+    AttemptBarred = 3004;
+    /// A configuration revision was applied.
+    RevisionApplied = 4001;
+    /// A configuration update was rejected.
+    RevisionRejected = 4002;
+    /// Keys cannot be verified because the entry is cut off.
+    KeysStale = 4003;
+    /// An entry took over a limit ledger.
+    LedgerTaken = 5001;
+    /// An entry gave up a limit ledger.
+    LedgerLost = 5002;
+    /// The share of a vanished holder was reclaimed.
+    ShareReclaimed = 5003;
+    /// A target or entry joined.
+    MemberJoined = 6001;
+    /// A target or entry is leaving.
+    MemberLeaving = 6002;
+    /// A target or entry is gone.
+    MemberGone = 6003;
+    /// An engine restarted with an empty cache.
+    EngineRestarted = 6004;
+    /// A move changed its state.
+    MoveChanged = 7001;
+    /// A version was cut from traffic.
+    VersionCut = 7002;
+    /// An order with an old fencing number was refused.
+    OrderFenced = 7003;
+    /// The object API stopped answering.
+    PlatformDown = 8001;
+    /// The object API answers again.
+    PlatformUp = 8002;
+    /// A stand-in injects a fault.
+    FaultInjected = 9001;
+}
+
+impl Event {
+    /// Returns the number of the event.
+    ///
+    /// ```
+    /// use yuccalatch::event::Event;
+    ///
+    /// assert_eq!(Event::Started.code(), 1001);
+    /// ```
+    pub const fn code(self) -> u16 {
+        self as u16
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "YL{}", self.code())
+    }
+}
+
+impl slog::Value for Event {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        key: slog::Key,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        serializer.emit_arguments(key, &format_args!("{self}"))
+    }
+}
--- /dev/null
+++ b/src/jsonc.rs
@@ -0,0 +1,171 @@
+//! JSON with comments, with positions in error messages.
+
+use std::fmt;
+
+use error_stack::Report;
+use jsonc_parser::{
+    CollectOptions,
+    CommentCollectionStrategy,
+    ParseOptions,
+    common::Ranged, //
+};
+use serde::de::DeserializeOwned;
+
+/// Place in a file, both counted from one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Position {
+    /// Line number.
+    pub line: usize,
+    /// Column number in characters.
+    pub column: usize,
+}
+
+/// A problem in a file, with the place and advice.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Problem {
+    /// File the problem is in.
+    pub file: String,
+    /// Where the problem is.
+    pub position: Position,
+    /// What is wrong.
+    pub message: String,
+    /// How to mend it.
+    pub hint: Option<String>,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Position { line, column } = self.position;
+        write!(f, "{}:{line}:{column}: {}", self.file, self.message)?;
+        if let Some(hint) = &self.hint {
+            write!(f, " (hint: {hint})")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problem {}
+
+/// A parsed file that can still name the place of each value.
+#[derive(Clone, Debug)]
+pub struct Document {
+    file: String,
+    text: String,
+    json: String,
+}
+
+impl Document {
+    /// Checks the syntax of a text and blanks its comments.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Problem`] for the first syntax error.
+    ///
+    /// ```
+    /// use yuccalatch::jsonc::Document;
+    ///
+    /// let document = Document::parse("a.json", "{ /* one */ \"a\": 1 }").unwrap();
+    /// let value: serde_json::Value = document.deserialize().unwrap();
+    /// assert_eq!(value["a"], 1);
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<Self, Report<Problem>> {
+        let collect = CollectOptions {
+            comments: CommentCollectionStrategy::Separate,
+            tokens: false,
+        };
+        let options = ParseOptions {
+            allow_comments: true,
+            allow_loose_object_property_names: false,
+            allow_trailing_commas: false,
+        };
+        let parsed = jsonc_parser::parse_to_ast(text, &collect, &options).map_err(|error| {
+            Report::new(Problem {
+                file: file.to_owned(),
+                position: position_of(text, error.range().start),
+                message: error.kind().to_string(),
+                hint: None,
+            })
+        })?;
+        let mut json = text.as_bytes().to_vec();
+        let comments = parsed.comments.iter().flat_map(|map| map.values());
+        for comment in comments.flat_map(|list| list.iter()) {
+            let range = comment.range();
+            for byte in &mut json[range.start..range.end] {
+                // Newlines stay, so that positions do not move.
+                if *byte != b'\n' {
+                    *byte = b' ';
+                }
+            }
+        }
+        Ok(Self {
+            file: file.to_owned(),
+            text: text.to_owned(),
+            json: String::from_utf8(json).unwrap_or_default(),
+        })
+    }
+
+    /// Converts the document to a typed value.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Problem`] at the place of the first value that does not fit.
+    pub fn deserialize<T: DeserializeOwned>(&self) -> Result<T, Report<Problem>> {
+        serde_json::from_str(&self.json).map_err(|error| {
+            let full = error.to_string();
+            let message = full.split(" at line ").next().unwrap_or(&full).to_owned();
+            let position = Position {
+                line: error.line().max(1),
+                column: error.column().max(1),
+            };
+            Report::new(Problem {
+                file: self.file.clone(),
+                position,
+                message,
+                hint: None,
+            })
+        })
+    }
+
+    /// Makes a problem at the first place where a quoted text occurs, or at the
+    /// start of the file.
+    ///
+    /// ```
+    /// use yuccalatch::jsonc::Document;
+    ///
+    /// let document = Document::parse("a.json", "{\n  \"rate\": 0 }").unwrap();
+    /// let problem = document.problem_at("rate", "must be positive", None);
+    /// assert_eq!(problem.to_string(), "a.json:2:3: must be positive");
+    /// ```
+    pub fn problem_at(&self, quoted: &str, message: &str, hint: Option<&str>) -> Problem {
+        let needle = format!("\"{quoted}\"");
+        let offset = self.json.find(&needle).unwrap_or(0);
+        self.problem_at_offset(offset, message, hint)
+    }
+
+    /// Makes a problem at a byte offset.
+    ///
+    /// ```
+    /// use yuccalatch::jsonc::Document;
+    ///
+    /// let document = Document::parse("a.json", "[1, 1]").unwrap();
+    /// let problem = document.problem_at_offset(4, "duplicate", None);
+    /// assert_eq!(problem.position.column, 5);
+    /// ```
+    pub fn problem_at_offset(&self, offset: usize, message: &str, hint: Option<&str>) -> Problem {
+        Problem {
+            file: self.file.clone(),
+            position: position_of(&self.text, offset),
+            message: message.to_owned(),
+            hint: hint.map(str::to_owned),
+        }
+    }
+}
+
+fn position_of(text: &str, offset: usize) -> Position {
+    let before = text.get(..offset).unwrap_or(text);
+    let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+    Position {
+        line: before.matches('\n').count() + 1,
+        column: before[line_start..].chars().count() + 1,
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,18 @@
+//! Router for language-model traffic with long shared prompts.
+//!
+//! The library holds the decision modules (free of sockets and clocks) and the
+//! processes built on them. Modules are grouped by the life span of the state
+//! they hold: [`request`], [`connection`], [`version`] and [`process`].
+
+pub mod clock;
+pub mod connection;
+pub mod error;
+pub mod event;
+pub mod jsonc;
+pub mod names;
+pub mod process;
+pub mod replay;
+pub mod request;
+pub mod settings;
+pub mod standin;
+pub mod version;
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,14 @@
+//! What lives as long as a process.
+
+pub mod agent;
+pub mod cache_index;
+pub mod entry;
+pub mod fair_queue;
+pub mod fate;
+pub mod hints;
+pub mod limits;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod platform;
+pub mod rpc;
--- /dev/null
+++ b/src/process/agent.rs
@@ -0,0 +1,1 @@
+//! The agent process.
--- /dev/null
+++ b/src/process/cache_index.rs
@@ -0,0 +1,1 @@
+//! What an engine holds in its prompt cache.
--- /dev/null
+++ b/src/process/entry.rs
@@ -0,0 +1,1 @@
+//! The entry process.
--- /dev/null
+++ b/src/process/fair_queue.rs
@@ -0,0 +1,1 @@
+//! Fair queueing of organisations in front of a target.
--- /dev/null
+++ b/src/process/fate.rs
@@ -0,0 +1,1 @@
+//! Outcome of attempts at an agent.
--- /dev/null
+++ b/src/process/hints.rs
@@ -0,0 +1,1 @@
+//! What an entry has seen of the caches of targets.
--- /dev/null
+++ b/src/process/limits.rs
@@ -0,0 +1,1 @@
+//! Organisation limits as conserved shares.
--- /dev/null
+++ b/src/process/logging.rs
@@ -0,0 +1,1 @@
+//! Log output of a process.
--- /dev/null
+++ b/src/process/membership.rs
@@ -0,0 +1,1 @@
+//! Live entries and targets.
--- /dev/null
+++ b/src/process/metrics.rs
@@ -0,0 +1,1 @@
+//! Metrics of a process.
--- /dev/null
+++ b/src/process/platform.rs
@@ -0,0 +1,1 @@
+//! Client of the object API.
--- /dev/null
+++ b/src/process/rpc.rs
@@ -0,0 +1,1 @@
+//! Control messages between processes of the system.
--- /dev/null
+++ b/src/replay/baseline.rs
@@ -0,0 +1,1 @@
+//! Placement policies to compare with.
--- /dev/null
+++ b/src/replay/evaluate.rs
@@ -0,0 +1,1 @@
+//! Runs traces against policies in virtual time.
--- /dev/null
+++ b/src/replay/model.rs
@@ -0,0 +1,1 @@
+//! Model of an engine in virtual time.
--- /dev/null
+++ b/src/replay/outcome.rs
@@ -0,0 +1,1 @@
+//! Checks of the outcomes that a trace states.
--- /dev/null
+++ b/src/replay/player.rs
@@ -0,0 +1,1 @@
+//! Plays a trace against running processes.
--- /dev/null
+++ b/src/replay/report.rs
@@ -0,0 +1,1 @@
+//! Histograms and tables of a run.
--- /dev/null
+++ b/src/replay/trace.rs
@@ -0,0 +1,1 @@
+//! Recorded traces as JSON lines.
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,7 @@
+//! What lives as long as a request.
+
+pub mod admission;
+pub mod openai;
+pub mod placement;
+pub mod prompt;
+pub mod retry;
--- /dev/null
+++ b/src/request/admission.rs
@@ -0,0 +1,1 @@
+//! Reservation of tokens before a request runs.
--- /dev/null
+++ b/src/request/openai.rs
@@ -0,0 +1,1 @@
+//! Completion request bodies: checks, token counts and limits.
--- /dev/null
+++ b/src/request/placement.rs
@@ -0,0 +1,1 @@
+//! Choice of a target for a request.
--- /dev/null
+++ b/src/request/prompt.rs
@@ -0,0 +1,1 @@
+//! Prompt blocks and their chained hashes.
--- /dev/null
+++ b/src/request/retry.rs
@@ -0,0 +1,1 @@
+//! Which failed attempts may be repeated, and where.
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! Settings of the programs.
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,6 @@
+//! Small stand-ins for the served systems, for tests and the quick start.
+
+pub mod engine;
+pub mod fault;
+pub mod plain;
+pub mod platform;
--- /dev/null
+++ b/src/standin/fault.rs
@@ -0,0 +1,1 @@
+//! Faults that stand-ins inject on request.
--- /dev/null
+++ b/src/standin/plain.rs
@@ -0,0 +1,1 @@
+//! Stand-in of a plain service.
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,1 @@
+//! Stand-in of the object API.
--- /dev/null
+++ b/src/version/config.rs
@@ -0,0 +1,1 @@
+//! Folded state of all accepted tickets.
--- /dev/null
+++ b/src/version/evidence.rs
@@ -0,0 +1,1 @@
+//! Statistical comparison of a new version with the old one.
--- /dev/null
+++ b/src/version/fence.rs
@@ -0,0 +1,1 @@
+//! Fencing numbers of orders.
--- /dev/null
+++ b/src/version/head.rs
@@ -0,0 +1,1 @@
+//! The commit log of accepted tickets.
--- /dev/null
+++ b/src/version/keys.rs
@@ -0,0 +1,1 @@
+//! Digests of caller keys.
--- /dev/null
+++ b/src/version/lease.rs
@@ -0,0 +1,1 @@
+//! Leases observed on the monotonic clock of the observer.
--- /dev/null
+++ b/src/version/rollout.rs
@@ -0,0 +1,1 @@
+//! Plan and state machine of a move between versions.
--- /dev/null
+++ b/src/version/ticket.rs
@@ -0,0 +1,1 @@
+//! Numbered changes of the configuration.
