--- /dev/null
+++ b/src/process/limits/bucket.rs
@@ -0,0 +1,1 @@
+//! Token bucket of one organisation at one holder.
--- /dev/null
+++ b/src/process/limits/holder.rs
@@ -0,0 +1,1 @@
+//! Holder side of the limit protocol.
--- /dev/null
+++ b/src/process/limits/ledger.rs
@@ -0,0 +1,1 @@
+//! Ledger side of the limit protocol.
--- /dev/null
+++ b/src/process/limits/message.rs
@@ -0,0 +1,1 @@
+//! Messages between holders and ledgers.
--- /dev/null
+++ b/src/replay/evaluate/fairness.rs
@@ -0,0 +1,1 @@
+//! Fair queueing under one organisation far above its rate.
--- /dev/null
+++ b/src/replay/evaluate/limits.rs
@@ -0,0 +1,1 @@
+//! Limits under uneven callers, outages and loss of a ledger.
--- /dev/null
+++ b/src/replay/evaluate/moves.rs
@@ -0,0 +1,1 @@
+//! Moves of good and bad versions.
--- /dev/null
+++ b/src/replay/evaluate/placement.rs
@@ -0,0 +1,1 @@
+//! Placement policies on prefix-heavy traces.
