--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -1,1 +1,264 @@
-//! Metrics of a process.
+//! Metrics of a process, with histograms for each organisation.
+
+use std::{
+    collections::HashSet,
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+};
+
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text::encode, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::Histogram, //
+    },
+    registry::{
+        Registry,
+        Unit, //
+    },
+};
+
+use crate::{
+    error::ErrorKind,
+    names::Name, //
+};
+
+/// Organisations with label values of their own; all others share one label.
+/// At 5 histograms of 16 buckets this keeps a scrape below 2 MB.
+pub const MAX_ORGANISATION_LABELS: usize = 200;
+
+/// Label of organisations beyond [`MAX_ORGANISATION_LABELS`].
+pub const OTHER_ORGANISATIONS: &str = "other";
+
+const LATENCY_BUCKETS_S: [f64; 15] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// Labels of a metric kept for each organisation.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct OrganisationLabels {
+    /// Organisation, or [`OTHER_ORGANISATIONS`].
+    pub organisation: String,
+}
+
+/// Labels of the count of answers.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct AnswerLabels {
+    /// Organisation, or [`OTHER_ORGANISATIONS`].
+    pub organisation: String,
+    /// Name of the error kind, or `ok`.
+    pub kind: String,
+}
+
+type HistogramFamily = Family<OrganisationLabels, Histogram, fn() -> Histogram>;
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS_S)
+}
+
+fn histogram_family() -> HistogramFamily {
+    Family::new_with_constructor(latency_histogram as fn() -> Histogram)
+}
+
+/// All metrics of an entry or agent.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    labels: Mutex<HashSet<Name>>,
+    answers: Family<AnswerLabels, Counter>,
+    first_token: HistogramFamily,
+    between_tokens: HistogramFamily,
+    queue_wait: HistogramFamily,
+    total: HistogramFamily,
+    /// Tokens admitted, by organisation.
+    pub admitted_tokens: Family<OrganisationLabels, Counter>,
+    /// Prompt blocks found in a cache.
+    pub matched_blocks: Counter,
+    /// Prompt blocks sent to targets.
+    pub prompt_blocks: Counter,
+    /// Attempts beyond the first one of a request.
+    pub retries: Counter,
+    /// Streams resumed on a new connection.
+    pub resumed_streams: Counter,
+    /// Configuration revision in use.
+    pub revision: Gauge,
+    /// Requests that are running.
+    pub running: Gauge,
+}
+
+/// Histograms of one organisation, looked up once for a request.
+#[derive(Clone, Debug)]
+pub struct OrganisationMetrics {
+    /// Seconds from the request to the first token.
+    pub first_token: Histogram,
+    /// Seconds between tokens.
+    pub between_tokens: Histogram,
+    /// Seconds in the queue of the target.
+    pub queue_wait: Histogram,
+    /// Seconds from the request to the end of the answer.
+    pub total: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// ```
+    /// let metrics = yuccalatch::process::metrics::Metrics::new();
+    /// metrics.count_answer("acme", None);
+    /// assert!(metrics.render().contains("yuccalatch_answers_total"));
+    /// ```
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("yuccalatch");
+        let metrics = Self {
+            labels: Mutex::default(),
+            answers: Family::default(),
+            first_token: histogram_family(),
+            between_tokens: histogram_family(),
+            queue_wait: histogram_family(),
+            total: histogram_family(),
+            admitted_tokens: Family::default(),
+            matched_blocks: Counter::default(),
+            prompt_blocks: Counter::default(),
+            retries: Counter::default(),
+            resumed_streams: Counter::default(),
+            revision: Gauge::default(),
+            running: Gauge::default(),
+            registry: Registry::default(),
+        };
+        metrics.register(&mut registry);
+        Self {
+            registry,
+            ..metrics
+        }
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        registry.register("answers", "Answers by kind", self.answers.clone());
+        let latencies = [
+            ("first_token", "Time to the first token", &self.first_token),
+            (
+                "between_tokens",
+                "Time between tokens",
+                &self.between_tokens,
+            ),
+            (
+                "queue_wait",
+                "Time in the queue of the target",
+                &self.queue_wait,
+            ),
+            ("total", "Time to the end of the answer", &self.total),
+        ];
+        for (name, help, family) in latencies {
+            registry.register_with_unit(name, help, Unit::Seconds, family.clone());
+        }
+        let admitted = self.admitted_tokens.clone();
+        registry.register("admitted_tokens", "Tokens admitted", admitted);
+        let counters = [
+            (
+                "matched_blocks",
+                "Prompt blocks found in a cache",
+                &self.matched_blocks,
+            ),
+            (
+                "prompt_blocks",
+                "Prompt blocks sent to targets",
+                &self.prompt_blocks,
+            ),
+            ("retries", "Attempts beyond the first one", &self.retries),
+            (
+                "resumed_streams",
+                "Streams resumed on a new connection",
+                &self.resumed_streams,
+            ),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
+        registry.register(
+            "revision",
+            "Configuration revision in use",
+            self.revision.clone(),
+        );
+        registry.register("running", "Requests that are running", self.running.clone());
+    }
+
+    /// Returns the label value of an organisation.
+    ///
+    /// ```
+    /// let metrics = yuccalatch::process::metrics::Metrics::new();
+    /// assert_eq!(metrics.label("acme"), "acme");
+    /// ```
+    pub fn label(&self, organisation: &str) -> String {
+        let mut labels = self.labels.lock().unwrap_or_else(PoisonError::into_inner);
+        if labels.contains(organisation) {
+            return organisation.to_owned();
+        }
+        if labels.len() >= MAX_ORGANISATION_LABELS {
+            return OTHER_ORGANISATIONS.to_owned();
+        }
+        labels.insert(organisation.into());
+        organisation.to_owned()
+    }
+
+    /// Counts an answer; `None` stands for success.
+    ///
+    /// ```
+    /// use yuccalatch::{error::ErrorKind, process::metrics::Metrics};
+    ///
+    /// let metrics = Metrics::new();
+    /// metrics.count_answer("acme", Some(ErrorKind::RateLimited));
+    /// assert!(metrics.render().contains("rate_limited"));
+    /// ```
+    pub fn count_answer(&self, organisation: &str, kind: Option<ErrorKind>) {
+        let labels = AnswerLabels {
+            organisation: self.label(organisation),
+            kind: kind.map_or("ok", ErrorKind::name).to_owned(),
+        };
+        self.answers.get_or_create(&labels).inc();
+    }
+
+    /// Returns the histograms of an organisation.
+    ///
+    /// ```
+    /// let metrics = yuccalatch::process::metrics::Metrics::new();
+    /// metrics.organisation("acme").first_token.observe(0.25);
+    /// assert!(metrics.render().contains("first_token_seconds_count{organisation=\"acme\"} 1"));
+    /// ```
+    pub fn organisation(&self, organisation: &str) -> OrganisationMetrics {
+        let labels = OrganisationLabels {
+            organisation: self.label(organisation),
+        };
+        OrganisationMetrics {
+            first_token: self.first_token.get_or_create(&labels).clone(),
+            between_tokens: self.between_tokens.get_or_create(&labels).clone(),
+            queue_wait: self.queue_wait.get_or_create(&labels).clone(),
+            total: self.total.get_or_create(&labels).clone(),
+        }
+    }
+
+    /// Formats all metrics as OpenMetrics text.
+    ///
+    /// ```
+    /// let metrics = yuccalatch::process::metrics::Metrics::new();
+    /// assert!(metrics.render().ends_with("# EOF\n"));
+    /// ```
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -1,1 +1,136 @@
 //! Stand-in of a model engine.
+//!
+//! It batches requests, keeps prompt prefixes in a bounded block cache,
+//! publishes cache events late and with gaps, reports its load with a lag and
+//! takes orders. Generated text depends only on the version and the text so
+//! far, so a continued generation yields the same tokens as an uninterrupted
+//! one.
+
+mod batch;
+mod cache;
+mod generation;
+mod server;
+
+use std::net::SocketAddr;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+pub use cache::{
+    BlockCache,
+    CacheEvent,
+    CacheEventKind, //
+};
+pub use generation::{
+    BYTES_PER_TOKEN,
+    next_token, //
+};
+pub use server::serve;
+
+/// Parameters of a stand-in engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EngineSettings {
+    /// Listener of the engine.
+    pub address: SocketAddr,
+    /// Version that is loaded at the start.
+    pub version: String,
+    /// Capacity of the prompt cache, in blocks.
+    pub cache_blocks: usize,
+    /// Tokens in a cache block.
+    pub block_tokens: usize,
+    /// Prompt tokens computed per second.
+    pub prefill_tokens_per_s: u64,
+    /// Generated tokens per second of one request.
+    pub decode_tokens_per_s: u64,
+    /// Requests that run at the same time.
+    pub batch_size: usize,
+    /// Delay of published cache events, in milliseconds.
+    pub event_lag_ms: u64,
+    /// Every n-th cache event is lost; zero loses none.
+    pub event_gap_every: u64,
+    /// Age of reported load, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Time to load weights, in milliseconds.
+    pub load_weights_ms: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            version: "v1".to_owned(),
+            cache_blocks: 512,
+            block_tokens: 1_000,
+            prefill_tokens_per_s: 20_000,
+            decode_tokens_per_s: 100,
+            batch_size: 16,
+            event_lag_ms: 200,
+            event_gap_every: 0,
+            load_lag_ms: 500,
+            load_weights_ms: 500,
+            checks_fencing: true,
+        }
+    }
+}
+
+/// Faults that a stand-in engine injects, set with `PUT /faults`.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EngineFaults {
+    /// Requests in a hundred that fail with status 500.
+    pub error_percent: u32,
+    /// Versions that the error percentage applies to; empty means all.
+    pub error_versions: Vec<String>,
+    /// Only requests whose path starts with this fail.
+    pub error_path_prefix: String,
+    /// Only fail while at least this many requests run.
+    pub error_min_running: usize,
+    /// Factor on all computing times.
+    pub slow_factor: Option<u64>,
+    /// Breaks the connection after this many tokens.
+    pub break_after_tokens: Option<u64>,
+    /// Stops sending after this many tokens, without closing.
+    pub hang_after_tokens: Option<u64>,
+    /// Do not answer requests at all.
+    pub hang: bool,
+}
+
+/// Load that an engine reports.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct EngineLoad {
+    /// Incarnation of the engine's cache, in hexadecimal.
+    pub incarnation: String,
+    /// Versions that are loaded.
+    pub versions: Vec<String>,
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Blocks in the cache.
+    pub cached_blocks: usize,
+}
+
+/// Order to an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub enum EngineOrder {
+    /// Load the weights of a version and serve it beside the others.
+    Load {
+        /// Version to load.
+        version: String,
+        /// Fencing number of the order.
+        fence: u64,
+    },
+    /// Stop serving a version and free its weights.
+    Unload {
+        /// Version to unload.
+        version: String,
+        /// Fencing number of the order.
+        fence: u64,
+    },
+}
--- /dev/null
+++ b/src/standin/engine/server.rs
@@ -0,0 +1,400 @@
+//! HTTP interface of the stand-in engine.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::{
+        BTreeSet,
+        VecDeque, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    rc::Rc,
+    time::Duration,
+};
+
+use futures_util::stream;
+use ntex::{
+    http::StatusCode,
+    util::Bytes,
+    web::{
+        self,
+        App,
+        HttpRequest,
+        HttpResponse, //
+    },
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::json;
+
+use super::{
+    EngineFaults, EngineLoad, EngineOrder, EngineSettings,
+    batch::{
+        Batch,
+        Slot, //
+    },
+    cache::{
+        BlockCache,
+        block_hashes, //
+    },
+    generation::{
+        BYTES_PER_TOKEN,
+        Completion,
+        Endpoint,
+        next_token, //
+    },
+};
+use crate::{
+    clock::{
+        Clock,
+        US_PER_MS,
+        US_PER_S, //
+    },
+    names::Incarnation,
+};
+
+/// Requests remembered for tests.
+const RECORD_CAPACITY: usize = 10_000;
+
+/// A request as the engine received it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Received {
+    path: String,
+    headers: Vec<(String, String)>,
+    body: String,
+    version: String,
+    matched_blocks: usize,
+    prompt_blocks: usize,
+}
+
+struct Engine {
+    settings: EngineSettings,
+    clock: Clock,
+    incarnation: Incarnation,
+    batch: Batch,
+    cache: RefCell<BlockCache>,
+    versions: RefCell<BTreeSet<String>>,
+    faults: RefCell<EngineFaults>,
+    fence: Cell<u64>,
+    requests: Cell<u64>,
+    received: RefCell<VecDeque<Received>>,
+    load: RefCell<VecDeque<(u64, EngineLoad)>>,
+}
+
+type State = web::types::State<Rc<Engine>>;
+
+/// Serves until the process ends. Returns the bound address through `bound`.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub async fn serve(
+    settings: EngineSettings,
+    bound: impl FnOnce(SocketAddr),
+) -> std::io::Result<()> {
+    let listener = TcpListener::bind(settings.address)?;
+    bound(listener.local_addr()?);
+    let incarnation = Incarnation::random();
+    web::HttpServer::new(async move || {
+        let engine = Rc::new(Engine::new(settings.clone(), incarnation));
+        App::new()
+            .state(engine)
+            .state(web::types::PayloadConfig::new(64 << 20))
+            .route("/v1/chat/completions", web::post().to(chat))
+            .route("/v1/completions", web::post().to(text))
+            .route("/events", web::get().to(events))
+            .route("/load", web::get().to(load))
+            .route("/orders", web::post().to(orders))
+            .route("/faults", web::put().to(faults))
+            .route("/received", web::get().to(received))
+    })
+    .workers(1)
+    .listen(listener)?
+    .run()
+    .await
+}
+
+impl Engine {
+    fn new(settings: EngineSettings, incarnation: Incarnation) -> Self {
+        let cache = BlockCache::new(
+            settings.cache_blocks,
+            settings.event_lag_ms * US_PER_MS,
+            settings.event_gap_every,
+        );
+        Self {
+            clock: Clock::start(),
+            incarnation,
+            batch: Batch::new(settings.batch_size),
+            cache: RefCell::new(cache),
+            versions: RefCell::new(BTreeSet::from([settings.version.clone()])),
+            faults: RefCell::default(),
+            fence: Cell::new(0),
+            requests: Cell::new(0),
+            received: RefCell::default(),
+            load: RefCell::default(),
+            settings,
+        }
+    }
+
+    fn slow_factor(&self) -> u64 {
+        self.faults.borrow().slow_factor.unwrap_or(1)
+    }
+
+    fn fails(&self, path: &str, version: &String, number: u64) -> bool {
+        let faults = self.faults.borrow();
+        let version_hit =
+            faults.error_versions.is_empty() || faults.error_versions.contains(version);
+        version_hit
+            && path.starts_with(&faults.error_path_prefix)
+            && self.batch.running() >= faults.error_min_running
+            && number % 100 < u64::from(faults.error_percent)
+    }
+
+    fn record(&self, received: Received) {
+        let mut records = self.received.borrow_mut();
+        if records.len() == RECORD_CAPACITY {
+            records.pop_front();
+        }
+        records.push_back(received);
+    }
+
+    fn current_load(&self) -> EngineLoad {
+        EngineLoad {
+            incarnation: self.incarnation.to_string(),
+            versions: self.versions.borrow().iter().cloned().collect(),
+            running: self.batch.running(),
+            waiting: self.batch.waiting(),
+            cached_blocks: self.cache.borrow().len(),
+        }
+    }
+
+    /// Returns the newest load that is at least as old as the report lag.
+    fn lagged_load(&self) -> EngineLoad {
+        let now_us = self.clock.now_us();
+        let current = self.current_load();
+        let mut history = self.load.borrow_mut();
+        history.push_back((now_us, current.clone()));
+        let lag_us = self.settings.load_lag_ms * US_PER_MS;
+        while history.len() > 1 && history[1].0 + lag_us <= now_us {
+            history.pop_front();
+        }
+        let mut load = history.front().map_or(current, |(_, load)| load.clone());
+        load.incarnation = self.incarnation.to_string();
+        load
+    }
+}
+
+async fn chat(engine: State, request: HttpRequest, body: Bytes) -> HttpResponse {
+    complete(engine, &request, &body, Endpoint::Chat).await
+}
+
+async fn text(engine: State, request: HttpRequest, body: Bytes) -> HttpResponse {
+    complete(engine, &request, &body, Endpoint::Text).await
+}
+
+fn header(request: &HttpRequest, name: &str) -> Option<String> {
+    let value = request.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+async fn complete(
+    engine: State,
+    request: &HttpRequest,
+    body: &[u8],
+    endpoint: Endpoint,
+) -> HttpResponse {
+    let completion = match Completion::parse(endpoint, body) {
+        Ok(completion) => completion,
+        Err(message) => {
+            return HttpResponse::BadRequest().json(&json!({"error": {"message": message}}));
+        }
+    };
+    let version =
+        header(request, "x-model-version").unwrap_or_else(|| engine.settings.version.clone());
+    if !engine.versions.borrow().contains(&version) {
+        return HttpResponse::NotFound()
+            .json(&json!({"error": {"message": "version is not loaded"}}));
+    }
+    let number = engine.requests.get();
+    engine.requests.set(number + 1);
+    if engine.faults.borrow().hang {
+        std::future::pending::<()>().await;
+    }
+    if engine.fails(request.path(), &version, number) {
+        return HttpResponse::InternalServerError()
+            .json(&json!({"error": {"message": "injected failure"}}));
+    }
+    let priority = header(request, "x-priority")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    let slot = engine.batch.enter(priority).await;
+    let namespace = header(request, "x-cache-namespace").unwrap_or_default();
+    let block_bytes = engine.settings.block_tokens * BYTES_PER_TOKEN;
+    let blocks = block_hashes(&namespace, completion.prompt.as_bytes(), block_bytes);
+    let matched = engine.cache.borrow_mut().lookup(&blocks);
+    engine.record(Received {
+        path: request.uri().to_string(),
+        headers: request
+            .headers()
+            .iter()
+            .map(|(name, value)| {
+                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                (name.to_string(), value)
+            })
+            .collect(),
+        body: String::from_utf8_lossy(body).into_owned(),
+        version: version.clone(),
+        matched_blocks: matched,
+        prompt_blocks: blocks.len(),
+    });
+    prefill(&engine, &completion, matched).await;
+    let now_us = engine.clock.now_us();
+    engine.cache.borrow_mut().store(&blocks, &namespace, now_us);
+
+    let mut response = HttpResponse::Ok();
+    response
+        .set_header("x-matched-blocks", matched.to_string())
+        .set_header("x-prompt-blocks", blocks.len().to_string())
+        .set_header("x-engine-incarnation", engine.incarnation.to_string())
+        .set_header("x-model-version", version.as_str());
+    let generation = Generation {
+        text: completion.prompt.clone(),
+        engine: Rc::clone(&engine),
+        completion,
+        version,
+        emitted: 0,
+        done: false,
+        _slot: slot,
+    };
+    if generation.completion.stream {
+        response.content_type("text/event-stream");
+        response.streaming(generation.into_stream())
+    } else {
+        let answer = generation.into_answer().await;
+        response.content_type("application/json").body(answer)
+    }
+}
+
+async fn prefill(engine: &Engine, completion: &Completion, matched: usize) {
+    let prompt_tokens = completion.prompt.len() / BYTES_PER_TOKEN;
+    let cached_tokens = matched * engine.settings.block_tokens;
+    let tokens = u64::try_from(prompt_tokens.saturating_sub(cached_tokens)).unwrap_or(u64::MAX);
+    let rate = engine.settings.prefill_tokens_per_s.max(1);
+    let time_us = tokens.saturating_mul(US_PER_S) / rate * engine.slow_factor();
+    tokio::time::sleep(Duration::from_micros(time_us)).await;
+}
+
+struct Generation {
+    engine: Rc<Engine>,
+    completion: Completion,
+    version: String,
+    text: String,
+    emitted: u64,
+    done: bool,
+    _slot: Slot,
+}
+
+impl Generation {
+    async fn next_token(&mut self) -> String {
+        let rate = self.engine.settings.decode_tokens_per_s.max(1);
+        let time_us = US_PER_S / rate * self.engine.slow_factor();
+        tokio::time::sleep(Duration::from_micros(time_us)).await;
+        let token = next_token(&self.version, &self.text);
+        self.text.push_str(&token);
+        self.emitted += 1;
+        token
+    }
+
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if self.done {
+            return None;
+        }
+        let (break_after, hang_after) = {
+            let faults = self.engine.faults.borrow();
+            (faults.break_after_tokens, faults.hang_after_tokens)
+        };
+        if break_after.is_some_and(|limit| self.emitted >= limit) {
+            return Some(Err(std::io::Error::other("injected break")));
+        }
+        if hang_after.is_some_and(|limit| self.emitted >= limit) {
+            std::future::pending::<()>().await;
+        }
+        if self.emitted >= self.completion.max_tokens {
+            self.done = true;
+            return Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")));
+        }
+        let token = self.next_token().await;
+        let last = self.emitted >= self.completion.max_tokens;
+        Some(Ok(Bytes::from(self.completion.chunk(&token, last))))
+    }
+
+    fn into_stream(self) -> impl stream::Stream<Item = Result<Bytes, std::io::Error>> + Unpin {
+        Box::pin(stream::unfold(self, |mut generation| async move {
+            let chunk = generation.next_chunk().await?;
+            Some((chunk, generation))
+        }))
+    }
+
+    async fn into_answer(mut self) -> String {
+        let mut answer = String::new();
+        while self.emitted < self.completion.max_tokens {
+            answer.push_str(&self.next_token().await);
+        }
+        let prompt_tokens = self.completion.prompt.len() / BYTES_PER_TOKEN;
+        self.completion.whole(&answer, prompt_tokens, self.emitted)
+    }
+}
+
+#[derive(Deserialize)]
+struct EventsQuery {
+    #[serde(default)]
+    since: u64,
+}
+
+async fn events(engine: State, query: web::types::Query<EventsQuery>) -> HttpResponse {
+    let now_us = engine.clock.now_us();
+    let events = engine.cache.borrow().events_since(query.since, now_us);
+    HttpResponse::Ok().json(&json!({
+        "incarnation": engine.incarnation.to_string(),
+        "events": events,
+    }))
+}
+
+async fn load(engine: State) -> HttpResponse {
+    HttpResponse::Ok().json(&engine.lagged_load())
+}
+
+async fn orders(engine: State, order: web::types::Json<EngineOrder>) -> HttpResponse {
+    let (EngineOrder::Load { fence, .. } | EngineOrder::Unload { fence, .. }) = *order;
+    if engine.settings.checks_fencing && fence < engine.fence.get() {
+        return HttpResponse::Conflict().json(&json!({"fence": engine.fence.get()}));
+    }
+    engine.fence.set(fence.max(engine.fence.get()));
+    match order.into_inner() {
+        EngineOrder::Load { version, .. } => {
+            tokio::time::sleep(Duration::from_millis(engine.settings.load_weights_ms)).await;
+            engine.versions.borrow_mut().insert(version);
+        }
+        EngineOrder::Unload { version, .. } => {
+            engine.versions.borrow_mut().remove(&version);
+        }
+    }
+    HttpResponse::Ok().json(&json!({"versions": *engine.versions.borrow()}))
+}
+
+async fn faults(engine: State, faults: web::types::Json<EngineFaults>) -> HttpResponse {
+    *engine.faults.borrow_mut() = faults.into_inner();
+    HttpResponse::build(StatusCode::NO_CONTENT).finish()
+}
+
+async fn received(engine: State) -> HttpResponse {
+    let records: Vec<Received> = engine.received.borrow().iter().cloned().collect();
+    HttpResponse::Ok().json(&records)
+}
