--- a/src/replay/evaluate.rs
+++ b/src/replay/evaluate.rs
@@ -4,3 +4,29 @@
 pub mod limits;
 pub mod moves;
 pub mod placement;
+
+/// How much work an evaluation does.
+///
+/// ```
+/// use yuccalatch::replay::evaluate::Size;
+///
+/// assert!(Size::Small.requests(1_000) < Size::Full.requests(1_000));
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Size {
+    /// A fifth of the full size, for continuous integration.
+    #[default]
+    Small,
+    /// The size whose figures stand in the documentation.
+    Full,
+}
+
+impl Size {
+    /// Returns the number of requests to generate, given the full number.
+    pub const fn requests(self, full: usize) -> usize {
+        match self {
+            Self::Small => full / 5,
+            Self::Full => full,
+        }
+    }
+}
