--- a/src/process/hints.rs
+++ b/src/process/hints.rs
@@ -1,1 +1,175 @@
-//! What an entry has seen of the caches of targets.
+//! An entry's bounded memory of which target holds which prefix.
+
+use std::{
+    collections::HashMap,
+    num::NonZeroUsize, //
+};
+
+use lru::LruCache;
+
+use crate::{
+    names::Incarnation,
+    request::{
+        placement::TargetId,
+        prompt::BlockHash, //
+    },
+};
+
+/// Targets remembered for one block. A prefix that more targets hold is so hot
+/// that any of its rendezvous candidates has it.
+const MAX_HOLDERS: usize = 4;
+
+/// What a target told in an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Observation {
+    /// Target that answered.
+    pub target: TargetId,
+    /// Incarnation of its engine's cache.
+    pub engine: Incarnation,
+    /// Blocks that the engine found in its cache.
+    pub matched_blocks: u32,
+}
+
+/// Memory of one target for one prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hint {
+    /// Target that held the blocks.
+    pub target: TargetId,
+    /// Blocks from the start of the prompt.
+    pub matched_blocks: u32,
+    /// When the last of these blocks was seen there.
+    pub seen_at_us: u64,
+    /// Whether the engine is known to have evicted blocks of this age.
+    pub is_doubtful: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    target: TargetId,
+    engine: Incarnation,
+    seen_at_us: u64,
+}
+
+/// Bounded LRU from block to the targets that hold it.
+///
+/// Hashes are seeded by the namespace, so a hint never crosses organisations or
+/// versions; the engine incarnation is checked at every use.
+///
+/// ```
+/// use std::num::NonZeroUsize;
+/// use yuccalatch::names::Incarnation;
+/// use yuccalatch::process::hints::{Hints, Observation};
+/// use yuccalatch::request::placement::TargetId;
+/// use yuccalatch::request::prompt::BlockHash;
+///
+/// let mut hints = Hints::new(NonZeroUsize::new(100).unwrap());
+/// let blocks = [BlockHash(1), BlockHash(2)];
+/// let seen = Observation { target: TargetId(3), engine: Incarnation(9), matched_blocks: 0 };
+/// hints.answered(&blocks, seen, 50);
+/// let found = hints.lookup(&blocks, |_| Some(Incarnation(9)));
+/// assert_eq!((found[0].target, found[0].matched_blocks), (TargetId(3), 2));
+/// assert!(hints.lookup(&blocks, |_| Some(Incarnation(10))).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct Hints {
+    blocks: LruCache<BlockHash, Vec<Holder>>,
+    /// Per target, the age of a block that was found evicted.
+    evicted_before_us: HashMap<TargetId, u64>,
+}
+
+impl Hints {
+    /// Creates an empty memory for at most `capacity_blocks`.
+    pub fn new(capacity_blocks: NonZeroUsize) -> Self {
+        Self {
+            blocks: LruCache::new(capacity_blocks),
+            evicted_before_us: HashMap::new(),
+        }
+    }
+
+    /// Returns the number of remembered blocks.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Returns whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Records an answer: the target now holds all blocks of the prompt.
+    pub fn answered(&mut self, blocks: &[BlockHash], seen: Observation, now_us: u64) {
+        let matched = usize::try_from(seen.matched_blocks).unwrap_or(usize::MAX);
+        if let Some(missing) = blocks.get(matched) {
+            self.note_missing(*missing, seen);
+        }
+        for &block in blocks.iter().rev() {
+            let holder = Holder {
+                target: seen.target,
+                engine: seen.engine,
+                seen_at_us: now_us,
+            };
+            remember(self.blocks.get_or_insert_mut(block, Vec::new), holder);
+        }
+    }
+
+    /// Returns the targets that held a prefix of the prompt under their present
+    /// incarnation, longest prefix first.
+    pub fn lookup(
+        &self,
+        blocks: &[BlockHash],
+        engine_of: impl Fn(TargetId) -> Option<Incarnation>,
+    ) -> Vec<Hint> {
+        let mut found: Vec<Hint> = Vec::new();
+        // From the end, because a target that held a block held everything
+        // before it, while hot first blocks have more holders than are kept.
+        for (depth, block) in (1..).zip(blocks).collect::<Vec<_>>().into_iter().rev() {
+            for holder in self.blocks.peek(block).into_iter().flatten() {
+                let is_known = found.iter().any(|hint| hint.target == holder.target);
+                if is_known || engine_of(holder.target) != Some(holder.engine) {
+                    continue;
+                }
+                found.push(self.hint(holder, depth));
+            }
+        }
+        found.sort_by_key(|hint| (std::cmp::Reverse(hint.matched_blocks), hint.target));
+        found
+    }
+
+    /// Forgets a target that is gone.
+    pub fn forget(&mut self, target: TargetId) {
+        self.evicted_before_us.remove(&target);
+        for (_, holders) in self.blocks.iter_mut() {
+            holders.retain(|holder| holder.target != target);
+        }
+    }
+
+    fn hint(&self, holder: &Holder, matched_blocks: u32) -> Hint {
+        let evicted_before_us = self.evicted_before_us.get(&holder.target);
+        Hint {
+            target: holder.target,
+            matched_blocks,
+            seen_at_us: holder.seen_at_us,
+            is_doubtful: evicted_before_us.is_some_and(|&limit| holder.seen_at_us <= limit),
+        }
+    }
+
+    fn note_missing(&mut self, block: BlockHash, seen: Observation) {
+        let Some(holders) = self.blocks.peek(&block) else {
+            return;
+        };
+        let is_same =
+            |holder: &&Holder| holder.target == seen.target && holder.engine == seen.engine;
+        if let Some(holder) = holders.iter().find(is_same) {
+            let limit = self.evicted_before_us.entry(seen.target).or_default();
+            *limit = (*limit).max(holder.seen_at_us);
+        }
+    }
+}
+
+fn remember(holders: &mut Vec<Holder>, holder: Holder) {
+    holders.retain(|known| known.target != holder.target);
+    if holders.len() == MAX_HOLDERS {
+        holders.remove(0);
+    }
+    holders.push(holder);
+}
