--- a/src/process/cache_index.rs
+++ b/src/process/cache_index.rs
@@ -5,7 +5,10 @@
 //! its answers, which are exact for the moment of the prefill. The index is an
 //! estimate; only the engine decides what it reuses.
 
-use std::num::NonZeroUsize;
+use std::{
+    collections::HashMap,
+    num::NonZeroUsize, //
+};
 
 use lru::LruCache;
 use serde::Serialize;
@@ -100,6 +103,9 @@
 pub struct CacheIndex {
     engine: Incarnation,
     blocks: LruCache<(Namespace, BlockHash), State>,
+    /// Blocks of requests that were sent to the engine and are not yet
+    /// answered, with the number of these requests.
+    expected: HashMap<(Namespace, BlockHash), u32>,
     next_sequence: u64,
     gaps: u64,
     /// A block last used at this time was found evicted. Engines evict in
@@ -113,6 +119,7 @@
         Self {
             engine,
             blocks: LruCache::new(capacity_blocks),
+            expected: HashMap::new(),
             next_sequence: 0,
             gaps: 0,
             evicted_before_us: 0,
@@ -141,6 +148,7 @@
         }
         self.engine = engine;
         self.blocks.clear();
+        self.expected.clear();
         self.next_sequence = 0;
         self.gaps = 0;
         self.evicted_before_us = 0;
@@ -178,6 +186,30 @@
         applied
     }
 
+    /// Records that a request was accepted for the engine: its blocks will be
+    /// cached by the time a request behind it starts.
+    ///
+    /// Every call is followed by one of [`Self::settle`].
+    pub fn expect(&mut self, namespace: Namespace, blocks: &[BlockHash]) {
+        for &block in blocks {
+            *self.expected.entry((namespace, block)).or_default() += 1;
+        }
+    }
+
+    /// Ends an expectation, because the request was answered or failed.
+    pub fn settle(&mut self, namespace: Namespace, blocks: &[BlockHash]) {
+        for &block in blocks {
+            let key = (namespace, block);
+            let Some(count) = self.expected.get_mut(&key) else {
+                continue;
+            };
+            *count -= 1;
+            if *count == 0 {
+                self.expected.remove(&key);
+            }
+        }
+    }
+
     /// Applies what the engine reported in an answer: the first
     /// `matched_blocks` were cached, the others have just been computed. An
     /// answer of another incarnation is ignored, because it may be a late one.
@@ -218,13 +250,15 @@
         let mut found = Match::default();
         let mut is_certain = true;
         for &block in blocks {
-            let Some(state) = self.blocks.peek(&(namespace, block)) else {
-                break;
-            };
-            if !state.present || state.used_at_us < self.evicted_before_us {
+            let key = (namespace, block);
+            let known = self
+                .blocks
+                .peek(&key)
+                .filter(|state| state.present && state.used_at_us >= self.evicted_before_us);
+            if known.is_none() && !self.expected.contains_key(&key) {
                 break;
             }
-            is_certain &= state.gaps == self.gaps;
+            is_certain &= known.is_some_and(|state| state.gaps == self.gaps);
             found.likely_blocks += 1;
             found.confirmed_blocks += u32::from(is_certain);
         }
--- a/src/replay/evaluate.rs
+++ b/src/replay/evaluate.rs
@@ -4,6 +4,9 @@
 pub mod limits;
 pub mod moves;
 pub mod placement;
+pub mod router;
+pub mod simulation;
+pub mod traffic;
 
 /// How much work an evaluation does.
 ///
--- /dev/null
+++ b/src/replay/model/agent.rs
@@ -0,0 +1,343 @@
+//! The agent next to a modelled engine: queue, cache index, expected wait.
+
+use std::{
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
+    num::NonZeroUsize,
+};
+
+use crate::{
+    names::Incarnation,
+    process::{
+        cache_index::CacheIndex,
+        fair_queue::{
+            FairQueue,
+            Item,
+            Priority,
+            Rejected,
+            Settings, //
+        },
+    },
+    replay::model::{
+        Engine,
+        EngineSettings,
+        Output,
+        Request, //
+    },
+    request::placement::{
+        Probe,
+        TargetId, //
+    },
+};
+
+/// Order in which the agent passes requests to the engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueueKind {
+    /// First come, first served.
+    Arrival,
+    /// Deficit round robin with engine priorities.
+    Fair,
+}
+
+#[derive(Debug)]
+enum Queue {
+    Arrival(VecDeque<usize>),
+    Fair(FairQueue<usize>),
+}
+
+/// Expected remaining cost of a request that has no first token yet.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    cost_us: u64,
+    organisation_index: usize,
+    is_in_engine: bool,
+}
+
+/// One agent with its engine.
+#[derive(Debug)]
+pub struct Agent {
+    id: TargetId,
+    engine: Engine,
+    index: CacheIndex,
+    queue: Queue,
+    max_queued: usize,
+    running: usize,
+    pending: HashMap<usize, Pending>,
+    /// When the engine last delivered a first token or left its idle state.
+    progress_at_us: u64,
+}
+
+/// Factor between the blocks of the engine and those that the index remembers;
+/// evicted blocks are remembered too.
+const INDEX_FACTOR: usize = 4;
+
+impl Agent {
+    /// Creates an agent with an idle engine.
+    pub fn new(
+        id: TargetId,
+        settings: EngineSettings,
+        kind: QueueKind,
+        queue: Settings,
+        seed: u64,
+    ) -> Self {
+        let incarnation = Incarnation(seed);
+        let capacity = settings
+            .cache_blocks
+            .saturating_mul(NonZeroUsize::new(INDEX_FACTOR).unwrap_or(NonZeroUsize::MIN));
+        Self {
+            id,
+            engine: Engine::new(settings, incarnation, seed),
+            index: CacheIndex::new(incarnation, capacity),
+            queue: match kind {
+                QueueKind::Arrival => Queue::Arrival(VecDeque::new()),
+                QueueKind::Fair => Queue::Fair(FairQueue::new(queue)),
+            },
+            max_queued: queue.max_queued,
+            running: 0,
+            pending: HashMap::new(),
+            progress_at_us: 0,
+        }
+    }
+
+    /// Returns the engine.
+    pub fn engine(&self) -> &Engine {
+        &self.engine
+    }
+
+    /// Accepts a request, or returns the requests that were refused for it.
+    pub fn submit(&mut self, id: usize, trace: &[Request], now_us: u64) -> Vec<usize> {
+        let request = &trace[id];
+        let cost_us = self.cost_us(request, now_us);
+        if self.pending.is_empty() {
+            self.progress_at_us = now_us;
+        }
+        self.index.expect(request.namespace, &request.blocks);
+        let pending = Pending {
+            cost_us,
+            organisation_index: request.organisation_index,
+            is_in_engine: false,
+        };
+        self.pending.insert(id, pending);
+        let refused = self.enqueue(id, request, cost_us, now_us);
+        for &id in &refused {
+            self.settle(id, trace);
+        }
+        self.pump(trace, now_us);
+        refused
+    }
+
+    /// Lets the engine work and returns its outputs.
+    pub fn advance(&mut self, trace: &[Request], now_us: u64) -> Vec<Output> {
+        let outputs = self.engine.advance(now_us);
+        for output in &outputs {
+            match *output {
+                Output::FirstToken {
+                    request,
+                    matched_blocks,
+                } => self.first_token(request, matched_blocks, trace, now_us),
+                Output::Finished { request } => self.release(&trace[request]),
+            }
+        }
+        self.pump(trace, now_us);
+        outputs
+    }
+
+    /// Restarts the engine with an empty cache and returns the lost requests.
+    pub fn crash(&mut self, incarnation: Incarnation, trace: &[Request]) -> Vec<usize> {
+        let lost = self.engine.crash(incarnation);
+        for &id in &lost {
+            self.settle(id, trace);
+            self.release(&trace[id]);
+        }
+        self.index.restarted(incarnation);
+        // Requests that still wait in the queue will be computed by the new
+        // engine.
+        let mut waiting: Vec<usize> = self.pending.keys().copied().collect();
+        waiting.sort_unstable();
+        for id in waiting {
+            self.index.expect(trace[id].namespace, &trace[id].blocks);
+        }
+        lost
+    }
+
+    /// Answers a probe from the cache index and the queue.
+    pub fn probe(&mut self, request: &Request, now_us: u64) -> Probe {
+        self.read_events(now_us);
+        let found = self.index.lookup(request.namespace, &request.blocks);
+        Probe {
+            target: self.id,
+            matched_blocks: found.likely_blocks,
+            queue_us: self.queue_us(Some(request), now_us),
+        }
+    }
+
+    /// Expected wait as it stands in load reports.
+    pub fn load_us(&self, now_us: u64) -> u64 {
+        self.queue_us(None, now_us)
+    }
+
+    /// Answers a probe from the state of the engine itself. Only the reference
+    /// policy may ask.
+    pub fn exact(&self, request: &Request, trace: &[Request], now_us: u64) -> Probe {
+        let is_cached = |block| {
+            self.engine.has(block)
+                || self
+                    .pending
+                    .keys()
+                    .any(|&id| trace[id].blocks.contains(&block))
+        };
+        let cached = request.blocks.iter().take_while(|&&block| is_cached(block));
+        let queued_us: u64 = self.queued().map(|pending| pending.cost_us).sum();
+        let slot_us = if self.running >= self.engine.settings().slots {
+            self.engine.next_finish_us(now_us)
+        } else {
+            0
+        };
+        Probe {
+            target: self.id,
+            matched_blocks: u32::try_from(cached.count()).unwrap_or(u32::MAX),
+            queue_us: self.engine.remaining_us(now_us) + queued_us + slot_us,
+        }
+    }
+
+    fn queued(&self) -> impl Iterator<Item = &Pending> {
+        self.pending
+            .values()
+            .filter(|pending| !pending.is_in_engine)
+    }
+
+    /// With a fair queue, an organisation waits for its own requests and for at
+    /// most as much of every other one.
+    fn queue_us(&self, request: Option<&Request>, now_us: u64) -> u64 {
+        let mut by_organisation: HashMap<usize, u64> = HashMap::new();
+        for pending in self.pending.values() {
+            *by_organisation
+                .entry(pending.organisation_index)
+                .or_default() += pending.cost_us;
+        }
+        let own_index = request.map(|request| request.organisation_index);
+        let own_us = own_index.and_then(|index| by_organisation.get(&index));
+        let bound_us = match (&self.queue, request) {
+            (Queue::Fair(_), Some(request)) => {
+                own_us.copied().unwrap_or(0) + self.cost_estimate_us(request)
+            }
+            _ => u64::MAX,
+        };
+        let total_us: u64 = by_organisation
+            .iter()
+            .map(|(index, cost_us)| match own_index {
+                Some(own) if own != *index => (*cost_us).min(bound_us),
+                _ => *cost_us,
+            })
+            .sum();
+        let elapsed_us = now_us.saturating_sub(self.progress_at_us);
+        total_us.saturating_sub(elapsed_us) + self.slot_wait_us()
+    }
+
+    /// Expected wait for a slot when all are taken.
+    fn slot_wait_us(&self) -> u64 {
+        let settings = self.engine.settings();
+        if self.running < settings.slots {
+            return 0;
+        }
+        let stream_us = settings.token_us * TYPICAL_OUTPUT_TOKENS;
+        let waiting = u64::try_from(self.queued().count() + 1).unwrap_or(u64::MAX);
+        let slots = u64::try_from(settings.slots).unwrap_or(u64::MAX);
+        stream_us * waiting / slots
+    }
+
+    fn cost_us(&mut self, request: &Request, now_us: u64) -> u64 {
+        self.read_events(now_us);
+        self.cost_estimate_us(request)
+    }
+
+    fn cost_estimate_us(&self, request: &Request) -> u64 {
+        let found = self.index.lookup(request.namespace, &request.blocks);
+        let blocks = u64::try_from(request.blocks.len()).unwrap_or(u64::MAX);
+        let unmatched = blocks - u64::from(found.likely_blocks);
+        let block_us = self.engine.settings().block_us;
+        let tail_us = block_us * u64::from(request.tail_tokens) / u64::from(super::BLOCK_TOKENS);
+        unmatched * block_us + tail_us
+    }
+
+    fn read_events(&mut self, now_us: u64) {
+        for event in self.engine.events(now_us) {
+            self.index.apply(&event, now_us);
+        }
+    }
+
+    fn enqueue(&mut self, id: usize, request: &Request, cost_us: u64, now_us: u64) -> Vec<usize> {
+        let block_us = self.engine.settings().block_us;
+        match &mut self.queue {
+            Queue::Arrival(queue) if queue.len() >= self.max_queued => vec![id],
+            Queue::Arrival(queue) => {
+                queue.push_back(id);
+                Vec::new()
+            }
+            Queue::Fair(queue) => {
+                let item = Item {
+                    organisation: request.organisation.clone(),
+                    weight: 1,
+                    cost_tokens: cost_us * u64::from(super::BLOCK_TOKENS) / block_us,
+                    expires_at_us: u64::MAX,
+                    payload: id,
+                };
+                let payload = |rejected: Rejected<usize>| rejected.item.payload;
+                match queue.push(item, now_us) {
+                    Ok(displaced) => displaced.map(payload).into_iter().collect(),
+                    Err(rejected) => vec![payload(rejected)],
+                }
+            }
+        }
+    }
+
+    fn pump(&mut self, trace: &[Request], now_us: u64) {
+        while let Some((id, priority)) = self.next(now_us) {
+            self.running += 1;
+            if let Some(pending) = self.pending.get_mut(&id) {
+                pending.is_in_engine = true;
+            }
+            self.engine.submit(id, &trace[id], priority, now_us);
+        }
+    }
+
+    fn next(&mut self, now_us: u64) -> Option<(usize, Priority)> {
+        match &mut self.queue {
+            Queue::Arrival(_) if self.running >= self.engine.settings().slots => None,
+            Queue::Arrival(queue) => Some((queue.pop_front()?, Priority::WithinShare)),
+            Queue::Fair(queue) => {
+                let started = queue.pop(now_us)?;
+                Some((started.item.payload, started.priority))
+            }
+        }
+    }
+
+    fn first_token(&mut self, id: usize, matched_blocks: u32, trace: &[Request], now_us: u64) {
+        let request = &trace[id];
+        self.read_events(now_us);
+        self.settle(id, trace);
+        let engine = self.engine.incarnation();
+        let namespace = request.namespace;
+        self.index
+            .answered(engine, namespace, &request.blocks, matched_blocks, now_us);
+        self.progress_at_us = now_us;
+    }
+
+    fn settle(&mut self, id: usize, trace: &[Request]) {
+        if self.pending.remove(&id).is_some() {
+            self.index.settle(trace[id].namespace, &trace[id].blocks);
+        }
+    }
+
+    fn release(&mut self, request: &Request) {
+        self.running -= 1;
+        if let Queue::Fair(queue) = &mut self.queue {
+            queue.finish(&request.organisation);
+        }
+    }
+}
+
+/// Output of a typical request, for the expected wait for a slot.
+const TYPICAL_OUTPUT_TOKENS: u64 = 120;
