Judge evictions only by what was known before the request was sent

The index marked nearly everything as evicted, because the blocks a request had just stored counted as evidence against older ones.

--- a/src/process/cache_index.rs
+++ b/src/process/cache_index.rs
@@ -68,6 +68,19 @@
     pub confirmed_blocks: u32,
 }
 
+/// What the engine reported in an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// Cache the answer came from.
+    pub engine: Incarnation,
+    /// Namespace of the request.
+    pub namespace: Namespace,
+    /// Blocks of the prompt that were cached.
+    pub matched_blocks: u32,
+    /// When the request was passed to the engine.
+    pub sent_at_us: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct State {
     present: bool,
@@ -85,7 +98,7 @@
 /// ```
 /// use std::num::NonZeroUsize;
 /// use yuccalatch::names::Incarnation;
-/// use yuccalatch::process::cache_index::CacheIndex;
+/// use yuccalatch::process::cache_index::{Answer, CacheIndex};
 /// use yuccalatch::request::prompt::{BlockHash, Namespace};
 ///
 /// let engine = Incarnation(1);
@@ -93,7 +106,8 @@
 /// let mill_a = Namespace::derive("mill-a", "draft-7");
 /// let mill_b = Namespace::derive("mill-b", "draft-7");
 /// let blocks = [BlockHash(1), BlockHash(2)];
-/// index.answered(engine, mill_a, &blocks, 0, 10);
+/// let answer = Answer { engine, namespace: mill_a, matched_blocks: 0, sent_at_us: 5 };
+/// index.answered(answer, &blocks, 10);
 /// assert_eq!(index.lookup(mill_a, &blocks).likely_blocks, 2);
 /// assert_eq!(index.lookup(mill_b, &blocks).likely_blocks, 0);
 /// index.restarted(Incarnation(2));
@@ -213,20 +227,14 @@
     /// Applies what the engine reported in an answer: the first
     /// `matched_blocks` were cached, the others have just been computed. An
     /// answer of another incarnation is ignored, because it may be a late one.
-    pub fn answered(
-        &mut self,
-        engine: Incarnation,
-        namespace: Namespace,
-        blocks: &[BlockHash],
-        matched_blocks: u32,
-        now_us: u64,
-    ) {
-        if engine != self.engine {
+    pub fn answered(&mut self, answer: Answer, blocks: &[BlockHash], now_us: u64) {
+        if answer.engine != self.engine {
             return;
         }
-        let matched = usize::try_from(matched_blocks).unwrap_or(usize::MAX);
+        let namespace = answer.namespace;
+        let matched = usize::try_from(answer.matched_blocks).unwrap_or(usize::MAX);
         if let Some(&missing) = blocks.get(matched) {
-            self.note_missing(namespace, missing);
+            self.note_missing(&answer, missing);
         }
         // Leaves first, so that the start of the prompt is the most recent, as
         // in the engine.
@@ -295,11 +303,13 @@
         self.blocks.put(key, state);
     }
 
-    fn note_missing(&mut self, namespace: Namespace, block: BlockHash) {
-        let Some(state) = self.blocks.peek(&(namespace, block)) else {
+    fn note_missing(&mut self, answer: &Answer, block: BlockHash) {
+        let Some(state) = self.blocks.peek(&(answer.namespace, block)) else {
             return;
         };
-        if state.present {
+        // A block seen after the request was sent may have been stored by that
+        // very request.
+        if state.present && state.used_at_us < answer.sent_at_us {
             self.evicted_before_us = self.evicted_before_us.max(state.used_at_us);
         }
     }
--- a/src/process/hints.rs
+++ b/src/process/hints.rs
@@ -28,6 +28,8 @@
     pub engine: Incarnation,
     /// Blocks that the engine found in its cache.
     pub matched_blocks: u32,
+    /// When the request was sent.
+    pub sent_at_us: u64,
 }
 
 /// Memory of one target for one prompt.
@@ -64,7 +66,12 @@
 ///
 /// let mut hints = Hints::new(NonZeroUsize::new(100).unwrap());
 /// let blocks = [BlockHash(1), BlockHash(2)];
-/// let seen = Observation { target: TargetId(3), engine: Incarnation(9), matched_blocks: 0 };
+/// let seen = Observation {
+///     target: TargetId(3),
+///     engine: Incarnation(9),
+///     matched_blocks: 0,
+///     sent_at_us: 40,
+/// };
 /// hints.answered(&blocks, seen, 50);
 /// let found = hints.lookup(&blocks, |_| Some(Incarnation(9)));
 /// assert_eq!((found[0].target, found[0].matched_blocks), (TargetId(3), 2));
@@ -159,7 +166,10 @@
         };
         let is_same =
             |holder: &&Holder| holder.target == seen.target && holder.engine == seen.engine;
-        if let Some(holder) = holders.iter().find(is_same) {
+        let holder = holders.iter().find(is_same);
+        // A block seen after the request was sent is no evidence: a request
+        // in between may have stored it.
+        if let Some(holder) = holder.filter(|holder| holder.seen_at_us < seen.sent_at_us) {
             let limit = self.evicted_before_us.entry(seen.target).or_default();
             *limit = (*limit).max(holder.seen_at_us);
         }
--- a/src/replay/baseline.rs
+++ b/src/replay/baseline.rs
@@ -49,6 +49,8 @@
     pub engine: Incarnation,
     /// Blocks that it had cached.
     pub matched_blocks: u32,
+    /// When the request was sent.
+    pub sent_at_us: u64,
 }
 
 /// A placement policy with the state of all its entries.
--- a/src/replay/evaluate/router.rs
+++ b/src/replay/evaluate/router.rs
@@ -112,6 +112,7 @@
             target: TargetId(u32::try_from(answer.target).unwrap_or(u32::MAX)),
             engine: answer.engine,
             matched_blocks: answer.matched_blocks,
+            sent_at_us: answer.sent_at_us,
         };
         entry.hints.answered(&request.blocks, seen, now_us);
     }
--- a/src/replay/evaluate/simulation.rs
+++ b/src/replay/evaluate/simulation.rs
@@ -108,7 +108,7 @@
     steps: BinaryHeap<Reverse<(u64, u64, Step)>>,
     next_order: u64,
     work_at_us: Vec<u64>,
-    targets: Vec<usize>,
+    sent_at_us: Vec<u64>,
     outcomes: Vec<Outcome>,
     computed: HashSet<crate::request::prompt::BlockHash>,
 }
@@ -129,7 +129,7 @@
         steps: BinaryHeap::new(),
         next_order: 0,
         work_at_us: vec![u64::MAX; settings.targets],
-        targets: vec![usize::MAX; trace.len()],
+        sent_at_us: vec![0; trace.len()],
         outcomes: vec![Outcome::default(); trace.len()],
         computed: HashSet::new(),
     };
@@ -185,7 +185,7 @@
         };
         let placed = self.policy.place(&self.trace[request], &mut view);
         let target = placed.target;
-        self.targets[request] = target;
+        self.sent_at_us[request] = now_us;
         let arrives_at_us = now_us + placed.probe_us + self.settings.network_us / 2;
         self.push(arrives_at_us, Step::Submit { request, target });
     }
@@ -232,6 +232,7 @@
             target,
             engine: self.agents[target].engine().incarnation(),
             matched_blocks,
+            sent_at_us: self.sent_at_us[id],
         };
         self.policy.answered(request, answer, now_us);
         let matched = usize::try_from(matched_blocks).unwrap_or(usize::MAX);
--- a/src/replay/model/agent.rs
+++ b/src/replay/model/agent.rs
@@ -11,7 +11,10 @@
 use crate::{
     names::Incarnation,
     process::{
-        cache_index::CacheIndex,
+        cache_index::{
+            Answer,
+            CacheIndex, //
+        },
         fair_queue::{
             FairQueue,
             Item,
@@ -53,6 +56,7 @@
     cost_us: u64,
     organisation_index: usize,
     is_in_engine: bool,
+    sent_at_us: u64,
 }
 
 /// One agent with its engine.
@@ -118,6 +122,7 @@
             cost_us,
             organisation_index: request.organisation_index,
             is_in_engine: false,
+            sent_at_us: now_us,
         };
         self.pending.insert(id, pending);
         let refused = self.enqueue(id, request, cost_us, now_us);
@@ -298,6 +303,7 @@
             self.running += 1;
             if let Some(pending) = self.pending.get_mut(&id) {
                 pending.is_in_engine = true;
+                pending.sent_at_us = now_us;
             }
             self.engine.submit(id, &trace[id], priority, now_us);
         }
@@ -317,11 +323,15 @@
     fn first_token(&mut self, id: usize, matched_blocks: u32, trace: &[Request], now_us: u64) {
         let request = &trace[id];
         self.read_events(now_us);
+        let pending = self.pending.get(&id);
+        let answer = Answer {
+            engine: self.engine.incarnation(),
+            namespace: request.namespace,
+            matched_blocks,
+            sent_at_us: pending.map_or(0, |pending| pending.sent_at_us),
+        };
         self.settle(id, trace);
-        let engine = self.engine.incarnation();
-        let namespace = request.namespace;
-        self.index
-            .answered(engine, namespace, &request.blocks, matched_blocks, now_us);
+        self.index.answered(answer, &request.blocks, now_us);
         self.progress_at_us = now_us;
     }
 
