--- a/src/process/cache_index.rs
+++ b/src/process/cache_index.rs
@@ -5,7 +5,10 @@
 //! its answers, which are exact for the moment of the prefill. The index is an
 //! estimate; only the engine decides what it reuses.
 
-use std::num::NonZeroUsize;
+use std::{
+    collections::HashMap,
+    num::NonZeroUsize, //
+};
 
 use lru::LruCache;
 use serde::Serialize;
@@ -65,6 +68,19 @@
     pub confirmed_blocks: u32,
 }
 
+/// What the engine reported in an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// Cache the answer came from.
+    pub engine: Incarnation,
+    /// Namespace of the request.
+    pub namespace: Namespace,
+    /// Blocks of the prompt that were cached.
+    pub matched_blocks: u32,
+    /// When the request was passed to the engine.
+    pub sent_at_us: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct State {
     present: bool,
@@ -82,7 +98,7 @@
 /// ```
 /// use std::num::NonZeroUsize;
 /// use yuccalatch::names::Incarnation;
-/// use yuccalatch::process::cache_index::CacheIndex;
+/// use yuccalatch::process::cache_index::{Answer, CacheIndex};
 /// use yuccalatch::request::prompt::{BlockHash, Namespace};
 ///
 /// let engine = Incarnation(1);
@@ -90,7 +106,8 @@
 /// let mill_a = Namespace::derive("mill-a", "draft-7");
 /// let mill_b = Namespace::derive("mill-b", "draft-7");
 /// let blocks = [BlockHash(1), BlockHash(2)];
-/// index.answered(engine, mill_a, &blocks, 0, 10);
+/// let answer = Answer { engine, namespace: mill_a, matched_blocks: 0, sent_at_us: 5 };
+/// index.answered(answer, &blocks, 10);
 /// assert_eq!(index.lookup(mill_a, &blocks).likely_blocks, 2);
 /// assert_eq!(index.lookup(mill_b, &blocks).likely_blocks, 0);
 /// index.restarted(Incarnation(2));
@@ -100,6 +117,9 @@
 pub struct CacheIndex {
     engine: Incarnation,
     blocks: LruCache<(Namespace, BlockHash), State>,
+    /// Blocks of requests that were sent to the engine and are not yet
+    /// answered, with the number of these requests.
+    expected: HashMap<(Namespace, BlockHash), u32>,
     next_sequence: u64,
     gaps: u64,
     /// A block last used at this time was found evicted. Engines evict in
@@ -113,6 +133,7 @@
         Self {
             engine,
             blocks: LruCache::new(capacity_blocks),
+            expected: HashMap::new(),
             next_sequence: 0,
             gaps: 0,
             evicted_before_us: 0,
@@ -141,6 +162,7 @@
         }
         self.engine = engine;
         self.blocks.clear();
+        self.expected.clear();
         self.next_sequence = 0;
         self.gaps = 0;
         self.evicted_before_us = 0;
@@ -178,23 +200,41 @@
         applied
     }
 
+    /// Records that a request was accepted for the engine: its blocks will be
+    /// cached by the time a request behind it starts.
+    ///
+    /// Every call is followed by one of [`Self::settle`].
+    pub fn expect(&mut self, namespace: Namespace, blocks: &[BlockHash]) {
+        for &block in blocks {
+            *self.expected.entry((namespace, block)).or_default() += 1;
+        }
+    }
+
+    /// Ends an expectation, because the request was answered or failed.
+    pub fn settle(&mut self, namespace: Namespace, blocks: &[BlockHash]) {
+        for &block in blocks {
+            let key = (namespace, block);
+            let Some(count) = self.expected.get_mut(&key) else {
+                continue;
+            };
+            *count -= 1;
+            if *count == 0 {
+                self.expected.remove(&key);
+            }
+        }
+    }
+
     /// Applies what the engine reported in an answer: the first
     /// `matched_blocks` were cached, the others have just been computed. An
     /// answer of another incarnation is ignored, because it may be a late one.
-    pub fn answered(
-        &mut self,
-        engine: Incarnation,
-        namespace: Namespace,
-        blocks: &[BlockHash],
-        matched_blocks: u32,
-        now_us: u64,
-    ) {
-        if engine != self.engine {
+    pub fn answered(&mut self, answer: Answer, blocks: &[BlockHash], now_us: u64) {
+        if answer.engine != self.engine {
             return;
         }
-        let matched = usize::try_from(matched_blocks).unwrap_or(usize::MAX);
+        let namespace = answer.namespace;
+        let matched = usize::try_from(answer.matched_blocks).unwrap_or(usize::MAX);
         if let Some(&missing) = blocks.get(matched) {
-            self.note_missing(namespace, missing);
+            self.note_missing(&answer, missing);
         }
         // Leaves first, so that the start of the prompt is the most recent, as
         // in the engine.
@@ -218,13 +258,15 @@
         let mut found = Match::default();
         let mut is_certain = true;
         for &block in blocks {
-            let Some(state) = self.blocks.peek(&(namespace, block)) else {
-                break;
-            };
-            if !state.present || state.used_at_us < self.evicted_before_us {
+            let key = (namespace, block);
+            let known = self
+                .blocks
+                .peek(&key)
+                .filter(|state| state.present && state.used_at_us >= self.evicted_before_us);
+            if known.is_none() && !self.expected.contains_key(&key) {
                 break;
             }
-            is_certain &= state.gaps == self.gaps;
+            is_certain &= known.is_some_and(|state| state.gaps == self.gaps);
             found.likely_blocks += 1;
             found.confirmed_blocks += u32::from(is_certain);
         }
@@ -261,11 +303,13 @@
         self.blocks.put(key, state);
     }
 
-    fn note_missing(&mut self, namespace: Namespace, block: BlockHash) {
-        let Some(state) = self.blocks.peek(&(namespace, block)) else {
+    fn note_missing(&mut self, answer: &Answer, block: BlockHash) {
+        let Some(state) = self.blocks.peek(&(answer.namespace, block)) else {
             return;
         };
-        if state.present {
+        // A block seen after the request was sent may have been stored by that
+        // very request.
+        if state.present && state.used_at_us < answer.sent_at_us {
             self.evicted_before_us = self.evicted_before_us.max(state.used_at_us);
         }
     }
