--- a/src/jsonc.rs
+++ b/src/jsonc.rs
@@ -1,5 +1,7 @@
 //! JSON with comments, with positions in error messages.
 
+mod hint;
+
 use std::fmt;
 
 use error_stack::Report;
@@ -7,6 +9,7 @@
     CollectOptions,
     CommentCollectionStrategy,
     ParseOptions,
+    ast::Value,
     common::Ranged, //
 };
 use serde::de::DeserializeOwned;
@@ -46,6 +49,17 @@
 
 impl std::error::Error for Problem {}
 
+/// Step on the way to a value.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step<'a> {
+    /// Field of an object.
+    Field(&'a str),
+    /// The first field of an object, whatever its name.
+    First,
+    /// Element of a list.
+    Index(usize),
+}
+
 /// A parsed file that can still name the place of each value.
 #[derive(Clone, Debug)]
 pub struct Document {
@@ -119,13 +133,73 @@
             };
             Report::new(Problem {
                 file: self.file.clone(),
-                position,
+                position: self.start_of_token(position, &message),
+                hint: hint::hint_for(&message),
                 message,
-                hint: None,
             })
         })
     }
 
+    /// Makes a problem at the value that a path leads to, or at the last value
+    /// on the way that exists.
+    ///
+    /// ```
+    /// use yuccalatch::jsonc::{Document, Step};
+    ///
+    /// let document = Document::parse("a.json", "{\"set\": [{}, {\"rate\": 0}]}").unwrap();
+    /// let path = [Step::Field("set"), Step::Index(1), Step::Field("rate")];
+    /// let problem = document.problem_at_path(&path, "must be positive", None);
+    /// assert_eq!(problem.position.column, 23);
+    /// ```
+    pub fn problem_at_path(&self, path: &[Step<'_>], message: &str, hint: Option<&str>) -> Problem {
+        let offset = self.offset_of(path).unwrap_or(0);
+        self.problem_at_offset(offset, message, hint)
+    }
+
+    fn offset_of(&self, path: &[Step<'_>]) -> Option<usize> {
+        let collect = CollectOptions::default();
+        let parsed = jsonc_parser::parse_to_ast(&self.json, &collect, &ParseOptions::default());
+        let root = parsed.ok()?.value?;
+        let mut value = &root;
+        for step in path {
+            let next = match (step, value) {
+                (Step::Field(name), Value::Object(object)) => object
+                    .properties
+                    .iter()
+                    .find(|property| property.name.as_str() == *name)
+                    .map(|property| &property.value),
+                (Step::First, Value::Object(object)) => {
+                    object.properties.first().map(|property| &property.value)
+                }
+                (Step::Index(index), Value::Array(array)) => array.elements.get(*index),
+                _ => None,
+            };
+            let Some(next) = next else {
+                break;
+            };
+            value = next;
+        }
+        Some(value.range().start)
+    }
+
+    /// Moves the position of an unknown name from its end to its start.
+    fn start_of_token(&self, position: Position, message: &str) -> Position {
+        let Some(token) = hint::unknown_name(message) else {
+            return position;
+        };
+        let line_start: usize = self
+            .json
+            .split_inclusive('\n')
+            .take(position.line - 1)
+            .map(str::len)
+            .sum();
+        // The parser counts the bytes of a line.
+        let end = self.json.len().min(line_start + position.column + 1);
+        let before = self.json.get(..end).unwrap_or(&self.json);
+        let start = before.rfind(&format!("\"{token}\""));
+        start.map_or(position, |offset| position_of(&self.text, offset))
+    }
+
     /// Makes a problem at the first place where a quoted text occurs, or at the
     /// start of the file.
     ///
--- a/src/process/platform.rs
+++ b/src/process/platform.rs
@@ -1,8 +1,11 @@
 //! Client of the object API.
 //!
 //! The client works inside an ntex `System` only: its connector takes the
-//! reactor from the running system and panics on a bare tokio runtime. A
-//! control thread therefore runs as a system with the tokio runtime.
+//! reactor from the running system. On a bare tokio runtime the connector
+//! panics in its own task, and every call fails as unavailable. A control
+//! thread therefore runs as a system with the tokio runtime.
+
+pub mod configuration;
 
 mod error;
 mod wire;
--- a/src/standin/fault.rs
+++ b/src/standin/fault.rs
@@ -27,6 +27,9 @@
     pub lose_answer_once: bool,
     /// Closes the connection after every nth write took effect; 0 for never.
     pub lose_answer_every: u64,
+    /// Closes the connection after this many writes took effect and goes down;
+    /// 0 for never.
+    pub down_after_writes: u64,
     /// Answers every call with bytes that are not valid; writes take effect.
     pub garbage: bool,
     /// Age of the list of instances, in milliseconds.
@@ -76,6 +79,10 @@
     pub fn answering(&mut self, is_write: bool) -> Answering {
         if is_write {
             self.writes += 1;
+            if self.writes == self.faults.down_after_writes {
+                self.faults.down = true;
+                return Answering::Lost;
+            }
             let every = self.faults.lose_answer_every;
             let is_nth = every > 0 && self.writes.is_multiple_of(every);
             if is_nth || std::mem::take(&mut self.faults.lose_answer_once) {
--- a/src/version/config/fold.rs
+++ b/src/version/config/fold.rs
@@ -299,6 +299,8 @@
         // every reference.
         set.sort_by_key(|entry| entry.object.kind());
         let mut kinds = BTreeSet::new();
+        let mut remove: Vec<_> = remove.iter().collect();
+        remove.sort_by_key(|id| std::cmp::Reverse(id.kind));
         for id in remove {
             kinds.insert(id.kind);
             self.detach(id, false);
--- a/src/version/ticket.rs
+++ b/src/version/ticket.rs
@@ -1,6 +1,8 @@
 //! Numbered configuration changes and their checks.
 
 mod check;
+mod deadline;
+mod file;
 mod objects;
 
 pub use check::{
@@ -10,6 +12,9 @@
     check, //
 };
 
+pub use deadline::check_deadlines;
+pub use file::TicketFile;
+
 use serde::{
     Deserialize,
     Serialize, //
