--- /dev/null
+++ b/src/settings/shared.rs
@@ -0,0 +1,132 @@
+//! Parts that several programs share, and checks of single values.
+
+use std::net::SocketAddr;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::Finding;
+use crate::jsonc::Step;
+
+/// A drain longer than an hour points to a wrong unit.
+const MAX_DURATION_MS: u64 = 3_600_000;
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text.
+    #[default]
+    Terminal,
+    /// One JSON object in a line.
+    Json,
+}
+
+/// Least severe level that is logged.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// The process cannot go on.
+    Critical,
+    /// An operation failed.
+    Error,
+    /// Something needs attention.
+    Warning,
+    /// Normal operation.
+    #[default]
+    Info,
+    /// Details for developers.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl From<LogLevel> for slog::Level {
+    fn from(level: LogLevel) -> Self {
+        match level {
+            LogLevel::Critical => Self::Critical,
+            LogLevel::Error => Self::Error,
+            LogLevel::Warning => Self::Warning,
+            LogLevel::Info => Self::Info,
+            LogLevel::Debug => Self::Debug,
+            LogLevel::Trace => Self::Trace,
+        }
+    }
+}
+
+/// Settings of the log.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogSettings {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Least severe level.
+    pub level: LogLevel,
+}
+
+/// Collects the findings of one file.
+#[derive(Debug, Default)]
+pub(super) struct Checker {
+    findings: Vec<Finding>,
+}
+
+impl Checker {
+    /// Adds a finding at a field.
+    pub(super) fn add(&mut self, path: &[&'static str], message: String, hint: &'static str) {
+        self.findings.push(Finding {
+            path: path.iter().copied().map(Step::Field).collect(),
+            message,
+            hint,
+        });
+    }
+
+    /// Checks a name that occurs in tickets and messages.
+    pub(super) fn name(&mut self, field: &'static str, name: &str) {
+        let is_valid = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+        if name.is_empty() || name.len() > 64 || !name.chars().all(is_valid) {
+            let message = format!("`{name}` is not a valid name");
+            let hint = "use 1 to 64 letters, digits, dots, dashes or underscores";
+            self.add(&[field], message, hint);
+        }
+    }
+
+    /// Checks that a number lies in a range.
+    pub(super) fn range(
+        &mut self,
+        path: &[&'static str],
+        value: u64,
+        (min, max): (u64, u64),
+        hint: &'static str,
+    ) {
+        if value < min || value > max {
+            let field = path.last().copied().unwrap_or_default();
+            let message = format!("`{field}` is {value}, but must be between {min} and {max}");
+            self.add(path, message, hint);
+        }
+    }
+
+    /// Checks a duration in milliseconds.
+    pub(super) fn duration_ms(&mut self, path: &[&'static str], value: u64, min: u64) {
+        self.range(path, value, (min, MAX_DURATION_MS), "state milliseconds");
+    }
+
+    /// Checks that all listeners have different addresses. Port 0 takes a free
+    /// port and never collides.
+    pub(super) fn listeners(&mut self, listeners: &[(&'static str, SocketAddr)]) {
+        for (position, (field, address)) in listeners.iter().enumerate() {
+            let earlier = &listeners[..position];
+            let twin = earlier.iter().find(|(_, other)| other == address);
+            if let Some((other, _)) = twin.filter(|_| address.port() != 0) {
+                let message = format!("`{field}` and `{other}` are the same");
+                self.add(&[field], message, "use a different port for every listener");
+            }
+        }
+    }
+
+    /// Returns the findings.
+    pub(super) fn finish(self) -> Vec<Finding> {
+        self.findings
+    }
+}
