--- /dev/null
+++ b/src/bin/yuccalatch-standin/app.rs
@@ -0,0 +1,64 @@
+//! Turns arguments into a configuration and runs a stand-in.
+
+use std::{
+    ffi::OsString,
+    process::ExitCode, //
+};
+
+use slog::{
+    Logger,
+    info, //
+};
+use yuccalatch::{
+    daemon::{
+        self,
+        Config, //
+    },
+    error::Result,
+    event::Event,
+    process::{
+        logging::logger,
+        stop, //
+    },
+    settings::{
+        StandinKind,
+        StandinSettings, //
+    },
+    standin::{
+        engine,
+        plain,
+        platform, //
+    },
+};
+
+const PROGRAM: &str = "yuccalatch-standin";
+const ABOUT: &str = "Stands in for the object API, a model engine or a plain service.";
+
+/// Runs the program and returns its exit code.
+pub(crate) fn run(args: impl Iterator<Item = OsString>) -> ExitCode {
+    match Config::from_args(args) {
+        Ok(config) => daemon::execute(PROGRAM, ABOUT, config, serve),
+        Err(report) => daemon::failed(PROGRAM, &report),
+    }
+}
+
+fn serve(settings: StandinSettings) -> Result<()> {
+    let log = logger(PROGRAM, &settings.address.to_string(), settings.log);
+    let system = ntex::rt::System::new(PROGRAM, ntex::rt::DefaultRuntime);
+    system.block_on(serve_until_stopped(settings, log))
+}
+
+async fn serve_until_stopped(settings: StandinSettings, log: Logger) -> Result<()> {
+    let listener = stop::bind(settings.address)?;
+    info!(log, "stand-in listens";
+        "event" => Event::Started, "address" => %stop::local(&listener)?);
+    let server = match settings.kind {
+        StandinKind::Platform => platform::serve(listener)?,
+        StandinKind::Engine => engine::serve(settings.engine, listener)?,
+        StandinKind::Plain => plain::serve(settings.work_ms, listener)?,
+    };
+    stop::requested().await?;
+    server.stop(false).await;
+    info!(log, "stand-in has stopped"; "event" => Event::Stopped);
+    Ok(())
+}
--- /dev/null
+++ b/src/connection/attempt.rs
@@ -0,0 +1,130 @@
+//! Description of an attempt that travels from entry to agent in one header.
+
+use base64::{
+    Engine as _,
+    engine::general_purpose::URL_SAFE_NO_PAD, //
+};
+use error_stack::ResultExt;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::{
+        AttemptId,
+        Digest,
+        Incarnation,
+        Name, //
+    },
+    request::prompt::{
+        BlockHash,
+        Namespace, //
+    },
+};
+
+/// Header with the encoded [`AttemptHead`].
+pub const ATTEMPT_HEADER: &str = "x-yl-attempt";
+
+/// Blocks named in a head. More would not fit into the 32 KiB that HTTP
+/// servers commonly allow for a header section.
+pub const MAX_HEAD_BLOCKS: usize = 1_024;
+
+/// Caller's idempotency key and what it was used with.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct IdempotencyClaim {
+    /// Digest of organisation, route and key.
+    pub key: Digest,
+    /// Digest of the request.
+    pub request: Digest,
+    /// Whether this attempt created the record in the object API; `None` when
+    /// the object API did not answer.
+    pub created: Option<bool>,
+}
+
+/// Everything the agent needs to know besides the body.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AttemptHead {
+    /// Identifies the attempt.
+    pub id: AttemptId,
+    /// Agent incarnation that the attempt is meant for; any other refuses it.
+    pub agent: Incarnation,
+    /// Request id for logs and for the target.
+    pub request_id: Name,
+    /// Organisation that pays, or the public organisation.
+    pub organisation: Name,
+    /// Weight of the organisation in the fair queue.
+    pub weight: u32,
+    /// Expected cost.
+    pub cost_tokens: u64,
+    /// Version that has to run the attempt.
+    pub version: Name,
+    /// Cache namespace of organisation and version.
+    pub namespace: Namespace,
+    /// Leading blocks of the prompt; empty for plain services.
+    pub blocks: Vec<BlockHash>,
+    /// Remaining time for the attempt. A duration, because the clocks of two
+    /// instances are not comparable.
+    pub budget_ms: u64,
+    /// Whether the route allows the request to run more than once.
+    pub idempotent: bool,
+    /// Present when the caller sent an idempotency key.
+    pub idempotency: Option<IdempotencyClaim>,
+    /// Method at the target.
+    pub method: String,
+    /// Path and query at the target.
+    pub path: String,
+}
+
+impl AttemptHead {
+    /// Encodes the head as a header value.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Internal`] when the head cannot be serialised.
+    ///
+    /// ```
+    /// use yuccalatch::connection::attempt::AttemptHead;
+    /// use yuccalatch::names::{AttemptId, Incarnation};
+    /// use yuccalatch::request::prompt::Namespace;
+    ///
+    /// let head = AttemptHead {
+    ///     id: AttemptId { entry: Incarnation(1), sequence: 2 },
+    ///     agent: Incarnation(3),
+    ///     request_id: "r-1".into(),
+    ///     organisation: "mill-a".into(),
+    ///     weight: 1,
+    ///     cost_tokens: 40,
+    ///     version: "v1".into(),
+    ///     namespace: Namespace::derive("mill-a", "v1"),
+    ///     blocks: Vec::new(),
+    ///     budget_ms: 1_000,
+    ///     idempotent: true,
+    ///     idempotency: None,
+    ///     method: "POST".to_owned(),
+    ///     path: "/v1/completions".to_owned(),
+    /// };
+    /// let value = head.encode().unwrap();
+    /// assert_eq!(AttemptHead::decode(value.as_bytes()).unwrap(), head);
+    /// ```
+    pub fn encode(&self) -> Result<String> {
+        let bytes = postcard::to_stdvec(self).change_context(ErrorKind::Internal)?;
+        Ok(URL_SAFE_NO_PAD.encode(bytes))
+    }
+
+    /// Decodes a header value.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::BadRequest`] when the value is not a head.
+    pub fn decode(value: &[u8]) -> Result<Self> {
+        let bytes = URL_SAFE_NO_PAD
+            .decode(value)
+            .change_context(ErrorKind::BadRequest)?;
+        postcard::from_bytes(&bytes).change_context(ErrorKind::BadRequest)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod connection;
+pub mod daemon;
 pub mod error;
 pub mod event;
 pub mod jsonc;
--- a/src/process.rs
+++ b/src/process.rs
@@ -1,7 +1,9 @@
 //! What lives as long as a process.
 
+pub mod admin;
 pub mod agent;
 pub mod cache_index;
+pub mod client;
 pub mod entry;
 pub mod fair_queue;
 pub mod fate;
@@ -12,3 +14,4 @@
 pub mod metrics;
 pub mod platform;
 pub mod rpc;
+pub mod stop;
--- /dev/null
+++ b/src/process/admin.rs
@@ -0,0 +1,59 @@
+//! Health, readiness and metrics, on a listener of their own.
+
+use std::{
+    net::TcpListener,
+    sync::Arc, //
+};
+
+use ntex::web::{
+    self,
+    App,
+    HttpResponse, //
+};
+
+/// What the admin listener shows of a process.
+pub trait Observed: Send + Sync + 'static {
+    /// Returns whether the balancer may send work.
+    fn is_ready(&self) -> bool;
+
+    /// Returns all metrics as OpenMetrics text.
+    fn metrics(&self) -> String;
+}
+
+/// Serves `/healthz`, `/readyz` and `/metrics` until the process ends.
+///
+/// # Errors
+///
+/// Returns an error when the listener cannot be used.
+pub async fn serve<O: Observed>(listener: TcpListener, observed: Arc<O>) -> std::io::Result<()> {
+    web::HttpServer::new(async move || {
+        App::new()
+            .state(Arc::clone(&observed))
+            .route("/healthz", web::get().to(healthy))
+            .route("/readyz", web::get().to(ready::<O>))
+            .route("/metrics", web::get().to(metrics::<O>))
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(listener)?
+    .run()
+    .await
+}
+
+async fn healthy() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn ready<O: Observed>(observed: web::types::State<Arc<O>>) -> HttpResponse {
+    if observed.is_ready() {
+        HttpResponse::Ok().body("ready\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
+
+async fn metrics<O: Observed>(observed: web::types::State<Arc<O>>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(observed.metrics())
+}
--- /dev/null
+++ b/src/process/agent/runner.rs
@@ -0,0 +1,241 @@
+//! Runs one attempt: waits for its turn, calls the target, relays the answer.
+
+use std::rc::Rc;
+
+use futures_util::StreamExt;
+use ntex::{
+    client::ClientResponse,
+    http::Payload,
+    util::Bytes, //
+};
+use slog::info;
+
+use super::{
+    context::Answered,
+    output::Output,
+    traffic::Traffic, //
+};
+use crate::{
+    clock::US_PER_MS,
+    connection::{
+        attempt::AttemptHead,
+        frame::Head, //
+    },
+    error::ErrorKind,
+    event::Event,
+    names::Incarnation,
+    process::{
+        cache_index::Answer,
+        client,
+        fair_queue::Priority,
+        fate::{
+            Attempt,
+            Queued, //
+        },
+    },
+    request::headers::{
+        Direction,
+        HeaderFilter, //
+    },
+};
+
+/// Header with the request id, towards targets and callers.
+pub(super) const REQUEST_ID: &str = "x-request-id";
+
+/// One attempt on its way through the agent.
+pub(super) struct Runner {
+    pub(super) traffic: Rc<Traffic>,
+    pub(super) output: Rc<Output>,
+    pub(super) head: AttemptHead,
+    pub(super) headers: Vec<(String, String)>,
+    pub(super) body: Bytes,
+    pub(super) expires_at_us: u64,
+}
+
+/// Measures of an attempt that has started.
+struct Progress {
+    queued_us: u64,
+    sent_at_us: u64,
+}
+
+impl Runner {
+    /// Runs the attempt to its end.
+    pub(super) async fn run(self, attempt: Attempt<Queued>) {
+        let traffic = Rc::clone(&self.traffic);
+        let id = attempt.id();
+        let arrived_at_us = traffic.context.clock.now_us();
+        let turn = traffic
+            .wait_turn(
+                self.head.organisation.clone(),
+                self.head.weight,
+                self.head.cost_tokens,
+                self.expires_at_us,
+            )
+            .await;
+        match turn {
+            Err(kind) => {
+                traffic.fates.borrow_mut().withdraw(attempt);
+                self.output.fail(kind);
+            }
+            Ok(priority) => {
+                let organisation = self.head.organisation.clone();
+                self.start(attempt, priority, arrived_at_us).await;
+                traffic.leave(&organisation);
+            }
+        }
+        traffic.close(id);
+    }
+
+    async fn start(self, attempt: Attempt<Queued>, priority: Priority, arrived_at_us: u64) {
+        let started = self.traffic.fates.borrow_mut().start(attempt);
+        let running = match started {
+            Ok(running) => running,
+            Err(report) => {
+                self.output.fail(*report.current_context());
+                return;
+            }
+        };
+        let now_us = self.traffic.context.clock.now_us();
+        let progress = Progress {
+            queued_us: now_us - arrived_at_us,
+            sent_at_us: now_us,
+        };
+        let metrics = &self.traffic.context.metrics;
+        let wait = &metrics.organisation(&self.head.organisation).queue_wait;
+        wait.observe(progress.queued_us as f64 / 1e6);
+        let failure = self.relay_until_deadline(priority, &progress).await.err();
+        let ended_at_us = self.traffic.context.clock.now_us();
+        self.traffic.context.load.note_service(ended_at_us - now_us);
+        match failure {
+            None => self.output.finish(),
+            Some(kind) => self.output.fail(kind),
+        }
+        metrics.count_answer(&self.head.organisation, failure);
+        info!(self.traffic.context.log, "attempt ended";
+            "event" => if failure.is_none() { Event::RequestDone } else { Event::RequestFailed },
+            "request_id" => %self.head.request_id,
+            "attempt" => %self.head.id,
+            "kind" => failure.map(ErrorKind::name));
+        let mut fates = self.traffic.fates.borrow_mut();
+        fates.finish(running, failure);
+    }
+
+    async fn relay_until_deadline(
+        &self,
+        priority: Priority,
+        progress: &Progress,
+    ) -> Result<(), ErrorKind> {
+        let deadline = self.traffic.context.clock.instant(self.expires_at_us);
+        tokio::time::timeout_at(deadline.into(), self.relay(priority, progress))
+            .await
+            .unwrap_or(Err(ErrorKind::DeadlineExceeded))
+    }
+
+    async fn relay(&self, priority: Priority, progress: &Progress) -> Result<(), ErrorKind> {
+        let response = self.call_target(priority).await?;
+        self.note_answer(&response, progress);
+        self.output
+            .set_head(self.response_head(&response, progress));
+        let mut payload = response.take_payload();
+        self.copy_body(&mut payload).await
+    }
+
+    async fn call_target(&self, priority: Priority) -> Result<ClientResponse, ErrorKind> {
+        let settings = &self.traffic.context.settings;
+        let method = self
+            .head
+            .method
+            .parse()
+            .map_err(|_| ErrorKind::BadRequest)?;
+        let url = client::url(settings.target_address, &self.head.path);
+        let mut request = self.traffic.client.request(method, url);
+        for (name, value) in &self.headers {
+            request = request.header(name.as_str(), value.as_str());
+        }
+        request = request
+            .set_header(REQUEST_ID, &*self.head.request_id)
+            .set_header("x-cache-namespace", self.head.namespace.to_string())
+            .set_header("x-model-version", &*self.head.version)
+            .set_header("x-priority", priority_value(priority));
+        let response = request.send_body(self.body.clone()).await;
+        response.map_err(|_| ErrorKind::TargetFailed)
+    }
+
+    fn note_answer(&self, response: &ClientResponse, progress: &Progress) {
+        let context = &self.traffic.context;
+        let Some(engine) = number_header(response, "x-engine-incarnation", 16).map(Incarnation)
+        else {
+            return;
+        };
+        context.set_engine(engine);
+        let answer = Answer {
+            engine,
+            namespace: self.head.namespace,
+            matched_blocks: matched_blocks(response),
+            sent_at_us: progress.sent_at_us,
+        };
+        let blocks = self.head.blocks.clone();
+        // A full channel loses only a refinement of the cache index.
+        let _ = context.answered.try_send(Answered { answer, blocks });
+    }
+
+    fn response_head(&self, response: &ClientResponse, progress: &Progress) -> Head {
+        let connection = response.headers().get_all("connection");
+        let filter = HeaderFilter::new(
+            Direction::ToCaller,
+            connection.map(|value| value.as_bytes()),
+        );
+        let headers = response
+            .headers()
+            .iter()
+            .filter(|(name, _)| filter.forwards(name.as_str()))
+            .filter_map(|(name, value)| {
+                let value = value.to_str().ok()?;
+                Some((name.as_str().to_owned(), value.to_owned()))
+            })
+            .collect();
+        Head {
+            status: response.status().as_u16(),
+            headers,
+            matched_blocks: matched_blocks(response),
+            prompt_blocks: u32::try_from(self.head.blocks.len()).unwrap_or(u32::MAX),
+            engine_incarnation: self.traffic.context.engine(),
+            queued_us: progress.queued_us,
+            version: self.head.version.clone(),
+            leaving: self.traffic.context.is_leaving(),
+        }
+    }
+
+    async fn copy_body(&self, payload: &mut Payload) -> Result<(), ErrorKind> {
+        while let Some(part) = payload.next().await {
+            let part = part.map_err(|_| ErrorKind::TargetFailed)?;
+            let data = bytes::Bytes::copy_from_slice(&part);
+            let written = self.output.write(data).await;
+            written.map_err(|report| *report.current_context())?;
+        }
+        Ok(())
+    }
+}
+
+/// Engines commonly run lower values first.
+const fn priority_value(priority: Priority) -> &'static str {
+    match priority {
+        Priority::WithinShare => "0",
+        Priority::AboveShare => "1",
+    }
+}
+
+fn number_header(response: &ClientResponse, name: &str, radix: u32) -> Option<u64> {
+    let value = response.headers().get(name)?.to_str().ok()?;
+    u64::from_str_radix(value, radix).ok()
+}
+
+fn matched_blocks(response: &ClientResponse) -> u32 {
+    let blocks = number_header(response, "x-matched-blocks", 10).unwrap_or(0);
+    u32::try_from(blocks).unwrap_or(u32::MAX)
+}
+
+/// Returns the deadline of an attempt that arrives now.
+pub(super) fn expires_at_us(now_us: u64, budget_ms: u64) -> u64 {
+    now_us.saturating_add(budget_ms.saturating_mul(US_PER_MS))
+}
--- /dev/null
+++ b/src/process/agent/server.rs
@@ -0,0 +1,208 @@
+//! HTTP interface of the agent for entries.
+
+use std::rc::Rc;
+
+use error_stack::Report;
+use futures_util::stream;
+use ntex::{
+    http::StatusCode,
+    util::Bytes,
+    web::{
+        self,
+        HttpRequest,
+        HttpResponse, //
+    },
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    output,
+    runner::{
+        Runner,
+        expires_at_us, //
+    },
+    traffic::Traffic,
+};
+use crate::{
+    connection::{
+        attempt::{
+            ATTEMPT_HEADER,
+            AttemptHead, //
+        },
+        frame::Frame,
+    },
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::{
+        AttemptId,
+        Incarnation, //
+    },
+    process::fate::Fate,
+    request::headers::{
+        Direction,
+        HeaderFilter, //
+    },
+};
+
+type State = web::types::State<Rc<Traffic>>;
+
+/// Largest request body that is accepted from an entry.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Adds the routes of the agent to an application.
+pub(super) fn configure(config: &mut web::ServiceConfig) {
+    config
+        .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
+        .route("/attempts", web::post().to(start))
+        .route("/attempts/{id}/frames", web::get().to(resume))
+        .route("/attempts/{id}/ack", web::post().to(acknowledge))
+        .route("/attempts/{id}/bar", web::post().to(bar));
+}
+
+async fn start(traffic: State, request: HttpRequest, body: Bytes) -> HttpResponse {
+    match admit(&traffic, &request, body) {
+        Ok(output) => match output.read(0) {
+            Ok(frames) => frame_response(frames),
+            Err(_) => failed(ErrorKind::Internal),
+        },
+        Err(report) => failed(*report.current_context()),
+    }
+}
+
+fn admit(traffic: &Rc<Traffic>, request: &HttpRequest, body: Bytes) -> Result<Rc<output::Output>> {
+    let value = request.headers().get(ATTEMPT_HEADER);
+    let value = value.ok_or_else(|| Report::new(ErrorKind::BadRequest))?;
+    let head = AttemptHead::decode(value.as_bytes())?;
+    let context = &traffic.context;
+    if context.is_leaving() {
+        return Err(Report::new(ErrorKind::Stopping));
+    }
+    let versions = context.versions();
+    if !versions.is_empty() && !versions.iter().any(|version| **version == *head.version) {
+        return Err(Report::new(ErrorKind::WrongVersion));
+    }
+    let attempt = traffic.fates.borrow_mut().admit(head.agent, head.id)?;
+    let output = traffic.open(head.id);
+    let runner = Runner {
+        traffic: Rc::clone(traffic),
+        output: Rc::clone(&output),
+        headers: forwarded_headers(request),
+        body,
+        expires_at_us: expires_at_us(context.clock.now_us(), head.budget_ms),
+        head,
+    };
+    ntex::rt::spawn(runner.run(attempt));
+    Ok(output)
+}
+
+/// The entry has already filtered; the agent does so again, because it is the
+/// last process before the target.
+fn forwarded_headers(request: &HttpRequest) -> Vec<(String, String)> {
+    let connection = request.headers().get_all("connection");
+    let filter = HeaderFilter::new(
+        Direction::ToTarget,
+        connection.map(|value| value.as_bytes()),
+    );
+    request
+        .headers()
+        .iter()
+        .filter(|(name, _)| filter.forwards(name.as_str()))
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect()
+}
+
+fn frame_response(
+    frames: impl stream::Stream<Item = std::result::Result<Bytes, std::io::Error>> + Unpin + 'static,
+) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/octet-stream")
+        .streaming(frames)
+}
+
+fn failed(kind: ErrorKind) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/octet-stream")
+        .body(output::encode(&Frame::Failed { kind }))
+}
+
+#[derive(Deserialize)]
+struct ResumeQuery {
+    from: u64,
+}
+
+async fn resume(
+    traffic: State,
+    id: web::types::Path<AttemptId>,
+    query: web::types::Query<ResumeQuery>,
+) -> HttpResponse {
+    let Some(output) = traffic.output(*id) else {
+        return failed(ErrorKind::StreamBroken);
+    };
+    match output.read(query.from) {
+        Ok(frames) => frame_response(frames),
+        Err(_) => failed(ErrorKind::StreamBroken),
+    }
+}
+
+#[derive(Deserialize)]
+struct AcknowledgeQuery {
+    next: u64,
+}
+
+async fn acknowledge(
+    traffic: State,
+    id: web::types::Path<AttemptId>,
+    query: web::types::Query<AcknowledgeQuery>,
+) -> HttpResponse {
+    let Some(output) = traffic.output(*id) else {
+        // The stream was delivered before; a repeated acknowledgement is harmless.
+        return HttpResponse::build(StatusCode::NO_CONTENT).finish();
+    };
+    if output.acknowledge(query.next).is_err() {
+        return HttpResponse::BadRequest().finish();
+    }
+    traffic.forget_delivered(*id);
+    HttpResponse::build(StatusCode::NO_CONTENT).finish()
+}
+
+#[derive(Deserialize)]
+struct BarQuery {
+    agent: Incarnation,
+}
+
+/// Answer to a request to bar an attempt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BarAnswer {
+    /// The attempt has not run and never will.
+    Barred,
+    /// The attempt runs; its stream can be resumed.
+    Running,
+    /// The attempt has ended; its stream may still be available.
+    Done,
+    /// This incarnation cannot tell.
+    Unknown,
+}
+
+async fn bar(
+    traffic: State,
+    id: web::types::Path<AttemptId>,
+    query: web::types::Query<BarQuery>,
+) -> HttpResponse {
+    let fate = traffic.fates.borrow_mut().bar(query.agent, *id);
+    let answer = match fate {
+        Ok(Fate::Barred | Fate::Unseen | Fate::Queued) => BarAnswer::Barred,
+        Ok(Fate::Running) => BarAnswer::Running,
+        Ok(Fate::Done(_)) => BarAnswer::Done,
+        Ok(Fate::Forgotten) | Err(_) => BarAnswer::Unknown,
+    };
+    HttpResponse::Ok().json(&answer)
+}
--- /dev/null
+++ b/src/process/client.rs
@@ -0,0 +1,78 @@
+//! HTTP client of the traffic threads.
+
+use std::net::SocketAddr;
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+use ntex::{
+    client::{
+        Client,
+        Connector, //
+    },
+    io::IoConfig,
+    time::Millis, //
+};
+
+use crate::error::{
+    ErrorKind,
+    Result, //
+};
+
+/// Connections that one traffic thread opens to one peer at most.
+const MAX_CONNECTIONS: usize = 4_096;
+
+const CONNECT_TIMEOUT: Millis = Millis(1_000);
+
+/// Makes a client without timeouts of its own: every call has a deadline.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Internal`] when the client cannot be built.
+///
+/// ```
+/// ntex::rt::System::new("example", ntex::rt::DefaultRuntime).block_on(async {
+///     assert!(yuccalatch::process::client::build("example").await.is_ok());
+/// });
+/// ```
+pub async fn build(name: &'static str) -> Result<Client> {
+    let config =
+        ntex::SharedCfg::new(name).add(IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT));
+    Client::builder()
+        .connector::<&str>(Connector::default().limit(MAX_CONNECTIONS))
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .build(config)
+        .await
+        .map_err(|error| Report::new(ErrorKind::Internal).attach(error.to_string()))
+}
+
+/// Returns the URL of a path at an address.
+///
+/// ```
+/// use yuccalatch::process::client::url;
+///
+/// let address = std::net::SocketAddr::from(([127, 0, 0, 1], 80));
+/// assert_eq!(url(address, "/load"), "http://127.0.0.1:80/load");
+/// ```
+pub fn url(address: SocketAddr, path: &str) -> String {
+    format!("http://{address}{path}")
+}
+
+/// Reads a whole response as JSON.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::PeerUnavailable`] when the body does not arrive or is
+/// not the expected JSON.
+pub async fn read_json<T: serde::de::DeserializeOwned>(
+    response: &ntex::client::ClientResponse,
+) -> Result<T> {
+    let body = response
+        .body()
+        .await
+        .map_err(|error| Report::new(ErrorKind::PeerUnavailable).attach(error.to_string()))?;
+    serde_json::from_slice(&body).change_context(ErrorKind::PeerUnavailable)
+}
--- /dev/null
+++ b/src/process/entry/attempt.rs
@@ -0,0 +1,237 @@
+//! One attempt of a request at one agent, as the entry sees it.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use ntex::{
+    client::{
+        ClientRequest,
+        ClientResponse, //
+    },
+    http::Payload,
+    util::Bytes,
+};
+use slog::info;
+
+use super::worker::Worker;
+use crate::{
+    connection::{
+        attempt::{
+            ATTEMPT_HEADER,
+            AttemptHead, //
+        },
+        frame,
+        liveness::{
+            HEARTBEAT_US,
+            MISSED_HEARTBEATS, //
+        },
+        reassembly::{
+            Accepted,
+            Reassembly, //
+        },
+    },
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    event::Event,
+    process::{
+        agent::BarAnswer,
+        client, //
+    },
+};
+
+/// Time without a frame after which a connection counts as silent.
+const SILENCE: Duration = Duration::from_micros(HEARTBEAT_US * MISSED_HEARTBEATS);
+
+/// New connections that are tried for one stream before it is given up. Three
+/// cover the silence of a link for about five seconds.
+const MAX_RESUMES: u32 = 3;
+
+/// One attempt of a request at one agent.
+pub(super) struct Attempt {
+    worker: Rc<Worker>,
+    address: SocketAddr,
+    pub(super) head: AttemptHead,
+    pub(super) sent_at_us: u64,
+    payload: Option<Payload>,
+    buffer: BytesMut,
+    reassembly: Reassembly,
+    resumes: u32,
+}
+
+impl Attempt {
+    /// Sends an attempt and returns when the agent has accepted the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::PeerUnavailable`] when the connection broke or went
+    /// silent, in which case the attempt may have started.
+    pub(super) async fn send(
+        worker: &Rc<Worker>,
+        address: SocketAddr,
+        head: AttemptHead,
+        headers: &[(String, String)],
+        body: Bytes,
+    ) -> (Self, Result<()>) {
+        let mut attempt = Self {
+            worker: Rc::clone(worker),
+            address,
+            sent_at_us: worker.context.clock.now_us(),
+            payload: None,
+            buffer: BytesMut::new(),
+            reassembly: Reassembly::new(),
+            resumes: 0,
+            head,
+        };
+        let sent = attempt.post(headers, body).await;
+        (attempt, sent)
+    }
+
+    async fn post(&mut self, headers: &[(String, String)], body: Bytes) -> Result<()> {
+        let url = client::url(self.address, "/attempts");
+        let mut request = self.worker.client.post(url);
+        for (name, value) in headers {
+            request = request.header(name.as_str(), value.as_str());
+        }
+        request = request.set_header(ATTEMPT_HEADER, self.head.encode()?);
+        let response = within(SILENCE, request.send_body(body)).await?;
+        self.use_response(&response)
+    }
+
+    fn use_response(&mut self, response: &ClientResponse) -> Result<()> {
+        if !response.status().is_success() {
+            return Err(error_stack::Report::new(ErrorKind::PeerUnavailable));
+        }
+        self.payload = Some(response.take_payload());
+        self.buffer.clear();
+        Ok(())
+    }
+
+    /// Returns the next part of the answer, resuming on a new connection when
+    /// the present one breaks or goes silent after the head.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::PeerUnavailable`] when the stream cannot be read,
+    /// [`ErrorKind::StreamBroken`] when it violates the protocol.
+    pub(super) async fn next(&mut self) -> Result<Accepted> {
+        loop {
+            match self.read_frame().await {
+                Ok(Accepted::Nothing) => {}
+                Ok(accepted) => {
+                    self.acknowledge();
+                    return Ok(accepted);
+                }
+                Err(report) if *report.current_context() == ErrorKind::PeerUnavailable => {
+                    self.resume().await?;
+                }
+                Err(report) => return Err(report),
+            }
+        }
+    }
+
+    /// Returns the first part of the answer. A broken connection is reported,
+    /// because the attempt has to be settled before it is resumed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same kinds as [`Self::next`].
+    pub(super) async fn next_unresumed(&mut self) -> Result<Accepted> {
+        loop {
+            match self.read_frame().await? {
+                Accepted::Nothing => {}
+                accepted => return Ok(accepted),
+            }
+        }
+    }
+
+    async fn read_frame(&mut self) -> Result<Accepted> {
+        loop {
+            if let Some(frame) = frame::decode(&mut self.buffer)? {
+                return self.reassembly.accept(frame);
+            }
+            let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
+            let payload = self.payload.as_mut().ok_or_else(lost)?;
+            let part = tokio::time::timeout(SILENCE, payload.next()).await;
+            let part = part.ok().flatten().ok_or_else(lost)?;
+            self.buffer.extend_from_slice(&part.map_err(|_| lost())?);
+        }
+    }
+
+    /// Continues the stream on a new connection.
+    pub(super) async fn resume(&mut self) -> Result<()> {
+        self.payload = None;
+        while self.resumes < MAX_RESUMES {
+            self.resumes += 1;
+            let (id, from) = (self.head.id, self.reassembly.next());
+            info!(self.worker.context.log, "stream is resumed";
+                "event" => Event::StreamResumed,
+                "request_id" => %self.head.request_id,
+                "attempt" => %id, "from" => from);
+            self.worker.context.metrics.resumed_streams.inc();
+            let path = format!("/attempts/{id}/frames?from={from}");
+            let request = self.fresh("GET", &path);
+            match within(SILENCE, request.send()).await {
+                Ok(response) => return self.use_response(&response),
+                Err(_) => tokio::time::sleep(Duration::from_micros(HEARTBEAT_US)).await,
+            }
+        }
+        Err(error_stack::Report::new(ErrorKind::OutcomeUnknown))
+    }
+
+    /// Asks the agent to make sure that the attempt does not start.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::OutcomeUnknown`] when the agent cannot be reached.
+    pub(super) async fn bar(&self) -> Result<BarAnswer> {
+        let path = format!("/attempts/{}/bar?agent={}", self.head.id, self.head.agent);
+        for _ in 0..MAX_RESUMES {
+            let request = self.fresh("POST", &path);
+            if let Ok(response) = within(SILENCE, request.send()).await
+                && let Ok(answer) = client::read_json(&response).await
+            {
+                return Ok(answer);
+            }
+            tokio::time::sleep(Duration::from_micros(HEARTBEAT_US)).await;
+        }
+        Err(error_stack::Report::new(ErrorKind::OutcomeUnknown))
+    }
+
+    fn fresh(&self, method: &str, path: &str) -> ClientRequest {
+        let url = client::url(self.address, path);
+        let client = &self.worker.fresh_client;
+        if method == "GET" {
+            client.get(url)
+        } else {
+            client.post(url)
+        }
+    }
+
+    fn acknowledge(&mut self) {
+        let Some(next) = self.reassembly.take_acknowledgement() else {
+            return;
+        };
+        let path = format!("/attempts/{}/ack?next={next}", self.head.id);
+        let request = self.worker.client.post(client::url(self.address, &path));
+        ntex::rt::spawn(async move {
+            // The agent keeps the chunks a little longer when this is lost.
+            let _ = within(SILENCE, request.send()).await;
+        });
+    }
+}
+
+async fn within<T, E>(
+    limit: Duration,
+    call: impl Future<Output = std::result::Result<T, E>>,
+) -> Result<T> {
+    let answer = tokio::time::timeout(limit, call).await;
+    let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
+    answer.map_err(|_| lost())?.map_err(|_| lost())
+}
--- /dev/null
+++ b/src/process/entry/request.rs
@@ -0,0 +1,278 @@
+//! What an entry knows about a caller's request before it is placed.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::BytesMut;
+use error_stack::Report;
+use futures_util::StreamExt;
+use ntex::{
+    http::{
+        HeaderMap,
+        Payload, //
+    },
+    util::Bytes,
+    web::HttpRequest,
+};
+
+use super::{
+    answer::REQUEST_ID,
+    context::Context, //
+};
+use crate::{
+    clock::US_PER_MS,
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::{
+        Incarnation,
+        Name, //
+    },
+    request::{
+        headers::{
+            Direction,
+            HeaderFilter,
+            forwarded_path, //
+        },
+        openai::{
+            BodyLimits,
+            Completion,
+            Endpoint, //
+        },
+    },
+    version::{
+        config::{
+            Access,
+            Config,
+            OrganisationKey,
+            RouteKey,
+            RouteMiss, //
+        },
+        keys,
+    },
+};
+
+/// Longest request id that is accepted from a caller.
+const MAX_REQUEST_ID_BYTES: usize = 128;
+
+/// Name under which requests without a key are accounted.
+pub(super) const PUBLIC: &str = "public";
+
+/// Headers in which callers present their key.
+const KEY_HEADERS: [&str; 2] = ["x-api-key", "api-key"];
+
+/// A checked request of a caller.
+pub(super) struct Request {
+    pub(super) id: Name,
+    pub(super) config: Arc<Config>,
+    pub(super) route: RouteKey,
+    pub(super) organisation: Option<OrganisationKey>,
+    pub(super) organisation_name: Name,
+    pub(super) method: String,
+    pub(super) path: String,
+    pub(super) headers: Vec<(String, String)>,
+    pub(super) body: Bytes,
+    pub(super) completion: Option<Completion>,
+    pub(super) arrived_at_us: u64,
+    pub(super) expires_at_us: u64,
+}
+
+/// Returns the caller's request id, or makes one.
+pub(super) fn request_id(request: &HttpRequest) -> Name {
+    let given = request
+        .headers()
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok());
+    let is_acceptable = |id: &&str| {
+        !id.is_empty()
+            && id.len() <= MAX_REQUEST_ID_BYTES
+            && id.bytes().all(|byte| byte.is_ascii_graphic())
+    };
+    match given.filter(is_acceptable) {
+        Some(id) => id.into(),
+        None => format!("{}{}", Incarnation::random(), Incarnation::random()).into(),
+    }
+}
+
+/// Returns the organisation whose key came with a request; `None` without a key.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::UnknownKey`] for a key that is not valid now and
+/// [`ErrorKind::KeysStale`] when that cannot be known.
+pub(super) fn authenticate(
+    context: &Context,
+    config: &Config,
+    headers: &HeaderMap,
+) -> Result<Option<OrganisationKey>> {
+    let Some(key) = presented_key(headers)? else {
+        return Ok(None);
+    };
+    if context.are_keys_stale() {
+        return Err(Report::new(ErrorKind::KeysStale));
+    }
+    let digest = keys::digest_of(key);
+    match config.organisation_of_key(&digest) {
+        Some(organisation) => Ok(Some(organisation)),
+        None => Err(Report::new(ErrorKind::UnknownKey)),
+    }
+}
+
+/// Two different keys are refused, because it is unclear who would pay.
+fn presented_key(headers: &HeaderMap) -> Result<Option<&[u8]>> {
+    let bearer = headers
+        .get_all("authorization")
+        .filter_map(|value| bearer_token(value.as_bytes()));
+    let others = KEY_HEADERS
+        .iter()
+        .flat_map(|name| headers.get_all(*name))
+        .map(|value| value.as_bytes().trim_ascii());
+    let mut keys = bearer.chain(others);
+    let first = keys.next();
+    if keys.any(|key| Some(key) != first) {
+        return Err(Report::new(ErrorKind::BadRequest).attach("several keys"));
+    }
+    Ok(first)
+}
+
+fn bearer_token(value: &[u8]) -> Option<&[u8]> {
+    let (scheme, token) = value.split_at_checked("bearer ".len())?;
+    scheme
+        .eq_ignore_ascii_case(b"bearer ")
+        .then(|| token.trim_ascii())
+}
+
+impl Request {
+    /// Reads and checks a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the kind that tells the caller why the request is refused.
+    pub(super) async fn read(
+        context: &Context,
+        id: Name,
+        request: &HttpRequest,
+        payload: Payload,
+    ) -> Result<Self> {
+        let arrived_at_us = context.clock.now_us();
+        if context.is_leaving() {
+            return Err(Report::new(ErrorKind::Stopping));
+        }
+        if !context.has_config() {
+            return Err(Report::new(ErrorKind::NotReady));
+        }
+        let config = context.config.load_full();
+        let organisation = authenticate(context, &config, request.headers())?;
+        let body = read_body(context, request, payload).await?;
+        let path = request.uri().path().to_owned();
+        let method = request.method().as_str().to_owned();
+        let completion = match Endpoint::of_path(&path) {
+            Some(endpoint) if method == "POST" => Some(parse(endpoint, &body)?),
+            _ => None,
+        };
+        let model = completion.as_ref().map(|completion| &*completion.model);
+        let route = config
+            .find_route(&method, &path, model)
+            .map_err(|miss| match miss {
+                RouteMiss::NotFound => Report::new(ErrorKind::RouteNotFound),
+                RouteMiss::MethodNotAllowed => Report::new(ErrorKind::MethodNotAllowed),
+            })?;
+        let timeout_ms = permit(&config, route, organisation)?;
+        let organisation_name = organisation
+            .and_then(|key| config.organisation(key))
+            .map_or_else(|| PUBLIC.into(), |organisation| organisation.name.clone());
+        let path_and_query = request.uri().path_and_query();
+        let path_and_query = path_and_query.map_or(path.as_str(), |path| path.as_str());
+        Ok(Self {
+            id,
+            route,
+            organisation,
+            organisation_name,
+            method,
+            path: forwarded_path(path_and_query),
+            headers: forwarded_headers(request.headers()),
+            body,
+            completion,
+            arrived_at_us,
+            expires_at_us: arrived_at_us + timeout_ms * US_PER_MS,
+            config,
+        })
+    }
+
+    /// Returns whether the answer is a stream of server-sent events.
+    pub(super) fn is_stream(&self) -> bool {
+        self.completion
+            .as_ref()
+            .is_some_and(|completion| completion.stream)
+    }
+}
+
+fn parse(endpoint: Endpoint, body: &Bytes) -> Result<Completion> {
+    let body = bytes::Bytes::copy_from_slice(body);
+    Completion::parse(endpoint, body, &BodyLimits::default())
+}
+
+/// Returns the timeout of the route if the organisation may use it.
+fn permit(config: &Config, route: RouteKey, organisation: Option<OrganisationKey>) -> Result<u64> {
+    let entry = config
+        .route(route)
+        .ok_or_else(|| Report::new(ErrorKind::RouteNotFound))?;
+    if entry.route.access == Access::Keyed {
+        let organisation = organisation.ok_or_else(|| Report::new(ErrorKind::UnknownKey))?;
+        if !entry.admits(organisation) {
+            return Err(Report::new(ErrorKind::Forbidden));
+        }
+    }
+    Ok(entry.route.timeout_ms)
+}
+
+async fn read_body(
+    context: &Context,
+    request: &HttpRequest,
+    mut payload: Payload,
+) -> Result<Bytes> {
+    let limit_bytes = context.settings.body_limit_bytes;
+    let announced = request
+        .headers()
+        .get("content-length")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse::<usize>().ok());
+    if announced.is_some_and(|length| length > limit_bytes) {
+        return Err(Report::new(ErrorKind::BodyTooLarge));
+    }
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(part) = payload.next().await {
+            let part = part
+                .map_err(|_| Report::new(ErrorKind::BadRequest).attach("the body is incomplete"))?;
+            if body.len() + part.len() > limit_bytes {
+                return Err(Report::new(ErrorKind::BodyTooLarge));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(Bytes::copy_from_slice(&body))
+    };
+    let timeout = Duration::from_millis(context.settings.body_timeout_ms);
+    tokio::time::timeout(timeout, read)
+        .await
+        .unwrap_or_else(|_| Err(Report::new(ErrorKind::BodyTimeout)))
+}
+
+fn forwarded_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let connection = headers.get_all("connection");
+    let filter = HeaderFilter::new(
+        Direction::ToTarget,
+        connection.map(|value| value.as_bytes()),
+    );
+    headers
+        .iter()
+        .filter(|(name, _)| filter.forwards(name.as_str()) && *name != "content-length")
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_owned(), value.to_owned()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/process/entry/server.rs
@@ -0,0 +1,277 @@
+//! HTTP interface of the entry for callers.
+
+use std::rc::Rc;
+
+use futures_util::stream;
+use ntex::{
+    http::StatusCode,
+    util::Bytes,
+    web::{
+        self,
+        HttpRequest,
+        HttpResponse, //
+    },
+};
+use serde_json::json;
+use slog::info;
+
+use super::{
+    answer::{
+        REQUEST_ID,
+        error_event,
+        error_response, //
+    },
+    context::RunningGuard,
+    forward::Call,
+    request::{
+        PUBLIC,
+        Request,
+        authenticate,
+        request_id, //
+    },
+    worker::Worker,
+};
+use crate::{
+    connection::frame::Head,
+    error::{
+        ErrorKind,
+        Report, //
+    },
+    event::Event,
+    names::Name,
+    process::metrics::OrganisationMetrics,
+    version::config::ServiceKind,
+};
+
+type State = web::types::State<Rc<Worker>>;
+
+/// An answer up to this size is collected before it is passed on, so that a
+/// failure until then can still be retried or reported with a status.
+const COLLECT_BYTES: usize = 256 << 10;
+
+/// Adds the routes of the entry to an application.
+pub(super) fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/v1/models", web::get().to(models))
+        .route("/{path}*", web::route().to(handle));
+}
+
+async fn models(worker: State, request: HttpRequest) -> HttpResponse {
+    let id = request_id(&request);
+    let config = worker.context.config.load_full();
+    let organisation = match authenticate(&worker.context, &config, request.headers()) {
+        Ok(organisation) => organisation,
+        Err(report) => return error_response(&report, &id),
+    };
+    let mut names: Vec<Name> = config
+        .routes()
+        .filter(|(_, entry)| organisation.is_some_and(|key| entry.admits(key)))
+        .filter_map(|(_, entry)| config.service(entry.service))
+        .filter(|service| service.kind == ServiceKind::Model)
+        .filter_map(|service| service.model.clone())
+        .collect();
+    names.sort();
+    names.dedup();
+    let data: Vec<_> = names
+        .iter()
+        .map(|name| json!({"id": &**name, "object": "model", "owned_by": "yuccalatch"}))
+        .collect();
+    HttpResponse::Ok()
+        .set_header(REQUEST_ID, &*id)
+        .json(&json!({"object": "list", "data": data}))
+}
+
+async fn handle(worker: State, request: HttpRequest, payload: web::types::Payload) -> HttpResponse {
+    let payload = payload.into_inner();
+    let id = request_id(&request);
+    let guard = RunningGuard::new(&worker.context);
+    let request = match Request::read(&worker.context, id.clone(), &request, payload).await {
+        Ok(request) => request,
+        Err(report) => return refuse(&worker, &id, PUBLIC, &report),
+    };
+    let organisation = request.organisation_name.clone();
+    let metrics = worker.context.metrics.organisation(&organisation);
+    let mut call = Call::new(&worker, request);
+    match call.start().await {
+        Ok(head) => {
+            let relay = Relay {
+                worker: Rc::clone(&worker),
+                call,
+                metrics,
+                organisation,
+                last_at_us: None,
+                ended: false,
+                _guard: guard,
+            };
+            relay.answer(&head).await
+        }
+        Err(report) => refuse(&worker, &id, &organisation, &report),
+    }
+}
+
+fn refuse(worker: &Worker, id: &str, organisation: &str, report: &Report) -> HttpResponse {
+    let kind = *report.current_context();
+    worker
+        .context
+        .metrics
+        .count_answer(organisation, Some(kind));
+    let event = if kind.is_not_run() {
+        Event::RequestRefused
+    } else {
+        Event::RequestFailed
+    };
+    info!(worker.context.log, "request was not answered";
+        "event" => event, "request_id" => id, "kind" => kind.name());
+    let mut response = error_response(report, id);
+    if worker.context.is_leaving() {
+        close_connection(&mut response);
+    }
+    response
+}
+
+fn close_connection(response: &mut HttpResponse) {
+    response
+        .head_mut()
+        .set_connection_type(ntex::http::ConnectionType::Close);
+}
+
+/// Passes an answer to the caller.
+struct Relay {
+    worker: Rc<Worker>,
+    call: Call,
+    metrics: OrganisationMetrics,
+    organisation: Name,
+    last_at_us: Option<u64>,
+    ended: bool,
+    _guard: RunningGuard,
+}
+
+impl Relay {
+    async fn answer(mut self, head: &Head) -> HttpResponse {
+        let id = self.call.request.id.clone();
+        let is_event_stream = self.call.request.is_stream() && head.status == 200;
+        let mut collected: Vec<u8> = Vec::new();
+        let mut is_whole = false;
+        while !is_event_stream && !is_whole && collected.len() < COLLECT_BYTES {
+            match self.next().await {
+                Ok(Some(data)) => collected.extend_from_slice(&data),
+                Ok(None) => is_whole = true,
+                Err(report) => return refuse(&self.worker, &id, &self.organisation, &report),
+            }
+        }
+        let mut response = self.response_builder(head, &id);
+        let mut response = if is_whole {
+            response.body(collected)
+        } else {
+            response.streaming(self.into_stream(collected))
+        };
+        self_close(&mut response, head.leaving);
+        response
+    }
+
+    fn response_builder(&self, head: &Head, id: &str) -> ntex::http::ResponseBuilder {
+        let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut response = HttpResponse::build(status);
+        for (name, value) in &head.headers {
+            if name != "content-length" {
+                response.header(name.as_str(), value.as_str());
+            }
+        }
+        response.set_header(REQUEST_ID, id);
+        response
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, Report> {
+        let result = self.call.next().await;
+        let now_us = self.worker.context.clock.now_us();
+        match &result {
+            Ok(Some(_)) => self.observe_part(now_us),
+            Ok(None) => self.finish(now_us, None),
+            Err(report) => self.finish(now_us, Some(*report.current_context())),
+        }
+        result
+    }
+
+    fn observe_part(&mut self, now_us: u64) {
+        match self.last_at_us.replace(now_us) {
+            None => {
+                let first_us = now_us - self.call.request.arrived_at_us;
+                self.metrics.first_token.observe(first_us as f64 / 1e6);
+            }
+            Some(last_us) => {
+                let gap_us = now_us - last_us;
+                self.metrics.between_tokens.observe(gap_us as f64 / 1e6);
+            }
+        }
+    }
+
+    fn finish(&mut self, now_us: u64, failure: Option<ErrorKind>) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let total_us = now_us - self.call.request.arrived_at_us;
+        self.metrics.total.observe(total_us as f64 / 1e6);
+        if failure.is_none() {
+            self.worker
+                .context
+                .metrics
+                .count_answer(&self.organisation, None);
+        }
+        let event = if failure.is_none() {
+            Event::RequestDone
+        } else {
+            Event::RequestFailed
+        };
+        info!(self.worker.context.log, "request ended";
+            "event" => event,
+            "request_id" => %self.call.request.id,
+            "organisation" => %self.organisation,
+            "total_us" => total_us,
+            "kind" => failure.map(ErrorKind::name));
+    }
+
+    fn into_stream(
+        self,
+        collected: Vec<u8>,
+    ) -> impl stream::Stream<Item = Result<Bytes, std::io::Error>> + Unpin {
+        let first = (!collected.is_empty()).then(|| Bytes::from(collected));
+        Box::pin(stream::unfold(
+            (self, first),
+            |(mut relay, first)| async move {
+                if let Some(first) = first {
+                    return Some((Ok(first), (relay, None)));
+                }
+                let item = relay.next_item().await?;
+                Some((item, (relay, None)))
+            },
+        ))
+    }
+
+    async fn next_item(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if self.ended {
+            return None;
+        }
+        match self.next().await {
+            Ok(data) => data.map(Ok),
+            Err(report) => {
+                let kind = *report.current_context();
+                self.worker
+                    .context
+                    .metrics
+                    .count_answer(&self.organisation, Some(kind));
+                if !self.call.request.is_stream() {
+                    // Without an event format, a broken transfer is the only
+                    // way to say that the body is incomplete.
+                    return Some(Err(std::io::Error::other(kind)));
+                }
+                Some(Ok(Bytes::from(error_event(kind, &self.call.request.id))))
+            }
+        }
+    }
+}
+
+fn self_close(response: &mut HttpResponse, leaving: bool) {
+    if leaving {
+        close_connection(response);
+    }
+}
--- /dev/null
+++ b/src/process/entry/worker.rs
@@ -0,0 +1,221 @@
+//! State of one traffic thread of an entry.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    num::NonZeroUsize,
+    rc::Rc,
+    sync::Arc, //
+};
+
+use ntex::{
+    client::{
+        Client,
+        Connector, //
+    },
+    io::IoConfig,
+    time::{
+        Millis,
+        Seconds, //
+    },
+};
+
+use super::context::{
+    Context,
+    TargetViews, //
+};
+use crate::{
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::Name,
+    process::{
+        client,
+        hints::{
+            Hints,
+            Observation, //
+        },
+    },
+    request::{
+        placement::{
+            Decision,
+            Placer,
+            Settings,
+            Target,
+            TargetId,
+            seed_of, //
+        },
+        prompt::BlockHash,
+        retry::{
+            RetryBudget,
+            RetryRate, //
+        },
+    },
+    version::config::{
+        Config,
+        ServiceKey,
+        TargetKey, //
+    },
+};
+
+/// Blocks whose share of the traffic is remembered, about 100 bytes each.
+const HEAT_BLOCKS: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
+
+/// Blocks whose holders are remembered, about 200 bytes each.
+const HINT_BLOCKS: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
+
+/// Assumed time to compute a block until an engine reports its own.
+const BLOCK_US: u64 = 50_000;
+
+/// State of one traffic thread.
+pub(super) struct Worker {
+    pub(super) context: Arc<Context>,
+    /// Reuses connections.
+    pub(super) client: Client,
+    /// Opens a connection for each call, because a reused one may have gone
+    /// silent.
+    pub(super) fresh_client: Client,
+    pub(super) budget: RefCell<RetryBudget>,
+    placer: RefCell<Placer>,
+    hints: RefCell<Hints>,
+    ids: RefCell<HashMap<Name, TargetId>>,
+}
+
+/// A target that was chosen, with the alternatives in order.
+pub(super) struct Placement {
+    pub(super) ordered: Vec<TargetKey>,
+}
+
+impl Worker {
+    pub(super) async fn new(context: Arc<Context>) -> Result<Rc<Self>> {
+        let now_us = context.clock.now_us();
+        Ok(Rc::new(Self {
+            client: client::build("agents").await?,
+            fresh_client: fresh_client().await?,
+            budget: RefCell::new(RetryBudget::new(RetryRate::default(), now_us)),
+            placer: RefCell::new(Placer::new(Settings::default(), HEAT_BLOCKS)),
+            hints: RefCell::new(Hints::new(HINT_BLOCKS)),
+            ids: RefCell::default(),
+            context,
+        }))
+    }
+
+    /// Returns the targets of a service that may run a version, best first.
+    pub(super) fn place(
+        &self,
+        config: &Config,
+        service: ServiceKey,
+        version: Option<&str>,
+        blocks: &[BlockHash],
+    ) -> Placement {
+        let views = self.context.targets.load();
+        let keys = config.targets_of(service).iter().copied();
+        let usable: Vec<(TargetKey, Target)> = keys
+            .filter_map(|key| Some((key, self.usable(config, &views, key, version)?)))
+            .collect();
+        let targets: Vec<Target> = usable.iter().map(|(_, target)| *target).collect();
+        let Some(decision) = self.decide(&targets, blocks) else {
+            return Placement {
+                ordered: Vec::new(),
+            };
+        };
+        let key_of = |id: TargetId| {
+            let found = usable.iter().find(|(_, target)| target.id == id);
+            found.map(|(key, _)| *key)
+        };
+        let chosen = decision.choices.iter().map(|choice| choice.estimate.target);
+        let first = std::iter::once(decision.target).chain(chosen);
+        let others = targets.iter().map(|target| target.id);
+        let mut ordered: Vec<TargetKey> = Vec::new();
+        for key in first.chain(others).filter_map(key_of) {
+            if !ordered.contains(&key) {
+                ordered.push(key);
+            }
+        }
+        Placement { ordered }
+    }
+
+    /// Records what an answer told about the cache of a target.
+    pub(super) fn note_answer(&self, target: &Name, blocks: &[BlockHash], seen: Answered) {
+        let now_us = self.context.clock.now_us();
+        let observation = Observation {
+            target: self.id(target),
+            engine: seen.engine,
+            matched_blocks: seen.matched_blocks,
+            sent_at_us: seen.sent_at_us,
+        };
+        self.hints
+            .borrow_mut()
+            .answered(blocks, observation, now_us);
+    }
+
+    fn decide(&self, targets: &[Target], blocks: &[BlockHash]) -> Option<Decision> {
+        let now_us = self.context.clock.now_us();
+        let engine_of = |id| {
+            let target = targets.iter().find(|target| target.id == id);
+            target.map(|target| target.engine)
+        };
+        let hints = self.hints.borrow().lookup(blocks, engine_of);
+        let mut placer = self.placer.borrow_mut();
+        let plan = placer.plan(blocks, targets, &hints, now_us);
+        placer.decide(&plan, blocks, targets, &[])
+    }
+
+    fn usable(
+        &self,
+        config: &Config,
+        views: &TargetViews,
+        key: TargetKey,
+        version: Option<&str>,
+    ) -> Option<Target> {
+        let entry = config.target(key)?;
+        let view = views.get(&entry.target.name)?;
+        let serves = version.is_none_or(|version| {
+            view.versions.is_empty() || view.versions.iter().any(|own| **own == *version)
+        });
+        if view.leaving || !serves {
+            return None;
+        }
+        Some(Target {
+            id: self.id(&entry.target.name),
+            seed: seed_of(&entry.target.name),
+            engine: view.engine,
+            queue_us: view.queue_us,
+            block_us: BLOCK_US,
+            network_us: 0,
+        })
+    }
+
+    fn id(&self, target: &Name) -> TargetId {
+        let mut ids = self.ids.borrow_mut();
+        if let Some(id) = ids.get(target) {
+            return *id;
+        }
+        let id = TargetId(u32::try_from(ids.len()).unwrap_or(u32::MAX));
+        ids.insert(target.clone(), id);
+        id
+    }
+}
+
+/// What the head of an answer told.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Answered {
+    pub(super) engine: crate::names::Incarnation,
+    pub(super) matched_blocks: u32,
+    pub(super) sent_at_us: u64,
+}
+
+async fn fresh_client() -> Result<Client> {
+    let config =
+        ntex::SharedCfg::new("fresh").add(IoConfig::new().set_connect_timeout(Millis(1_000)));
+    let connector = Connector::default().keep_alive(Seconds(0));
+    Client::builder()
+        .connector::<&str>(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .build(config)
+        .await
+        .map_err(|error| error_stack::Report::new(ErrorKind::Internal).attach(error.to_string()))
+}
--- /dev/null
+++ b/src/process/stop.rs
@@ -0,0 +1,91 @@
+//! Graceful stops: signals and listeners.
+
+use std::{
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    thread,
+};
+
+use error_stack::ResultExt;
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+use crate::error::{
+    ErrorKind,
+    Result, //
+};
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Io`] when the signal handlers cannot be installed.
+pub async fn requested() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).change_context(ErrorKind::Io)?;
+    let mut interrupt = signal(SignalKind::interrupt()).change_context(ErrorKind::Io)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Opens a listener.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Io`] with the address when it cannot be bound.
+///
+/// ```
+/// let listener = yuccalatch::process::stop::bind(([127, 0, 0, 1], 0).into());
+/// assert!(listener.is_ok());
+/// ```
+pub fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address)
+        .change_context(ErrorKind::Io)
+        .attach_with(|| format!("cannot listen on {address}"))?;
+    listener
+        .set_nonblocking(true)
+        .change_context(ErrorKind::Io)?;
+    Ok(listener)
+}
+
+/// Returns the address that a listener was given.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Io`] when the address cannot be read.
+pub fn local(listener: &TcpListener) -> Result<SocketAddr> {
+    listener.local_addr().change_context(ErrorKind::Io)
+}
+
+/// Runs a future to its end on a thread and runtime of its own.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Io`] when the thread cannot be started.
+///
+/// ```
+/// let thread = yuccalatch::process::stop::spawn_system("example", || async {}).unwrap();
+/// thread.join().unwrap();
+/// ```
+pub fn spawn_system<F>(
+    name: &str,
+    start: impl FnOnce() -> F + Send + 'static,
+) -> Result<thread::JoinHandle<()>>
+where
+    F: Future<Output = ()> + 'static,
+{
+    let system_name = name.to_owned();
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || {
+            let system = ntex::rt::System::new(&system_name, ntex::rt::DefaultRuntime);
+            system.block_on(start());
+        })
+        .change_context(ErrorKind::Io)
+}
--- a/src/settings/standin.rs
+++ b/src/settings/standin.rs
@@ -14,6 +14,7 @@
         LogSettings, //
     },
 };
+use crate::names::Name;
 
 /// What a stand-in replaces.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -28,9 +29,11 @@
 }
 
 /// Behaviour of a stand-in engine.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
+    /// Version that is loaded at the start.
+    pub version: Name,
     /// Blocks that the cache holds.
     pub cache_blocks: u32,
     /// Tokens in one block.
@@ -63,6 +66,7 @@
         // Block size, load time and parallel loads are those of the es-norte
         // deployment in docs/design.md, section 2.1.
         Self {
+            version: "v1".into(),
             cache_blocks: 2_000,
             block_tokens: 1_000,
             prefill_tokens_per_s: 20_000,
@@ -90,6 +94,9 @@
     /// Behaviour of an engine; other kinds ignore it.
     #[serde(default)]
     pub engine: EngineSettings,
+    /// Time of one execution of a plain server; other kinds ignore it.
+    #[serde(default)]
+    pub work_ms: u64,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -104,6 +111,8 @@
   "address": "127.0.0.1:7400",
   // Behaviour of an engine; other kinds ignore it.
   "engine": {
+    // Version that is loaded at the start.
+    "version": "v1",
     // Blocks that the cache holds, and tokens in one block.
     "cache_blocks": 2000,
     "block_tokens": 1000,
@@ -126,6 +135,8 @@
     // Seed of all random choices.
     "seed": 1
   },
+  // Time of one execution of a plain server in milliseconds; other kinds ignore it.
+  "work_ms": 5,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "terminal", "level": "info"}
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -11,8 +11,6 @@
 mod generation;
 mod server;
 
-use std::net::SocketAddr;
-
 use serde::{
     Deserialize,
     Serialize, //
@@ -29,55 +27,6 @@
 };
 pub use server::serve;
 
-/// Parameters of a stand-in engine.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct EngineSettings {
-    /// Listener of the engine.
-    pub address: SocketAddr,
-    /// Version that is loaded at the start.
-    pub version: String,
-    /// Capacity of the prompt cache, in blocks.
-    pub cache_blocks: usize,
-    /// Tokens in a cache block.
-    pub block_tokens: usize,
-    /// Prompt tokens computed per second.
-    pub prefill_tokens_per_s: u64,
-    /// Generated tokens per second of one request.
-    pub decode_tokens_per_s: u64,
-    /// Requests that run at the same time.
-    pub batch_size: usize,
-    /// Delay of published cache events, in milliseconds.
-    pub event_lag_ms: u64,
-    /// Every n-th cache event is lost; zero loses none.
-    pub event_gap_every: u64,
-    /// Age of reported load, in milliseconds.
-    pub load_lag_ms: u64,
-    /// Time to load weights, in milliseconds.
-    pub load_weights_ms: u64,
-    /// Whether orders with an old fencing number are refused.
-    pub checks_fencing: bool,
-}
-
-impl Default for EngineSettings {
-    fn default() -> Self {
-        Self {
-            address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            version: "v1".to_owned(),
-            cache_blocks: 512,
-            block_tokens: 1_000,
-            prefill_tokens_per_s: 20_000,
-            decode_tokens_per_s: 100,
-            batch_size: 16,
-            event_lag_ms: 200,
-            event_gap_every: 0,
-            load_lag_ms: 500,
-            load_weights_ms: 500,
-            checks_fencing: true,
-        }
-    }
-}
-
 /// Faults that a stand-in engine injects, set with `PUT /faults`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/standin/engine/cache.rs
+++ b/src/standin/engine/cache.rs
@@ -10,7 +10,20 @@
     Deserialize,
     Serialize, //
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::request::{
+    openai::{
+        BodyLimits,
+        Completion,
+        Endpoint, //
+    },
+    prompt::{
+        BlockHash,
+        BlockSize,
+        Namespace,
+        cut, //
+    },
+};
 
 /// Events kept for late readers; older ones are lost to them.
 const EVENT_LOG_CAPACITY: usize = 4_096;
@@ -33,9 +46,9 @@
     /// What happened.
     pub kind: CacheEventKind,
     /// Chained hash of the block.
-    pub block: u64,
+    pub block: BlockHash,
     /// Cache namespace of the block.
-    pub namespace: String,
+    pub namespace: Namespace,
     /// When the engine may publish the event.
     #[serde(skip)]
     pub publish_at_us: u64,
@@ -44,7 +57,7 @@
 /// Least-recently-used cache of prompt blocks.
 #[derive(Debug)]
 pub struct BlockCache {
-    blocks: LruCache<u64, String>,
+    blocks: LruCache<BlockHash, Namespace>,
     events: VecDeque<CacheEvent>,
     next_sequence: u64,
     lose_every: u64,
@@ -55,12 +68,14 @@
     /// Makes an empty cache.
     ///
     /// ```
+    /// use yuccalatch::request::prompt::{BlockHash, Namespace};
     /// use yuccalatch::standin::engine::BlockCache;
     ///
     /// let mut cache = BlockCache::new(2, 0, 0);
-    /// assert_eq!(cache.lookup(&[1, 2]), 0);
-    /// cache.store(&[1, 2], "a", 0);
-    /// assert_eq!(cache.lookup(&[1, 2, 3]), 2);
+    /// let blocks = [BlockHash(1), BlockHash(2)];
+    /// assert_eq!(cache.lookup(&blocks), 0);
+    /// cache.store(&blocks, Namespace::derive("mill-a", "v1"), 0);
+    /// assert_eq!(cache.lookup(&blocks), 2);
     /// ```
     pub fn new(capacity_blocks: usize, lag_us: u64, lose_every: u64) -> Self {
         let capacity = NonZeroUsize::new(capacity_blocks).unwrap_or(NonZeroUsize::MIN);
@@ -74,7 +89,7 @@
     }
 
     /// Returns how many leading blocks are cached and marks them as used.
-    pub fn lookup(&mut self, blocks: &[u64]) -> usize {
+    pub fn lookup(&mut self, blocks: &[BlockHash]) -> usize {
         let mut matched = 0;
         for block in blocks {
             if self.blocks.get(block).is_none() {
@@ -86,15 +101,15 @@
     }
 
     /// Caches blocks, evicting the least recently used ones.
-    pub fn store(&mut self, blocks: &[u64], namespace: &str, now_us: u64) {
+    pub fn store(&mut self, blocks: &[BlockHash], namespace: Namespace, now_us: u64) {
         for &block in blocks {
-            let evicted = self.blocks.push(block, namespace.to_owned());
+            let evicted = self.blocks.push(block, namespace);
             match evicted {
                 Some((old, _)) if old == block => continue,
                 Some((old, owner)) => self.log(CacheEventKind::Evicted, old, owner, now_us),
                 None => {}
             }
-            self.log(CacheEventKind::Stored, block, namespace.to_owned(), now_us);
+            self.log(CacheEventKind::Stored, block, namespace, now_us);
         }
     }
 
@@ -117,7 +132,7 @@
             .collect()
     }
 
-    fn log(&mut self, kind: CacheEventKind, block: u64, namespace: String, now_us: u64) {
+    fn log(&mut self, kind: CacheEventKind, block: BlockHash, namespace: Namespace, now_us: u64) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         if self.lose_every > 0 && sequence % self.lose_every == self.lose_every - 1 {
@@ -137,13 +152,22 @@
 }
 
 /// Cuts a prompt into whole blocks and returns their chained hashes.
-pub(super) fn block_hashes(namespace: &str, prompt: &[u8], block_bytes: usize) -> Vec<u64> {
-    let mut previous = xxh3_64_with_seed(namespace.as_bytes(), 0);
-    prompt
-        .chunks_exact(block_bytes.max(1))
-        .map(|block| {
-            previous = xxh3_64_with_seed(block, previous);
-            previous
-        })
-        .collect()
+///
+/// The router's own hashing stands for that of the engine, so that published
+/// events name the blocks as the agent knows them.
+pub(super) fn block_hashes(
+    namespace: Namespace,
+    endpoint: Endpoint,
+    body: &[u8],
+    block_tokens: u32,
+) -> Vec<BlockHash> {
+    let body = bytes::Bytes::copy_from_slice(body);
+    let Ok(completion) = Completion::parse(endpoint, body, &BodyLimits::default()) else {
+        return Vec::new();
+    };
+    let size = BlockSize {
+        tokens: block_tokens,
+        ..BlockSize::default()
+    };
+    cut(namespace, size, &[&completion.prompt]).blocks
 }
--- a/src/standin/engine/generation.rs
+++ b/src/standin/engine/generation.rs
@@ -6,6 +6,8 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::request::openai::Endpoint;
+
 /// Prompt bytes that count as one token.
 pub const BYTES_PER_TOKEN: usize = 4;
 
@@ -28,13 +30,6 @@
     format!("{word}{} ", (hash >> 8) % 1_000)
 }
 
-/// Kind of completion endpoint.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Endpoint {
-    Chat,
-    Text,
-}
-
 /// A completion request as the stand-in reads it.
 #[derive(Clone, Debug)]
 pub(super) struct Completion {
@@ -50,11 +45,13 @@
     pub(super) fn parse(endpoint: Endpoint, body: &[u8]) -> Result<Self, &'static str> {
         let value: Value = serde_json::from_slice(body).map_err(|_| "body is not JSON")?;
         let prompt = match endpoint {
-            Endpoint::Text => value["prompt"]
+            Endpoint::Completions => value["prompt"]
                 .as_str()
                 .ok_or("prompt is missing")?
                 .to_owned(),
-            Endpoint::Chat => chat_text(&value["messages"]).ok_or("messages are missing")?,
+            Endpoint::ChatCompletions => {
+                chat_text(&value["messages"]).ok_or("messages are missing")?
+            }
         };
         Ok(Self {
             endpoint,
@@ -72,10 +69,10 @@
     pub(super) fn chunk(&self, token: &str, last: bool) -> String {
         let finish = if last { json!("length") } else { Value::Null };
         let choice = match self.endpoint {
-            Endpoint::Chat => {
+            Endpoint::ChatCompletions => {
                 json!({"index": 0, "delta": {"content": token}, "finish_reason": finish})
             }
-            Endpoint::Text => json!({"index": 0, "text": token, "finish_reason": finish}),
+            Endpoint::Completions => json!({"index": 0, "text": token, "finish_reason": finish}),
         };
         let body = json!({"object": self.object(true), "model": self.model, "choices": [choice]});
         format!("data: {body}\n\n")
@@ -84,12 +81,12 @@
     /// Formats a whole answer.
     pub(super) fn whole(&self, text: &str, prompt_tokens: usize, tokens: u64) -> String {
         let choice = match self.endpoint {
-            Endpoint::Chat => json!({
+            Endpoint::ChatCompletions => json!({
                 "index": 0,
                 "message": {"role": "assistant", "content": text},
                 "finish_reason": "length",
             }),
-            Endpoint::Text => json!({"index": 0, "text": text, "finish_reason": "length"}),
+            Endpoint::Completions => json!({"index": 0, "text": text, "finish_reason": "length"}),
         };
         json!({
             "object": self.object(false),
@@ -102,9 +99,9 @@
 
     fn object(&self, chunk: bool) -> &'static str {
         match (self.endpoint, chunk) {
-            (Endpoint::Chat, true) => "chat.completion.chunk",
-            (Endpoint::Chat, false) => "chat.completion",
-            (Endpoint::Text, _) => "text_completion",
+            (Endpoint::ChatCompletions, true) => "chat.completion.chunk",
+            (Endpoint::ChatCompletions, false) => "chat.completion",
+            (Endpoint::Completions, _) => "text_completion",
         }
     }
 }
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -9,17 +9,16 @@
         BTreeSet,
         VecDeque, //
     },
-    net::{
-        SocketAddr,
-        TcpListener, //
-    },
+    net::TcpListener,
     rc::Rc,
     time::Duration,
 };
 
+use error_stack::ResultExt;
 use futures_util::stream;
 use ntex::{
     http::StatusCode,
+    server::Server,
     util::Bytes,
     web::{
         self,
@@ -35,7 +34,7 @@
 use serde_json::json;
 
 use super::{
-    EngineFaults, EngineLoad, EngineOrder, EngineSettings,
+    EngineFaults, EngineLoad, EngineOrder,
     batch::{
         Batch,
         Slot, //
@@ -47,7 +46,6 @@
     generation::{
         BYTES_PER_TOKEN,
         Completion,
-        Endpoint,
         next_token, //
     },
 };
@@ -57,12 +55,24 @@
         US_PER_MS,
         US_PER_S, //
     },
+    error::{
+        ErrorKind,
+        Result, //
+    },
     names::Incarnation,
+    request::{
+        openai::Endpoint,
+        prompt::Namespace, //
+    },
+    settings::EngineSettings,
 };
 
 /// Requests remembered for tests.
 const RECORD_CAPACITY: usize = 10_000;
 
+/// Largest request body.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
 /// A request as the engine received it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Received {
@@ -90,23 +100,18 @@
 
 type State = web::types::State<Rc<Engine>>;
 
-/// Serves until the process ends. Returns the bound address through `bound`.
+/// Starts the server inside the running ntex `System`.
 ///
 /// # Errors
 ///
-/// Returns an error when the address cannot be bound.
-pub async fn serve(
-    settings: EngineSettings,
-    bound: impl FnOnce(SocketAddr),
-) -> std::io::Result<()> {
-    let listener = TcpListener::bind(settings.address)?;
-    bound(listener.local_addr()?);
+/// Returns [`ErrorKind::Io`] when the listener cannot be used.
+pub fn serve(settings: EngineSettings, listener: TcpListener) -> Result<Server> {
     let incarnation = Incarnation::random();
-    web::HttpServer::new(async move || {
+    let server = web::HttpServer::new(async move || {
         let engine = Rc::new(Engine::new(settings.clone(), incarnation));
         App::new()
             .state(engine)
-            .state(web::types::PayloadConfig::new(64 << 20))
+            .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/v1/chat/completions", web::post().to(chat))
             .route("/v1/completions", web::post().to(text))
             .route("/events", web::get().to(events))
@@ -114,26 +119,28 @@
             .route("/orders", web::post().to(orders))
             .route("/faults", web::put().to(faults))
             .route("/received", web::get().to(received))
-    })
-    .workers(1)
-    .listen(listener)?
-    .run()
-    .await
+    });
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .listen(listener)
+        .change_context(ErrorKind::Io)?;
+    Ok(server.run())
 }
 
 impl Engine {
     fn new(settings: EngineSettings, incarnation: Incarnation) -> Self {
         let cache = BlockCache::new(
-            settings.cache_blocks,
+            to_usize(settings.cache_blocks),
             settings.event_lag_ms * US_PER_MS,
             settings.event_gap_every,
         );
         Self {
             clock: Clock::start(),
             incarnation,
-            batch: Batch::new(settings.batch_size),
+            batch: Batch::new(to_usize(settings.batch_size)),
             cache: RefCell::new(cache),
-            versions: RefCell::new(BTreeSet::from([settings.version.clone()])),
+            versions: RefCell::new(BTreeSet::from([settings.version.to_string()])),
             faults: RefCell::default(),
             fence: Cell::new(0),
             requests: Cell::new(0),
@@ -192,11 +199,11 @@
 }
 
 async fn chat(engine: State, request: HttpRequest, body: Bytes) -> HttpResponse {
-    complete(engine, &request, &body, Endpoint::Chat).await
+    complete(engine, &request, &body, Endpoint::ChatCompletions).await
 }
 
 async fn text(engine: State, request: HttpRequest, body: Bytes) -> HttpResponse {
-    complete(engine, &request, &body, Endpoint::Text).await
+    complete(engine, &request, &body, Endpoint::Completions).await
 }
 
 fn header(request: &HttpRequest, name: &str) -> Option<String> {
@@ -217,7 +224,7 @@
         }
     };
     let version =
-        header(request, "x-model-version").unwrap_or_else(|| engine.settings.version.clone());
+        header(request, "x-model-version").unwrap_or_else(|| engine.settings.version.to_string());
     if !engine.versions.borrow().contains(&version) {
         return HttpResponse::NotFound()
             .json(&json!({"error": {"message": "version is not loaded"}}));
@@ -235,9 +242,10 @@
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
     let slot = engine.batch.enter(priority).await;
-    let namespace = header(request, "x-cache-namespace").unwrap_or_default();
-    let block_bytes = engine.settings.block_tokens * BYTES_PER_TOKEN;
-    let blocks = block_hashes(&namespace, completion.prompt.as_bytes(), block_bytes);
+    let namespace = header(request, "x-cache-namespace")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or_else(|| Namespace::derive("", &version));
+    let blocks = block_hashes(namespace, endpoint, body, engine.settings.block_tokens);
     let matched = engine.cache.borrow_mut().lookup(&blocks);
     engine.record(Received {
         path: request.uri().to_string(),
@@ -256,7 +264,7 @@
     });
     prefill(&engine, &completion, matched).await;
     let now_us = engine.clock.now_us();
-    engine.cache.borrow_mut().store(&blocks, &namespace, now_us);
+    engine.cache.borrow_mut().store(&blocks, namespace, now_us);
 
     let mut response = HttpResponse::Ok();
     response
@@ -284,9 +292,9 @@
 
 async fn prefill(engine: &Engine, completion: &Completion, matched: usize) {
     let prompt_tokens = completion.prompt.len() / BYTES_PER_TOKEN;
-    let cached_tokens = matched * engine.settings.block_tokens;
+    let cached_tokens = matched * to_usize(engine.settings.block_tokens);
     let tokens = u64::try_from(prompt_tokens.saturating_sub(cached_tokens)).unwrap_or(u64::MAX);
-    let rate = engine.settings.prefill_tokens_per_s.max(1);
+    let rate = u64::from(engine.settings.prefill_tokens_per_s.max(1));
     let time_us = tokens.saturating_mul(US_PER_S) / rate * engine.slow_factor();
     tokio::time::sleep(Duration::from_micros(time_us)).await;
 }
@@ -303,7 +311,7 @@
 
 impl Generation {
     async fn next_token(&mut self) -> String {
-        let rate = self.engine.settings.decode_tokens_per_s.max(1);
+        let rate = u64::from(self.engine.settings.decode_tokens_per_s.max(1));
         let time_us = US_PER_S / rate * self.engine.slow_factor();
         tokio::time::sleep(Duration::from_micros(time_us)).await;
         let token = next_token(&self.version, &self.text);
@@ -312,7 +320,7 @@
         token
     }
 
-    async fn next_chunk(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+    async fn next_chunk(&mut self) -> Option<std::io::Result<Bytes>> {
         if self.done {
             return None;
         }
@@ -335,7 +343,7 @@
         Some(Ok(Bytes::from(self.completion.chunk(&token, last))))
     }
 
-    fn into_stream(self) -> impl stream::Stream<Item = Result<Bytes, std::io::Error>> + Unpin {
+    fn into_stream(self) -> impl stream::Stream<Item = std::io::Result<Bytes>> + Unpin {
         Box::pin(stream::unfold(self, |mut generation| async move {
             let chunk = generation.next_chunk().await?;
             Some((chunk, generation))
@@ -398,3 +406,7 @@
     let records: Vec<Received> = engine.received.borrow().iter().cloned().collect();
     HttpResponse::Ok().json(&records)
 }
+
+fn to_usize(value: u32) -> usize {
+    usize::try_from(value).unwrap_or(usize::MAX)
+}
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -9,17 +9,16 @@
         RefCell, //
     },
     collections::BTreeMap,
-    net::{
-        SocketAddr,
-        TcpListener, //
-    },
+    net::TcpListener,
     rc::Rc,
     time::Duration,
 };
 
+use error_stack::ResultExt;
 use futures_util::stream;
 use ntex::{
     http::StatusCode,
+    server::Server,
     util::Bytes,
     web::{
         self,
@@ -34,27 +33,16 @@
 };
 use serde_json::json;
 
+use crate::error::{
+    ErrorKind,
+    Result, //
+};
+
 /// Bytes of one part of a large answer.
 const PART_BYTES: usize = 16 << 10;
 
-/// Parameters of a stand-in plain service.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct PlainSettings {
-    /// Listener of the service.
-    pub address: SocketAddr,
-    /// Time of one execution, in milliseconds.
-    pub work_ms: u64,
-}
-
-impl Default for PlainSettings {
-    fn default() -> Self {
-        Self {
-            address: SocketAddr::from(([127, 0, 0, 1], 0)),
-            work_ms: 5,
-        }
-    }
-}
+/// Largest request body.
+const MAX_BODY_BYTES: usize = 64 << 20;
 
 /// Faults that a stand-in plain service injects, set with `PUT /faults`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -81,31 +69,31 @@
 
 type State = web::types::State<Rc<Service>>;
 
-/// Serves until the process ends. Returns the bound address through `bound`.
+/// Starts the server inside the running ntex `System`.
 ///
 /// # Errors
 ///
-/// Returns an error when the address cannot be bound.
-pub async fn serve(settings: PlainSettings, bound: impl FnOnce(SocketAddr)) -> std::io::Result<()> {
-    let listener = TcpListener::bind(settings.address)?;
-    bound(listener.local_addr()?);
-    web::HttpServer::new(async move || {
+/// Returns [`ErrorKind::Io`] when the listener cannot be used.
+pub fn serve(work_ms: u64, listener: TcpListener) -> Result<Server> {
+    let server = web::HttpServer::new(async move || {
         let service = Rc::new(Service {
-            work_ms: settings.work_ms,
+            work_ms,
             ..Service::default()
         });
         App::new()
             .state(service)
-            .state(web::types::PayloadConfig::new(64 << 20))
+            .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
             .route("/faults", web::put().to(faults))
             .route("/executions", web::get().to(executions))
             .route("/received", web::get().to(received))
             .default_service(web::route().to(execute))
-    })
-    .workers(1)
-    .listen(listener)?
-    .run()
-    .await
+    });
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .listen(listener)
+        .change_context(ErrorKind::Io)?;
+    Ok(server.run())
 }
 
 #[derive(Default, Deserialize)]
@@ -146,9 +134,7 @@
     }))
 }
 
-fn large_answer(
-    length: usize,
-) -> impl stream::Stream<Item = Result<Bytes, std::io::Error>> + Unpin {
+fn large_answer(length: usize) -> impl stream::Stream<Item = std::io::Result<Bytes>> + Unpin {
     Box::pin(stream::unfold(0, move |sent| async move {
         if sent >= length {
             return None;
--- a/tests/settings_files.rs
+++ b/tests/settings_files.rs
@@ -95,7 +95,7 @@
     assert!(problem::<AgentSettings>(&kind).contains("did you mean `model`?"));
     let standin = default_text::<StandinSettings>();
     let batch = standin.replace("\"batch_size\": 32", "\"batch_size\": 0");
-    assert!(problem::<StandinSettings>(&batch).starts_with("s.json:16:19:"));
+    assert!(problem::<StandinSettings>(&batch).starts_with("s.json:18:19:"));
 }
 
 /// Guards against a crash on text that is not JSON.
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,550 @@
+//! Starts the programs as separate processes on loopback.
+
+use std::{
+    fs,
+    io::{
+        BufRead,
+        BufReader,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    sync::{
+        Arc, Mutex,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
+        mpsc,
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use ntex::rt::{
+    DefaultRuntime,
+    System, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use yuccalatch::{
+    clock::Clock,
+    process::platform::{
+        Platform,
+        configuration::submit, //
+    },
+    version::{
+        config::Fold,
+        keys::digest_of,
+        ticket::Ticket, //
+    },
+};
+
+/// Long enough that only a hang reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Key of the organisation `acme` in the tests.
+pub(crate) const ACME_KEY: &str = "sk-acme-0123456789abcdef";
+
+/// Key of the organisation `brazos` in the tests.
+pub(crate) const BRAZOS_KEY: &str = "sk-brazos-fedcba9876543210";
+
+static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
+
+/// A running program; killed by its id when dropped.
+pub(crate) struct Process {
+    child: Child,
+    /// Log lines so far.
+    pub(crate) log: Arc<Mutex<Vec<String>>>,
+    started: Value,
+    settings: PathBuf,
+}
+
+impl Process {
+    /// Starts a program and waits until it listens.
+    pub(crate) fn start(program: &str, settings: &Value) -> Self {
+        let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+        let file = format!("yuccalatch-{}-{number}.json", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        fs::write(&path, settings.to_string()).unwrap();
+        let mut child = Command::new(program)
+            .arg("--settings")
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (sender, receiver) = mpsc::channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let copy = Arc::clone(&log);
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if line.contains("YL1001") {
+                    let _ = sender.send(line.clone());
+                }
+                copy.lock().unwrap().push(line);
+            }
+        });
+        let started = receiver.recv_timeout(PATIENCE).unwrap_or_else(|_| {
+            panic!("{program} did not start: {:?}", log.lock().unwrap());
+        });
+        Self {
+            child,
+            log,
+            started: serde_json::from_str(&started).unwrap(),
+            settings: path,
+        }
+    }
+
+    /// Returns an address from the record of the start.
+    pub(crate) fn address(&self, field: &str) -> SocketAddr {
+        self.started[field].as_str().unwrap().parse().unwrap()
+    }
+
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal such as `TERM`, `STOP` or `KILL`.
+    pub(crate) fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args(["-s", signal, &id])
+            .status()
+            .unwrap();
+        assert!(status.success());
+    }
+
+    /// Waits for the end and returns whether the exit code was zero.
+    pub(crate) fn wait(&mut self) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the process does not stop");
+    }
+
+    pub(crate) fn log_contains(&self, text: &str) -> bool {
+        let log = self.log.lock().unwrap();
+        log.iter().any(|line| line.contains(text))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Shape of a fleet.
+pub(crate) struct Plan {
+    pub(crate) entries: usize,
+    pub(crate) engines: usize,
+    pub(crate) plains: usize,
+    /// Fields that replace the defaults of the engines.
+    pub(crate) engine: Value,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 1,
+            engines: 1,
+            plains: 0,
+            engine: json!({"decode_tokens_per_s": 500, "prefill_tokens_per_s": 100_000}),
+        }
+    }
+}
+
+/// A target with its agent.
+pub(crate) struct Target {
+    pub(crate) name: String,
+    pub(crate) service: &'static str,
+    pub(crate) standin: Process,
+    pub(crate) agent: Process,
+}
+
+/// A whole small deployment.
+pub(crate) struct Fleet {
+    pub(crate) platform: Process,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) entries: Vec<Process>,
+}
+
+fn log() -> Value {
+    json!({"format": "json", "level": "info"})
+}
+
+const ANY: &str = "127.0.0.1:0";
+
+impl Fleet {
+    /// Starts everything, submits the first ticket and waits until it serves.
+    pub(crate) fn start(plan: &Plan) -> Self {
+        let platform = Process::start(
+            env!("CARGO_BIN_EXE_yuccalatch-standin"),
+            &json!({"kind": "platform", "address": ANY, "log": log()}),
+        );
+        let mut fleet = Self {
+            platform,
+            targets: Vec::new(),
+            entries: Vec::new(),
+        };
+        for number in 0..plan.engines {
+            fleet.add_target("draft", &format!("engine-{number}"), &plan.engine);
+        }
+        for number in 0..plan.plains {
+            fleet.add_target("files", &format!("plain-{number}"), &Value::Null);
+        }
+        for number in 0..plan.entries {
+            fleet.add_entry(&format!("entry-{number}"));
+        }
+        let ticket = fleet.first_ticket();
+        fleet.submit(&ticket);
+        fleet.wait_ready();
+        fleet
+    }
+
+    pub(crate) fn platform_address(&self) -> SocketAddr {
+        self.platform.address("address")
+    }
+
+    fn add_target(&mut self, service: &'static str, name: &str, engine: &Value) {
+        let kind = if service == "draft" {
+            "engine"
+        } else {
+            "plain"
+        };
+        let mut settings = json!({"kind": kind, "address": ANY, "work_ms": 5, "log": log()});
+        if !engine.is_null() {
+            settings["engine"] = engine.clone();
+        }
+        let standin = Process::start(env!("CARGO_BIN_EXE_yuccalatch-standin"), &settings);
+        let agent = self.start_agent(service, name, standin.address("address"));
+        self.targets.push(Target {
+            name: name.to_owned(),
+            service,
+            standin,
+            agent,
+        });
+    }
+
+    fn start_agent(&self, service: &str, name: &str, target: SocketAddr) -> Process {
+        let settings = json!({
+            "name": name,
+            "data_centre": "a",
+            "data_address": ANY,
+            "control_address": ANY,
+            "admin_address": ANY,
+            "target_address": target,
+            "target_kind": if service == "draft" { "model" } else { "plain" },
+            "checks_fencing": true,
+            "platform_address": self.platform_address(),
+            "log": log(),
+        });
+        Process::start(env!("CARGO_BIN_EXE_yuccalatch-agent"), &settings)
+    }
+
+    pub(crate) fn add_entry(&mut self, name: &str) {
+        let settings = self.entry_settings(name);
+        let entry = Process::start(env!("CARGO_BIN_EXE_yuccalatch-entry"), &settings);
+        self.entries.push(entry);
+    }
+
+    fn entry_settings(&self, name: &str) -> Value {
+        let mut peers: Vec<SocketAddr> = Vec::new();
+        let agents = self.targets.iter().map(|target| &target.agent);
+        for process in agents.chain(&self.entries) {
+            peers.push(process.address("control_address"));
+        }
+        json!({
+            "name": name,
+            "data_centre": "a",
+            "caller_address": ANY,
+            "control_address": ANY,
+            "admin_address": ANY,
+            "platform_address": self.platform_address(),
+            "peers": peers,
+            "log": log(),
+        })
+    }
+
+    /// Returns the ticket that creates every object of the fleet.
+    pub(crate) fn first_ticket(&self) -> Ticket {
+        let key = |name: &str, organisation: &str, text: &str| {
+            json!({"key": {"name": name, "organisation": organisation,
+                "digest": digest_of(text.as_bytes())}})
+        };
+        let organisation = |name: &str| {
+            json!({"organisation": {"name": name, "rate_tokens_per_s": 1_000_000,
+                "burst_tokens": 10_000_000, "weight": 1}})
+        };
+        let mut set = vec![
+            organisation("acme"),
+            organisation("brazos"),
+            key("acme-1", "acme", ACME_KEY),
+            key("brazos-1", "brazos", BRAZOS_KEY),
+            json!({"service": {"name": "draft", "kind": "model", "model": "oak",
+                "block_tokens": 1000, "parallel_loads": 2, "load_ms": 500}}),
+            json!({"version": {"name": "v1", "service": "draft", "weights": "oak/1"}}),
+        ];
+        for (path, name) in [
+            ("/v1/chat/completions", "chat"),
+            ("/v1/completions", "text"),
+        ] {
+            set.push(
+                json!({"route": {"name": name, "path_prefix": path, "methods": ["POST"],
+                "model": "oak", "service": "draft", "access": "keyed", "idempotent": true,
+                "timeout_ms": 60_000}}),
+            );
+        }
+        if self.targets.iter().any(|target| target.service == "files") {
+            set.extend([
+                json!({"service": {"name": "files", "kind": "plain", "block_tokens": 0,
+                    "parallel_loads": 1, "load_ms": 0}}),
+                json!({"version": {"name": "files-1", "service": "files", "weights": "r1"}}),
+                json!({"route": {"name": "files", "path_prefix": "/files", "methods": ["GET"],
+                    "service": "files", "access": "public", "idempotent": true,
+                    "timeout_ms": 10_000}}),
+                json!({"route": {"name": "orders", "path_prefix": "/orders",
+                    "methods": ["POST"], "service": "files", "access": "keyed",
+                    "idempotent": false, "timeout_ms": 10_000}}),
+            ]);
+        }
+        for target in &self.targets {
+            let version = if target.service == "draft" {
+                "v1"
+            } else {
+                "files-1"
+            };
+            set.push(
+                json!({"target": {"name": target.name, "service": target.service,
+                "data_centre": "a", "version": version,
+                "address": target.agent.address("data_address"),
+                "control_address": target.agent.address("control_address")}}),
+            );
+        }
+        let ticket = json!({"ticket": 1, "author": "test", "comment": "first",
+            "set": set, "remove": []});
+        serde_json::from_value(ticket).unwrap()
+    }
+
+    /// Submits a ticket and returns its revision.
+    pub(crate) fn submit(&self, ticket: &Ticket) -> u64 {
+        let address = self.platform_address();
+        let ticket = ticket.clone();
+        System::new("submit", DefaultRuntime).block_on(async move {
+            let platform = Platform::new(address, Clock::start()).await.unwrap();
+            let mut fold = Fold::default();
+            let deadline_us = platform.clock().now_us() + 30_000_000;
+            let accepted = submit(&platform, &mut fold, &ticket, deadline_us).await;
+            accepted.unwrap().revision
+        })
+    }
+
+    /// Waits until every target of every entry serves.
+    pub(crate) fn wait_ready(&self) {
+        for entry in &self.entries {
+            let admin = entry.address("admin_address");
+            eventually("the entry is ready", || get(admin, "/readyz").status == 200);
+        }
+    }
+
+    pub(crate) fn caller(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].address("caller_address")
+    }
+}
+
+/// Repeats a check until it holds; panics when it never does.
+pub(crate) fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while started.elapsed() < PATIENCE {
+        if check() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    panic!("never: {what}");
+}
+
+/// Answer of a server.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+    /// Whether the body had its proper end.
+    pub(crate) is_complete: bool,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    /// Text that a stream of completion events carries.
+    pub(crate) fn streamed_text(&self) -> String {
+        let text = self.text();
+        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        events
+            .filter_map(|data| serde_json::from_str::<Value>(data).ok())
+            .filter_map(|event| {
+                let choice = &event["choices"][0];
+                let part = choice["delta"]["content"]
+                    .as_str()
+                    .or(choice["text"].as_str());
+                part.map(str::to_owned)
+            })
+            .collect()
+    }
+}
+
+/// Sends raw bytes and reads until the server closes the connection.
+pub(crate) fn exchange(address: SocketAddr, request: &[u8]) -> Answer {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(request).unwrap();
+    let mut raw = Vec::new();
+    let _ = stream.read_to_end(&mut raw);
+    parse(&raw)
+}
+
+/// Parses an answer that was read to the end of the connection.
+pub(crate) fn parse(raw: &[u8]) -> Answer {
+    let split = raw.windows(4).position(|window| window == b"\r\n\r\n");
+    let Some(split) = split else {
+        return Answer {
+            status: 0,
+            headers: Vec::new(),
+            body: raw.to_vec(),
+            is_complete: false,
+        };
+    };
+    let head = String::from_utf8_lossy(&raw[..split]).into_owned();
+    let mut lines = head.lines();
+    let status = lines.next().and_then(|line| line.split(' ').nth(1));
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let rest = &raw[split + 4..];
+    let is_chunked = headers
+        .iter()
+        .any(|(name, value)| name == "transfer-encoding" && value.contains("chunked"));
+    let length = headers
+        .iter()
+        .find(|(name, _)| name == "content-length")
+        .and_then(|(_, value)| value.parse::<usize>().ok());
+    let (body, is_complete) = if is_chunked {
+        join_chunks(rest)
+    } else {
+        (
+            rest.to_vec(),
+            length.is_none_or(|length| rest.len() == length),
+        )
+    };
+    Answer {
+        status: status.and_then(|status| status.parse().ok()).unwrap_or(0),
+        headers,
+        body,
+        is_complete,
+    }
+}
+
+fn join_chunks(mut rest: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(end) = rest.windows(2).position(|window| window == b"\r\n") else {
+            return (body, false);
+        };
+        let line = String::from_utf8_lossy(&rest[..end]);
+        let Ok(length) = usize::from_str_radix(line.trim(), 16) else {
+            return (body, false);
+        };
+        rest = &rest[end + 2..];
+        if length == 0 {
+            return (body, true);
+        }
+        if rest.len() < length + 2 {
+            body.extend_from_slice(rest);
+            return (body, false);
+        }
+        body.extend_from_slice(&rest[..length]);
+        rest = &rest[length + 2..];
+    }
+}
+
+/// Formats a request that closes its connection.
+pub(crate) fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
+    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if !body.is_empty() || method == "POST" || method == "PUT" {
+        text.push_str(&format!("content-length: {}\r\n", body.len()));
+    }
+    text.push_str("\r\n");
+    text.push_str(body);
+    text.into_bytes()
+}
+
+pub(crate) fn get(address: SocketAddr, path: &str) -> Answer {
+    exchange(address, &request("GET", path, &[], ""))
+}
+
+pub(crate) fn put(address: SocketAddr, path: &str, body: &Value) -> Answer {
+    let headers = [("content-type", "application/json")];
+    exchange(address, &request("PUT", path, &headers, &body.to_string()))
+}
+
+/// Posts a JSON body with a key.
+pub(crate) fn post(address: SocketAddr, path: &str, key: &str, body: &Value) -> Answer {
+    let authorization = format!("Bearer {key}");
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("content-type", "application/json"),
+    ];
+    exchange(address, &request("POST", path, &headers, &body.to_string()))
+}
+
+/// Body of a text completion.
+pub(crate) fn completion(prompt: &str, max_tokens: u64, stream: bool) -> Value {
+    json!({"model": "oak", "prompt": prompt, "max_tokens": max_tokens, "stream": stream})
+}
+
+/// Text that an uninterrupted generation yields.
+pub(crate) fn reference(version: &str, prompt: &str, tokens: u64) -> String {
+    let mut text = prompt.to_owned();
+    for _ in 0..tokens {
+        let token = yuccalatch::standin::engine::next_token(version, &text);
+        text.push_str(&token);
+    }
+    text[prompt.len()..].to_owned()
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures shared by the tests of the configuration.
 #![allow(dead_code, reason = "every test file uses a part")]
 
+pub(crate) mod fleet;
+
 use std::{
     future::Future,
     net::SocketAddr, //
