--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod event;
 pub mod jsonc;
 pub mod names;
+pub mod operator;
 pub mod process;
 pub mod replay;
 pub mod request;
