--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event;
 pub mod jsonc;
 pub mod names;
+pub mod operator;
 pub mod process;
 pub mod replay;
 pub mod request;
