Probe by expected score and again when the answers are poor

Hints now learn from probes, choices are ordered by expected score, and a second round asks three more targets when the first token would take more than 100 ms.

--- a/src/process/hints.rs
+++ b/src/process/hints.rs
@@ -17,7 +17,7 @@
 
 /// Targets remembered for one block. A prefix that more targets hold is so hot
 /// that any of its rendezvous candidates has it.
-const MAX_HOLDERS: usize = 4;
+const MAX_HOLDERS: usize = 8;
 
 /// What a target told in an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -109,14 +109,42 @@
         if let Some(missing) = blocks.get(matched) {
             self.note_missing(*missing, seen);
         }
-        for &block in blocks.iter().rev() {
-            let holder = Holder {
-                target: seen.target,
-                engine: seen.engine,
-                seen_at_us: now_us,
-            };
-            remember(self.blocks.get_or_insert_mut(block, Vec::new), holder);
+        self.remember_all(blocks, seen, now_us);
+    }
+
+    /// Records the answer to a probe: the target holds exactly the matched
+    /// blocks of the prompt.
+    ///
+    /// ```
+    /// use std::num::NonZeroUsize;
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::hints::{Hints, Observation};
+    /// use yuccalatch::request::placement::TargetId;
+    /// use yuccalatch::request::prompt::BlockHash;
+    ///
+    /// let mut hints = Hints::new(NonZeroUsize::new(100).unwrap());
+    /// let blocks = [BlockHash(1), BlockHash(2)];
+    /// let mut seen = Observation {
+    ///     target: TargetId(3),
+    ///     engine: Incarnation(9),
+    ///     matched_blocks: 2,
+    ///     sent_at_us: 40,
+    /// };
+    /// hints.probed(&blocks, seen, 50);
+    /// seen.matched_blocks = 1;
+    /// hints.probed(&blocks, seen, 60);
+    /// let found = hints.lookup(&blocks, |_| Some(Incarnation(9)));
+    /// assert_eq!(found[0].matched_blocks, 1);
+    /// ```
+    pub fn probed(&mut self, blocks: &[BlockHash], seen: Observation, now_us: u64) {
+        let matched = usize::try_from(seen.matched_blocks).unwrap_or(usize::MAX);
+        let (present, absent) = blocks.split_at(matched.min(blocks.len()));
+        for block in absent {
+            if let Some(holders) = self.blocks.peek_mut(block) {
+                holders.retain(|holder| holder.target != seen.target);
+            }
         }
+        self.remember_all(present, seen, now_us);
     }
 
     /// Returns the targets that held a prefix of the prompt under their present
@@ -160,6 +188,17 @@
         }
     }
 
+    fn remember_all(&mut self, blocks: &[BlockHash], seen: Observation, now_us: u64) {
+        for &block in blocks.iter().rev() {
+            let holder = Holder {
+                target: seen.target,
+                engine: seen.engine,
+                seen_at_us: now_us,
+            };
+            remember(self.blocks.get_or_insert_mut(block, Vec::new), holder);
+        }
+    }
+
     fn note_missing(&mut self, block: BlockHash, seen: Observation) {
         let Some(holders) = self.blocks.peek(&block) else {
             return;
--- a/src/replay/baseline.rs
+++ b/src/replay/baseline.rs
@@ -64,8 +64,8 @@
     /// Learns that a request has ended or failed on a target.
     fn ended(&mut self, _request: &Request, _target: usize) {}
 
-    /// Learns of a load report.
-    fn reported(&mut self, _target: usize, _load_us: u64, _engine: Incarnation, _now_us: u64) {}
+    /// Learns of a load report that was made at a time.
+    fn reported(&mut self, _target: usize, _load_us: u64, _engine: Incarnation, _at_us: u64) {}
 
     /// Loses the state of all entries.
     fn restarted(&mut self) {}
--- a/src/replay/evaluate/placement.rs
+++ b/src/replay/evaluate/placement.rs
@@ -1,7 +1,5 @@
 //! Placement against the baselines on every scenario.
 
-use std::num::NonZeroUsize;
-
 use crate::{
     clock::US_PER_MS,
     process::fair_queue::Settings as QueueSettings,
@@ -149,6 +147,10 @@
 
 const OWN: &str = "yuccalatch";
 const REFERENCE: &str = "perfect knowledge";
+const REFERENCE_CAREFUL: &str = "perfect, sparing";
+/// Weight of recomputed blocks for the second reference. It trades waiting for
+/// a higher hit rate; the target is set by the better of both.
+const CAREFUL_WEIGHT: f64 = 2.0;
 const LEAST_OUTSTANDING: &str = "least outstanding";
 
 /// Blocks that the rendezvous baselines hash. Best of the depths that
@@ -168,7 +170,6 @@
     let bounded = Some(RENDEZVOUS_LOAD_FACTOR);
     let block_us = ENGINE.block_us;
     let settings = Settings::default();
-    let recompute_weight = settings.recompute_weight;
     vec![
         ("random", Box::new(Random::new(seed))),
         ("round robin", Box::new(RoundRobin::new(entries, targets))),
@@ -184,7 +185,18 @@
             "rendezvous bounded",
             Box::new(Rendezvous::new(entries, targets, depth, bounded)),
         ),
-        (REFERENCE, Box::new(Perfect { recompute_weight })),
+        (
+            REFERENCE,
+            Box::new(Perfect {
+                recompute_weight: 1.0,
+            }),
+        ),
+        (
+            REFERENCE_CAREFUL,
+            Box::new(Perfect {
+                recompute_weight: CAREFUL_WEIGHT,
+            }),
+        ),
         (
             OWN,
             Box::new(Router::new(
@@ -233,11 +245,13 @@
 
 fn measurements(label: &str, summaries: &[(&str, Summary)]) -> Vec<Measurement> {
     let find = |name: &str| summaries.iter().find(|(known, _)| *known == name);
-    let hit_rate = find(REFERENCE).map_or(0.0, |(_, summary)| summary.hit_rate);
+    let is_reference = |name: &str| name == REFERENCE || name == REFERENCE_CAREFUL;
+    let references = summaries.iter().filter(|(name, _)| is_reference(name));
+    let hit_rate = references.map(|(_, s)| s.hit_rate).fold(0.0, f64::max);
     let recomputed = find(LEAST_OUTSTANDING).map_or(0.0, |(_, s)| s.recomputed_tokens);
     let best_p99_ms = summaries
         .iter()
-        .filter(|(name, _)| *name != OWN && *name != REFERENCE)
+        .filter(|(name, _)| *name != OWN && !is_reference(name))
         .map(|(_, summary)| summary.p99_ms)
         .fold(f64::INFINITY, f64::min);
     let mut out = Vec::new();
@@ -275,6 +289,3 @@
     }
     out
 }
-
-/// Cache of the modelled engines, for the tables of the documentation.
-pub const CACHE_BLOCKS: NonZeroUsize = ENGINE.cache_blocks;
--- a/src/replay/evaluate/router.rs
+++ b/src/replay/evaluate/router.rs
@@ -20,6 +20,7 @@
         model::Request,
     },
     request::placement::{
+        Load,
         Placer,
         Settings,
         Target,
@@ -36,6 +37,7 @@
     placer: Placer,
     hints: Hints,
     targets: Vec<Target>,
+    loads: Vec<Load>,
 }
 
 /// The policy of this router.
@@ -68,6 +70,7 @@
             placer: Placer::new(settings, ENTRY_BLOCKS),
             hints: Hints::new(ENTRY_BLOCKS),
             targets: targets.clone(),
+            loads: vec![Load::default(); targets.len()],
         };
         Self {
             settings,
@@ -80,28 +83,41 @@
 impl Policy for Router {
     fn place(&mut self, request: &Request, view: &mut View<'_>) -> Placed {
         let entry = &mut self.entries[request.entry];
-        let targets = &entry.targets;
+        for (target, load) in entry.targets.iter_mut().zip(&entry.loads) {
+            target.queue_us = load.at(view.now_us);
+        }
+        let targets = entry.targets.clone();
         let engine_of = |id: TargetId| targets.get(id.0 as usize).map(|target| target.engine);
         let hints = entry.hints.lookup(&request.blocks, engine_of);
         let blocks = &request.blocks;
-        let plan = entry.placer.plan(blocks, targets, &hints, view.now_us);
-        let probe = |id: &TargetId| view.agents[id.0 as usize].probe(request, view.now_us);
-        let probes: Vec<_> = plan.probes.iter().map(probe).collect();
-        let decision = entry.placer.decide(&plan, blocks, targets, &probes);
+        let plan = entry.placer.plan(blocks, &targets, &hints, view.now_us);
+        let mut probe = |id: &TargetId| view.agents[id.0 as usize].probe(request, view.now_us);
+        let mut probes: Vec<_> = plan.probes.iter().map(&mut probe).collect();
+        let more = entry.placer.more_probes(&plan, blocks, &targets, &probes);
+        let rounds = u64::from(!probes.is_empty()) + u64::from(!more.is_empty());
+        probes.extend(more.iter().map(probe));
+        for probe in &probes {
+            entry.targets[probe.target.0 as usize].engine = probe.engine;
+            entry.loads[probe.target.0 as usize].observe(probe.queue_us, view.now_us);
+            let seen = Observation {
+                target: probe.target,
+                engine: probe.engine,
+                matched_blocks: probe.matched_blocks,
+                sent_at_us: view.now_us,
+            };
+            entry.hints.probed(blocks, seen, view.now_us);
+        }
+        let decision = entry.placer.decide(&plan, blocks, &targets, &probes);
         let target = decision
             .as_ref()
             .map_or(0, |decision| decision.target.0 as usize);
         if let Some(decision) = decision {
             let recompute_us = decision.choices[0].score.recompute_us;
-            entry.targets[target].queue_us += recompute_us;
+            entry.loads[target].send(recompute_us, view.now_us);
         }
         Placed {
             target,
-            probe_us: if probes.is_empty() {
-                0
-            } else {
-                self.network_us
-            },
+            probe_us: rounds * self.network_us,
         }
     }
 
@@ -117,9 +133,9 @@
         entry.hints.answered(&request.blocks, seen, now_us);
     }
 
-    fn reported(&mut self, target: usize, load_us: u64, engine: Incarnation, _now_us: u64) {
+    fn reported(&mut self, target: usize, load_us: u64, engine: Incarnation, sampled_at_us: u64) {
         for entry in &mut self.entries {
-            entry.targets[target].queue_us = load_us;
+            entry.loads[target].observe(load_us, sampled_at_us);
             entry.targets[target].engine = engine;
         }
     }
--- a/src/replay/evaluate/simulation.rs
+++ b/src/replay/evaluate/simulation.rs
@@ -164,7 +164,8 @@
                     load_us,
                     engine,
                 } => {
-                    self.policy.reported(target, load_us, engine, now_us);
+                    let sampled_at_us = now_us - REPORT_LAG_US;
+                    self.policy.reported(target, load_us, engine, sampled_at_us);
                 }
                 Step::Crash { target } => self.crash(target, now_us),
                 Step::RestartEntries => self.policy.restarted(),
--- a/src/replay/model/agent.rs
+++ b/src/replay/model/agent.rs
@@ -173,6 +173,7 @@
         let found = self.index.lookup(request.namespace, &request.blocks);
         Probe {
             target: self.id,
+            engine: self.engine.incarnation(),
             matched_blocks: found.likely_blocks,
             queue_us: self.queue_us(Some(request), now_us),
         }
@@ -202,6 +203,7 @@
         };
         Probe {
             target: self.id,
+            engine: self.engine.incarnation(),
             matched_blocks: u32::try_from(cached.count()).unwrap_or(u32::MAX),
             queue_us: self.engine.remaining_us(now_us) + queued_us + slot_us,
         }
--- a/src/request/placement.rs
+++ b/src/request/placement.rs
@@ -21,8 +21,10 @@
     request::prompt::BlockHash, //
 };
 
+mod load;
 mod score;
 
+pub use load::Load;
 pub use score::{
     Choice,
     Decision,
@@ -78,8 +80,11 @@
     pub min_candidates: usize,
     /// Most targets to compare.
     pub max_choices: usize,
-    /// Most targets to probe.
+    /// Most targets to probe in a round, of two at most.
     pub max_probes: usize,
+    /// Expected time to first token above which a second round of probes is
+    /// worth its round trip.
+    pub probe_again_above_us: u64,
     /// A target is skipped when its queue exceeds this factor of the mean.
     pub load_factor: f64,
     /// Queue that is never too long, because the mean of an idle fleet is zero.
@@ -100,8 +105,9 @@
         Self {
             spread: 1.5,
             min_candidates: 2,
-            max_choices: 4,
+            max_choices: 6,
             max_probes: 3,
+            probe_again_above_us: US_PER_S / 10,
             load_factor: 2.0,
             load_slack_us: US_PER_S / 2,
             recompute_weight: 1.5,
@@ -117,6 +123,8 @@
 pub struct Candidates {
     /// Blocks of the prompt that determined the candidates.
     pub level_blocks: u32,
+    /// Blocks that determined the level above.
+    pub parent_blocks: u32,
     /// Targets that should hold the prefix.
     pub preferred: Vec<TargetId>,
     /// Targets of the level above, to be used when all preferred ones are
@@ -213,7 +221,7 @@
     ) -> Plan {
         self.count(blocks, now_us);
         let candidates = self.candidates(blocks, targets, now_us);
-        let estimates = self.estimates(&candidates, targets, hints);
+        let estimates = self.estimates(&candidates, blocks.len(), targets, hints);
         let probes = self.probes(blocks, &estimates, now_us);
         Plan {
             candidates,
@@ -236,6 +244,7 @@
         let mut set_size = targets.len();
         let mut parent_size = targets.len();
         let mut level_blocks = 0;
+        let mut parent_blocks = 0;
         for (depth, &block) in (1..).zip(blocks) {
             if set_size <= self.settings.min_candidates {
                 break;
@@ -247,11 +256,13 @@
             rank(&mut ranked[..set_size], block);
             parent_size = set_size;
             set_size = wanted;
+            parent_blocks = level_blocks;
             level_blocks = depth;
         }
         let ids = |range: &[&Target]| range.iter().map(|target| target.id).collect();
         Candidates {
             level_blocks,
+            parent_blocks,
             preferred: ids(&ranked[..set_size]),
             overflow: ids(&ranked[set_size..parent_size]),
         }
@@ -271,6 +282,27 @@
         score::decide(&self.settings, plan, blocks.len(), targets, probes)
     }
 
+    /// Returns whom to probe in a second round: nobody when the answers promise
+    /// an early first token, otherwise the next best targets of the plan.
+    pub fn more_probes(
+        &self,
+        plan: &Plan,
+        blocks: &[BlockHash],
+        targets: &[Target],
+        probes: &[Probe],
+    ) -> Vec<TargetId> {
+        let Some(decision) = self.decide(plan, blocks, targets, probes) else {
+            return Vec::new();
+        };
+        if decision.choices[0].score.total_us() <= self.settings.probe_again_above_us {
+            return Vec::new();
+        }
+        let is_asked = |id: &TargetId| probes.iter().any(|probe| probe.target == *id);
+        let estimates = plan.estimates.iter().map(|estimate| estimate.target);
+        let others = estimates.filter(|id| !is_asked(id));
+        others.take(self.settings.max_probes).collect()
+    }
+
     fn count(&mut self, blocks: &[BlockHash], now_us: u64) {
         let half_life_us = self.settings.half_life_us;
         self.total.add(now_us, half_life_us);
@@ -298,30 +330,31 @@
     fn estimates(
         &self,
         candidates: &Candidates,
+        prompt_blocks: usize,
         targets: &[Target],
         hints: &[Hint],
     ) -> Vec<Estimate> {
         let mut estimates: Vec<Estimate> = Vec::new();
-        let mut push = |id: TargetId, source: Source| {
+        let mut push = |id: TargetId, source: Source, expected_blocks: u32| {
             let is_known = estimates.iter().any(|estimate| estimate.target == id);
-            if is_known || estimates.len() >= self.settings.max_choices {
+            let Some(target) = targets.iter().find(|target| target.id == id) else {
                 return;
-            }
-            if let Some(target) = targets.iter().find(|target| target.id == id) {
+            };
+            if !is_known {
                 let hint = hints.iter().find(|hint| hint.target == id);
-                estimates.push(Estimate::known(target, source, hint));
+                estimates.push(Estimate::expected(target, source, hint, expected_blocks));
             }
         };
-        if let Some(hint) = hints.first() {
-            push(hint.target, Source::Hint);
+        for &id in &candidates.preferred {
+            push(id, Source::Preferred, candidates.level_blocks);
         }
-        for id in least_loaded(&candidates.preferred, targets, self.settings.min_candidates) {
-            push(id, Source::Preferred);
+        for hint in hints {
+            push(hint.target, Source::Hint, 0);
         }
-        let overflow = least_loaded(&candidates.overflow, targets, self.settings.max_choices);
-        for id in overflow {
-            push(id, Source::Overflow);
+        for &id in candidates.overflow.iter().take(self.settings.max_probes) {
+            push(id, Source::Overflow, candidates.parent_blocks);
         }
+        score::keep_best(&self.settings, &mut estimates, prompt_blocks, targets);
         estimates
     }
 
@@ -349,16 +382,3 @@
         (std::cmp::Reverse(weight), target.seed)
     });
 }
-
-/// Returns the given number of targets with the shortest queues; rendezvous
-/// order decides between equal ones.
-fn least_loaded(ids: &[TargetId], targets: &[Target], count: usize) -> Vec<TargetId> {
-    let queue_us = |id: &TargetId| {
-        let target = targets.iter().find(|target| target.id == *id);
-        target.map_or(u64::MAX, |target| target.queue_us)
-    };
-    let mut sorted = ids.to_vec();
-    sorted.sort_by_cached_key(queue_us);
-    sorted.truncate(count);
-    sorted
-}
--- a/src/request/placement/score.rs
+++ b/src/request/placement/score.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use crate::{
+    names::Incarnation,
     process::hints::Hint,
     request::placement::{
         Plan,
@@ -42,12 +43,20 @@
 }
 
 impl Estimate {
-    pub(super) fn known(target: &Target, source: Source, hint: Option<&Hint>) -> Self {
+    /// Without a trusted hint, a candidate is expected to hold the blocks that
+    /// rendezvous hashing assigns to it.
+    pub(super) fn expected(
+        target: &Target,
+        source: Source,
+        hint: Option<&Hint>,
+        expected_blocks: u32,
+    ) -> Self {
         let trusted = hint.filter(|hint| !hint.is_doubtful);
+        let hinted_blocks = trusted.map_or(0, |hint| hint.matched_blocks);
         Self {
             target: target.id,
             source,
-            matched_blocks: trusted.map_or(0, |hint| hint.matched_blocks),
+            matched_blocks: hinted_blocks.max(expected_blocks),
             queue_us: target.queue_us,
             seen_at_us: trusted.map(|hint| hint.seen_at_us),
             is_probed: false,
@@ -74,6 +83,8 @@
 pub struct Probe {
     /// The agent's target.
     pub target: TargetId,
+    /// Incarnation of its engine's cache.
+    pub engine: Incarnation,
     /// Blocks of the prompt in its cache index.
     pub matched_blocks: u32,
     /// Expected wait for a new request of this organisation.
@@ -106,18 +117,20 @@
         self.queue_us + self.recompute_us + self.transfer_us + self.network_us
     }
 
-    fn weighted_us(&self, recompute_weight: f64) -> f64 {
-        let recompute_us = self.recompute_us as f64;
-        self.total_us() as f64 + recompute_us * (recompute_weight - 1.0)
+    fn weighted_us(&self, recompute_weight: f64) -> u64 {
+        let extra_us = self.recompute_us as f64 * (recompute_weight - 1.0);
+        self.total_us().saturating_add_signed(extra_us as i64)
     }
 }
 
 /// Why a choice was not considered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Skip {
     /// Its queue exceeds the bounded load.
     Overloaded,
+    /// It was not asked, because others already gave a good answer.
+    NotAsked,
 }
 
 /// One compared target.
@@ -147,6 +160,21 @@
     pub choices: Vec<Choice>,
 }
 
+/// Keeps the estimates worth a probe, best first.
+pub(super) fn keep_best(
+    settings: &Settings,
+    estimates: &mut Vec<Estimate>,
+    prompt_blocks: usize,
+    targets: &[Target],
+) {
+    estimates.sort_by_cached_key(|estimate| {
+        let target = targets.iter().find(|target| target.id == estimate.target);
+        let score = target.map(|target| score(settings, estimate, prompt_blocks, target));
+        score.map(|score| score.weighted_us(settings.recompute_weight))
+    });
+    estimates.truncate(settings.max_choices);
+}
+
 pub(super) fn decide(
     settings: &Settings,
     plan: &Plan,
@@ -161,17 +189,24 @@
             continue;
         };
         let estimate = estimate.refreshed(probes);
-        let is_overloaded = estimate.queue_us > queue_bound_us;
+        let is_asked = probes.is_empty() || estimate.is_probed;
+        let skip = if !is_asked {
+            Some(Skip::NotAsked)
+        } else if estimate.queue_us > queue_bound_us {
+            Some(Skip::Overloaded)
+        } else {
+            None
+        };
         choices.push(Choice {
             estimate,
             score: score(settings, &estimate, prompt_blocks, target),
-            skip: is_overloaded.then_some(Skip::Overloaded),
+            skip,
         });
     }
     // When all are overloaded, the best of them is still the best answer.
-    choices.sort_by(|a, b| {
-        let key = |choice: &Choice| choice.score.weighted_us(settings.recompute_weight);
-        (a.skip.is_some().cmp(&b.skip.is_some())).then(key(a).total_cmp(&key(b)))
+    choices.sort_by_key(|choice| {
+        let weighted_us = choice.score.weighted_us(settings.recompute_weight);
+        (choice.skip, weighted_us)
     });
     Some(Decision {
         target: choices.first()?.estimate.target,
