--- /dev/null
+++ b/src/version/rollout/plan.rs
@@ -0,0 +1,251 @@
+//! Plan of a move, computed backwards from the requested time.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::Name,
+};
+
+/// Shares of the steps. The first two are small enough that a version which is
+/// bad from the start stays below 2% of the traffic.
+const SHARES_PERMILLE: [u16; 5] = [10, 20, 60, 200, 500];
+/// Share in the settling period. The rest stays on the old version: without
+/// present answers of the old version an outage of both looks like a fault of
+/// the new one.
+pub const LAST_STEP_PERMILLE: u16 = 980;
+/// Answers of the new version that a route needs in each step. A version that
+/// fails three answers in ten is recognised within about this many.
+pub const STEP_ANSWERS: u64 = 20;
+/// Shortest time at one share.
+pub const SHORTEST_STEP_MS: u64 = 10_000;
+/// Longest planned time at one share. A route too quiet to give enough answers
+/// within it does not hold up the move any longer.
+pub const LONGEST_STEP_MS: u64 = 600_000;
+/// Time from a step to its acknowledgement by every entry, and the write.
+const STEP_OVERHEAD_MS: u64 = 3_000;
+/// Traffic may be this much below the stated rate: three quarters.
+const RATE_MARGIN: f64 = 0.75;
+
+/// Weight loads in one data centre.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadEstimate {
+    /// Data centre.
+    pub data_centre: Name,
+    /// Targets of the service there.
+    pub targets: u32,
+    /// Loads that may run at once.
+    pub parallel_loads: u32,
+    /// Upper bound for one load while no more than that run, in milliseconds.
+    pub load_ms: u64,
+}
+
+/// Expected traffic of one route.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RouteRate {
+    /// Route.
+    pub route: Name,
+    /// Requests per second.
+    pub requests_per_s: f64,
+}
+
+/// What an operator asks for, with what is known of the service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlanRequest {
+    /// Present time.
+    pub now_unix_ms: u64,
+    /// Time by which the move has to be done.
+    pub finish_at_unix_ms: u64,
+    /// Loads per data centre.
+    pub loads: Vec<LoadEstimate>,
+    /// Routes of the service.
+    pub routes: Vec<RouteRate>,
+    /// Length of the settling period, in milliseconds.
+    pub settle_ms: u64,
+    /// Longest request, in milliseconds; the old version's requests need it to
+    /// finish.
+    pub longest_request_ms: u64,
+}
+
+impl PlanRequest {
+    /// Returns a small request for examples.
+    ///
+    /// ```
+    /// use yuccalatch::version::rollout::plan::{accept, PlanRequest};
+    ///
+    /// assert!(accept(&PlanRequest::example()).is_ok());
+    /// ```
+    pub fn example() -> Self {
+        Self {
+            now_unix_ms: 0,
+            finish_at_unix_ms: 600_000,
+            loads: vec![LoadEstimate {
+                data_centre: "a".into(),
+                targets: 4,
+                parallel_loads: 2,
+                load_ms: 500,
+            }],
+            routes: vec![RouteRate {
+                route: "chat".into(),
+                requests_per_s: 100.0,
+            }],
+            settle_ms: 60_000,
+            longest_request_ms: 30_000,
+        }
+    }
+}
+
+/// One share of the new version.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlannedStep {
+    /// Share of the new version.
+    pub share_permille: u16,
+    /// Latest time to make the step.
+    pub start_by_unix_ms: u64,
+}
+
+/// Latest times of all steps.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Plan {
+    /// When loading begins.
+    pub load_at_unix_ms: u64,
+    /// Limits of concurrent loads.
+    pub loads: Vec<LoadEstimate>,
+    /// Shares in order.
+    pub steps: Vec<PlannedStep>,
+    /// Latest time to begin the settling period.
+    pub settle_by_unix_ms: u64,
+    /// Length of the settling period, in milliseconds.
+    pub settle_ms: u64,
+    /// Latest time to move all traffic.
+    pub full_by_unix_ms: u64,
+    /// Time by which the move has to be done.
+    pub finish_at_unix_ms: u64,
+}
+
+impl Plan {
+    /// Returns the latest time to leave a step.
+    ///
+    /// ```
+    /// use yuccalatch::version::rollout::plan::{accept, PlanRequest};
+    ///
+    /// let plan = accept(&PlanRequest::example()).unwrap();
+    /// assert_eq!(plan.leave_by_unix_ms(0), plan.steps[1].start_by_unix_ms);
+    /// ```
+    pub fn leave_by_unix_ms(&self, step: usize) -> u64 {
+        self.steps
+            .get(step + 1)
+            .map_or(self.settle_by_unix_ms, |next| next.start_by_unix_ms)
+    }
+}
+
+/// Computes the plan, or refuses a time that cannot be met.
+///
+/// # Errors
+///
+/// [`ErrorKind::MoveInfeasible`] with the earliest feasible time attached;
+/// [`ErrorKind::TicketInvalid`] when a data centre allows no loads.
+///
+/// ```
+/// use yuccalatch::error::ErrorKind;
+/// use yuccalatch::version::rollout::plan::{accept, PlanRequest};
+///
+/// let mut request = PlanRequest::example();
+/// request.finish_at_unix_ms = 50_000;
+/// let refused = accept(&request).unwrap_err();
+/// assert_eq!(*refused.current_context(), ErrorKind::MoveInfeasible);
+/// ```
+pub fn accept(request: &PlanRequest) -> Result<Plan> {
+    if request.loads.iter().any(|load| load.parallel_loads == 0) {
+        let report = error_stack::Report::new(ErrorKind::TicketInvalid);
+        return Err(report.attach("parallel_loads is zero"));
+    }
+    let needed_ms = needed_ms(request);
+    let earliest = request.now_unix_ms.saturating_add(needed_ms);
+    if request.finish_at_unix_ms < earliest {
+        let report = error_stack::Report::new(ErrorKind::MoveInfeasible);
+        return Err(report.attach(format!("earliest finish is {earliest} (Unix ms)")));
+    }
+    Ok(backwards(request, needed_ms))
+}
+
+/// Returns the shortest time from acceptance to the end of a move, in
+/// milliseconds.
+///
+/// ```
+/// use yuccalatch::version::rollout::plan::{needed_ms, PlanRequest};
+///
+/// assert!(needed_ms(&PlanRequest::example()) > 60_000);
+/// ```
+pub fn needed_ms(request: &PlanRequest) -> u64 {
+    let shifting_ms: u64 = SHARES_PERMILLE
+        .iter()
+        .map(|share| hold_ms(*share, &request.routes))
+        .sum();
+    loading_ms(&request.loads)
+        .saturating_add(shifting_ms)
+        .saturating_add(request.settle_ms)
+        .saturating_add(STEP_OVERHEAD_MS)
+        .saturating_add(finishing_ms(request))
+}
+
+fn backwards(request: &PlanRequest, needed_ms: u64) -> Plan {
+    let full_by_unix_ms = request.finish_at_unix_ms - finishing_ms(request);
+    let settle_by_unix_ms = full_by_unix_ms - request.settle_ms - STEP_OVERHEAD_MS;
+    let mut start_by_unix_ms = settle_by_unix_ms;
+    let mut steps = Vec::new();
+    for share_permille in SHARES_PERMILLE.into_iter().rev() {
+        start_by_unix_ms -= hold_ms(share_permille, &request.routes);
+        steps.push(PlannedStep {
+            share_permille,
+            start_by_unix_ms,
+        });
+    }
+    steps.reverse();
+    // Half of the needed time again is spent on waiting for evidence when the
+    // requested time allows it.
+    let latest = start_by_unix_ms - loading_ms(&request.loads);
+    let load_at_unix_ms = latest
+        .saturating_sub(needed_ms / 2)
+        .max(request.now_unix_ms);
+    Plan {
+        load_at_unix_ms,
+        loads: request.loads.clone(),
+        steps,
+        settle_by_unix_ms,
+        settle_ms: request.settle_ms,
+        full_by_unix_ms,
+        finish_at_unix_ms: request.finish_at_unix_ms,
+    }
+}
+
+fn loading_ms(loads: &[LoadEstimate]) -> u64 {
+    let slowest = loads
+        .iter()
+        .map(|load| u64::from(load.targets.div_ceil(load.parallel_loads)) * load.load_ms)
+        .max()
+        .unwrap_or(0);
+    // A slot stays empty between the end of a load and its report.
+    slowest.saturating_mul(2).saturating_add(STEP_OVERHEAD_MS)
+}
+
+fn hold_ms(share_permille: u16, routes: &[RouteRate]) -> u64 {
+    let part = f64::from(share_permille) / 1_000.0;
+    let slowest_ms = routes
+        .iter()
+        .filter(|route| route.requests_per_s > 0.0)
+        .map(|route| STEP_ANSWERS as f64 * 1_000.0 / (route.requests_per_s * RATE_MARGIN * part))
+        .fold(0.0, f64::max);
+    let evidence_ms = slowest_ms.min(LONGEST_STEP_MS as f64) as u64;
+    evidence_ms.max(SHORTEST_STEP_MS) + STEP_OVERHEAD_MS
+}
+
+fn finishing_ms(request: &PlanRequest) -> u64 {
+    request.longest_request_ms.saturating_add(STEP_OVERHEAD_MS)
+}
