Add the decision modules of the request path

Change: completion bodies, continuations and event streams; header and query filter; retry policy, budget, backoff and deadlines; retention, reassembly and liveness of response streams; fates of attempts and idempotency keys. serde_json gets its raw_value feature, so that a continuation keeps the bytes of all other fields.

Conclusion: the modules are ready for the entry and the agent.

--- a/src/connection/reassembly.rs
+++ b/src/connection/reassembly.rs
@@ -1,1 +1,159 @@
-//! Ordered, duplicate-free assembly of a stream at an entry.
+//! The entry's side of a response stream: every chunk once and in order.
+
+use bytes::Bytes;
+use error_stack::Report;
+
+use crate::{
+    connection::{
+        frame::{
+            Frame,
+            Head, //
+        },
+        retention::CHUNK_OVERHEAD_BYTES, //
+    },
+    error::{
+        ErrorKind,
+        Result, //
+    },
+};
+
+/// Received bytes after which an acknowledgement is due. Far below the agent's
+/// bound, so that the target does not wait for acknowledgements in transit.
+pub const ACKNOWLEDGE_BYTES: usize = 128 << 10;
+
+/// What a frame adds to the response.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Accepted {
+    /// Status and headers, for the first time.
+    Head(Head),
+    /// The next part of the body.
+    Data(Bytes),
+    /// Nothing: a heartbeat, or a frame that was already received.
+    Nothing,
+    /// The body is complete.
+    End,
+    /// The attempt failed.
+    Failed(ErrorKind),
+}
+
+/// State of one response across all its connections.
+#[derive(Debug, Default)]
+pub struct Reassembly {
+    head: Option<Head>,
+    next: u64,
+    unacknowledged_bytes: usize,
+    acknowledge_due: bool,
+    ending: Option<Frame>,
+}
+
+impl Reassembly {
+    /// Starts a response.
+    ///
+    /// ```
+    /// use yuccalatch::connection::{frame::Frame, reassembly::Reassembly};
+    ///
+    /// let mut reassembly = Reassembly::new();
+    /// assert!(reassembly.accept(Frame::End { chunks: 1 }).is_err());
+    /// assert_eq!(reassembly.next(), 0);
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number to resume from.
+    pub const fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns whether the response has ended or failed. A connection that
+    /// closes earlier has to be resumed.
+    pub const fn is_ended(&self) -> bool {
+        self.ending.is_some()
+    }
+
+    /// Takes the next frame of a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::StreamBroken`] for a gap, a wrong chunk count, a
+    /// second head that differs, or data before the head or after the end. The
+    /// state stays as it was, so a new connection can resume.
+    pub fn accept(&mut self, frame: Frame) -> Result<Accepted> {
+        match frame {
+            Frame::Heartbeat => Ok(Accepted::Nothing),
+            Frame::Head(head) => self.accept_head(head),
+            Frame::Chunk { sequence, data } => self.accept_chunk(sequence, data),
+            Frame::End { .. } | Frame::Failed { .. } => self.accept_ending(frame),
+        }
+    }
+
+    /// Returns the number up to which to acknowledge, when that is due.
+    pub fn take_acknowledgement(&mut self) -> Option<u64> {
+        if !self.acknowledge_due {
+            return None;
+        }
+        self.acknowledge_due = false;
+        self.unacknowledged_bytes = 0;
+        Some(self.next)
+    }
+
+    /// Notes that the last acknowledgement may not have arrived, so that it is
+    /// sent again. Otherwise the agent could wait for it forever.
+    pub fn acknowledgement_lost(&mut self) {
+        self.acknowledge_due = true;
+    }
+
+    fn accept_head(&mut self, head: Head) -> Result<Accepted> {
+        match &self.head {
+            None => {
+                self.head = Some(head.clone());
+                Ok(Accepted::Head(head))
+            }
+            Some(known) if *known == head => Ok(Accepted::Nothing),
+            Some(_) => Err(broken("second head differs")),
+        }
+    }
+
+    fn accept_chunk(&mut self, sequence: u64, data: Bytes) -> Result<Accepted> {
+        if sequence < self.next {
+            return Ok(Accepted::Nothing);
+        }
+        if self.head.is_none() {
+            return Err(broken("chunk before the head"));
+        }
+        if self.ending.is_some() {
+            return Err(broken("chunk after the end"));
+        }
+        if sequence > self.next {
+            return Err(broken("gap between chunks"));
+        }
+        self.next += 1;
+        // Counts the same charge as the agent, so that the acknowledgement is
+        // due long before the agent's buffer is full.
+        self.unacknowledged_bytes += data.len() + CHUNK_OVERHEAD_BYTES;
+        self.acknowledge_due |= self.unacknowledged_bytes >= ACKNOWLEDGE_BYTES;
+        Ok(Accepted::Data(data))
+    }
+
+    fn accept_ending(&mut self, frame: Frame) -> Result<Accepted> {
+        if let Some(known) = &self.ending {
+            return if *known == frame {
+                Ok(Accepted::Nothing)
+            } else {
+                Err(broken("second end differs"))
+            };
+        }
+        let accepted = match frame {
+            Frame::Failed { kind } => Accepted::Failed(kind),
+            Frame::End { chunks } if chunks == self.next && self.head.is_some() => Accepted::End,
+            _ => return Err(broken("end with a wrong chunk count")),
+        };
+        self.ending = Some(frame);
+        self.acknowledge_due = true;
+        Ok(accepted)
+    }
+}
+
+fn broken(reason: &'static str) -> Report<ErrorKind> {
+    Report::new(ErrorKind::StreamBroken).attach(reason)
+}
--- /dev/null
+++ b/src/request/headers.rs
@@ -0,0 +1,161 @@
+//! Headers and query parameters that are not forwarded.
+//!
+//! Trailer sections are dropped in both directions: the fields that announce or
+//! request them are removed here, and the caller of this module must not copy
+//! the section itself.
+
+/// Which way a message travels.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// A request from the caller to a target.
+    ToTarget,
+    /// A response from a target to the caller.
+    ToCaller,
+}
+
+/// Fields that carry a caller's credentials.
+const CREDENTIALS: &[&str] = &[
+    "api-key",
+    "authorization",
+    "cookie",
+    "proxy-authorization",
+    "x-api-key",
+];
+
+/// Fields of one connection only, RFC 9110 sections 7.6.1 and 6.5, together with
+/// the fields that frame the body, which the HTTP library writes itself.
+const PER_CONNECTION: &[&str] = &[
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authentication-info",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Prefix of the fields between the system's own processes; a caller or target
+/// must not be able to forge them.
+const INTERNAL_PREFIX: &str = "x-yl-";
+
+/// Query parameters that carry a caller's key.
+const KEY_PARAMETERS: &[&str] = &["api-key", "key"];
+
+/// Decides for one message which header fields are forwarded.
+#[derive(Clone, Debug)]
+pub struct HeaderFilter {
+    direction: Direction,
+    nominated: Vec<String>,
+}
+
+impl HeaderFilter {
+    /// Makes a filter from the values of all `Connection` fields of a message,
+    /// because these name further fields that must not be forwarded.
+    ///
+    /// ```
+    /// use yuccalatch::request::headers::{Direction, HeaderFilter};
+    ///
+    /// let filter = HeaderFilter::new(Direction::ToTarget, [b"close, X-Hop".as_slice()]);
+    /// assert!(!filter.forwards("x-hop"));
+    /// assert!(!filter.forwards("AUTHORIZATION"));
+    /// assert!(filter.forwards("content-type"));
+    /// ```
+    pub fn new<'a>(
+        direction: Direction,
+        connection_values: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
+        let nominated = connection_values
+            .into_iter()
+            .flat_map(|value| value.split(|byte| *byte == b','))
+            .map(|option| normalise(&String::from_utf8_lossy(option.trim_ascii())))
+            .filter(|option| !option.is_empty())
+            .collect();
+        Self {
+            direction,
+            nominated,
+        }
+    }
+
+    /// Returns whether the field is forwarded.
+    pub fn forwards(&self, name: &str) -> bool {
+        let name = normalise(name);
+        let removed = match self.direction {
+            Direction::ToTarget => CREDENTIALS.contains(&name.as_str()),
+            // Cookies do not reach targets, so a target cannot use one.
+            Direction::ToCaller => name == "set-cookie",
+        };
+        !removed
+            && !name.starts_with(INTERNAL_PREFIX)
+            && !PER_CONNECTION.contains(&name.as_str())
+            && !self.nominated.contains(&name)
+    }
+}
+
+/// Removes the parameters that carry a caller's key from a path with a query.
+///
+/// Names are compared after percent decoding and in any letter case. Both `&`
+/// and `;` separate parameters, because some servers accept either.
+///
+/// ```
+/// use yuccalatch::request::headers::forwarded_path;
+///
+/// assert_eq!(forwarded_path("/v1/models?a=1&K%65y=s&b"), "/v1/models?a=1&b");
+/// assert_eq!(forwarded_path("/v1/models?api_key=s"), "/v1/models");
+/// ```
+pub fn forwarded_path(path_and_query: &str) -> String {
+    let Some((path, query)) = path_and_query.split_once('?') else {
+        return path_and_query.to_owned();
+    };
+    let mut kept = String::with_capacity(query.len());
+    let mut separator = "";
+    for piece in query.split_inclusive(['&', ';']) {
+        let parameter = piece.trim_end_matches(['&', ';']);
+        if !is_key_parameter(parameter) {
+            kept.push_str(separator);
+            kept.push_str(parameter);
+            separator = &piece[parameter.len()..];
+        }
+    }
+    if kept.is_empty() {
+        return path.to_owned();
+    }
+    format!("{path}?{kept}")
+}
+
+fn is_key_parameter(parameter: &str) -> bool {
+    let name = parameter.split('=').next().unwrap_or_default();
+    let name = normalise(&String::from_utf8_lossy(&percent_decode(name)));
+    KEY_PARAMETERS.contains(&name.trim())
+}
+
+/// Lower case with `-` for `_`; servers that follow CGI cannot tell them apart.
+fn normalise(name: &str) -> String {
+    name.to_ascii_lowercase().replace('_', "-")
+}
+
+fn percent_decode(text: &str) -> Vec<u8> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&byte, tail)) = rest.split_first() {
+        if byte == b'%'
+            && let Some(value) = tail.first_chunk::<2>().and_then(hex_value)
+        {
+            decoded.push(value);
+            rest = &tail[2..];
+            continue;
+        }
+        decoded.push(if byte == b'+' { b' ' } else { byte });
+        rest = tail;
+    }
+    decoded
+}
+
+fn hex_value(digits: &[u8; 2]) -> Option<u8> {
+    let mut value = [0];
+    hex::decode_to_slice(digits, &mut value).ok()?;
+    Some(value[0])
+}
--- /dev/null
+++ b/src/request/openai/continuation.rs
@@ -0,0 +1,165 @@
+//! Body that continues a generation from the text already emitted.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::value::{
+    RawValue,
+    to_raw_value, //
+};
+
+use super::{
+    Completion,
+    Endpoint, //
+};
+use crate::error::{
+    ErrorKind,
+    Result, //
+};
+
+/// How to go on after the loss of an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Continuation {
+    /// Send this body to another target of the same version.
+    Body(Bytes),
+    /// The bound for the output is reached; end the stream.
+    Exhausted,
+}
+
+/// Fields that count output tokens and shrink by what was emitted.
+const OUTPUT_BOUNDS: [&str; 3] = ["max_completion_tokens", "max_tokens", "min_tokens"];
+
+type Fields = BTreeMap<String, Box<RawValue>>;
+
+#[derive(Serialize)]
+struct AssistantMessage<'a> {
+    role: &'static str,
+    content: &'a str,
+}
+
+impl Completion {
+    /// Makes the body for another target, with the emitted text appended.
+    ///
+    /// A chat gets the text as the start of the assistant's message, with
+    /// `continue_final_message` set. All other fields keep their exact bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::StreamBroken`] when the text does not determine the
+    /// state of the generation: several sequences, a prompt of tokens, `echo` or
+    /// `suffix`.
+    ///
+    /// ```
+    /// use yuccalatch::request::openai::{
+    ///     continuation::Continuation, BodyLimits, Completion, Endpoint,
+    /// };
+    ///
+    /// let body = br#"{"model":"m","prompt":"a","max_tokens":3}"#;
+    /// let limits = BodyLimits::default();
+    /// let parsed = Completion::parse(Endpoint::Completions, body.as_slice().into(), &limits);
+    /// let next = parsed.unwrap().continuation("bc", 2).unwrap();
+    /// let expected = br#"{"max_tokens":1,"model":"m","prompt":"abc"}"#;
+    /// assert_eq!(next, Continuation::Body(expected.as_slice().into()));
+    /// ```
+    pub fn continuation(&self, emitted: &str, emitted_tokens: u32) -> Result<Continuation> {
+        if !self.is_plain {
+            let report = Report::new(ErrorKind::StreamBroken);
+            return Err(report.attach("the request cannot be continued from its text"));
+        }
+        if self
+            .max_output_tokens
+            .is_some_and(|bound| emitted_tokens >= bound)
+        {
+            return Ok(Continuation::Exhausted);
+        }
+        if emitted.is_empty() {
+            return Ok(Continuation::Body(self.body.clone()));
+        }
+        let mut fields: Fields = parse(&self.body)?;
+        match self.endpoint {
+            Endpoint::ChatCompletions => extend_chat(&mut fields, emitted)?,
+            Endpoint::Completions => extend_prompt(&mut fields, emitted)?,
+        }
+        for name in OUTPUT_BOUNDS {
+            shrink_bound(&mut fields, name, emitted_tokens)?;
+        }
+        let body = serde_json::to_vec(&fields).change_context(ErrorKind::Internal)?;
+        Ok(Continuation::Body(body.into()))
+    }
+}
+
+fn extend_chat(fields: &mut Fields, emitted: &str) -> Result<()> {
+    let mut messages: Vec<Box<RawValue>> = match fields.get("messages") {
+        Some(messages) => parse(messages.get().as_bytes())?,
+        None => Vec::new(),
+    };
+    let continues = fields
+        .get("continue_final_message")
+        .is_some_and(|value| value.get() == "true");
+    let last = if continues { messages.pop() } else { None };
+    let message = match last {
+        Some(last) => extend_message(&last, emitted)?,
+        None => raw(&AssistantMessage {
+            role: "assistant",
+            content: emitted,
+        })?,
+    };
+    messages.push(message);
+    fields.insert("messages".to_owned(), raw(&messages)?);
+    fields.insert("continue_final_message".to_owned(), raw(&true)?);
+    fields.insert("add_generation_prompt".to_owned(), raw(&false)?);
+    Ok(())
+}
+
+fn extend_message(message: &RawValue, emitted: &str) -> Result<Box<RawValue>> {
+    let mut fields: Fields = parse(message.get().as_bytes())?;
+    let content: String = match fields.get("content") {
+        Some(content) => parse(content.get().as_bytes())?,
+        None => String::new(),
+    };
+    fields.insert("content".to_owned(), raw(&(content + emitted))?);
+    raw(&fields)
+}
+
+fn extend_prompt(fields: &mut Fields, emitted: &str) -> Result<()> {
+    let prompt = fields.get("prompt").map_or("\"\"", |prompt| prompt.get());
+    let extended = if prompt.starts_with('[') {
+        let texts: Vec<String> = parse(prompt.as_bytes())?;
+        raw(&[texts.concat() + emitted])?
+    } else {
+        let text: String = parse(prompt.as_bytes())?;
+        raw(&(text + emitted))?
+    };
+    fields.insert("prompt".to_owned(), extended);
+    Ok(())
+}
+
+fn shrink_bound(fields: &mut Fields, name: &str, emitted_tokens: u32) -> Result<()> {
+    let Some(value) = fields.get(name) else {
+        return Ok(());
+    };
+    let bound: Option<u32> = parse(value.get().as_bytes())?;
+    if let Some(bound) = bound {
+        let rest = bound.saturating_sub(emitted_tokens);
+        fields.insert(name.to_owned(), raw(&rest)?);
+    }
+    Ok(())
+}
+
+/// The body was checked before, so a part that does not parse means that the
+/// stream cannot be continued.
+fn parse<'a, T: Deserialize<'a>>(json: &'a [u8]) -> Result<T> {
+    serde_json::from_slice(json).change_context(ErrorKind::StreamBroken)
+}
+
+fn raw<T: Serialize + ?Sized>(value: &T) -> Result<Box<RawValue>> {
+    to_raw_value(value).change_context(ErrorKind::Internal)
+}
--- /dev/null
+++ b/src/request/openai/stream.rs
@@ -0,0 +1,193 @@
+//! Text and end of a generated stream.
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+use serde::{
+    Deserialize,
+    de::IgnoredAny, //
+};
+
+use super::sse::{
+    SseEvent,
+    SseParser, //
+};
+use crate::error::{
+    ErrorKind,
+    Result, //
+};
+
+/// Upper bound for the text kept for a continuation.
+pub const MAX_EMITTED_BYTES: usize = 8 << 20;
+
+/// Data of the event that ends a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// How a stream stands when its source ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamEnd {
+    /// `[DONE]` was received.
+    Complete,
+    /// The generation has ended, but `[DONE]` is missing.
+    Unmarked,
+    /// The generation was cut off and can be continued from its text.
+    Cut,
+    /// The generation was cut off in a state that its text does not determine.
+    Lost,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+    error: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    completion_tokens: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    index: u32,
+    text: Option<String>,
+    delta: Option<Delta>,
+    finish_reason: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    content: Option<String>,
+    tool_calls: Option<IgnoredAny>,
+    function_call: Option<IgnoredAny>,
+    reasoning: Option<IgnoredAny>,
+    reasoning_content: Option<IgnoredAny>,
+    refusal: Option<IgnoredAny>,
+    audio: Option<IgnoredAny>,
+}
+
+/// Follows one generated stream.
+#[derive(Debug, Default)]
+pub struct CompletionStream {
+    parser: SseParser,
+    emitted: String,
+    emitted_tokens: u32,
+    is_done: bool,
+    is_finished: bool,
+    is_lost: bool,
+}
+
+impl CompletionStream {
+    /// Starts a stream.
+    ///
+    /// ```
+    /// use yuccalatch::request::openai::stream::{CompletionStream, StreamEnd};
+    ///
+    /// let mut stream = CompletionStream::new();
+    /// let chunk = b"data: {\"choices\":[{\"delta\":{\"content\":\"Hi\"}}]}\n\n";
+    /// stream.push(chunk).unwrap();
+    /// assert_eq!(stream.emitted(), "Hi");
+    /// assert_eq!(stream.end(), StreamEnd::Cut);
+    /// stream.push(b"data: [DONE]\n\n").unwrap();
+    /// assert_eq!(stream.end(), StreamEnd::Complete);
+    /// ```
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the next bytes and returns the events to forward.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::StreamBroken`] for an event that is not JSON, that is
+    /// too large or that follows `[DONE]`, and [`ErrorKind::TargetFailed`] for an
+    /// event that reports an error.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<SseEvent>> {
+        let events = self.parser.push(bytes)?;
+        for event in &events {
+            if let Some(data) = &event.data {
+                self.read(data)?;
+            }
+        }
+        Ok(events)
+    }
+
+    /// Returns the text emitted so far, without incomplete events.
+    pub fn emitted(&self) -> &str {
+        &self.emitted
+    }
+
+    /// Returns the number of emitted tokens: as reported by the engine, else one
+    /// for each event with text.
+    pub const fn emitted_tokens(&self) -> u32 {
+        self.emitted_tokens
+    }
+
+    /// Returns how the stream stands if its source ends now.
+    pub const fn end(&self) -> StreamEnd {
+        if self.is_done {
+            StreamEnd::Complete
+        } else if self.is_finished {
+            StreamEnd::Unmarked
+        } else if self.is_lost {
+            StreamEnd::Lost
+        } else {
+            StreamEnd::Cut
+        }
+    }
+
+    fn read(&mut self, data: &[u8]) -> Result<()> {
+        if self.is_done {
+            return Err(Report::new(ErrorKind::StreamBroken).attach("data after the end"));
+        }
+        if data.trim_ascii() == DONE {
+            self.is_done = true;
+            return Ok(());
+        }
+        let chunk: Chunk = serde_json::from_slice(data).change_context(ErrorKind::StreamBroken)?;
+        if chunk.error.is_some() {
+            return Err(Report::new(ErrorKind::TargetFailed).attach("error event"));
+        }
+        for choice in chunk.choices {
+            self.read_choice(choice);
+        }
+        let reported = chunk.usage.and_then(|usage| usage.completion_tokens);
+        self.emitted_tokens = reported.unwrap_or(self.emitted_tokens);
+        Ok(())
+    }
+
+    fn read_choice(&mut self, choice: Choice) {
+        self.is_lost |= choice.index != 0;
+        self.is_finished |= choice.finish_reason.is_some();
+        let mut text = choice.text;
+        if let Some(delta) = choice.delta {
+            self.is_lost |= delta.has_state_besides_text();
+            text = text.or(delta.content);
+        }
+        let text = text.unwrap_or_default();
+        if text.is_empty() {
+            return;
+        }
+        self.emitted_tokens = self.emitted_tokens.saturating_add(1);
+        if self.emitted.len() + text.len() > MAX_EMITTED_BYTES {
+            self.is_lost = true;
+            return;
+        }
+        self.emitted.push_str(&text);
+    }
+}
+
+impl Delta {
+    const fn has_state_besides_text(&self) -> bool {
+        self.tool_calls.is_some()
+            || self.function_call.is_some()
+            || self.reasoning.is_some()
+            || self.reasoning_content.is_some()
+            || self.refusal.is_some()
+            || self.audio.is_some()
+    }
+}
