--- a/tests/openai_bodies.rs
+++ b/tests/openai_bodies.rs
@@ -61,10 +61,10 @@
 /// Guards against bodies that cost more than they should or are ambiguous.
 #[test]
 fn bad_bodies_are_refused() {
-    let deep = format!(r#"{{"model":"m","prompt":"a","x":{}}}"#, "[".repeat(100));
-    let many = format!(
-        r#"{{"model":"m","prompt":[{}""]}}"#,
-        r#""","#.repeat(20_000)
+    let deep = format!(
+        r#"{{"model":"m","prompt":"a","x":{}1{}}}"#,
+        "[".repeat(100),
+        "]".repeat(100)
     );
     let wide = format!(r#"{{"model":"m","prompt":"a"{}}}"#, r#","x":1"#.repeat(300));
     for body in [
@@ -82,13 +82,20 @@
         r#"{"model":"m","prompt":"a","n":4000000000}"#,
         r#"{"model":"m","prompt":"a"} x"#,
         &deep,
-        &many,
         &wide,
     ] {
         let shown = body.get(..60).unwrap_or(body);
         let refusal = parse(Endpoint::Completions, body.as_bytes()).err();
         assert_eq!(refusal, Some(ErrorKind::BadRequest), "{shown}");
     }
+    let parts = r#"{"type":"text","text":""},"#.repeat(20_000);
+    let messages = format!(
+        r#"[{{"role":"user","content":[{}]}}]"#,
+        parts.trim_end_matches(',')
+    );
+    let many = format!(r#"{{"model":"m","messages":{messages}}}"#);
+    let refusal = parse(Endpoint::ChatCompletions, many.as_bytes()).err();
+    assert_eq!(refusal, Some(ErrorKind::BadRequest));
     let limits = BodyLimits {
         max_body_bytes: 10,
         ..BodyLimits::default()
@@ -139,6 +146,11 @@
     let of = |messages| chat(&json!({"model": "m", "messages": messages})).prompt;
     let joined = of(json!([{"role": "user", "content": "ab"}]));
     let split = of(json!([{"role": "user", "content": "a"}, {"role": "", "content": "b"}]));
+    let roles = |content, role| {
+        let last = json!({"role": role, "content": "b"});
+        of(json!([{"role": "user", "content": content}, last]))
+    };
+    assert_ne!(roles("a", "x"), roles("ax", ""));
     let image = |url| of(json!([{"role": "user", "content": [{"type": "image_url", "u": url}]}]));
     assert_ne!(joined, split);
     assert_ne!(image("a"), image("b"));
@@ -223,6 +235,22 @@
     check(53, property as fn(Vec<u8>, Vec<u8>) -> bool);
 }
 
+/// Guards against events that are split or joined by other line ends.
+#[test]
+fn line_ends_are_equal() {
+    for end in ["\n", "\r", "\r\n"] {
+        let lines = ["\u{feff}data: a", "data:b", ":note", "", "data: c", "", ""];
+        let mut parser = SseParser::new();
+        let mut events = Vec::new();
+        for byte in lines.join(end).bytes() {
+            events.extend(parser.push(&[byte]).unwrap());
+        }
+        let data: Vec<_> = events.into_iter().map(|event| event.data).collect();
+        assert_eq!(data, [Some("a\nb".into()), Some("c".into())], "{end:?}");
+        assert!(!parser.has_partial_event());
+    }
+}
+
 /// Guards against a cut stream that passes as complete, and against text that is
 /// lost or repeated at the cut.
 #[test]
--- a/tests/retry_policy.rs
+++ b/tests/retry_policy.rs
@@ -111,18 +111,22 @@
         let rate = RetryRate::default();
         let mut budget = RetryBudget::new(rate, 0);
         let (mut now_us, mut first, mut retries) = (0, 0_u64, 0_u64);
+        let burst = u64::from(rate.burst);
         for (is_first, pause_us) in steps {
-            now_us += u64::from(pause_us);
+            now_us += u64::from(pause_us) * 100;
             if is_first {
                 budget.note_first_attempt();
                 first += 1;
+                continue;
             }
-            while budget.try_retry(now_us) {
-                retries += 1;
+            let at_once = (0..2 * burst).filter(|_| budget.try_retry(now_us)).count() as u64;
+            retries += at_once;
+            if at_once > burst {
+                return false;
             }
         }
         let floor = now_us * u64::from(rate.floor_per_s) / 1_000_000;
-        retries <= u64::from(rate.burst) + floor + first * u64::from(rate.per_thousand) / 1_000 + 1
+        retries <= burst + floor + first * u64::from(rate.per_thousand) / 1_000 + 1
     }
     let random = Gen::from_size_and_seed(400, 11);
     QuickCheck::new()
