Add the trace player and the load tool to yuccalatch-replay

Cause: recorded traces could not be played against running processes and the added cost of the two hops could not be measured. Change: trace lines with stated outcomes, player, closed-loop load, summary per organisation as a table or JSON. Conclusion: ready for overhead and capacity measurements.

--- a/src/bin/yuccalatch-replay/app.rs
+++ b/src/bin/yuccalatch-replay/app.rs
@@ -2,6 +2,10 @@
 
 use std::process::ExitCode;
 
+use crate::traffic::{
+    self,
+    TrafficConfig, //
+};
 use lexopt::prelude::*;
 use yuccalatch::replay::{
     evaluate::{
@@ -18,19 +22,38 @@
 /// Help text.
 pub(crate) const USAGE: &str = "\
 Usage: yuccalatch-replay evaluate [OPTIONS] [EVALUATION...]
+       yuccalatch-replay play [OPTIONS] TRACE
+       yuccalatch-replay load [OPTIONS]
+
+evaluate compares policies in virtual time and prints a table. Without a name,
+all evaluations run: placement, fairness. play sends the requests of a trace to
+running entries and checks the outcomes that it states. load sends completions
+from a fixed number of streams.
 
-Compares policies in virtual time and prints a table. Without a name, all
-evaluations run: placement, fairness.
+Options of play:
+      --entry ADDRESS    entry to send to; may be repeated, requests alternate
+      --speed-permille N speed of the trace (default 1000)
+      --json             print JSON instead of a table
+
+Options of load:
+      --entry ADDRESS    entry or engine to send to
+      --key KEY          key to present
+      --model NAME       model to ask for (default oak)
+      --streams N        streams at the same time (default 1)
+      --requests N       requests of each stream (default 10)
+      --prompt-tokens N  length of the prompt (default 2000)
+      --output-tokens N  tokens to generate (default 50)
+      --json             print JSON instead of a table
 
-Options:
+Options of evaluate:
       --seed N           seed of the generated traces (default 1)
       --size small|full  number of requests (default full)
       --json             print JSON instead of a table
   -h, --help             print this text
   -V, --version          print the version
 
-Exit status: 0 when all targets are met, 1 when one is missed, 2 for a wrong
-command line.";
+Exit status: 0 when all targets and stated outcomes are met, 1 when one is
+missed, 2 for a wrong command line.";
 
 /// Exit status for a wrong command line.
 pub(crate) const EXIT_USAGE: u8 = 2;
@@ -73,6 +96,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Config {
     Evaluate(EvaluateConfig),
+    Traffic(TrafficConfig),
     Help,
     Version,
 }
@@ -84,6 +108,8 @@
             Some(Short('h') | Long("help")) => Ok(Self::Help),
             Some(Short('V') | Long("version")) => Ok(Self::Version),
             Some(Value(command)) if command == "evaluate" => parse_evaluate(parser),
+            Some(Value(command)) if command == "play" => traffic::parse_play(parser),
+            Some(Value(command)) if command == "load" => traffic::parse_load(parser),
             Some(Value(command)) => {
                 Err(format!("unknown command {:?}", command.to_string_lossy()).into())
             }
@@ -138,6 +164,7 @@
         Config::Help => println!("{USAGE}"),
         Config::Version => println!("yuccalatch-replay {}", env!("CARGO_PKG_VERSION")),
         Config::Evaluate(config) => return evaluate(config),
+        Config::Traffic(config) => return traffic::run(config),
     }
     ExitCode::SUCCESS
 }
--- a/src/bin/yuccalatch-replay/main.rs
+++ b/src/bin/yuccalatch-replay/main.rs
@@ -1,6 +1,7 @@
 //! Compares policies in virtual time.
 
 mod app;
+mod traffic;
 
 use std::process::ExitCode;
 
