Keep connections between own processes open after long answers

Cause: ntex's timer for reading headers (1 s) keeps running while a response is streamed and closes the connection when it ends; the next request on the pooled connection then fails with an uncertain outcome. Ruled out: keep-alive time (75 s made no difference) and the client's pool. Change: servers that only talk to own processes and the stand-ins disable the header timer and keep idle connections longer than the client's pool does.

--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -44,7 +44,8 @@
             self,
             Observed, //
         },
-        stop,
+        client,
+        stop, //
     },
     settings::AgentSettings,
 };
@@ -111,6 +112,7 @@
     })
     .workers(1)
     .disable_signals()
+    .config(client::server_config("agent"))
     .shutdown_timeout(ntex::time::Seconds(1))
     .listen(data)
     .change_context(ErrorKind::Io)?
--- a/src/process/client.rs
+++ b/src/process/client.rs
@@ -11,8 +11,12 @@
         Client,
         Connector, //
     },
+    http::HttpServiceConfig,
     io::IoConfig,
-    time::Millis, //
+    time::{
+        Millis,
+        Seconds, //
+    },
 };
 
 use crate::error::{
@@ -23,6 +27,8 @@
 /// Connections that one traffic thread opens to one peer at most.
 const MAX_CONNECTIONS: usize = 4_096;
 
+const SERVER_KEEP_ALIVE: Seconds = Seconds(75);
+
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
 /// Makes a client without timeouts of its own: every call has a deadline.
@@ -76,3 +82,20 @@
         .map_err(|error| Report::new(ErrorKind::PeerUnavailable).attach(error.to_string()))?;
     serde_json::from_slice(&body).change_context(ErrorKind::PeerUnavailable)
 }
+
+/// Configures a server for clients made by [`build`].
+///
+/// A client drops an idle connection after 15 s. The server waits longer, because
+/// a connection that it closes while a request is on its way makes the outcome
+/// of that request uncertain.
+///
+/// ```
+/// let config = yuccalatch::process::client::server_config("example");
+/// assert_eq!(config.tag(), "example");
+/// ```
+pub fn server_config(name: &'static str) -> ntex::SharedCfg {
+    let http = HttpServiceConfig::new()
+        .set_headers_read_rate(Seconds(0), Seconds(0), 0)
+        .set_keepalive(SERVER_KEEP_ALIVE);
+    ntex::SharedCfg::new(name).add(http).into()
+}
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -33,9 +33,12 @@
 };
 use serde_json::json;
 
-use crate::error::{
-    ErrorKind,
-    Result, //
+use crate::{
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    process::client,
 };
 
 /// Bytes of one part of a large answer.
@@ -91,6 +94,7 @@
     let server = server
         .workers(1)
         .disable_signals()
+        .config(client::server_config("target"))
         .listen(listener)
         .change_context(ErrorKind::Io)?;
     Ok(server.run())
