--- a/src/process/agent/control/api.rs
+++ b/src/process/agent/control/api.rs
@@ -34,7 +34,7 @@
 
 /// Request of an RPC method to the control loop.
 pub(super) enum Command {
-    Exchange(Digest, oneshot::Sender<Digest>),
+    Exchange(Box<Digest>, oneshot::Sender<Digest>),
     ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
     Probe(ProbeRequest, oneshot::Sender<ProbeAnswer>),
 }
@@ -68,7 +68,7 @@
 #[async_trait]
 impl PeerApiServer for Api {
     async fn exchange(&self, digest: Packed<Digest>) -> RpcResult<Packed<Digest>> {
-        let answer = self.ask(|sender| Command::Exchange(digest.0, sender));
+        let answer = self.ask(|sender| Command::Exchange(Box::new(digest.0), sender));
         Ok(Packed(answer.await?))
     }
 
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -155,14 +155,18 @@
         let call = async |client: &WsClient| client.report(Packed(message)).await;
         let Ok(Packed(answer)) = self.links.call(address, call).await else {
             let until_us = self.context.clock.now_us() + SUSPECT_US;
-            let mut entries = self.entries.borrow_mut();
-            entries
-                .silent_until_us
-                .insert(contact.name.clone(), until_us);
-            // The next collector is told at once.
-            self.context.changed.notify_one();
+            let silent = &mut self.entries.borrow_mut().silent_until_us;
+            let is_first = silent.insert(contact.name.clone(), until_us).is_none();
+            if is_first {
+                // The next collector is told at once.
+                self.context.changed.notify_one();
+            }
             return;
         };
+        self.entries
+            .borrow_mut()
+            .silent_until_us
+            .remove(&contact.name);
         self.take_answer(answer, address, sent_at_us);
     }
 
