--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -13,7 +13,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use error_stack::ResultExt;
@@ -44,9 +44,9 @@
             self,
             Observed, //
         },
-        stop,
+        stop, //
     },
-    settings::AgentSettings,
+    settings::AgentSettings, //
 };
 
 pub use server::BarAnswer;
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -25,7 +25,7 @@
         metrics::Metrics, //
     },
     request::prompt::BlockHash,
-    settings::AgentSettings,
+    settings::AgentSettings, //
 };
 
 /// Load of the traffic thread, for reports.
--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -29,7 +29,7 @@
         Api,
         Command, //
     },
-    report::Entries,
+    report::Entries, //
 };
 use super::context::{
     Answered,
@@ -50,14 +50,14 @@
             ProbeAnswer,
             ProbeRequest, //
         },
-        stop,
+        stop, //
     },
     version::{
         config::{
             Config,
             ServiceKind, //
         },
-        freshness::Freshness,
+        freshness::Freshness, //
     },
 };
 
--- a/src/process/agent/control/engine.rs
+++ b/src/process/agent/control/engine.rs
@@ -20,7 +20,7 @@
             CacheEvent,
             Change, //
         },
-        client,
+        client, //
     },
     request::prompt::{
         BlockHash,
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -257,6 +257,7 @@
         Digest {
             sender: self.own_report(),
             batch: Batch::default(),
+            valid_ms: 0,
             wants_complete: false,
             sums: BTreeMap::new(),
             news_age_ms: self.freshness.borrow().news_age_ms(now_us),
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -15,7 +15,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use error_stack::ResultExt;
@@ -49,9 +49,9 @@
             self,
             Observed, //
         },
-        stop,
+        stop, //
     },
-    settings::EntrySettings,
+    settings::EntrySettings, //
 };
 
 /// Interval between checks whether the last request has ended.
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -25,7 +25,10 @@
     },
 };
 
-use tokio::sync::mpsc;
+use tokio::sync::{
+    Notify,
+    mpsc, //
+};
 
 use self::{
     api::{
@@ -33,7 +36,7 @@
         Command, //
     },
     contacts::Contacts,
-    fleet::Fleet,
+    fleet::Fleet, //
 };
 use super::context::Context;
 use crate::{
@@ -49,9 +52,9 @@
             self,
             Links, //
         },
-        stop,
+        stop, //
     },
-    version::freshness::Freshness,
+    version::freshness::Freshness, //
 };
 
 const COMMAND_CAPACITY: usize = 1_024;
@@ -66,6 +69,8 @@
     contacts: RefCell<Contacts>,
     freshness: RefCell<Freshness>,
     sequence: Cell<u64>,
+    /// Told when another revision was applied.
+    revised: Notify,
 }
 
 /// Runs the control thread until the process ends.
@@ -100,6 +105,7 @@
             contacts: RefCell::new(Contacts::new(settings.peers.clone(), address)),
             freshness: RefCell::default(),
             sequence: Cell::new(0),
+            revised: Notify::new(),
             address,
             context,
         };
--- a/src/process/entry/control/configuration.rs
+++ b/src/process/entry/control/configuration.rs
@@ -23,14 +23,19 @@
         PlatformResult,
         configuration::advance, //
     },
-    version::head::HEAD_KEY,
+    version::head::HEAD_KEY, //
 };
 
 /// Entries of a data centre that watch the object API.
 const WATCHERS: usize = 2;
 
-/// Name of the duty in the rendezvous choice.
-const WATCH_DUTY: &str = "watch";
+/// Age of the newest news in the data centre from which an entry without the
+/// duty reads the object API itself, because those with the duty may be paused.
+const NEWS_OLD_MS: u64 = 4_000;
+
+/// Pause after such a read. While the object API is down, every entry makes
+/// these calls.
+const READ_SELDOM: Duration = Duration::from_secs(2);
 
 /// Bound for reading the configuration. A withdrawal has to work within 5 s,
 /// even when one answer is lost.
@@ -56,7 +61,7 @@
     /// Fetches newer revisions from peers.
     pub(super) async fn follow_peers(self: Rc<Self>) {
         let control = Rc::clone(&self);
-        let on_change = move || control.context.changed.notify_one();
+        let on_change = move || control.revised.notify_one();
         self.store.follow(&self.links, on_change).await;
     }
 
@@ -77,7 +82,9 @@
                 is_up = is_read;
                 self.log_platform(is_up);
             }
-            if !is_read || self.watch(&platform, &mut seen).await.is_err() {
+            if !self.has_duty() {
+                tokio::time::sleep(READ_SELDOM).await;
+            } else if !is_read || self.watch(&platform, &mut seen).await.is_err() {
                 tokio::time::sleep(PAUSE).await;
             }
         }
@@ -91,7 +98,7 @@
         let mut read_at_us = 0;
         loop {
             let now_us = self.context.clock.now_us();
-            let is_often = self.reads_platform() || self.is_alone();
+            let is_often = self.has_duty() || self.is_alone();
             let every_us = if is_often {
                 LIST_EVERY_US
             } else {
@@ -116,10 +123,15 @@
         .ok()
     }
 
-    /// An entry without configuration or news does not wait for others.
+    fn has_duty(&self) -> bool {
+        self.fleet.borrow().has_duty(WATCHERS)
+    }
+
     fn reads_platform(&self) -> bool {
-        let has_duty = self.fleet.borrow().has_duty(WATCH_DUTY, WATCHERS);
-        has_duty || self.store.revision() == 0 || self.context.are_keys_stale()
+        let now_us = self.context.clock.now_us();
+        let age_ms = self.freshness.borrow().news_age_ms(now_us);
+        let is_old = age_ms.is_none_or(|age_ms| age_ms >= NEWS_OLD_MS);
+        self.has_duty() || self.store.revision() == 0 || is_old
     }
 
     async fn read_platform(&self, platform: &Platform) -> PlatformResult<()> {
@@ -128,7 +140,7 @@
         let result = advance(platform, &mut fold, sent_at_us + READ_WITHIN_US).await;
         // What was read before a failure is valid.
         if self.store.replace(fold) {
-            self.context.changed.notify_one();
+            self.revised.notify_one();
         }
         result?;
         let mut freshness = self.freshness.borrow_mut();
--- a/src/process/entry/control/exchange.rs
+++ b/src/process/entry/control/exchange.rs
@@ -13,7 +13,10 @@
     warn, //
 };
 
-use super::Control;
+use super::{
+    Control,
+    fleet::Round, //
+};
 use crate::{
     event::Event,
     process::{
@@ -33,7 +36,7 @@
             ReportAnswer, //
         },
     },
-    version::config::Config,
+    version::config::Config, //
 };
 
 /// Shortest time between rounds, however often the state changes.
@@ -46,27 +49,46 @@
 impl Control {
     /// Exchanges digests every second, and at once when something changes.
     pub(super) async fn exchange(self: Rc<Self>) {
-        let mut at_once = true;
+        let mut round = Round::Members;
+        let mut number = 0;
+        let mut regular_at_us = 0;
         loop {
             self.note_self();
             let is_last = self.context.is_leaving();
-            let round = self.call_all(at_once);
-            if is_last {
-                round.await;
+            let calls = self.call_all(round);
+            if is_last && round == Round::Members {
+                calls.await;
                 self.context.set_announced();
             } else {
-                ntex::rt::spawn(round);
+                ntex::rt::spawn(calls);
+            }
+            if let Round::Regular(_) = round {
+                regular_at_us = self.context.clock.now_us() + REPORT_US;
             }
             tokio::time::sleep(ROUND_PAUSE).await;
-            let pause = Duration::from_micros(REPORT_US);
-            let changed = tokio::time::timeout(pause, self.context.changed.notified());
-            at_once = changed.await.is_ok();
+            let deadline = self.context.clock.instant(regular_at_us);
+            let changed = self.changed();
+            round = match tokio::time::timeout_at(deadline.into(), changed).await {
+                Ok(round) => round,
+                Err(_) => {
+                    number += 1;
+                    Round::Regular(number)
+                }
+            };
+        }
+    }
+
+    async fn changed(&self) -> Round {
+        tokio::select! {
+            () = self.context.changed.notified() => Round::Members,
+            () = self.revised.notified() => Round::Revision,
         }
     }
 
-    fn call_all(self: &Rc<Self>, at_once: bool) -> impl Future<Output = ()> + 'static {
+    fn call_all(self: &Rc<Self>, round: Round) -> impl Future<Output = ()> + 'static {
         let now_us = self.context.clock.now_us();
-        let members = self.fleet.borrow().to_call(at_once, now_us);
+        let at_once = !matches!(round, Round::Regular(_));
+        let members = self.fleet.borrow().to_call(round, now_us);
         let mut calls: Vec<(SocketAddr, Option<Report>)> = members
             .into_iter()
             .map(|report| (report.control_address, Some(report)))
@@ -76,10 +98,7 @@
                 calls.push((address, None));
             }
         }
-        let needed: Vec<SocketAddr> = calls.iter().map(|(address, _)| *address).collect();
-        if !at_once {
-            self.links.retain(|address| needed.contains(address));
-        }
+        self.close_links();
         let control = Rc::clone(self);
         async move {
             let each = calls
@@ -89,6 +108,12 @@
         }
     }
 
+    /// Closes connections to processes that are no members any more.
+    fn close_links(&self) {
+        let fleet = self.fleet.borrow();
+        self.links.retain(|address| fleet.is_member(address));
+    }
+
     /// Returns addresses of processes that are no members yet, and of targets
     /// elsewhere whose state is needed here.
     fn unknown_addresses(&self) -> Vec<SocketAddr> {
@@ -178,7 +203,7 @@
     fn digest(&self, peer: Option<&Report>) -> Digest {
         let now_us = self.context.clock.now_us();
         let own = self.own_report();
-        let mut digest = self.fleet.borrow_mut().digest(own, peer, now_us);
+        let mut digest = self.fleet.borrow_mut().digest(own, peer);
         digest.news_age_ms = self.freshness.borrow().news_age_ms(now_us);
         digest
     }
--- a/src/process/entry/control/status.rs
+++ b/src/process/entry/control/status.rs
@@ -15,7 +15,7 @@
         Report,
         Role, //
     },
-    version::freshness::KEYS_STALE_AFTER_US,
+    version::freshness::KEYS_STALE_AFTER_US, //
 };
 
 impl Control {
--- a/src/process/entry/control/targets.rs
+++ b/src/process/entry/control/targets.rs
@@ -13,7 +13,7 @@
         TargetView,
         TargetViews, //
     },
-    Control,
+    Control, //
 };
 use crate::{
     event::Event,
@@ -29,6 +29,9 @@
         let mut was_stale = true;
         loop {
             let now_us = self.context.clock.now_us();
+            if self.fleet.borrow_mut().drop_silent(now_us) {
+                self.context.changed.notify_one();
+            }
             let changes = self.fleet.borrow_mut().members.tick(now_us);
             if !changes.is_empty() {
                 self.note_changes(&changes);
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -14,7 +14,7 @@
         Payload, //
     },
     util::Bytes,
-    web::HttpRequest,
+    web::HttpRequest, //
 };
 
 use super::{
@@ -52,7 +52,7 @@
             RouteKey,
             RouteMiss, //
         },
-        keys,
+        keys, //
     },
 };
 
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -22,8 +22,12 @@
     Serialize, //
 };
 
+use self::digest::Load;
 use crate::{
-    clock::US_PER_S,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     names::{
         Incarnation,
         Name, //
@@ -34,9 +38,8 @@
 pub const REPORT_US: u64 = US_PER_S;
 /// Silence after which a member gets no new work: three missed reports.
 pub const SUSPECT_US: u64 = 3 * US_PER_S;
-/// Time for which a collector vouches for a target after its last report, and
-/// time for which others believe it. The two add up, so each is shorter than
-/// [`SUSPECT_US`].
+/// Time for which a collector vouches for a target after its last report: one
+/// report may be lost. The collector tells at once when the time has passed.
 pub const VOUCHED_US: u64 = 2 * US_PER_S;
 /// Silence after which a member is no longer listed.
 pub const GONE_US: u64 = 10 * US_PER_S;
@@ -238,9 +241,15 @@
     /// use yuccalatch::{names::Incarnation, process::membership::Membership};
     ///
     /// let mut membership = Membership::default();
-    /// assert!(membership.vouch("engine-1", Incarnation(1), 0).is_empty());
+    /// assert!(membership.vouch("engine-1", Incarnation(1), 0, 3_000_000).is_empty());
     /// ```
-    pub fn vouch(&mut self, name: &str, incarnation: Incarnation, now_us: u64) -> Vec<Change> {
+    pub fn vouch(
+        &mut self,
+        name: &str,
+        incarnation: Incarnation,
+        now_us: u64,
+        until_us: u64,
+    ) -> Vec<Change> {
         let Some(member) = self.members.get_mut(name) else {
             return Vec::new();
         };
@@ -249,8 +258,8 @@
         }
         let was_live = member.liveness == Liveness::Live;
         member.liveness = Liveness::Live;
-        member.suspect_at_us = member.suspect_at_us.max(now_us + VOUCHED_US);
-        member.gone_at_us = member.gone_at_us.max(now_us + GONE_US);
+        member.suspect_at_us = member.suspect_at_us.max(until_us);
+        member.gone_at_us = member.gone_at_us.max(until_us + GONE_US - SUSPECT_US);
         member.heard_at_us = now_us;
         if was_live {
             return Vec::new();
@@ -258,6 +267,29 @@
         vec![Change::Joined(member.report.name.clone())]
     }
 
+    /// Suspects a member that no peer vouches for any more.
+    pub fn suspect(&mut self, name: &str) -> Vec<Change> {
+        match self.members.get_mut(name) {
+            Some(member) if member.liveness == Liveness::Live => {
+                member.liveness = Liveness::Suspect;
+                vec![Change::Suspected(member.report.name.clone())]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Updates the load of a member of which a peer has reports.
+    pub fn set_load(&mut self, name: &str, incarnation: Incarnation, load: &Load) {
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        if member.report.incarnation == incarnation {
+            member.report.queue_us = u64::from(load.queue_ms) * US_PER_MS;
+            member.report.running = load.running;
+            member.report.queued = load.queued;
+        }
+    }
+
     /// Returns the last report of a member.
     pub fn get(&self, name: &str) -> Option<&Report> {
         self.members.get(name).map(|member| &member.report)
--- a/src/process/membership/digest.rs
+++ b/src/process/membership/digest.rs
@@ -10,9 +10,10 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashMap, //
     },
-    net::SocketAddr,
+    net::SocketAddr, //
 };
 
 use serde::{
@@ -28,7 +29,10 @@
     Role, //
 };
 use crate::{
-    clock::US_PER_S,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     names::{
         Incarnation,
         Name, //
@@ -51,6 +55,39 @@
     pub queued: u32,
 }
 
+/// Load of a member that has not changed otherwise.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Lower half of the hash of the member's name.
+    pub name_hash: u32,
+    /// Expected wait in the queue.
+    pub queue_ms: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+impl Load {
+    fn of(report: &Report) -> Self {
+        Self {
+            name_hash: name_hash(&report.name),
+            queue_ms: u32::try_from(report.queue_us / US_PER_MS).unwrap_or(u32::MAX),
+            running: report.running,
+            queued: report.queued,
+        }
+    }
+
+    /// A change within a step is not told.
+    fn steps(self) -> [u64; 3] {
+        [self.queue_ms, self.running, self.queued].map(|load| load_step(u64::from(load)))
+    }
+}
+
+fn name_hash(name: &str) -> u32 {
+    xxh3_64(name.as_bytes()) as u32
+}
+
 /// Members that a sender vouches for, as far as they changed.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Batch {
@@ -58,6 +95,8 @@
     pub is_complete: bool,
     /// Members that are new or changed.
     pub changed: Vec<Report>,
+    /// Members of which only the load has changed.
+    pub loads: Vec<Load>,
     /// Members that the sender does not vouch for any more.
     pub dropped: Vec<Name>,
     /// Checksum of all members that the sender vouches for.
@@ -71,6 +110,8 @@
     pub sender: Report,
     /// Members that the sender vouches for.
     pub batch: Batch,
+    /// Time for which the receiver may rely on the digest.
+    pub valid_ms: u32,
     /// Whether the sender missed a batch of the receiver.
     pub wants_complete: bool,
     /// Sums per service; empty within a data centre.
@@ -109,26 +150,23 @@
     each.fold(0, |sum, bytes| sum ^ xxh3_64(&bytes))
 }
 
+/// Returns a checksum of all that matters in a report but the load.
 fn checksum_of(report: &Report) -> u64 {
-    let stepped = Report {
+    let identity = Report {
         sequence: 0,
         running: 0,
         queued: 0,
-        queue_us: load_step(report.queue_us / 1_000),
+        queue_us: 0,
         ..report.clone()
     };
-    let steps = (
-        load_step(u64::from(report.running)),
-        load_step(u64::from(report.queued)),
-    );
     // A report has no types that fail to serialise.
-    xxh3_64(&postcard::to_stdvec(&(stepped, steps)).unwrap_or_default())
+    xxh3_64(&postcard::to_stdvec(&identity).unwrap_or_default())
 }
 
 /// What one receiver was told.
 #[derive(Clone, Debug, Default)]
 pub struct Outbox {
-    told: BTreeMap<Name, u64>,
+    told: BTreeMap<Name, (u64, [u64; 3])>,
     is_started: bool,
 }
 
@@ -144,9 +182,12 @@
             let checksum = checksum_of(report);
             batch.checksum ^= checksum;
             present.insert(report.name.clone());
-            let told = self.told.insert(report.name.clone(), checksum);
-            if told != Some(checksum) {
-                batch.changed.push(report.clone());
+            let load = Load::of(report);
+            let now = (checksum, load.steps());
+            match self.told.insert(report.name.clone(), now) {
+                Some(told) if told == now => {}
+                Some((told, _)) if told == checksum => batch.loads.push(load),
+                _ => batch.changed.push(report.clone()),
             }
         }
         self.told.retain(|name, _| {
@@ -184,10 +225,16 @@
     ///
     /// let batch = Outbox::default().next(std::iter::empty());
     /// let mut inbox = Inbox::default();
-    /// inbox.take(&batch, &mut Membership::default(), 0);
+    /// inbox.take(&batch, &mut Membership::default(), 0, 3_000_000);
     /// assert!(!inbox.misses_some());
     /// ```
-    pub fn take(&mut self, batch: &Batch, members: &mut Membership, now_us: u64) -> Vec<Change> {
+    pub fn take(
+        &mut self,
+        batch: &Batch,
+        members: &mut Membership,
+        now_us: u64,
+        until_us: u64,
+    ) -> Vec<Change> {
         if batch.is_complete {
             self.held.clear();
         }
@@ -206,11 +253,36 @@
             return changes;
         }
         for (name, (incarnation, _)) in &self.held {
-            changes.extend(members.vouch(name, *incarnation, now_us));
+            changes.extend(members.vouch(name, *incarnation, now_us, until_us));
         }
+        self.take_loads(&batch.loads, members);
         changes
     }
 
+    fn take_loads(&self, loads: &[Load], members: &mut Membership) {
+        if loads.is_empty() {
+            return;
+        }
+        let by_hash: HashMap<u32, &Name> = self
+            .held
+            .keys()
+            .map(|name| (name_hash(name), name))
+            .collect();
+        for load in loads {
+            let name = by_hash.get(&load.name_hash);
+            if let Some((name, (incarnation, _))) =
+                name.and_then(|name| self.held.get_key_value(*name))
+            {
+                members.set_load(name, *incarnation, load);
+            }
+        }
+    }
+
+    /// Returns whether the sender vouches for a member.
+    pub fn holds(&self, name: &str) -> bool {
+        self.held.contains_key(name)
+    }
+
     /// Returns whether a batch was lost.
     pub const fn misses_some(&self) -> bool {
         self.misses_some
--- a/src/process/peer.rs
+++ b/src/process/peer.rs
@@ -31,7 +31,7 @@
         ErrorKind,
         Result, //
     },
-    version::config::Update,
+    version::config::Update, //
 };
 
 /// Restarts of a transfer whose revision changes between two parts.
--- a/src/standin/platform/handlers.rs
+++ b/src/standin/platform/handlers.rs
@@ -7,7 +7,7 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
--- a/tests/message_cost.rs
+++ b/tests/message_cost.rs
@@ -63,6 +63,7 @@
     Digest {
         sender: report("entry-123", Role::Entry, 100_000),
         batch,
+        valid_ms: 8_000,
         wants_complete: false,
         sums: Default::default(),
         news_age_ms: Some(1_000),
@@ -104,12 +105,16 @@
     println!("digest: complete {complete}, steady {steady}, changed {changed} bytes");
     println!("report {agent}, answer {answer} bytes");
 
-    // Of each pair one calls; either way a digest is sent.
-    let pairs = ENTRIES - 1 + DATA_CENTRES - 1;
-    let per_pair = |digest: usize| digest + (REQUEST_BYTES + ANSWER_BYTES) / 2 + PING_BYTES;
-    let answers = collected * (answer + ANSWER_BYTES + PING_BYTES);
-    let idle = pairs * per_pair(steady) + answers;
-    let loaded = pairs * per_pair(changed) + answers;
+    // Every entry calls two parents and is called by eight children each second.
+    // Pairs of the data centre, and one entry of every other, follow every six
+    // seconds. Either side of a call sends a digest.
+    let rounds = ENTRIES.div_ceil(8);
+    let calls = 10 + (ENTRIES - 11 + DATA_CENTRES - 1).div_ceil(rounds);
+    let pings = (ENTRIES - 1 + DATA_CENTRES - 1 + collected) * PING_BYTES;
+    let each = (REQUEST_BYTES + ANSWER_BYTES) / 2;
+    let answers = collected * (answer + ANSWER_BYTES);
+    let idle = calls * (steady + each) + pings + answers;
+    let loaded = calls * (changed + each) + pings + answers;
     let agent_sends = 2 * (agent + REQUEST_BYTES + PING_BYTES);
     println!("entry sends {idle} bytes/s idle, {loaded} under load; agent {agent_sends}");
     assert!(agent_sends <= BUDGET_BYTES);
@@ -123,15 +128,15 @@
     let mut outbox = Outbox::default();
     let mut inbox = Inbox::default();
     let mut target = report("engine-1", Role::Target, 1);
-    inbox.take(&outbox.next([&target].into_iter()), &mut members, 0);
+    inbox.take(&outbox.next([&target].into_iter()), &mut members, 0, 9);
     assert!(!inbox.misses_some());
     target.is_leaving = true;
     target.sequence = 2;
     let _lost = outbox.next([&target].into_iter());
-    inbox.take(&outbox.next([&target].into_iter()), &mut members, 1);
+    inbox.take(&outbox.next([&target].into_iter()), &mut members, 1, 9);
     assert!(inbox.misses_some());
     outbox.restart();
-    inbox.take(&outbox.next([&target].into_iter()), &mut members, 2);
+    inbox.take(&outbox.next([&target].into_iter()), &mut members, 2, 9);
     assert!(!inbox.misses_some());
     assert!(members.get("engine-1").unwrap().is_leaving);
 }
