--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -15,7 +15,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use error_stack::ResultExt;
@@ -49,9 +49,9 @@
             self,
             Observed, //
         },
-        stop,
+        stop, //
     },
-    settings::EntrySettings,
+    settings::EntrySettings, //
 };
 
 /// Interval between checks whether the last request has ended.
@@ -130,8 +130,10 @@
     let drain_until_us = context.clock.now_us() + drain_us;
     info!(context.log, "entry stops";
         "event" => Event::Stopping, "drain_until_us" => drain_until_us);
+    let linger_until_us = context.clock.now_us() + stop::LINGER_US;
     while context.clock.now_us() < drain_until_us {
-        if context.running.load(Ordering::Relaxed) == 0 {
+        let is_told = context.is_announced() || context.clock.now_us() >= linger_until_us;
+        if context.running.load(Ordering::Relaxed) == 0 && is_told {
             break;
         }
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -14,7 +14,7 @@
         Payload, //
     },
     util::Bytes,
-    web::HttpRequest,
+    web::HttpRequest, //
 };
 
 use super::{
@@ -35,7 +35,8 @@
         headers::{
             Direction,
             HeaderFilter,
-            forwarded_path, //
+            forwarded_path,
+            is_normalised, //
         },
         openai::{
             BodyLimits,
@@ -51,7 +52,7 @@
             RouteKey,
             RouteMiss, //
         },
-        keys,
+        keys, //
     },
 };
 
@@ -164,6 +165,9 @@
         if !context.has_config() {
             return Err(Report::new(ErrorKind::NotReady));
         }
+        if !is_normalised(request.uri().path()) {
+            return Err(Report::new(ErrorKind::BadRequest).attach("the path is not normalised"));
+        }
         let config = context.config.load_full();
         let organisation = authenticate(context, &config, request.headers())?;
         let body = read_body(context, request, payload).await?;
