--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -1,6 +1,9 @@
 //! Property tests of conserved shares under arbitrary message schedules.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    sync::Arc, //
+};
 
 use quickcheck::{
     Arbitrary,
@@ -20,15 +23,19 @@
             HolderId,
             Report, //
         },
-        meter::Take,
+        meter::{
+            Meter,
+            Take,
+            Ticket, //
+        },
         participant::Participant,
     },
 };
 
 const SLOTS: usize = 4;
-const GEN_SIZE: usize = 600;
+const GEN_SIZE: usize = 1_000;
 const MAX_IN_FLIGHT: usize = 32;
-const SCHEDULES: u64 = 300;
+const SCHEDULES: u64 = 1_000;
 const LIMITS: Amount = Amount {
     rate_tokens_per_s: 1_000,
     burst_tokens: 2_000,
@@ -90,6 +97,7 @@
     registered: BTreeSet<usize>,
     messages: Vec<Message>,
     reserved: Vec<(usize, u64, u64)>,
+    waiting: Vec<(usize, u64, Ticket, u64)>,
     reference: Reference,
     wanted: Amount,
     revision: u64,
@@ -117,6 +125,7 @@
             registered: BTreeSet::new(),
             messages: Vec::new(),
             reserved: Vec::new(),
+            waiting: Vec::new(),
             reference: Reference {
                 limits: LIMITS,
                 level_microtokens: i128::from(LIMITS.burst_tokens) * 1_000_000,
@@ -131,7 +140,7 @@
             has_limit_changes,
         };
         (0..SLOTS).for_each(|slot| world.start(slot));
-        world.lead(0);
+        world.settle();
         world
     }
 
@@ -200,24 +209,53 @@
         for step in steps {
             self.now_us += step.size * 50;
             self.step(step);
+            self.retry_waiting();
             self.check_in_force();
+            self.check_shares();
+        }
+    }
+
+    /// The design's invariant, which also covers shares not used yet.
+    fn check_shares(&mut self) {
+        let (organisation, now_us) = (self.organisation.clone(), self.now_us);
+        let participants = self.participants.iter_mut().flatten();
+        let amounts = participants.map(|participant| {
+            let meter = participant.holder().meter(&organisation, now_us);
+            meter.amount()
+        });
+        let sum = amounts.fold(Amount::default(), Amount::plus);
+        let excess = sum.minus(self.reference.limits);
+        assert!(excess.is_zero(), "shares exceed the limits by {excess:?}");
+    }
+
+    /// Lets the buckets fill and then takes everything that is admitted.
+    fn drain(&mut self, wait_us: u64) {
+        self.now_us += wait_us;
+        for cost_tokens in [500, 100, 20, 1] {
+            for slot in 0..SLOTS {
+                for _ in 0..5 {
+                    self.admit(slot, cost_tokens);
+                }
+            }
         }
     }
 
     fn step(&mut self, step: &Step) {
         let slot = step.slot;
         match step.action {
-            0 => self.start(slot),
+            0 if step.choice % 2 == 0 => self.start(slot),
             1 => self.paused[slot] = !self.paused[slot],
             2 if step.choice % 3 == 0 => self.lead(slot),
             3 => self.remove(slot, step.choice),
             4 => self.change_limits(step),
+            5 if step.choice % 2 == 0 => self.drain(step.size * 2_000),
             5 => self.refund(step),
             6 => drop(self.take_message(step.choice)),
             7 => self.deliver(step.choice, true),
             8..=11 => self.tick(slot),
             12..=15 => self.report(slot, step.choice),
-            16..=20 => self.admit(slot, step.size),
+            // The busy slot changes over time, so that shares have to move.
+            0 | 16..=20 => self.admit(self.busy_slot(slot), step.size),
             _ => self.deliver(step.choice, false),
         }
     }
@@ -248,28 +286,59 @@
         }
     }
 
+    fn busy_slot(&self, slot: usize) -> usize {
+        let period = usize::try_from(self.now_us / 2_000_000).unwrap();
+        if slot == 0 { 0 } else { period % SLOTS }
+    }
+
     fn running(&mut self, slot: usize) -> Option<&mut Participant> {
         let is_paused = self.paused[slot];
         self.participants[slot].as_mut().filter(|_| !is_paused)
     }
 
-    fn admit(&mut self, slot: usize, cost_tokens: u64) {
+    fn meter(&mut self, slot: usize) -> Option<(Arc<Meter>, u64)> {
         let (now_us, organisation) = (self.now_us, self.organisation.clone());
-        let Some(participant) = self.running(slot) else {
+        let holder = self.running(slot)?.holder();
+        Some((
+            holder.meter(&organisation, now_us),
+            holder.id().incarnation.0,
+        ))
+    }
+
+    fn admit(&mut self, slot: usize, cost_tokens: u64) {
+        let now_us = self.now_us;
+        let Some((meter, incarnation)) = self.meter(slot) else {
             return;
         };
-        let meter = participant.holder().meter(&organisation, now_us);
-        let incarnation = participant.holder().id().incarnation.0;
-        let take = meter.take(
-            cost_tokens,
-            LIMITS.rate_tokens_per_s,
-            now_us + 100_000,
-            now_us,
-        );
-        if take == Take::Taken {
-            self.admitted_tokens += cost_tokens;
-            self.reserved.push((slot, incarnation, cost_tokens));
-            self.reference.charge(i128::from(cost_tokens), now_us);
+        let expires_at_us = now_us + 1_000_000;
+        match meter.take(cost_tokens, LIMITS.rate_tokens_per_s, expires_at_us, now_us) {
+            Take::Taken => self.charge(slot, incarnation, cost_tokens),
+            Take::Waiting { ticket, .. } => {
+                self.waiting.push((slot, incarnation, ticket, cost_tokens));
+            }
+            Take::Refused => {}
+        }
+    }
+
+    fn charge(&mut self, slot: usize, incarnation: u64, cost_tokens: u64) {
+        self.admitted_tokens += cost_tokens;
+        self.reserved.push((slot, incarnation, cost_tokens));
+        self.reference.charge(i128::from(cost_tokens), self.now_us);
+    }
+
+    fn retry_waiting(&mut self) {
+        for (slot, incarnation, ticket, cost_tokens) in std::mem::take(&mut self.waiting) {
+            let meter = self.meter(slot);
+            let Some((meter, _)) = meter.filter(|(_, running)| *running == incarnation) else {
+                continue;
+            };
+            match meter.retry(ticket, self.now_us) {
+                Take::Taken => self.charge(slot, incarnation, cost_tokens),
+                Take::Waiting { .. } => {
+                    self.waiting.push((slot, incarnation, ticket, cost_tokens));
+                }
+                Take::Refused => {}
+            }
         }
     }
 
@@ -280,14 +349,13 @@
         let index = step.choice % self.reserved.len();
         let (slot, incarnation, reserved_tokens) = self.reserved.swap_remove(index);
         let unused_tokens = reserved_tokens * step.size / 1_000;
-        let (now_us, organisation) = (self.now_us, self.organisation.clone());
-        let Some(participant) = self.running(slot) else {
+        let Some((meter, running)) = self.meter(slot) else {
             return;
         };
-        if participant.holder().id().incarnation.0 == incarnation {
-            let meter = participant.holder().meter(&organisation, now_us);
-            meter.put_back(unused_tokens, now_us);
-            self.reference.charge(-i128::from(unused_tokens), now_us);
+        if running == incarnation {
+            meter.put_back(unused_tokens, self.now_us);
+            self.reference
+                .charge(-i128::from(unused_tokens), self.now_us);
         }
     }
 
@@ -378,6 +446,13 @@
         self.send(answers);
     }
 
+    fn deliver_all(&mut self) {
+        while !self.messages.is_empty() {
+            self.deliver(0, false);
+        }
+        self.retry_waiting();
+    }
+
     /// Runs without faults until everything in flight has settled.
     fn settle(&mut self) {
         self.paused = [false; SLOTS];
@@ -391,9 +466,7 @@
             self.now_us += 100_000;
             (0..SLOTS).for_each(|slot| self.tick(slot));
             (0..SLOTS).for_each(|slot| self.report(slot, slot));
-            while !self.messages.is_empty() {
-                self.deliver(0, false);
-            }
+            self.deliver_all();
             self.check_in_force();
         }
     }
@@ -415,7 +488,7 @@
         let mut world = World::new(false);
         world.run(&steps);
         world.settle();
-        (0..SLOTS).for_each(|slot| world.admit(slot, 200));
+        world.drain(5_000_000);
         true
     }
     check(1, property);
@@ -459,9 +532,7 @@
         world.now_us += 100_000;
         (0..SLOTS).for_each(|slot| world.report(slot, slot));
         (0..SLOTS).for_each(|slot| world.tick(slot));
-        while !world.messages.is_empty() {
-            world.deliver(0, false);
-        }
+        world.deliver_all();
     }
     // Offered: 800 tokens/s of 1,000 for 10 s; the first ones meet an empty
     // share, because only the ledger's pool has tokens then.
