--- a/src/process/limits/book.rs
+++ b/src/process/limits/book.rs
@@ -78,6 +78,10 @@
         !account.held().is_zero()
     }
 
+    pub(super) const fn unlent(&self) -> Amount {
+        self.pool.amount()
+    }
+
     fn held(&self) -> Amount {
         let accounts = self.accounts.values().map(Account::held);
         accounts.fold(self.reserved, Amount::plus)
--- a/src/process/limits/ledger.rs
+++ b/src/process/limits/ledger.rs
@@ -177,6 +177,22 @@
         self.is_recovered && self.books.get(organisation).is_some_and(Book::is_in_force)
     }
 
+    /// Returns the part of an organisation's limits that nobody may hold.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Amount};
+    ///
+    /// let mut ledger = Ledger::new(0, 1, Vec::new());
+    /// let limits = Amount { rate_tokens_per_s: 10, burst_tokens: 20 };
+    /// ledger.set_limits(&"acme".into(), limits, 1, 0);
+    /// ledger.tick(0);
+    /// assert_eq!(ledger.unlent(&"acme".into()), limits);
+    /// ```
+    pub fn unlent(&self, organisation: &Name) -> Amount {
+        let book = self.books.get(organisation);
+        book.map(Book::unlent).unwrap_or_default()
+    }
+
     /// Applies a report and returns the answers.
     pub fn on_report(&mut self, report: &Report, now_us: u64) -> Vec<Directive> {
         let is_known = self.slots.contains_key(&report.from.slot);
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -215,13 +215,16 @@
         }
     }
 
-    /// The design's invariant, which also covers shares not used yet.
+    /// The design's invariant, which also covers shares not used yet and those
+    /// that a ledger may lend.
     fn check_shares(&mut self) {
         let (organisation, now_us) = (self.organisation.clone(), self.now_us);
         let participants = self.participants.iter_mut().flatten();
         let amounts = participants.map(|participant| {
             let meter = participant.holder().meter(&organisation, now_us);
-            meter.amount()
+            let ledger = participant.ledger();
+            let unlent = ledger.map(|ledger| ledger.unlent(&organisation));
+            meter.amount().plus(unlent.unwrap_or_default())
         });
         let sum = amounts.fold(Amount::default(), Amount::plus);
         let excess = sum.minus(self.reference.limits);
@@ -462,10 +465,17 @@
             }
         }
         self.lead(0);
-        for _ in 0..60 {
+        self.rounds(60, 0);
+    }
+
+    fn rounds(&mut self, count: u64, cost_tokens: u64) {
+        for _ in 0..count {
             self.now_us += 100_000;
-            (0..SLOTS).for_each(|slot| self.tick(slot));
+            if cost_tokens > 0 {
+                (0..SLOTS).for_each(|slot| self.admit(slot, cost_tokens));
+            }
             (0..SLOTS).for_each(|slot| self.report(slot, slot));
+            (0..SLOTS).for_each(|slot| self.tick(slot));
             self.deliver_all();
             self.check_in_force();
         }
@@ -527,14 +537,71 @@
 fn admits_traffic_without_faults() {
     let mut world = World::new(false);
     world.settle();
-    for _ in 0..100 {
-        (0..SLOTS).for_each(|slot| world.admit(slot, 20));
-        world.now_us += 100_000;
-        (0..SLOTS).for_each(|slot| world.report(slot, slot));
-        (0..SLOTS).for_each(|slot| world.tick(slot));
+    world.admitted_tokens = 0;
+    world.rounds(100, 20);
+    // Offered: 800 tokens/s of 1,000 for 10 s, the first ones meet an
+    // empty share, because only the ledger's pool has tokens then.
+    assert!(world.admitted_tokens >= 7_500, "{}", world.admitted_tokens);
+}
+
+/// Guards against taking a late report of a dead process for a newer process,
+/// which would free the share of the living one.
+#[test]
+fn ignores_late_reports_of_dead_processes() {
+    let mut world = World::new(false);
+    let late = world.participants[1].as_mut().unwrap().holder();
+    late.observe_epoch(world.epoch);
+    let mut late = late.report(world.now_us + 10_000_000).unwrap();
+    late.sequence += 1_000;
+    late.is_complete = true;
+    late.accounts.clear();
+    world.start(1);
+    world.rounds(20, 20);
+    let held = world.meter(1).unwrap().0.amount();
+    assert!(!held.is_zero());
+    world.messages.push(Message::ToLedger(0, late));
+    world.deliver_all();
+    world.check_shares();
+}
+
+/// Guards against an epoch that starts while an earlier ledger has lent to a
+/// process which started after its slot had answered.
+#[test]
+fn waits_for_processes_lent_to_by_an_earlier_ledger() {
+    let mut world = World::new(false);
+    world.lead(2);
+    world.tick(2);
+    let (to_others, mut to_first): (Vec<_>, Vec<_>) = world
+        .messages
+        .drain(..)
+        .partition(|message| !matches!(message, Message::ToHolder(0, _)));
+    world.messages = to_others;
+    world.deliver_all();
+    for slot in 1..SLOTS {
+        let report = world.participants[slot].as_mut().unwrap().holder();
+        let report = report.report(world.now_us).unwrap();
+        world.messages.push(Message::ToLedger(2, report));
+    }
+    world.deliver_all();
+    // Slot 1 starts again and knows only the earlier ledger in slot 0.
+    world.start(1);
+    for _ in 0..2 {
+        world.admit(1, 100);
+        let report = world.participants[1].as_mut().unwrap().holder();
+        let report = report.report(world.now_us).unwrap();
+        world.messages.push(Message::ToLedger(0, report));
         world.deliver_all();
     }
-    // Offered: 800 tokens/s of 1,000 for 10 s; the first ones meet an empty
-    // share, because only the ledger's pool has tokens then.
-    assert!(world.admitted_tokens >= 7_500, "{}", world.admitted_tokens);
+    world.messages.append(&mut to_first);
+    world.deliver_all();
+    let report = world.participants[0].as_mut().unwrap().holder();
+    let report = report.report(world.now_us).unwrap();
+    world.messages.push(Message::ToLedger(2, report));
+    world.deliver_all();
+    let ledger = world.participants[2].as_mut().unwrap().ledger().unwrap();
+    assert!(!ledger.is_recovered());
+    world.rounds(5, 20);
+    world.check_shares();
+    let ledger = world.participants[2].as_mut().unwrap().ledger().unwrap();
+    assert!(ledger.is_recovered());
 }
