--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -84,15 +84,15 @@
 fn ignores_late_reports_of_dead_processes() {
     let mut world = World::new(false);
     world.rounds(20, 20);
-    let late = world.participants[1].as_mut().unwrap().holder();
+    let late = world.participants[2].as_mut().unwrap().holder();
     late.observe_epoch(world.epoch);
     let mut late = late.report(world.now_us + 10_000_000).unwrap();
     late.sequence += 1_000;
     late.is_complete = true;
     late.accounts.clear();
-    world.start(1);
+    world.start(2);
     world.rounds(20, 20);
-    let held = world.meter(1).unwrap().0.amount();
+    let held = world.meter(2).unwrap().0.amount();
     assert!(!held.is_zero());
     world.messages.push(Message::Ledger(0, late));
     world.deliver_all();
