--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,5 +1,6 @@
 //! The entry process: everything between callers and agents.
 
+mod admission;
 mod answer;
 mod attempt;
 mod context;
@@ -132,7 +133,9 @@
         "event" => Event::Stopping, "drain_until_us" => drain_until_us);
     let linger_until_us = context.clock.now_us() + stop::LINGER_US;
     while context.clock.now_us() < drain_until_us {
-        let is_told = context.is_announced() || context.clock.now_us() >= linger_until_us;
+        let is_lingering = context.clock.now_us() < linger_until_us;
+        let is_told = context.is_announced() && context.are_shares_released();
+        let is_told = is_told || !is_lingering;
         if context.running.load(Ordering::Relaxed) == 0 && is_told {
             break;
         }
--- /dev/null
+++ b/src/process/entry/admission.rs
@@ -0,0 +1,75 @@
+//! Reserves the tokens of a request before it is placed.
+
+use std::time::Duration;
+
+use error_stack::Report;
+
+use super::{
+    context::Context,
+    request::Request, //
+};
+use crate::{
+    clock::US_PER_MS,
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    process::limits::message::Amount,
+    request::admission::{
+        Admission,
+        Cost,
+        Reservation,
+        Waiting,
+        reserve, //
+    },
+};
+
+/// A waiting request looks again after this time even when no share arrives,
+/// because a share may arrive between the check and the wait.
+const RECHECK_US: u64 = 50 * US_PER_MS;
+
+/// Waits until the organisation's share covers a request.
+///
+/// Requests without an organisation are not limited here.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::RateLimited`] or [`ErrorKind::CostAboveBurst`].
+pub(super) async fn admit(
+    context: &Context,
+    request: &Request,
+    cost: Cost,
+) -> Result<Option<Reservation>> {
+    let organisation = request
+        .organisation
+        .and_then(|key| request.config.organisation(key));
+    let Some(organisation) = organisation else {
+        return Ok(None);
+    };
+    let meter = context.meters.load().get(&organisation.name).cloned();
+    // The meters follow the configuration within one round.
+    let meter = meter.ok_or_else(|| Report::new(ErrorKind::NotReady))?;
+    let limits = Amount {
+        rate_tokens_per_s: organisation.rate_tokens_per_s,
+        burst_tokens: organisation.burst_tokens,
+    };
+    let now_us = context.clock.now_us();
+    match reserve(&meter, cost, limits, request.expires_at_us, now_us)? {
+        Admission::Admitted(reservation) => Ok(Some(reservation)),
+        Admission::Waiting(waiting) => wait(context, waiting).await.map(Some),
+    }
+}
+
+async fn wait(context: &Context, mut waiting: Waiting) -> Result<Reservation> {
+    loop {
+        let changed = context.shares_changed.notified();
+        let now_us = context.clock.now_us();
+        let wait_us = waiting.retry_at_us().saturating_sub(now_us);
+        let pause = Duration::from_micros(wait_us.clamp(US_PER_MS, RECHECK_US));
+        // Either way the bucket is looked at again.
+        let _ = tokio::time::timeout(pause, changed).await;
+        if let Some(reservation) = waiting.retry(context.clock.now_us())? {
+            return Ok(reservation);
+        }
+    }
+}
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -17,6 +17,7 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use super::control::Meters;
 use crate::{
     clock::Clock,
     names::{
@@ -56,10 +57,14 @@
     pub(super) metrics: Metrics,
     pub(super) config: ArcSwap<Config>,
     pub(super) targets: ArcSwap<TargetViews>,
+    pub(super) meters: ArcSwap<Meters>,
+    /// Told when a share of any organisation has grown.
+    pub(super) shares_changed: Notify,
     /// Requests that have not been answered completely.
     pub(super) running: AtomicUsize,
     next_sequence: AtomicU64,
     leaving: AtomicBool,
+    shares_released: AtomicBool,
     keys_stale_at_us: AtomicU64,
     /// Told when the state that peers should know of has changed.
     pub(super) changed: Notify,
@@ -76,6 +81,9 @@
             metrics: Metrics::new(),
             config: ArcSwap::default(),
             targets: ArcSwap::default(),
+            meters: ArcSwap::default(),
+            shares_changed: Notify::new(),
+            shares_released: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             next_sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -93,6 +101,15 @@
         }
     }
 
+    /// Whether all shares were handed back before a stop.
+    pub(super) fn are_shares_released(&self) -> bool {
+        self.shares_released.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_shares_released(&self, released: bool) {
+        self.shares_released.store(released, Ordering::Relaxed);
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod explain;
 mod fleet;
+mod limits;
 mod status;
 mod targets;
 
@@ -36,7 +37,8 @@
         Command, //
     },
     contacts::Contacts,
-    fleet::Fleet, //
+    fleet::Fleet,
+    limits::Limits, //
 };
 use super::context::Context;
 use crate::{
@@ -56,6 +58,7 @@
     },
     version::freshness::Freshness, //
 };
+pub(super) use limits::Meters;
 
 const COMMAND_CAPACITY: usize = 1_024;
 
@@ -71,6 +74,7 @@
     sequence: Cell<u64>,
     /// Told when another revision was applied.
     revised: Notify,
+    limits: Limits,
 }
 
 /// Runs the control thread until the process ends.
@@ -84,6 +88,7 @@
     ntex::rt::spawn(Rc::clone(&control).follow_list());
     ntex::rt::spawn(Rc::clone(&control).exchange());
     ntex::rt::spawn(Rc::clone(&control).publish_targets());
+    ntex::rt::spawn(Rc::clone(&control).share_limits());
     loop {
         tokio::select! {
             Some(command) = inbox.recv() => control.execute(command),
@@ -106,6 +111,7 @@
             freshness: RefCell::default(),
             sequence: Cell::new(0),
             revised: Notify::new(),
+            limits: Limits::new(settings.name.clone(), context.incarnation),
             address,
             context,
         };
@@ -123,6 +129,14 @@
                 drop(sender.send(self.store.part(revision, part)));
             }
             Command::Report(report, sender) => drop(sender.send(self.take_report(report))),
+            Command::Limits(report, sender) => {
+                drop(sender.send(self.take_limit_report(&report)));
+            }
+            Command::LimitDirective(directive, sender) => {
+                let now_us = self.context.clock.now_us();
+                self.apply_directives(&[*directive], now_us);
+                drop(sender.send(()));
+            }
             Command::Status(sender) => drop(sender.send(self.status())),
             Command::Explain(request, sender) => {
                 let control = Rc::clone(self);
--- a/src/process/entry/control/api.rs
+++ b/src/process/entry/control/api.rs
@@ -24,11 +24,14 @@
         FleetStatus, //
     },
     process::{
+        limits::message::Directive,
         membership::digest::Digest,
         rpc::{
             AgentReport,
             ConfigPart,
             EntryApiServer,
+            LimitAnswer,
+            LimitReport,
             OperatorApiServer,
             Packed,
             PeerApiServer,
@@ -45,6 +48,8 @@
     Report(AgentReport, oneshot::Sender<ReportAnswer>),
     Status(oneshot::Sender<FleetStatus>),
     Explain(ExplainRequest, oneshot::Sender<Explanation>),
+    Limits(Box<LimitReport>, oneshot::Sender<LimitAnswer>),
+    LimitDirective(Box<Directive>, oneshot::Sender<()>),
 }
 
 /// Server side of the RPC methods.
@@ -93,6 +98,16 @@
         let answer = self.ask(|sender| Command::Report(report.0, sender));
         Ok(Packed(answer.await?))
     }
+
+    async fn limits(&self, report: Packed<LimitReport>) -> RpcResult<Packed<LimitAnswer>> {
+        let answer = self.ask(|sender| Command::Limits(Box::new(report.0), sender));
+        Ok(Packed(answer.await?))
+    }
+
+    async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<()> {
+        self.ask(|sender| Command::LimitDirective(Box::new(directive.0), sender))
+            .await
+    }
 }
 
 #[async_trait]
--- a/src/process/entry/control/configuration.rs
+++ b/src/process/entry/control/configuration.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    async fn platform(&self) -> Option<Platform> {
+    pub(super) async fn platform(&self) -> Option<Platform> {
         let address = self.context.settings.platform_address;
         let made = Platform::new(address, self.context.clock).await;
         made.inspect_err(|error| {
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -393,6 +393,21 @@
         is_replaced || is_removed
     }
 
+    /// Returns from when on an instance that the platform's list has dropped
+    /// counts as gone.
+    ///
+    /// ```
+    /// use yuccalatch::process::membership::{GRACE_US, Membership};
+    ///
+    /// let mut membership = Membership::default();
+    /// membership.platform_list(["e9".into()].into(), 0);
+    /// membership.platform_list([].into(), 5);
+    /// assert_eq!(membership.removed_gone_at_us("e9"), Some(5 + GRACE_US));
+    /// ```
+    pub fn removed_gone_at_us(&self, name: &str) -> Option<u64> {
+        self.proven_at_us.get(name).copied()
+    }
+
     /// Returns the last reports of all members that are not gone.
     pub fn present(&self, role: Role) -> impl Iterator<Item = (&Report, Liveness)> {
         self.members
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -46,9 +46,15 @@
         Explanation,
         FleetStatus, //
     },
-    process::membership::{
-        Report,
-        digest::Digest, //
+    process::{
+        limits::{
+            self,
+            message::Directive, //
+        },
+        membership::{
+            Report,
+            digest::Digest, //
+        },
     },
     request::prompt::{
         BlockHash,
@@ -200,6 +206,32 @@
     /// Takes the report of an agent.
     #[method(name = "report")]
     async fn report(&self, report: Packed<AgentReport>) -> RpcResult<Packed<ReportAnswer>>;
+
+    /// Takes the report of a holder of limit shares.
+    #[method(name = "limits")]
+    async fn limits(&self, report: Packed<LimitReport>) -> RpcResult<Packed<LimitAnswer>>;
+
+    /// Takes a message of a ledger to a holder.
+    #[method(name = "limit_directive")]
+    async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<()>;
+}
+
+/// Report of a holder to a ledger or deputy.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct LimitReport {
+    /// The report.
+    pub report: limits::message::Report,
+    /// Deputy that is asked; the ledger when left out.
+    pub deputy: Option<Incarnation>,
+}
+
+/// Answer of a ledger or deputy.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct LimitAnswer {
+    /// What the holder has to apply.
+    pub directives: Vec<Directive>,
+    /// Entry that is the ledger of the group, as far as known.
+    pub ledger: Option<Name>,
 }
 
 /// Methods of an entry for operators.
