--- a/src/process/agent/output.rs
+++ b/src/process/agent/output.rs
@@ -41,6 +41,10 @@
 /// Frames are joined up to this size before they are written to the connection.
 const WRITE_BYTES: usize = 32 << 10;
 
+/// Time without a reader after which a stream counts as abandoned. An entry that
+/// resumes a stream does so within about five seconds of silence.
+const ABANDONED_AFTER: Duration = Duration::from_secs(5);
+
 /// Response stream of one attempt.
 #[derive(Debug, Default)]
 pub(super) struct Output {
@@ -48,6 +52,9 @@
     readable: Notify,
     writable: Notify,
     reader_generation: Cell<u64>,
+    readers: Cell<usize>,
+    readers_changed: Notify,
+    is_cancelled: Cell<bool>,
 }
 
 /// What a reader has seen; the newest reader of a stream replaces older ones.
@@ -99,6 +106,30 @@
         self.readable.notify_waiters();
     }
 
+    /// Ends the wait in [`Self::abandoned`].
+    pub(super) fn cancel(&self) {
+        self.is_cancelled.set(true);
+        self.readers_changed.notify_waiters();
+    }
+
+    /// Waits until the stream is cancelled or nobody has read it for a while.
+    pub(super) async fn abandoned(&self) {
+        loop {
+            let changed = self.readers_changed.notified();
+            if self.is_cancelled.get() {
+                return;
+            }
+            if self.readers.get() > 0 {
+                changed.await;
+            } else if tokio::time::timeout(ABANDONED_AFTER, changed)
+                .await
+                .is_err()
+            {
+                return;
+            }
+        }
+    }
+
     /// Releases chunks that the entry has received.
     pub(super) fn acknowledge(&self, next: u64) -> Result<()> {
         self.retention.borrow_mut().acknowledge(next)?;
@@ -124,6 +155,8 @@
         let generation = self.reader_generation.get() + 1;
         self.reader_generation.set(generation);
         self.readable.notify_waiters();
+        self.readers.set(self.readers.get() + 1);
+        self.readers_changed.notify_waiters();
         let reader = Reader {
             output: Rc::clone(self),
             cursor,
@@ -137,6 +170,13 @@
     }
 }
 
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.output.readers.set(self.output.readers.get() - 1);
+        self.output.readers_changed.notify_waiters();
+    }
+}
+
 impl Reader {
     async fn next(&mut self) -> Option<Bytes> {
         if self.done {
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -1,6 +1,9 @@
 //! Runs one attempt: waits for its turn, calls the target, relays the answer.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use futures_util::StreamExt;
 use ntex::{
@@ -42,6 +45,12 @@
 /// Header with the request id, towards targets and callers.
 pub(super) const REQUEST_ID: &str = "x-request-id";
 
+/// Time between two tokens after which an engine counts as hung. Tokens are
+/// expected within 50 ms; a pause of seconds only occurs in a hung engine.
+const STALL: Duration = Duration::from_secs(5);
+
+type PayloadPart = Result<Bytes, ntex::http::error::PayloadError>;
+
 /// One attempt on its way through the agent.
 pub(super) struct Runner {
     pub(super) traffic: Rc<Traffic>,
@@ -126,9 +135,14 @@
         progress: &Progress,
     ) -> Result<(), ErrorKind> {
         let deadline = self.traffic.context.clock.instant(self.expires_at_us);
-        tokio::time::timeout_at(deadline.into(), self.relay(priority, progress))
-            .await
-            .unwrap_or(Err(ErrorKind::DeadlineExceeded))
+        tokio::select! {
+            result = self.relay(priority, progress) => result,
+            () = tokio::time::sleep_until(deadline.into()) => Err(ErrorKind::DeadlineExceeded),
+            // Without this, a target would work for nobody.
+            () = self.output.abandoned(), if self.head.idempotent => {
+                Err(ErrorKind::OutcomeUnknown)
+            }
+        }
     }
 
     async fn relay(&self, priority: Priority, progress: &Progress) -> Result<(), ErrorKind> {
@@ -136,8 +150,12 @@
         self.note_answer(&response, progress);
         self.output
             .set_head(self.response_head(&response, progress));
+        let content_type = response.headers().get("content-type");
+        let is_event_stream =
+            content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+        let stall = is_event_stream.then_some(STALL);
         let mut payload = response.take_payload();
-        self.copy_body(&mut payload).await
+        self.copy_body(&mut payload, stall).await
     }
 
     async fn call_target(&self, priority: Priority) -> Result<ClientResponse, ErrorKind> {
@@ -206,8 +224,12 @@
         }
     }
 
-    async fn copy_body(&self, payload: &mut Payload) -> Result<(), ErrorKind> {
-        while let Some(part) = payload.next().await {
+    async fn copy_body(
+        &self,
+        payload: &mut Payload,
+        stall: Option<Duration>,
+    ) -> Result<(), ErrorKind> {
+        while let Some(part) = next_part(payload, stall).await? {
             let part = part.map_err(|_| ErrorKind::TargetFailed)?;
             let data = bytes::Bytes::copy_from_slice(&part);
             let written = self.output.write(data).await;
@@ -217,6 +239,18 @@
     }
 }
 
+/// Returns the next part of a body; a stalled one counts as a failed target.
+async fn next_part(
+    payload: &mut Payload,
+    stall: Option<Duration>,
+) -> Result<Option<PayloadPart>, ErrorKind> {
+    let Some(stall) = stall else {
+        return Ok(payload.next().await);
+    };
+    let part = tokio::time::timeout(stall, payload.next()).await;
+    part.map_err(|_| ErrorKind::TargetFailed)
+}
+
 /// Engines commonly run lower values first.
 const fn priority_value(priority: Priority) -> &'static str {
     match priority {
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -61,7 +61,8 @@
         .route("/attempts", web::post().to(start))
         .route("/attempts/{id}/frames", web::get().to(resume))
         .route("/attempts/{id}/ack", web::post().to(acknowledge))
-        .route("/attempts/{id}/bar", web::post().to(bar));
+        .route("/attempts/{id}/bar", web::post().to(bar))
+        .route("/attempts/{id}/cancel", web::post().to(cancel));
 }
 
 async fn start(traffic: State, request: HttpRequest, body: Bytes) -> HttpResponse {
@@ -173,6 +174,19 @@
     HttpResponse::build(StatusCode::NO_CONTENT).finish()
 }
 
+/// Ends an attempt whose caller has gone. Only sent for attempts that may run
+/// again, so that a partial execution does no harm.
+async fn cancel(traffic: State, id: web::types::Path<AttemptId>) -> HttpResponse {
+    let _ = traffic
+        .fates
+        .borrow_mut()
+        .bar(traffic.context.incarnation, *id);
+    if let Some(output) = traffic.output(*id) {
+        output.cancel();
+    }
+    HttpResponse::build(StatusCode::NO_CONTENT).finish()
+}
+
 #[derive(Deserialize)]
 struct BarQuery {
     agent: Incarnation,
--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one agent, as the entry sees it.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -10,8 +11,11 @@
 use futures_util::StreamExt;
 use ntex::{
     client::{
-        ClientRequest,
-        ClientResponse, //
+        ClientRequest, ClientResponse,
+        error::{
+            ClientError,
+            ConnectError, //
+        },
     },
     http::Payload,
     util::Bytes,
@@ -49,8 +53,8 @@
 /// Time without a frame after which a connection counts as silent.
 const SILENCE: Duration = Duration::from_micros(HEARTBEAT_US * MISSED_HEARTBEATS);
 
-/// New connections that are tried for one stream before it is given up. Three
-/// cover the silence of a link for about five seconds.
+/// New connections in a row that are tried for one stream before it is given
+/// up. Three cover the silence of a link for about five seconds.
 const MAX_RESUMES: u32 = 3;
 
 /// One attempt of a request at one agent.
@@ -63,6 +67,9 @@
     buffer: BytesMut,
     reassembly: Reassembly,
     resumes: u32,
+    acknowledgement_lost: Rc<Cell<bool>>,
+    /// Whether the connection was refused before a byte of the attempt was sent.
+    pub(super) is_unsent: bool,
 }
 
 impl Attempt {
@@ -87,6 +94,8 @@
             buffer: BytesMut::new(),
             reassembly: Reassembly::new(),
             resumes: 0,
+            acknowledgement_lost: Rc::default(),
+            is_unsent: false,
             head,
         };
         let sent = attempt.post(headers, body).await;
@@ -100,7 +109,12 @@
             request = request.header(name.as_str(), value.as_str());
         }
         request = request.set_header(ATTEMPT_HEADER, self.head.encode()?);
-        let response = within(SILENCE, request.send_body(body)).await?;
+        let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
+        let answer = tokio::time::timeout(SILENCE, request.send_body(body)).await;
+        let response = answer.map_err(|_| lost())?.map_err(|error| {
+            self.is_unsent = is_unsent(&error);
+            lost()
+        })?;
         self.use_response(&response)
     }
 
@@ -123,8 +137,9 @@
     pub(super) async fn next(&mut self) -> Result<Accepted> {
         loop {
             match self.read_frame().await {
-                Ok(Accepted::Nothing) => {}
+                Ok(Accepted::Nothing) => self.acknowledge(),
                 Ok(accepted) => {
+                    self.resumes = 0;
                     self.acknowledge();
                     return Ok(accepted);
                 }
@@ -215,18 +230,50 @@
     }
 
     fn acknowledge(&mut self) {
+        let was_lost = self.acknowledgement_lost.take();
+        if was_lost {
+            self.reassembly.acknowledgement_lost();
+        }
         let Some(next) = self.reassembly.take_acknowledgement() else {
             return;
         };
         let path = format!("/attempts/{}/ack?next={next}", self.head.id);
-        let request = self.worker.client.post(client::url(self.address, &path));
+        let request = if was_lost {
+            self.fresh("POST", &path)
+        } else {
+            self.worker.client.post(client::url(self.address, &path))
+        };
+        let lost = Rc::clone(&self.acknowledgement_lost);
         ntex::rt::spawn(async move {
-            // The agent keeps the chunks a little longer when this is lost.
-            let _ = within(SILENCE, request.send()).await;
+            // The agent stops reading from the target until it hears this, so a
+            // lost one is sent again with the next frame or heartbeat.
+            let answer = within(SILENCE, request.send()).await;
+            lost.set(lost.get() || answer.is_err());
         });
     }
 }
 
+/// An attempt that nobody reads any more is cancelled if the route allows it to
+/// run again; any other runs to its end.
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if self.head.idempotent && !self.is_unsent && !self.reassembly.is_ended() {
+            let path = format!("/attempts/{}/cancel", self.head.id);
+            self.worker.cancel(client::url(self.address, &path));
+        }
+    }
+}
+
+/// `Disconnected` without a reason also stands for a connection that closes
+/// after the request was sent.
+const fn is_unsent(error: &ClientError) -> bool {
+    match error {
+        ClientError::Connect(ConnectError::Disconnected(reason)) => reason.is_some(),
+        ClientError::Connect(_) => true,
+        _ => false,
+    }
+}
+
 async fn within<T, E>(
     limit: Duration,
     call: impl Future<Output = std::result::Result<T, E>>,
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -22,10 +22,15 @@
             MAX_HEAD_BLOCKS, //
         },
         frame::Head,
+        liveness::{
+            HEARTBEAT_US,
+            MISSED_HEARTBEATS, //
+        },
         reassembly::Accepted,
     },
     error::{
         ErrorKind,
+        Execution,
         Result, //
     },
     event::Event,
@@ -34,7 +39,10 @@
     request::{
         openai::{
             continuation::Continuation,
-            stream::CompletionStream, //
+            stream::{
+                CompletionStream,
+                StreamEnd, //
+            },
         },
         prompt::{
             BlockSize,
@@ -61,6 +69,9 @@
 /// Output bound of a completion that states none.
 const DEFAULT_OUTPUT_TOKENS: u32 = 1_024;
 
+/// Last event of a stream.
+const END_MARKER: &[u8] = b"data: [DONE]\n\n";
+
 /// A request that is being run.
 pub(super) struct Call {
     worker: Rc<Worker>,
@@ -70,8 +81,12 @@
     body: Bytes,
     tried: Vec<TargetKey>,
     attempt: Option<Attempt>,
+    /// How the last attempt failed that may have run.
+    loss: Option<ErrorKind>,
     /// Text of the stream so far, for a continuation elsewhere.
     stream: Option<CompletionStream>,
+    /// Whether the end marker was passed in place of the target's own.
+    is_over: bool,
 }
 
 /// Result of a step that may be repeated elsewhere.
@@ -91,7 +106,9 @@
             body,
             tried: Vec::new(),
             attempt: None,
+            loss: None,
             stream,
+            is_over: false,
             request,
         }
     }
@@ -114,20 +131,75 @@
     /// the request ran.
     pub(super) async fn start(&mut self) -> Result<Head> {
         self.worker.budget.borrow_mut().note_first_attempt();
+        self.run_attempts().await
+    }
+
+    /// Starts again after a failure before anything was passed to the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same kinds as [`Self::start`].
+    pub(super) async fn start_over(&mut self, kind: ErrorKind) -> Result<Head> {
+        self.note_loss(kind, Phase::Headed);
+        self.recover(kind, Phase::Headed)?;
+        self.run_attempts().await
+    }
+
+    async fn run_attempts(&mut self) -> Result<Head> {
+        let deadline = self.give_up_at();
+        let head = tokio::time::timeout_at(deadline, self.try_all()).await;
+        let head = head.unwrap_or_else(|_| Err(Report::new(ErrorKind::OutcomeUnknown)));
+        head.map_err(|report| match self.loss {
+            Some(loss) if report.current_context().is_not_run() => Report::new(loss),
+            _ => report,
+        })
+    }
+
+    async fn try_all(&mut self) -> Result<Head> {
         loop {
             let (kind, phase) = match self.try_once().await? {
-                Step::Headed(head) => return Ok(head),
+                Step::Headed(head) => {
+                    if head.status != 200 {
+                        // The answer is no event stream.
+                        self.stream = None;
+                    }
+                    return Ok(head);
+                }
                 Step::Failed(kind, phase) => (kind, phase),
             };
+            self.note_loss(kind, phase);
             self.recover(kind, phase)?;
         }
     }
 
+    /// The agent reports an expired deadline itself; this bound is for an agent
+    /// that cannot be heard.
+    fn give_up_at(&self) -> tokio::time::Instant {
+        let expires_at_us = self.request.expires_at_us;
+        let give_up_at_us = expires_at_us + HEARTBEAT_US * MISSED_HEARTBEATS;
+        self.worker.context.clock.instant(give_up_at_us).into()
+    }
+
+    /// Remembers that an attempt may have run, so that no later failure claims
+    /// that the request did not.
+    fn note_loss(&mut self, kind: ErrorKind, phase: Phase) {
+        if kind.is_not_run() || phase == Phase::Unsent {
+            return;
+        }
+        self.loss = Some(match kind.answer().execution {
+            Execution::Started => kind,
+            Execution::NotRun | Execution::Unknown => ErrorKind::OutcomeUnknown,
+        });
+    }
+
     /// Decides whether the request may be tried again.
     fn recover(&self, kind: ErrorKind, phase: Phase) -> Result<()> {
         match recovery(kind, phase, self.retryable()) {
             Recovery::Answer => Err(Report::new(kind)),
             Recovery::AnswerUnknown => Err(Report::new(ErrorKind::OutcomeUnknown)),
+            Recovery::OtherTarget if phase == Phase::Unsent => {
+                self.spend_retry(ErrorKind::NoTarget)
+            }
             Recovery::OtherTarget | Recovery::Continue => self.spend_retry(kind),
             // The attempt has already been settled and resumed.
             Recovery::Settle | Recovery::Resume => Err(Report::new(ErrorKind::OutcomeUnknown)),
@@ -170,13 +242,20 @@
             self.body.clone(),
         )
         .await;
+        let is_unsent = attempt.is_unsent;
         self.attempt = Some(attempt);
+        if is_unsent {
+            return Ok(Step::Failed(ErrorKind::PeerUnavailable, Phase::Unsent));
+        }
         let accepted = match sent {
             Ok(()) => self.read_first().await,
             Err(report) => Err(report),
         };
         match accepted {
             Ok(Accepted::Head(head)) => Ok(Step::Headed(head)),
+            Ok(Accepted::Failed(ErrorKind::DuplicateAttempt)) => {
+                self.settle(ErrorKind::DuplicateAttempt).await
+            }
             Ok(Accepted::Failed(kind)) => Ok(Step::Failed(kind, Phase::Sent)),
             Ok(_) => Ok(Step::Failed(ErrorKind::StreamBroken, Phase::Headed)),
             Err(report) => self.settle(*report.current_context()).await,
@@ -199,8 +278,12 @@
                 if attempt.resume().await.is_err() {
                     return Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled));
                 }
-                match self.read_first().await {
-                    Ok(Accepted::Head(head)) => Ok(Step::Headed(head)),
+                // From here on the stream is resumed like any other.
+                match attempt.next().await {
+                    Ok(Accepted::Head(head)) => {
+                        self.note_head(&head);
+                        Ok(Step::Headed(head))
+                    }
                     Ok(Accepted::Failed(kind)) => Ok(Step::Failed(kind, Phase::Settled)),
                     _ => Ok(Step::Failed(kind, Phase::Settled)),
                 }
@@ -214,17 +297,20 @@
         };
         let accepted = attempt.next_unresumed().await?;
         if let Accepted::Head(head) = &accepted {
-            let seen = Answered {
-                engine: head.engine_incarnation,
-                matched_blocks: head.matched_blocks,
-                sent_at_us: attempt.sent_at_us,
-            };
-            self.note_head(head, seen);
+            self.note_head(head);
         }
         Ok(accepted)
     }
 
-    fn note_head(&self, head: &Head, seen: Answered) {
+    fn note_head(&self, head: &Head) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let seen = Answered {
+            engine: head.engine_incarnation,
+            matched_blocks: head.matched_blocks,
+            sent_at_us: attempt.sent_at_us,
+        };
         let metrics = &self.worker.context.metrics;
         metrics
             .matched_blocks
@@ -244,21 +330,45 @@
     ///
     /// Returns the failure when the stream cannot be completed.
     pub(super) async fn next(&mut self) -> Result<Option<Bytes>> {
+        let deadline = self.give_up_at();
+        let part = tokio::time::timeout_at(deadline, self.next_part()).await;
+        let part = part.unwrap_or_else(|_| Err(Report::new(ErrorKind::DeadlineExceeded)));
+        part.map_err(|report| Report::new(truthful_after_start(*report.current_context())))
+    }
+
+    async fn next_part(&mut self) -> Result<Option<Bytes>> {
+        if self.is_over {
+            return Ok(None);
+        }
         loop {
             let accepted = match &mut self.attempt {
                 Some(attempt) => attempt.next().await,
                 None => Err(Report::new(ErrorKind::Internal)),
             };
             let kind = match accepted {
-                Ok(Accepted::Data(data)) => return self.pass(&data).map(Some),
-                Ok(Accepted::End) if self.is_complete() => return Ok(None),
+                Ok(Accepted::Data(data)) => {
+                    let events = self.pass(&data)?;
+                    if events.is_empty() {
+                        // An empty chunk would end the response.
+                        continue;
+                    }
+                    return Ok(Some(events));
+                }
+                Ok(Accepted::End) if self.stream.is_none() => return Ok(None),
                 Ok(Accepted::End) => ErrorKind::TargetFailed,
                 Ok(Accepted::Failed(kind)) => kind,
                 Ok(Accepted::Head(_) | Accepted::Nothing) => continue,
                 Err(report) => *report.current_context(),
             };
+            // A generation that has ended needs only its end marker.
+            let end = self.stream.as_ref().map(CompletionStream::end);
+            match end {
+                Some(StreamEnd::Complete) => return Ok(None),
+                Some(StreamEnd::Unmarked) => return Ok(Some(self.end_marker())),
+                _ => {}
+            }
             if !self.continue_elsewhere(kind).await? {
-                return Ok(None);
+                return Ok(Some(self.end_marker()));
             }
         }
     }
@@ -275,10 +385,9 @@
         Ok(Bytes::from(raw))
     }
 
-    fn is_complete(&self) -> bool {
-        use crate::request::openai::stream::StreamEnd;
-        let end = self.stream.as_ref().map(CompletionStream::end);
-        matches!(end, None | Some(StreamEnd::Complete | StreamEnd::Unmarked))
+    fn end_marker(&mut self) -> Bytes {
+        self.is_over = true;
+        Bytes::from_static(END_MARKER)
     }
 
     /// Continues a generation on another target of the same version. Returns
@@ -296,6 +405,9 @@
             Continuation::Exhausted => return Ok(false),
             Continuation::Body(body) => self.body = Bytes::copy_from_slice(&body),
         }
+        if let Some(stream) = &mut self.stream {
+            stream.discard_partial_event();
+        }
         info!(self.worker.context.log, "stream continues on another target";
             "event" => Event::StreamContinued,
             "request_id" => %self.request.id,
@@ -307,13 +419,18 @@
     async fn start_continuation(&mut self) -> Result<()> {
         loop {
             match self.try_once().await? {
-                Step::Headed(head) if head.status == 200 => return Ok(()),
+                Step::Headed(head) if self.continues(&head) => return Ok(()),
                 Step::Headed(_) => return Err(Report::new(ErrorKind::TargetFailed)),
                 Step::Failed(kind, _) => self.spend_retry(truthful_after_start(kind))?,
             }
         }
     }
 
+    /// A continuation on another version would mix the output of two.
+    fn continues(&self, head: &Head) -> bool {
+        head.status == 200 && self.version.as_ref() == Some(&head.version)
+    }
+
     fn next_target(&mut self) -> Result<TargetKey> {
         let config = &self.request.config;
         let route = config.route(self.request.route);
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -103,7 +103,7 @@
                 ended: false,
                 _guard: guard,
             };
-            relay.answer(&head).await
+            relay.answer(head).await
         }
         Err(report) => refuse(&worker, &id, &organisation, &report),
     }
@@ -147,19 +147,30 @@
 }
 
 impl Relay {
-    async fn answer(mut self, head: &Head) -> HttpResponse {
+    async fn answer(mut self, head: Head) -> HttpResponse {
         let id = self.call.request.id.clone();
-        let is_event_stream = self.call.request.is_stream() && head.status == 200;
+        let mut head = head;
+        let mut is_event_stream = self.call.request.is_stream() && head.status == 200;
         let mut collected: Vec<u8> = Vec::new();
         let mut is_whole = false;
         while !is_event_stream && !is_whole && collected.len() < COLLECT_BYTES {
             match self.next().await {
                 Ok(Some(data)) => collected.extend_from_slice(&data),
                 Ok(None) => is_whole = true,
-                Err(report) => return refuse(&self.worker, &id, &self.organisation, &report),
+                Err(report) => match self.call.start_over(*report.current_context()).await {
+                    Ok(other) => {
+                        head = other;
+                        is_event_stream = self.call.request.is_stream() && head.status == 200;
+                        collected.clear();
+                        self.ended = false;
+                    }
+                    Err(report) => {
+                        return refuse(&self.worker, &id, &self.organisation, &report);
+                    }
+                },
             }
         }
-        let mut response = self.response_builder(head, &id);
+        let mut response = self.response_builder(&head, &id);
         let mut response = if is_whole {
             response.body(collected)
         } else {
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -5,7 +5,8 @@
     collections::HashMap,
     num::NonZeroUsize,
     rc::Rc,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use ntex::{
@@ -20,6 +21,8 @@
     },
 };
 
+use tokio::sync::mpsc;
+
 use super::context::{
     Context,
     TargetViews, //
@@ -68,6 +71,12 @@
 /// Assumed time to compute a block until an engine reports its own.
 const BLOCK_US: u64 = 50_000;
 
+/// Attempts that wait to be cancelled; more are left to their agents.
+const MAX_CANCELLATIONS: usize = 1_024;
+
+/// Bound for one cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// State of one traffic thread.
 pub(super) struct Worker {
     pub(super) context: Arc<Context>,
@@ -80,6 +89,7 @@
     placer: RefCell<Placer>,
     hints: RefCell<Hints>,
     ids: RefCell<HashMap<Name, TargetId>>,
+    cancellations: mpsc::Sender<String>,
 }
 
 /// A target that was chosen, with the alternatives in order.
@@ -90,8 +100,12 @@
 impl Worker {
     pub(super) async fn new(context: Arc<Context>) -> Result<Rc<Self>> {
         let now_us = context.clock.now_us();
+        let client = client::build("agents").await?;
+        let (cancellations, urls) = mpsc::channel(MAX_CANCELLATIONS);
+        ntex::rt::spawn(send_cancellations(client.clone(), urls));
         Ok(Rc::new(Self {
-            client: client::build("agents").await?,
+            cancellations,
+            client,
             fresh_client: fresh_client().await?,
             budget: RefCell::new(RetryBudget::new(RetryRate::default(), now_us)),
             placer: RefCell::new(Placer::new(Settings::default(), HEAT_BLOCKS)),
@@ -136,6 +150,12 @@
         Placement { ordered }
     }
 
+    /// Cancels an attempt at its agent. One that does not arrive is cancelled by
+    /// the agent itself when nobody reads its stream.
+    pub(super) fn cancel(&self, url: String) {
+        let _ = self.cancellations.try_send(url);
+    }
+
     /// Records what an answer told about the cache of a target.
     pub(super) fn note_answer(&self, target: &Name, blocks: &[BlockHash], seen: Answered) {
         let now_us = self.context.clock.now_us();
@@ -206,6 +226,15 @@
     pub(super) sent_at_us: u64,
 }
 
+async fn send_cancellations(client: Client, mut urls: mpsc::Receiver<String>) {
+    while let Some(url) = urls.recv().await {
+        let request = client.post(url);
+        ntex::rt::spawn(async move {
+            let _ = tokio::time::timeout(CANCEL_TIMEOUT, request.send()).await;
+        });
+    }
+}
+
 async fn fresh_client() -> Result<Client> {
     let config =
         ntex::SharedCfg::new("fresh").add(IoConfig::new().set_connect_timeout(Millis(1_000)));
--- a/src/request/openai/stream.rs
+++ b/src/request/openai/stream.rs
@@ -116,6 +116,21 @@
         Ok(events)
     }
 
+    /// Drops an event that arrived in part, because a continuation starts with a
+    /// whole one.
+    ///
+    /// ```
+    /// use yuccalatch::request::openai::stream::CompletionStream;
+    ///
+    /// let mut stream = CompletionStream::new();
+    /// assert!(stream.push(b"data: {\"cho").unwrap().is_empty());
+    /// stream.discard_partial_event();
+    /// assert_eq!(stream.push(b"data: [DONE]\n\n").unwrap().len(), 1);
+    /// ```
+    pub fn discard_partial_event(&mut self) {
+        self.parser = SseParser::default();
+    }
+
     /// Returns the text emitted so far, without incomplete events.
     pub fn emitted(&self) -> &str {
         &self.emitted
