--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -73,7 +73,8 @@
 }
 
 impl Attempt {
-    /// Sends an attempt and returns when the agent has accepted the request.
+    /// Sends an attempt and returns when the agent has accepted the request. A
+    /// retry opens a new connection.
     ///
     /// # Errors
     ///
@@ -85,6 +86,7 @@
         head: AttemptHead,
         headers: &[(String, String)],
         body: Bytes,
+        is_retry: bool,
     ) -> (Self, Result<()>) {
         let mut attempt = Self {
             worker: Rc::clone(worker),
@@ -98,13 +100,24 @@
             is_unsent: false,
             head,
         };
-        let sent = attempt.post(headers, body).await;
+        let sent = attempt.post(headers, body, is_retry).await;
         (attempt, sent)
     }
 
-    async fn post(&mut self, headers: &[(String, String)], body: Bytes) -> Result<()> {
-        let url = client::url(self.address, "/attempts");
-        let mut request = self.worker.client.post(url);
+    async fn post(
+        &mut self,
+        headers: &[(String, String)],
+        body: Bytes,
+        is_retry: bool,
+    ) -> Result<()> {
+        let mut request = if is_retry {
+            // Other kept connections may have gone silent like the first.
+            self.fresh("POST", "/attempts")
+        } else {
+            self.worker
+                .client
+                .post(client::url(self.address, "/attempts"))
+        };
         for (name, value) in headers {
             request = request.header(name.as_str(), value.as_str());
         }
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -1,5 +1,7 @@
 //! Runs a request: attempts, retries and the stream that follows.
 
+mod stream;
+
 use std::rc::Rc;
 
 use error_stack::Report;
@@ -37,13 +39,7 @@
     names::Name,
     process::agent::BarAnswer,
     request::{
-        openai::{
-            continuation::Continuation,
-            stream::{
-                CompletionStream,
-                StreamEnd, //
-            },
-        },
+        openai::stream::CompletionStream,
         prompt::{
             BlockSize,
             Namespace,
@@ -51,9 +47,11 @@
             cut, //
         },
         retry::{
+            Deadline,
             Phase,
             Recovery,
             Retryable,
+            backoff,
             recovery, //
         },
     },
@@ -69,9 +67,6 @@
 /// Output bound of a completion that states none.
 const DEFAULT_OUTPUT_TOKENS: u32 = 1_024;
 
-/// Last event of a stream.
-const END_MARKER: &[u8] = b"data: [DONE]\n\n";
-
 /// A request that is being run.
 pub(super) struct Call {
     worker: Rc<Worker>,
@@ -85,6 +80,8 @@
     loss: Option<ErrorKind>,
     /// Text of the stream so far, for a continuation elsewhere.
     stream: Option<CompletionStream>,
+    /// Whether the last failure was one of a connection only.
+    may_reuse: bool,
     /// Whether the end marker was passed in place of the target's own.
     is_over: bool,
 }
@@ -108,6 +105,7 @@
             attempt: None,
             loss: None,
             stream,
+            may_reuse: false,
             is_over: false,
             request,
         }
@@ -183,6 +181,7 @@
     /// Remembers that an attempt may have run, so that no later failure claims
     /// that the request did not.
     fn note_loss(&mut self, kind: ErrorKind, phase: Phase) {
+        self.may_reuse = kind == ErrorKind::Barred;
         if kind.is_not_run() || phase == Phase::Unsent {
             return;
         }
@@ -232,6 +231,10 @@
 
     async fn try_once(&mut self) -> Result<Step> {
         let target = self.next_target()?;
+        if self.tried.contains(&target) {
+            self.back_off().await?;
+        }
+        let is_retry = !self.tried.is_empty();
         self.tried.push(target);
         let (address, head) = self.attempt_head(target)?;
         let (attempt, sent) = Attempt::send(
@@ -240,6 +243,7 @@
             head,
             &self.request.headers,
             self.body.clone(),
+            is_retry,
         )
         .await;
         let is_unsent = attempt.is_unsent;
@@ -262,6 +266,19 @@
         }
     }
 
+    /// Waits before the same target is asked again.
+    async fn back_off(&self) -> Result<()> {
+        let clock = self.worker.context.clock;
+        let retries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let deadline = Deadline {
+            expires_at_us: self.request.expires_at_us,
+        };
+        let retry_at_us = backoff(clock.now_us(), retries, deadline, &mut rand::rng());
+        let retry_at_us = retry_at_us.ok_or_else(|| Report::new(ErrorKind::DeadlineBeforeStart))?;
+        tokio::time::sleep_until(clock.instant(retry_at_us).into()).await;
+        Ok(())
+    }
+
     /// Finds out whether an attempt without an answer has started.
     async fn settle(&mut self, kind: ErrorKind) -> Result<Step> {
         let Some(attempt) = &mut self.attempt else {
@@ -324,113 +341,6 @@
         }
     }
 
-    /// Returns the next body bytes; `None` at the end.
-    ///
-    /// # Errors
-    ///
-    /// Returns the failure when the stream cannot be completed.
-    pub(super) async fn next(&mut self) -> Result<Option<Bytes>> {
-        let deadline = self.give_up_at();
-        let part = tokio::time::timeout_at(deadline, self.next_part()).await;
-        let part = part.unwrap_or_else(|_| Err(Report::new(ErrorKind::DeadlineExceeded)));
-        part.map_err(|report| Report::new(truthful_after_start(*report.current_context())))
-    }
-
-    async fn next_part(&mut self) -> Result<Option<Bytes>> {
-        if self.is_over {
-            return Ok(None);
-        }
-        loop {
-            let accepted = match &mut self.attempt {
-                Some(attempt) => attempt.next().await,
-                None => Err(Report::new(ErrorKind::Internal)),
-            };
-            let kind = match accepted {
-                Ok(Accepted::Data(data)) => {
-                    let events = self.pass(&data)?;
-                    if events.is_empty() {
-                        // An empty chunk would end the response.
-                        continue;
-                    }
-                    return Ok(Some(events));
-                }
-                Ok(Accepted::End) if self.stream.is_none() => return Ok(None),
-                Ok(Accepted::End) => ErrorKind::TargetFailed,
-                Ok(Accepted::Failed(kind)) => kind,
-                Ok(Accepted::Head(_) | Accepted::Nothing) => continue,
-                Err(report) => *report.current_context(),
-            };
-            // A generation that has ended needs only its end marker.
-            let end = self.stream.as_ref().map(CompletionStream::end);
-            match end {
-                Some(StreamEnd::Complete) => return Ok(None),
-                Some(StreamEnd::Unmarked) => return Ok(Some(self.end_marker())),
-                _ => {}
-            }
-            if !self.continue_elsewhere(kind).await? {
-                return Ok(Some(self.end_marker()));
-            }
-        }
-    }
-
-    /// Remembers the text that is passed on.
-    fn pass(&mut self, data: &[u8]) -> Result<Bytes> {
-        let Some(stream) = &mut self.stream else {
-            return Ok(Bytes::copy_from_slice(data));
-        };
-        // Only whole events are passed, so that a continuation starts at an
-        // event boundary.
-        let events = stream.push(data)?;
-        let raw: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
-        Ok(Bytes::from(raw))
-    }
-
-    fn end_marker(&mut self) -> Bytes {
-        self.is_over = true;
-        Bytes::from_static(END_MARKER)
-    }
-
-    /// Continues a generation on another target of the same version. Returns
-    /// false when nothing is left to generate.
-    async fn continue_elsewhere(&mut self, kind: ErrorKind) -> Result<bool> {
-        let answer = recovery(kind, Phase::Streaming, self.retryable());
-        if answer != Recovery::Continue {
-            return Err(Report::new(truthful_after_start(kind)));
-        }
-        self.spend_retry(truthful_after_start(kind))?;
-        let (Some(stream), Some(completion)) = (&self.stream, &self.request.completion) else {
-            return Err(Report::new(truthful_after_start(kind)));
-        };
-        match completion.continuation(stream.emitted(), stream.emitted_tokens())? {
-            Continuation::Exhausted => return Ok(false),
-            Continuation::Body(body) => self.body = Bytes::copy_from_slice(&body),
-        }
-        if let Some(stream) = &mut self.stream {
-            stream.discard_partial_event();
-        }
-        info!(self.worker.context.log, "stream continues on another target";
-            "event" => Event::StreamContinued,
-            "request_id" => %self.request.id,
-            "kind" => kind.name());
-        self.start_continuation().await?;
-        Ok(true)
-    }
-
-    async fn start_continuation(&mut self) -> Result<()> {
-        loop {
-            match self.try_once().await? {
-                Step::Headed(head) if self.continues(&head) => return Ok(()),
-                Step::Headed(_) => return Err(Report::new(ErrorKind::TargetFailed)),
-                Step::Failed(kind, _) => self.spend_retry(truthful_after_start(kind))?,
-            }
-        }
-    }
-
-    /// A continuation on another version would mix the output of two.
-    fn continues(&self, head: &Head) -> bool {
-        head.status == 200 && self.version.as_ref() == Some(&head.version)
-    }
-
     fn next_target(&mut self) -> Result<TargetKey> {
         let config = &self.request.config;
         let route = config.route(self.request.route);
@@ -446,11 +356,12 @@
         let placement = self
             .worker
             .place(config, service, version.as_deref(), &self.prompt.blocks);
-        let untried = placement
-            .ordered
-            .into_iter()
-            .find(|target| !self.tried.contains(target));
-        let target = untried.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
+        let is_untried = |target: &&TargetKey| !self.tried.contains(target);
+        let untried = placement.ordered.iter().find(is_untried);
+        // A target whose link failed may work on a new connection.
+        let again = placement.ordered.first().filter(|_| self.may_reuse);
+        let target = untried.or(again).copied();
+        let target = target.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
         // All attempts of a request use one version, so that a stream never
         // mixes the output of two.
         self.version = version;
@@ -533,12 +444,3 @@
         other => other,
     }
 }
-
-/// After the caller has received a part, no kind may claim "not run".
-const fn truthful_after_start(kind: ErrorKind) -> ErrorKind {
-    if kind.is_not_run() {
-        ErrorKind::StreamBroken
-    } else {
-        kind
-    }
-}
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -1,7 +1,10 @@
 //! State of one traffic thread of an entry.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::HashMap,
     num::NonZeroUsize,
     rc::Rc,
@@ -90,6 +93,7 @@
     hints: RefCell<Hints>,
     ids: RefCell<HashMap<Name, TargetId>>,
     cancellations: mpsc::Sender<String>,
+    turn: Cell<usize>,
 }
 
 /// A target that was chosen, with the alternatives in order.
@@ -105,6 +109,7 @@
         ntex::rt::spawn(send_cancellations(client.clone(), urls));
         Ok(Rc::new(Self {
             cancellations,
+            turn: Cell::new(0),
             client,
             fresh_client: fresh_client().await?,
             budget: RefCell::new(RetryBudget::new(RetryRate::default(), now_us)),
@@ -128,6 +133,9 @@
         let usable: Vec<(TargetKey, Target)> = keys
             .filter_map(|key| Some((key, self.usable(config, &views, key, version)?)))
             .collect();
+        if blocks.is_empty() {
+            return self.place_evenly(usable);
+        }
         let targets: Vec<Target> = usable.iter().map(|(_, target)| *target).collect();
         let Some(decision) = self.decide(&targets, blocks) else {
             return Placement {
@@ -150,6 +158,20 @@
         Placement { ordered }
     }
 
+    /// Without a cached prefix, targets with equal queues take turns.
+    fn place_evenly(&self, mut usable: Vec<(TargetKey, Target)>) -> Placement {
+        let turn = self.turn.get().wrapping_add(1);
+        self.turn.set(turn);
+        if !usable.is_empty() {
+            let first = turn % usable.len();
+            usable.rotate_left(first);
+        }
+        usable.sort_by_key(|(_, target)| target.queue_us);
+        Placement {
+            ordered: usable.into_iter().map(|(key, _)| key).collect(),
+        }
+    }
+
     /// Cancels an attempt at its agent. One that does not arrive is cancelled by
     /// the agent itself when nobody reads its stream.
     pub(super) fn cancel(&self, url: String) {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -33,6 +33,7 @@
     },
 };
 
+use super::relay::Relay;
 use ntex::rt::{
     DefaultRuntime,
     System, //
@@ -160,6 +161,12 @@
     pub(crate) entries: usize,
     pub(crate) engines: usize,
     pub(crate) plains: usize,
+    /// Whether a relay stands between the entries and each agent.
+    pub(crate) relayed: bool,
+    /// Fields that are added to the settings of the entries.
+    pub(crate) entry: Value,
+    /// Fields that are added to the settings of the agents.
+    pub(crate) agent: Value,
     /// Fields that replace the defaults of the engines.
     pub(crate) engine: Value,
 }
@@ -170,6 +177,9 @@
             entries: 1,
             engines: 1,
             plains: 0,
+            relayed: false,
+            entry: json!({}),
+            agent: json!({}),
             engine: json!({"decode_tokens_per_s": 500, "prefill_tokens_per_s": 100_000}),
         }
     }
@@ -181,6 +191,7 @@
     pub(crate) service: &'static str,
     pub(crate) standin: Process,
     pub(crate) agent: Process,
+    pub(crate) relay: Option<Relay>,
 }
 
 /// A whole small deployment.
@@ -188,6 +199,43 @@
     pub(crate) platform: Process,
     pub(crate) targets: Vec<Target>,
     pub(crate) entries: Vec<Process>,
+    relayed: bool,
+    entry: Value,
+    agent: Value,
+}
+
+impl Target {
+    fn data_address(&self) -> SocketAddr {
+        let relay = self.relay.as_ref().map(|relay| relay.address);
+        relay.unwrap_or_else(|| self.agent.address("data_address"))
+    }
+
+    pub(crate) fn relay(&self) -> &Relay {
+        self.relay.as_ref().unwrap()
+    }
+
+    /// Returns how often a plain service has run a request body.
+    pub(crate) fn executions(&self, body: &str) -> u64 {
+        let counts = get(self.standin.address("address"), "/executions").json();
+        counts["by_body"][body].as_u64().unwrap_or(0)
+    }
+
+    /// Sets faults of the stand-in.
+    pub(crate) fn set_faults(&self, faults: &Value) {
+        let answer = put(self.standin.address("address"), "/faults", faults);
+        assert_eq!(answer.status, 204, "{}", answer.text());
+    }
+
+    /// Returns what the stand-in has received.
+    pub(crate) fn received(&self) -> Value {
+        get(self.standin.address("address"), "/received").json()
+    }
+}
+
+fn extend(settings: &mut Value, fields: &Value) {
+    for (name, value) in fields.as_object().unwrap() {
+        settings[name] = value.clone();
+    }
 }
 
 fn log() -> Value {
@@ -207,6 +255,9 @@
             platform,
             targets: Vec::new(),
             entries: Vec::new(),
+            relayed: plan.relayed,
+            entry: plan.entry.clone(),
+            agent: plan.agent.clone(),
         };
         for number in 0..plan.engines {
             fleet.add_target("draft", &format!("engine-{number}"), &plan.engine);
@@ -238,8 +289,11 @@
             settings["engine"] = engine.clone();
         }
         let standin = Process::start(env!("CARGO_BIN_EXE_yuccalatch-standin"), &settings);
-        let agent = self.start_agent(service, name, standin.address("address"));
+        let agent = self.start_agent(service, name, standin.address("address"), None);
+        let data_address = agent.address("data_address");
+        let relay = self.relayed.then(|| Relay::start(data_address));
         self.targets.push(Target {
+            relay,
             name: name.to_owned(),
             service,
             standin,
@@ -247,12 +301,20 @@
         });
     }
 
-    fn start_agent(&self, service: &str, name: &str, target: SocketAddr) -> Process {
-        let settings = json!({
+    /// Starts an agent, on the addresses of an earlier one where given.
+    fn start_agent(
+        &self,
+        service: &str,
+        name: &str,
+        target: SocketAddr,
+        former: Option<&Process>,
+    ) -> Process {
+        let address = |field| former.map_or(json!(ANY), |former| json!(former.address(field)));
+        let mut settings = json!({
             "name": name,
             "data_centre": "a",
-            "data_address": ANY,
-            "control_address": ANY,
+            "data_address": address("data_address"),
+            "control_address": address("control_address"),
             "admin_address": ANY,
             "target_address": target,
             "target_kind": if service == "draft" { "model" } else { "plain" },
@@ -260,9 +322,21 @@
             "platform_address": self.platform_address(),
             "log": log(),
         });
+        extend(&mut settings, &self.agent);
         Process::start(env!("CARGO_BIN_EXE_yuccalatch-agent"), &settings)
     }
 
+    /// Kills an agent and starts it again on the same addresses.
+    pub(crate) fn restart_agent(&mut self, target: usize) {
+        let old = &mut self.targets[target];
+        old.agent.signal("KILL");
+        old.agent.wait();
+        let old = &self.targets[target];
+        let standin = old.standin.address("address");
+        let agent = self.start_agent(old.service, &old.name, standin, Some(&old.agent));
+        self.targets[target].agent = agent;
+    }
+
     pub(crate) fn add_entry(&mut self, name: &str) {
         let settings = self.entry_settings(name);
         let entry = Process::start(env!("CARGO_BIN_EXE_yuccalatch-entry"), &settings);
@@ -275,7 +349,7 @@
         for process in agents.chain(&self.entries) {
             peers.push(process.address("control_address"));
         }
-        json!({
+        let mut settings = json!({
             "name": name,
             "data_centre": "a",
             "caller_address": ANY,
@@ -284,7 +358,9 @@
             "platform_address": self.platform_address(),
             "peers": peers,
             "log": log(),
-        })
+        });
+        extend(&mut settings, &self.entry);
+        settings
     }
 
     /// Returns the ticket that creates every object of the fleet.
@@ -338,7 +414,7 @@
             set.push(
                 json!({"target": {"name": target.name, "service": target.service,
                 "data_centre": "a", "version": version,
-                "address": target.agent.address("data_address"),
+                "address": target.data_address(),
                 "control_address": target.agent.address("control_address")}}),
             );
         }
@@ -368,6 +444,17 @@
         }
     }
 
+    /// Waits until agents have served this many requests of a public route.
+    pub(crate) fn wait_targets(&self, plains: usize) {
+        let serves = |target: &Target| target.received() != json!([]);
+        for entry in 0..self.entries.len() {
+            eventually("every plain service is used", || {
+                get(self.caller(entry), "/files/a");
+                self.targets.iter().filter(|target| serves(target)).count() == plains
+            });
+        }
+    }
+
     pub(crate) fn caller(&self, entry: usize) -> SocketAddr {
         self.entries[entry].address("caller_address")
     }
@@ -436,6 +523,45 @@
     parse(&raw)
 }
 
+/// A request whose answer is read in parts.
+pub(crate) struct Exchange {
+    stream: TcpStream,
+    raw: Vec<u8>,
+}
+
+impl Exchange {
+    pub(crate) fn start(address: SocketAddr, request: &[u8]) -> Self {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(request).unwrap();
+        Self {
+            stream,
+            raw: Vec::new(),
+        }
+    }
+
+    /// Reads until a text occurs this many times.
+    pub(crate) fn read_until(&mut self, text: &str, count: usize) {
+        let mut buffer = [0; 4096];
+        while String::from_utf8_lossy(&self.raw).matches(text).count() < count {
+            let length = self.stream.read(&mut buffer).unwrap();
+            assert!(length > 0, "ended: {}", String::from_utf8_lossy(&self.raw));
+            self.raw.extend_from_slice(&buffer[..length]);
+        }
+    }
+
+    /// Sends more bytes.
+    pub(crate) fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Reads to the end of the connection.
+    pub(crate) fn finish(mut self) -> Answer {
+        let _ = self.stream.read_to_end(&mut self.raw);
+        parse(&self.raw)
+    }
+}
+
 /// Parses an answer that was read to the end of the connection.
 pub(crate) fn parse(raw: &[u8]) -> Answer {
     let split = raw.windows(4).position(|window| window == b"\r\n\r\n");
@@ -524,14 +650,19 @@
     exchange(address, &request("PUT", path, &headers, &body.to_string()))
 }
 
-/// Posts a JSON body with a key.
-pub(crate) fn post(address: SocketAddr, path: &str, key: &str, body: &Value) -> Answer {
+/// Formats a POST of a JSON body with a key.
+pub(crate) fn post_request(path: &str, key: &str, body: &Value) -> Vec<u8> {
     let authorization = format!("Bearer {key}");
     let headers = [
         ("authorization", authorization.as_str()),
         ("content-type", "application/json"),
     ];
-    exchange(address, &request("POST", path, &headers, &body.to_string()))
+    request("POST", path, &headers, &body.to_string())
+}
+
+/// Posts a JSON body with a key.
+pub(crate) fn post(address: SocketAddr, path: &str, key: &str, body: &Value) -> Answer {
+    exchange(address, &post_request(path, key, body))
 }
 
 /// Body of a text completion.
