--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -2,6 +2,7 @@
 
 mod context;
 mod control;
+mod keyed;
 mod output;
 mod runner;
 mod server;
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -62,6 +62,7 @@
     leaving: AtomicBool,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
+    members_changed_at_us: AtomicU64,
 }
 
 impl Context {
@@ -81,6 +82,7 @@
             leaving: AtomicBool::new(false),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
+            members_changed_at_us: AtomicU64::new(0),
         }
     }
 
@@ -96,6 +98,21 @@
         queued.saturating_mul(service_us) / slots
     }
 
+    /// Notes that the members of this target's service have changed, so that
+    /// idempotency keys may have been run by another agent until now.
+    #[expect(
+        dead_code,
+        reason = "the control thread does not follow the configuration yet"
+    )]
+    pub(super) fn note_members_changed(&self) {
+        let now_us = self.clock.now_us();
+        self.members_changed_at_us.store(now_us, Ordering::Relaxed);
+    }
+
+    pub(super) fn members_changed_at_us(&self) -> u64 {
+        self.members_changed_at_us.load(Ordering::Relaxed)
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -15,6 +15,10 @@
 
 use super::{
     context::Answered,
+    keyed::{
+        Recording,
+        end, //
+    },
     output::Output,
     traffic::Traffic, //
 };
@@ -59,6 +63,7 @@
     pub(super) headers: Vec<(String, String)>,
     pub(super) body: Bytes,
     pub(super) expires_at_us: u64,
+    pub(super) recording: Recording,
 }
 
 /// Measures of an attempt that has started.
@@ -73,6 +78,20 @@
         let traffic = Rc::clone(&self.traffic);
         let id = attempt.id();
         let arrived_at_us = traffic.context.clock.now_us();
+        match self.claim().await {
+            Ok(None) => {}
+            Ok(Some(outcome)) => {
+                self.replay(attempt, &outcome).await;
+                traffic.close(id);
+                return;
+            }
+            Err(kind) => {
+                traffic.fates.borrow_mut().withdraw(attempt);
+                self.output.fail(kind);
+                traffic.close(id);
+                return;
+            }
+        }
         let turn = traffic
             .wait_turn(
                 self.head.organisation.clone(),
@@ -84,6 +103,7 @@
         match turn {
             Err(kind) => {
                 traffic.fates.borrow_mut().withdraw(attempt);
+                self.release_key();
                 self.output.fail(kind);
             }
             Ok(priority) => {
@@ -100,6 +120,7 @@
         let running = match started {
             Ok(running) => running,
             Err(report) => {
+                self.release_key();
                 self.output.fail(*report.current_context());
                 return;
             }
@@ -115,10 +136,8 @@
         let failure = self.relay_until_deadline(priority, &progress).await.err();
         let ended_at_us = self.traffic.context.clock.now_us();
         self.traffic.context.load.note_service(ended_at_us - now_us);
-        match failure {
-            None => self.output.finish(),
-            Some(kind) => self.output.fail(kind),
-        }
+        self.store_outcome(failure);
+        end(&self.output, failure);
         metrics.count_answer(&self.head.organisation, failure);
         info!(self.traffic.context.log, "attempt ended";
             "event" => if failure.is_none() { Event::RequestDone } else { Event::RequestFailed },
@@ -148,8 +167,11 @@
     async fn relay(&self, priority: Priority, progress: &Progress) -> Result<(), ErrorKind> {
         let response = self.call_target(priority).await?;
         self.note_answer(&response, progress);
-        self.output
-            .set_head(self.response_head(&response, progress));
+        let head = self.response_head(&response, progress);
+        if self.head.idempotency.is_some() {
+            self.recording.start(&head);
+        }
+        self.output.set_head(head);
         let content_type = response.headers().get("content-type");
         let is_event_stream =
             content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
@@ -231,6 +253,7 @@
     ) -> Result<(), ErrorKind> {
         while let Some(part) = next_part(payload, stall).await? {
             let part = part.map_err(|_| ErrorKind::TargetFailed)?;
+            self.recording.append(&part);
             let data = bytes::Bytes::copy_from_slice(&part);
             let written = self.output.write(data).await;
             written.map_err(|report| *report.current_context())?;
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -19,6 +19,7 @@
 };
 
 use super::{
+    keyed::Recording,
     output,
     runner::{
         Runner,
@@ -96,6 +97,7 @@
         body,
         expires_at_us: expires_at_us(context.clock.now_us(), head.budget_ms),
         head,
+        recording: Recording::default(),
     };
     ntex::rt::spawn(runner.run(attempt));
     Ok(output)
--- a/src/process/agent/traffic.rs
+++ b/src/process/agent/traffic.rs
@@ -21,7 +21,10 @@
     output::Output, //
 };
 use crate::{
-    clock::US_PER_S,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     error::{
         ErrorKind,
         Result, //
@@ -38,7 +41,13 @@
             Priority,
             Rejected, //
         },
-        fate::{FateLimits, FateTable},
+        fate::{
+            FateLimits, FateTable,
+            idempotency::{
+                KeyLimits,
+                KeyTable, //
+            },
+        },
     },
 };
 
@@ -58,6 +67,9 @@
     pub(super) context: Arc<Context>,
     pub(super) client: Client,
     pub(super) fates: RefCell<FateTable>,
+    pub(super) keys: RefCell<KeyTable>,
+    /// Notified when a request with an idempotency key has ended.
+    pub(super) keys_changed: Notify,
     outputs: RefCell<HashMap<AttemptId, Rc<Output>>>,
     finished: RefCell<std::collections::VecDeque<Finished>>,
     queue: RefCell<FairQueue<oneshot::Sender<Turn>>>,
@@ -68,11 +80,18 @@
     pub(super) async fn new(context: Arc<Context>) -> Result<Rc<Self>> {
         let client = client::build("target").await?;
         let fates = FateTable::new(context.incarnation, FateLimits::default());
+        let key_limits = KeyLimits {
+            window_us: context.settings.idempotency_window_ms * US_PER_MS,
+            ..KeyLimits::default()
+        };
+        let keys = KeyTable::new(key_limits, context.clock.now_us());
         let queue = FairQueue::new(context.queue_settings());
         let traffic = Rc::new(Self {
             context,
             client,
             fates: RefCell::new(fates),
+            keys: RefCell::new(keys),
+            keys_changed: Notify::new(),
             outputs: RefCell::default(),
             finished: RefCell::default(),
             queue: RefCell::new(queue),
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -33,6 +33,8 @@
     info, //
 };
 
+use tokio::sync::mpsc;
+
 use self::{
     context::Context,
     worker::Worker, //
@@ -54,6 +56,9 @@
     settings::EntrySettings,
 };
 
+/// Requests with idempotency keys that wait for the control thread.
+const RECORD_CAPACITY: usize = 1_024;
+
 /// Interval between checks whether the last request has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -76,7 +81,8 @@
     let caller = stop::bind(settings.caller_address)?;
     let control = stop::bind(settings.control_address)?;
     let admin = stop::bind(settings.admin_address)?;
-    let context = Arc::new(Context::new(settings, log.clone()));
+    let (records, record_requests) = mpsc::channel(RECORD_CAPACITY);
+    let context = Arc::new(Context::new(settings, log.clone(), records));
     info!(log, "entry listens";
         "event" => Event::Started,
         "incarnation" => %context.incarnation,
@@ -85,7 +91,7 @@
         "admin_address" => %stop::local(&admin)?);
     let shared = Arc::clone(&context);
     stop::spawn_system("control", move || async move {
-        if let Err(report) = control::run(Arc::clone(&shared), control).await {
+        if let Err(report) = control::run(Arc::clone(&shared), control, record_requests).await {
             error!(shared.log, "control thread failed";
                 "event" => Event::Fatal, "error" => ?report);
         }
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -15,11 +15,20 @@
 
 use arc_swap::ArcSwap;
 use slog::Logger;
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
 
 use crate::{
-    clock::Clock,
+    clock::{
+        Clock,
+        US_PER_MS,
+        US_PER_S, //
+    },
     names::{
         AttemptId,
+        Digest,
         Incarnation,
         Name, //
     },
@@ -60,10 +69,32 @@
     next_sequence: AtomicU64,
     leaving: AtomicBool,
     keys_stale: AtomicBool,
+    /// Asks the control thread for records of idempotency keys.
+    pub(super) records: mpsc::Sender<RecordRequest>,
+    platform_heard_at_us: AtomicU64,
+    platform_failed_at_us: AtomicU64,
+}
+
+/// Request for the record of an idempotency key.
+pub(super) struct RecordRequest {
+    pub(super) key: Digest,
+    /// Agent that would run the request.
+    pub(super) agent: Incarnation,
+    /// Whether the record belongs to that agent; `None` when the object API
+    /// cannot vouch for it.
+    pub(super) answer: oneshot::Sender<Option<bool>>,
 }
 
+/// Longest time between two answers of the object API that still counts as
+/// continuous service: one watch call with its bound.
+const PLATFORM_GAP_US: u64 = 20 * US_PER_S;
+
 impl Context {
-    pub(super) fn new(settings: EntrySettings, log: Logger) -> Self {
+    pub(super) fn new(
+        settings: EntrySettings,
+        log: Logger,
+        records: mpsc::Sender<RecordRequest>,
+    ) -> Self {
         Self {
             settings,
             log,
@@ -76,6 +107,9 @@
             next_sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             keys_stale: AtomicBool::new(false),
+            records,
+            platform_heard_at_us: AtomicU64::new(0),
+            platform_failed_at_us: AtomicU64::new(0),
         }
     }
 
@@ -104,6 +138,30 @@
         self.keys_stale.store(stale, Ordering::Relaxed);
     }
 
+    /// Notes whether the object API answered just now.
+    pub(super) fn note_platform(&self, is_up: bool) {
+        let now_us = self.clock.now_us();
+        let heard_at_us = self.platform_heard_at_us.load(Ordering::Relaxed);
+        if !is_up || now_us.saturating_sub(heard_at_us) > PLATFORM_GAP_US {
+            self.platform_failed_at_us.store(now_us, Ordering::Relaxed);
+        }
+        if is_up {
+            self.platform_heard_at_us.store(now_us, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the object API is known to have answered throughout the window of
+    /// idempotency keys.
+    pub(super) fn has_platform_covered_window(&self) -> bool {
+        let now_us = self.clock.now_us();
+        let heard_at_us = self.platform_heard_at_us.load(Ordering::Relaxed);
+        let failed_at_us = self.platform_failed_at_us.load(Ordering::Relaxed);
+        let window_us = self.settings.idempotency_window_ms * US_PER_MS;
+        heard_at_us > 0
+            && now_us.saturating_sub(heard_at_us) <= PLATFORM_GAP_US
+            && now_us.saturating_sub(failed_at_us) >= window_us
+    }
+
     /// Whether a configuration has been received.
     pub(super) fn has_config(&self) -> bool {
         self.config.load().revision() > 0
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -1,6 +1,7 @@
 //! Control thread of an entry.
 
 mod configuration;
+mod records;
 mod targets;
 
 use std::{
@@ -26,7 +27,10 @@
 };
 
 use self::configuration::Configuration;
-use super::context::Context;
+use super::context::{
+    Context,
+    RecordRequest, //
+};
 use crate::{
     error::{
         ErrorKind,
@@ -69,7 +73,11 @@
 }
 
 /// Runs the control thread until the process ends.
-pub(super) async fn run(context: Arc<Context>, listener: TcpListener) -> Result<()> {
+pub(super) async fn run(
+    context: Arc<Context>,
+    listener: TcpListener,
+    record_requests: mpsc::Receiver<RecordRequest>,
+) -> Result<()> {
     let (commands, mut inbox) = mpsc::channel(COMMAND_CAPACITY);
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
@@ -81,6 +89,7 @@
     let handle = server.start(Api { commands }.into_rpc());
     let configuration = Rc::new(Configuration::new(Arc::clone(&context)));
     ntex::rt::spawn(Rc::clone(&configuration).run());
+    ntex::rt::spawn(records::run(Arc::clone(&context), record_requests));
     ntex::rt::spawn(Rc::new(targets::Targets::new(Arc::clone(&context))).run());
     loop {
         tokio::select! {
--- a/src/process/entry/control/configuration.rs
+++ b/src/process/entry/control/configuration.rs
@@ -72,6 +72,7 @@
         let mut stale_at_us = 0;
         loop {
             let result = self.follow(&platform, &mut seen).await;
+            context.note_platform(result.is_ok());
             let now_us = context.clock.now_us();
             if result.is_ok() {
                 stale_at_us = now_us + KEYS_STALE_AFTER_US;
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -1,5 +1,6 @@
 //! Runs a request: attempts, retries and the stream that follows.
 
+mod keyed;
 mod stream;
 
 use std::rc::Rc;
@@ -193,6 +194,11 @@
 
     /// Decides whether the request may be tried again.
     fn recover(&self, kind: ErrorKind, phase: Phase) -> Result<()> {
+        let is_refused = kind.is_not_run() && kind != ErrorKind::Barred;
+        if self.request.keyed.is_some() && is_refused {
+            // Another agent cannot vouch for the key.
+            return Err(Report::new(truthful(kind)));
+        }
         match recovery(kind, phase, self.retryable()) {
             Recovery::Answer => Err(Report::new(kind)),
             Recovery::AnswerUnknown => Err(Report::new(ErrorKind::OutcomeUnknown)),
@@ -236,7 +242,8 @@
         }
         let is_retry = !self.tried.is_empty();
         self.tried.push(target);
-        let (address, head) = self.attempt_head(target)?;
+        let (address, mut head) = self.attempt_head(target)?;
+        head.idempotency = self.claim_key(target, head.agent).await?;
         let (attempt, sent) = Attempt::send(
             &self.worker,
             address,
@@ -356,6 +363,14 @@
         let placement = self
             .worker
             .place(config, service, version.as_deref(), &self.prompt.blocks);
+        if let Some(keyed) = self.request.keyed {
+            let owners = self.worker.owners(config, service, keyed.key);
+            let mut live = owners
+                .into_iter()
+                .filter(|key| placement.ordered.contains(key));
+            self.version = version;
+            return live.next().ok_or_else(|| Report::new(ErrorKind::NoTarget));
+        }
         let is_untried = |target: &&TargetKey| !self.tried.contains(target);
         let untried = placement.ordered.iter().find(is_untried);
         // A target whose link failed may work on a new connection.
--- /dev/null
+++ b/src/process/entry/forward/keyed.rs
@@ -0,0 +1,53 @@
+//! Claims of idempotency keys at the object API.
+
+use error_stack::Report;
+use tokio::sync::oneshot;
+
+use super::Call;
+use crate::{
+    connection::attempt::IdempotencyClaim,
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::Incarnation,
+    process::entry::{
+        context::RecordRequest,
+        request::Keyed, //
+    },
+    version::config::TargetKey,
+};
+
+impl Call {
+    /// Lets the object API vouch for the key of the request.
+    pub(super) async fn claim_key(
+        &self,
+        target: TargetKey,
+        agent: Incarnation,
+    ) -> Result<Option<IdempotencyClaim>> {
+        let Some(Keyed { key, request }) = self.request.keyed else {
+            return Ok(None);
+        };
+        let (answer, created) = oneshot::channel();
+        let record = RecordRequest { key, agent, answer };
+        let sent = self.worker.context.records.try_send(record);
+        let created = match sent {
+            Ok(()) => created.await.unwrap_or(None),
+            // An overloaded control thread counts as a silent object API.
+            Err(_) => None,
+        };
+        let config = &self.request.config;
+        let service = config.route(self.request.route).map(|entry| entry.service);
+        let owners = service.map(|service| self.worker.owners(config, service, key));
+        let is_owner = owners.is_some_and(|owners| owners.first() == Some(&target));
+        if created.is_none() && !is_owner {
+            // The owner may have run the request before it went away.
+            return Err(Report::new(ErrorKind::IdempotencyUnverified));
+        }
+        Ok(Some(IdempotencyClaim {
+            key,
+            request,
+            created,
+        }))
+    }
+}
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -28,9 +28,14 @@
         Result, //
     },
     names::{
+        Digest,
         Incarnation,
         Name, //
     },
+    process::fate::idempotency::{
+        KeyId,
+        request_digest, //
+    },
     request::{
         headers::{
             Direction,
@@ -76,10 +81,36 @@
     pub(super) headers: Vec<(String, String)>,
     pub(super) body: Bytes,
     pub(super) completion: Option<Completion>,
+    /// Present when the route must not run the request twice and the caller has
+    /// sent a key.
+    pub(super) keyed: Option<Keyed>,
     pub(super) arrived_at_us: u64,
     pub(super) expires_at_us: u64,
 }
 
+/// Idempotency key of a request and what it was used with.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Keyed {
+    pub(super) key: Digest,
+    pub(super) request: Digest,
+}
+
+/// Longest idempotency key.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<&[u8]>> {
+    let mut values = headers.get_all("idempotency-key");
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let length = value.as_bytes().len();
+    if values.next().is_some() || length == 0 || length > MAX_IDEMPOTENCY_KEY_BYTES {
+        let report = Report::new(ErrorKind::BadRequest);
+        return Err(report.attach("invalid idempotency key"));
+    }
+    Ok(Some(value.as_bytes()))
+}
+
 /// Returns the caller's request id, or makes one.
 pub(super) fn request_id(request: &HttpRequest) -> Name {
     let given = request
@@ -184,18 +215,25 @@
         let organisation_name = organisation
             .and_then(|key| config.organisation(key))
             .map_or_else(|| PUBLIC.into(), |organisation| organisation.name.clone());
-        let path_and_query = request.uri().path_and_query();
-        let path_and_query = path_and_query.map_or(path.as_str(), |path| path.as_str());
+        let route_of_key = config.route(route).filter(|entry| !entry.route.idempotent);
+        let keyed = match (idempotency_key(request.headers())?, route_of_key) {
+            (Some(key), Some(entry)) => Some(Keyed {
+                key: KeyId::new(&organisation_name, &entry.route.name, key).0,
+                request: request_digest(&method, &forwarded_path(uri_text(request)), &body),
+            }),
+            _ => None,
+        };
         Ok(Self {
             id,
             route,
             organisation,
             organisation_name,
             method,
-            path: forwarded_path(path_and_query),
+            path: forwarded_path(uri_text(request)),
             headers: forwarded_headers(request.headers()),
             body,
             completion,
+            keyed,
             arrived_at_us,
             expires_at_us: arrived_at_us + timeout_ms * US_PER_MS,
             config,
@@ -210,6 +248,11 @@
     }
 }
 
+fn uri_text(request: &HttpRequest) -> &str {
+    let path_and_query = request.uri().path_and_query();
+    path_and_query.map_or(request.uri().path(), |path| path.as_str())
+}
+
 fn parse(endpoint: Endpoint, body: &Bytes) -> Result<Completion> {
     let body = bytes::Bytes::copy_from_slice(body);
     Completion::parse(endpoint, body, &BodyLimits::default())
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -35,13 +35,17 @@
         ErrorKind,
         Result, //
     },
-    names::Name,
+    names::{
+        Digest,
+        Name, //
+    },
     process::{
         client,
         hints::{
             Hints,
             Observation, //
         },
+        membership::rendezvous::choose,
     },
     request::{
         placement::{
@@ -158,6 +162,25 @@
         Placement { ordered }
     }
 
+    /// Returns the targets of a service in the order in which they are
+    /// responsible for an idempotency key.
+    pub(super) fn owners(
+        &self,
+        config: &Config,
+        service: ServiceKey,
+        key: Digest,
+    ) -> Vec<TargetKey> {
+        let keys = config.targets_of(service);
+        let name_of = |key: &TargetKey| config.target(*key).map(|entry| &entry.target.name);
+        let order = choose(
+            &key.to_string(),
+            keys.iter().filter_map(name_of),
+            keys.len(),
+        );
+        let find = |name: &Name| keys.iter().find(|key| name_of(key) == Some(name)).copied();
+        order.iter().filter_map(find).collect()
+    }
+
     /// Without a cached prefix, targets with equal queues take turns.
     fn place_evenly(&self, mut usable: Vec<(TargetKey, Target)>) -> Placement {
         let turn = self.turn.get().wrapping_add(1);
--- a/src/process/fate/idempotency.rs
+++ b/src/process/fate/idempotency.rs
@@ -20,7 +20,8 @@
     names::Digest, //
 };
 
-/// Time for which a key is remembered, in microseconds.
+/// Time for which a key is remembered unless the settings state another, in
+/// microseconds.
 ///
 /// Across agents it counts from the start of the request, because a new owner
 /// cannot know when a request on the old one ends. Within one incarnation, a key
@@ -121,6 +122,8 @@
     pub max_keys: usize,
     /// Stored outcomes together.
     pub max_outcome_bytes: usize,
+    /// Time for which a key is remembered.
+    pub window_us: u64,
 }
 
 impl Default for KeyLimits {
@@ -128,6 +131,7 @@
         Self {
             max_keys: 32_768,
             max_outcome_bytes: 16 << 20,
+            window_us: WINDOW_US,
         }
     }
 }
@@ -189,7 +193,7 @@
             ended: VecDeque::new(),
             stripped: 0,
             outcome_bytes: 0,
-            covers_at_us: now_us.saturating_add(WINDOW_US),
+            covers_at_us: now_us.saturating_add(limits.window_us),
         }
     }
 
@@ -201,7 +205,7 @@
     /// Notes that the members of the service have changed, so that keys of this
     /// agent may have run on another one until now.
     pub fn members_changed(&mut self, now_us: u64) {
-        let covers_at_us = now_us.saturating_add(WINDOW_US);
+        let covers_at_us = now_us.saturating_add(self.limits.window_us);
         self.covers_at_us = self.covers_at_us.max(covers_at_us);
     }
 
@@ -265,7 +269,7 @@
         };
         self.ended.push_back(Expiry {
             key,
-            expires_at_us: now_us.saturating_add(WINDOW_US),
+            expires_at_us: now_us.saturating_add(self.limits.window_us),
         });
         self.strip_outcomes();
     }
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -15,7 +15,9 @@
     },
 };
 use crate::{
+    clock::US_PER_MS,
     names::Name,
+    process::fate::idempotency::WINDOW_US,
     version::config::ServiceKind, //
 };
 
@@ -73,6 +75,9 @@
     /// Limits of the fair queue.
     #[serde(default)]
     pub queue: QueueSettings,
+    /// Time for which an idempotency key is remembered, equal on all instances.
+    #[serde(default = "default_idempotency_window_ms")]
+    pub idempotency_window_ms: u64,
     /// Longest time that a graceful stop waits for requests.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
@@ -81,6 +86,10 @@
     pub log: LogSettings,
 }
 
+const fn default_idempotency_window_ms() -> u64 {
+    WINDOW_US / US_PER_MS
+}
+
 const fn default_drain_ms() -> u64 {
     30_000
 }
@@ -114,6 +123,9 @@
   "queue": {"max_requests": 256, "max_tokens": 4000000, "max_running": 64, "max_wait_ms": 10000},
   // Longest time that a graceful stop waits for requests, in milliseconds.
   "drain_ms": 30000,
+  // Time for which an idempotency key is remembered, in milliseconds; equal on
+  // all instances.
+  "idempotency_window_ms": 600000,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "terminal", "level": "info"}
@@ -152,6 +164,7 @@
         );
         checker.duration_ms(&["queue", "max_wait_ms"], self.queue.max_wait_ms, 1);
         checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
+        checker.duration_ms(&["idempotency_window_ms"], self.idempotency_window_ms, 0);
         checker.finish()
     }
 }
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -14,7 +14,11 @@
         LogSettings, //
     },
 };
-use crate::names::Name;
+use crate::{
+    clock::US_PER_MS,
+    names::Name,
+    process::fate::idempotency::WINDOW_US, //
+};
 
 /// Settings of `yuccalatch-entry`.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -47,6 +51,9 @@
     /// Longest time until a request body is complete.
     #[serde(default = "default_body_timeout_ms")]
     pub body_timeout_ms: u64,
+    /// Time for which an idempotency key is remembered, equal on all instances.
+    #[serde(default = "default_idempotency_window_ms")]
+    pub idempotency_window_ms: u64,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -56,6 +63,10 @@
     2
 }
 
+const fn default_idempotency_window_ms() -> u64 {
+    WINDOW_US / US_PER_MS
+}
+
 const fn default_drain_ms() -> u64 {
     30_000
 }
@@ -93,6 +104,9 @@
   "body_limit_bytes": 8388608,
   // Longest time until a request body is complete, in milliseconds.
   "body_timeout_ms": 10000,
+  // Time for which an idempotency key is remembered, in milliseconds; equal on
+  // all instances.
+  "idempotency_window_ms": 600000,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "terminal", "level": "info"}
@@ -125,6 +139,7 @@
             "state bytes",
         );
         checker.duration_ms(&["body_timeout_ms"], self.body_timeout_ms, 10);
+        checker.duration_ms(&["idempotency_window_ms"], self.idempotency_window_ms, 0);
         checker.finish()
     }
 }
--- a/tests/attempt_fate.rs
+++ b/tests/attempt_fate.rs
@@ -198,6 +198,7 @@
 const KEY_LIMITS: KeyLimits = KeyLimits {
     max_keys: 3,
     max_outcome_bytes: 10,
+    window_us: WINDOW_US,
 };
 
 impl Service {
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -15,20 +15,62 @@
     Plan,
     eventually,
     exchange,
-    post_request, //
+    post_request,
+    put,
+    request, //
 };
 
 fn start(plains: usize, relayed: bool) -> Fleet {
-    let fleet = Fleet::start(&Plan {
+    start_plan(&Plan {
         engines: 0,
         plains,
         relayed,
         ..Plan::default()
+    })
+}
+
+fn start_plan(plan: &Plan) -> Fleet {
+    let fleet = Fleet::start(plan);
+    fleet.wait_targets(plan.plains);
+    fleet
+}
+
+/// Starts two entries that trust the object API soon, with agents that remember
+/// keys for the whole window.
+fn start_keyed() -> Fleet {
+    let fleet = start_plan(&Plan {
+        entries: 2,
+        engines: 0,
+        plains: 2,
+        entry: json!({"idempotency_window_ms": 100}),
+        ..Plan::default()
     });
-    fleet.wait_targets(plains);
+    for entry in 0..2 {
+        eventually("the entry trusts the object API", || {
+            send_keyed(&fleet, entry, &format!("warm-{entry}"), "warm").status == 200
+        });
+    }
     fleet
 }
 
+fn send_keyed(fleet: &Fleet, entry: usize, key: &str, name: &str) -> Answer {
+    let authorization = format!("Bearer {ACME_KEY}");
+    let headers = [
+        ("authorization", authorization.as_str()),
+        ("idempotency-key", key),
+    ];
+    let body = order(name).to_string();
+    let request = request("POST", "/orders", &headers, &body);
+    exchange(fleet.caller(entry), &request)
+}
+
+fn serving(fleet: &Fleet, name: &str) -> usize {
+    let body = order(name).to_string();
+    let mut targets = fleet.targets.iter();
+    let found = targets.position(|target| target.executions(&body) > 0);
+    found.unwrap()
+}
+
 fn order(name: &str) -> Value {
     json!({"order": name})
 }
@@ -156,3 +198,100 @@
     assert_kind(&answer, "no_target", true);
     assert_eq!(executions(&fleet, "a"), 0);
 }
+
+/// A caller that repeats an order through another entry would run it again.
+#[test]
+fn key_repeated() {
+    let fleet = start_keyed();
+    let first = send_keyed(&fleet, 0, "k", "a");
+    assert_eq!(first.status, 200, "{}", first.text());
+    let again = send_keyed(&fleet, 1, "k", "a");
+    assert_eq!(again.body, first.body);
+    let other = send_keyed(&fleet, 1, "k", "b");
+    assert_kind(&other, "idempotency_conflict", true);
+    assert_eq!(executions(&fleet, "a"), 1);
+    assert_eq!(executions(&fleet, "b"), 0);
+}
+
+/// Repetitions that arrive while the order runs would run it as well.
+#[test]
+fn key_repeated_early() {
+    let fleet = start_keyed();
+    set_faults(&fleet, &json!({"slow_ms": 500}));
+    std::thread::scope(|scope| {
+        for entry in [0, 1, 0, 1] {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let answer = send_keyed(fleet, entry, "k", "a");
+                assert_eq!(answer.json()["execution"], 1, "{}", answer.text());
+            });
+        }
+    });
+    assert_eq!(executions(&fleet, "a"), 1);
+}
+
+/// Without the record in the object API, a new agent would run the order again.
+#[test]
+fn key_agent_restarted() {
+    let mut fleet = start_keyed();
+    assert_eq!(send_keyed(&fleet, 0, "k", "a").status, 200);
+    fleet.restart_agent(serving(&fleet, "a"));
+    eventually("the new agent is asked", || {
+        let answer = send_keyed(&fleet, 1, "k", "a");
+        answer.json()["error"]["kind"] == "outcome_unknown"
+    });
+    assert_eq!(executions(&fleet, "a"), 1);
+}
+
+/// Without the record, the next owner of the key would run the order again.
+#[test]
+fn key_agent_gone() {
+    let fleet = start_keyed();
+    assert_eq!(send_keyed(&fleet, 0, "k", "a").status, 200);
+    fleet.targets[serving(&fleet, "a")].agent.signal("KILL");
+    eventually("another agent is asked", || {
+        let answer = send_keyed(&fleet, 1, "k", "a");
+        answer.json()["error"]["kind"] == "outcome_unknown"
+    });
+    assert_eq!(executions(&fleet, "a"), 1);
+}
+
+/// Slower than any call may take, while the configuration can still be read, so
+/// that keys do not become stale during the test.
+fn silence_platform(fleet: &Fleet) {
+    let faults = json!({"slow_ms": 2_000});
+    let answer = put(fleet.platform_address(), "/faults", &faults);
+    assert_eq!(answer.status, 204, "{}", answer.text());
+}
+
+/// A young agent cannot vouch for a key while the object API is silent, but it
+/// still knows its own outcomes.
+#[test]
+fn key_platform_silent() {
+    let fleet = start_keyed();
+    assert_eq!(send_keyed(&fleet, 0, "old", "old").status, 200);
+    silence_platform(&fleet);
+    let answer = send_keyed(&fleet, 0, "k", "a");
+    assert_kind(&answer, "idempotency_unverified", true);
+    assert_eq!(executions(&fleet, "a"), 0);
+    let again = send_keyed(&fleet, 0, "old", "old");
+    assert_eq!(again.json()["execution"], 1, "{}", again.text());
+    assert_eq!(executions(&fleet, "old"), 1);
+}
+
+/// An agent that covers the window is authority enough while the object API is
+/// silent; otherwise every order would be refused during an outage.
+#[test]
+fn key_agent_covers() {
+    let fleet = start_plan(&Plan {
+        engines: 0,
+        plains: 2,
+        agent: json!({"idempotency_window_ms": 100}),
+        ..Plan::default()
+    });
+    silence_platform(&fleet);
+    eventually("the agent covers the window", || {
+        send_keyed(&fleet, 0, "k", "a").status == 200
+    });
+    assert_eq!(executions(&fleet, "a"), 1);
+}
--- a/tests/settings_files.rs
+++ b/tests/settings_files.rs
@@ -47,6 +47,7 @@
         "drain_ms",
         "body_limit_bytes",
         "body_timeout_ms",
+        "idempotency_window_ms",
         "log",
     ];
     let short = parse("s.json", &shortened(text, &optional)).unwrap();
@@ -54,7 +55,14 @@
 
     let text = default_text::<AgentSettings>();
     let printed: AgentSettings = parse("s.json", text).unwrap();
-    let optional = ["checks_fencing", "peers", "queue", "drain_ms", "log"];
+    let optional = [
+        "checks_fencing",
+        "peers",
+        "queue",
+        "idempotency_window_ms",
+        "drain_ms",
+        "log",
+    ];
     let short = parse("s.json", &shortened(text, &optional)).unwrap();
     assert_eq!(printed, short);
     assert_eq!(printed.queue, QueueSettings::default());
