--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -34,7 +34,10 @@
     traffic::Traffic, //
 };
 use crate::{
-    clock::US_PER_MS,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     error::{
         ErrorKind,
         Result, //
@@ -55,6 +58,11 @@
 /// Answers that wait for the control thread; more are dropped.
 const ANSWERED_CAPACITY: usize = 1_024;
 
+/// Time for which a stopping agent still answers. An entry that has not heard of
+/// the stop would otherwise lose an attempt on a connection that closes, and
+/// could not tell whether it ran. Reports take one second.
+const LINGER_US: u64 = 2 * US_PER_S;
+
 /// Interval between checks whether the last attempt has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -129,10 +137,13 @@
     let drain_until_us = context.clock.now_us() + drain_us;
     info!(context.log, "agent stops";
         "event" => Event::Stopping, "drain_until_us" => drain_until_us);
+    let linger_until_us = context.clock.now_us() + LINGER_US.min(drain_us);
     while context.clock.now_us() < drain_until_us {
         let queued = context.load.queued.load(Ordering::Relaxed);
         let running = context.load.running.load(Ordering::Relaxed);
-        if queued + running == 0 {
+        let undelivered = context.load.undelivered.load(Ordering::Relaxed);
+        let is_known = context.clock.now_us() >= linger_until_us;
+        if is_known && queued + running + undelivered == 0 {
             break;
         }
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -30,6 +30,8 @@
 pub(super) struct Load {
     pub(super) queued: AtomicUsize,
     pub(super) running: AtomicUsize,
+    /// Streams that an entry has not received completely.
+    pub(super) undelivered: AtomicUsize,
     /// Moving average of the time that an attempt occupies a place.
     pub(super) service_us: AtomicU64,
 }
--- a/src/process/agent/traffic.rs
+++ b/src/process/agent/traffic.rs
@@ -8,6 +8,7 @@
         Arc,
         atomic::Ordering, //
     },
+    time::Duration,
 };
 
 use ntex::client::Client;
@@ -54,6 +55,9 @@
 /// How long a finished stream stays available for a resumption.
 const KEEP_FINISHED_US: u64 = 10 * US_PER_S;
 
+/// Interval between checks for streams that nobody has fetched.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Sent to a waiting attempt when it may start or is refused.
 pub(super) type Turn = std::result::Result<Priority, ErrorKind>;
 
@@ -98,6 +102,7 @@
             queue_changed: Notify::new(),
         });
         ntex::rt::spawn(Rc::clone(&traffic).expire_waiting());
+        ntex::rt::spawn(Rc::clone(&traffic).expire_finished());
         Ok(traffic)
     }
 
@@ -106,6 +111,7 @@
         self.remove_old();
         let output = Rc::new(Output::default());
         self.outputs.borrow_mut().insert(id, Rc::clone(&output));
+        self.publish_load();
         output
     }
 
@@ -127,6 +133,8 @@
         if outputs.get(&id).is_some_and(|output| output.is_delivered()) {
             outputs.remove(&id);
         }
+        drop(outputs);
+        self.publish_load();
     }
 
     fn remove_old(&self) {
@@ -198,6 +206,16 @@
         let load = &self.context.load;
         load.queued.store(queue.len(), Ordering::Relaxed);
         load.running.store(queue.running(), Ordering::Relaxed);
+        let undelivered = self.outputs.borrow().len();
+        load.undelivered.store(undelivered, Ordering::Relaxed);
+    }
+
+    async fn expire_finished(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(EXPIRE_INTERVAL).await;
+            self.remove_old();
+            self.publish_load();
+        }
     }
 
     async fn expire_waiting(self: Rc<Self>) {
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod connections;
 mod context;
 mod control;
 mod forward;
@@ -56,6 +57,13 @@
     settings::EntrySettings,
 };
 
+/// Longest time until a header section is complete.
+const HEADER_TIMEOUT: Seconds = Seconds(5);
+
+/// Largest header section. Together with the head of an attempt it fits into the
+/// 64 KiB that agents accept.
+const MAX_HEADER_BYTES: usize = 32 << 10;
+
 /// Requests with idempotency keys that wait for the control thread.
 const RECORD_CAPACITY: usize = 1_024;
 
@@ -108,7 +116,8 @@
     });
     let shared = Arc::clone(&context);
     let http = HttpServiceConfig::new()
-        .set_client_timeout(Seconds(10))
+        .set_client_timeout(HEADER_TIMEOUT)
+        .set_max_buf_size(MAX_HEADER_BYTES)
         .set_keepalive(Seconds(60));
     let server = web::HttpServer::new(async move || {
         let worker = Worker::new(Arc::clone(&shared)).await;
--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -174,7 +174,10 @@
         loop {
             match self.read_frame().await? {
                 Accepted::Nothing => {}
-                accepted => return Ok(accepted),
+                accepted => {
+                    self.acknowledge();
+                    return Ok(accepted);
+                }
             }
         }
     }
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -244,6 +244,7 @@
         self.tried.push(target);
         let (address, mut head) = self.attempt_head(target)?;
         head.idempotency = self.claim_key(target, head.agent).await?;
+        let agent = head.agent;
         let (attempt, sent) = Attempt::send(
             &self.worker,
             address,
@@ -267,7 +268,12 @@
             Ok(Accepted::Failed(ErrorKind::DuplicateAttempt)) => {
                 self.settle(ErrorKind::DuplicateAttempt).await
             }
-            Ok(Accepted::Failed(kind)) => Ok(Step::Failed(kind, Phase::Sent)),
+            Ok(Accepted::Failed(kind)) => {
+                if kind == ErrorKind::Stopping {
+                    self.worker.note_stopping(agent);
+                }
+                Ok(Step::Failed(kind, Phase::Sent))
+            }
             Ok(_) => Ok(Step::Failed(ErrorKind::StreamBroken, Phase::Headed)),
             Err(report) => self.settle(*report.current_context()).await,
         }
@@ -330,6 +336,9 @@
         let Some(attempt) = &self.attempt else {
             return;
         };
+        if head.leaving {
+            self.worker.note_stopping(attempt.head.agent);
+        }
         let seen = Answered {
             engine: head.engine_incarnation,
             matched_blocks: head.matched_blocks,
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -21,6 +21,7 @@
         error_event,
         error_response, //
     },
+    connections::BusyGuard,
     context::RunningGuard,
     forward::Call,
     request::{
@@ -84,7 +85,10 @@
 async fn handle(worker: State, request: HttpRequest, payload: web::types::Payload) -> HttpResponse {
     let payload = payload.into_inner();
     let id = request_id(&request);
-    let guard = RunningGuard::new(&worker.context);
+    let guard = (
+        RunningGuard::new(&worker.context),
+        worker.connections.enter(&request),
+    );
     let request = match Request::read(&worker.context, id.clone(), &request, payload).await {
         Ok(request) => request,
         Err(report) => return refuse(&worker, &id, PUBLIC, &report),
@@ -143,7 +147,7 @@
     organisation: Name,
     last_at_us: Option<u64>,
     ended: bool,
-    _guard: RunningGuard,
+    _guard: (RunningGuard, Option<BusyGuard>),
 }
 
 impl Relay {
@@ -170,13 +174,16 @@
                 },
             }
         }
+        let is_leaving = self.worker.context.is_leaving();
         let mut response = self.response_builder(&head, &id);
         let mut response = if is_whole {
             response.body(collected)
         } else {
             response.streaming(self.into_stream(collected))
         };
-        self_close(&mut response, head.leaving);
+        if is_leaving {
+            close_connection(&mut response);
+        }
         response
     }
 
@@ -280,9 +287,3 @@
         }
     }
 }
-
-fn self_close(response: &mut HttpResponse, leaving: bool) {
-    if leaving {
-        close_connection(response);
-    }
-}
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     num::NonZeroUsize,
     rc::Rc,
     sync::Arc,
@@ -26,9 +29,12 @@
 
 use tokio::sync::mpsc;
 
-use super::context::{
-    Context,
-    TargetViews, //
+use super::{
+    connections::Connections,
+    context::{
+        Context,
+        TargetViews, //
+    },
 };
 use crate::{
     error::{
@@ -37,6 +43,7 @@
     },
     names::{
         Digest,
+        Incarnation,
         Name, //
     },
     process::{
@@ -81,6 +88,10 @@
 /// Attempts that wait to be cancelled; more are left to their agents.
 const MAX_CANCELLATIONS: usize = 1_024;
 
+/// Agents remembered as stopping. Reports repeat the announcement, so it is safe
+/// to forget.
+const MAX_STOPPING: usize = 1_024;
+
 /// Bound for one cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -98,6 +109,9 @@
     ids: RefCell<HashMap<Name, TargetId>>,
     cancellations: mpsc::Sender<String>,
     turn: Cell<usize>,
+    pub(super) connections: Rc<Connections>,
+    /// Agents that have announced their stop since the last report.
+    stopping: RefCell<HashSet<Incarnation>>,
 }
 
 /// A target that was chosen, with the alternatives in order.
@@ -109,11 +123,15 @@
     pub(super) async fn new(context: Arc<Context>) -> Result<Rc<Self>> {
         let now_us = context.clock.now_us();
         let client = client::build("agents").await?;
+        let connections = Rc::<Connections>::default();
+        ntex::rt::spawn(Rc::clone(&connections).watch(Arc::clone(&context)));
         let (cancellations, urls) = mpsc::channel(MAX_CANCELLATIONS);
         ntex::rt::spawn(send_cancellations(client.clone(), urls));
         Ok(Rc::new(Self {
             cancellations,
             turn: Cell::new(0),
+            connections,
+            stopping: RefCell::default(),
             client,
             fresh_client: fresh_client().await?,
             budget: RefCell::new(RetryBudget::new(RetryRate::default(), now_us)),
@@ -201,6 +219,15 @@
         let _ = self.cancellations.try_send(url);
     }
 
+    /// Notes that an agent has announced its stop, earlier than its next report.
+    pub(super) fn note_stopping(&self, agent: Incarnation) {
+        let mut stopping = self.stopping.borrow_mut();
+        if stopping.len() >= MAX_STOPPING {
+            stopping.clear();
+        }
+        stopping.insert(agent);
+    }
+
     /// Records what an answer told about the cache of a target.
     pub(super) fn note_answer(&self, target: &Name, blocks: &[BlockHash], seen: Answered) {
         let now_us = self.context.clock.now_us();
@@ -239,7 +266,7 @@
         let serves = version.is_none_or(|version| {
             view.versions.is_empty() || view.versions.iter().any(|own| **own == *version)
         });
-        if view.leaving || !serves {
+        if view.leaving || !serves || self.stopping.borrow().contains(&view.agent) {
             return None;
         }
         Some(Target {
--- /dev/null
+++ b/tests/bad_input.rs
@@ -0,0 +1,187 @@
+//! Guards against input that crashes or hangs an entry, occupies memory without
+//! bound or gets no clear answer.
+
+mod support;
+
+use quickcheck::{
+    Arbitrary,
+    Gen, //
+};
+use support::fleet::{
+    ACME_KEY,
+    Exchange,
+    Fleet,
+    Plan,
+    completion,
+    exchange,
+    parse,
+    post,
+    post_request,
+    request, //
+};
+
+fn start() -> Fleet {
+    Fleet::start(&Plan {
+        plains: 1,
+        entry: serde_json::json!({"body_timeout_ms": 300, "body_limit_bytes": 65_536}),
+        ..Plan::default()
+    })
+}
+
+fn assert_serves(fleet: &Fleet) {
+    let body = completion("still there", 2, false);
+    let answer = post(fleet.caller(0), "/v1/completions", ACME_KEY, &body);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+fn send(fleet: &Fleet, body: &str) -> (u16, serde_json::Value) {
+    let authorization = format!("Bearer {ACME_KEY}");
+    let headers = [("authorization", authorization.as_str())];
+    let request = request("POST", "/v1/completions", &headers, body);
+    let answer = exchange(fleet.caller(0), &request);
+    (answer.status, answer.json()["error"]["kind"].clone())
+}
+
+/// Malformed and oversized bodies have to be refused with their kind.
+#[test]
+fn bad_bodies() {
+    let fleet = start();
+    let deep = format!("{{\"model\":{}", "[".repeat(20_000));
+    for body in ["", "{", "[]", "null", "{\"model\":1}", "\u{0}", &deep] {
+        assert_eq!(
+            send(&fleet, body),
+            (400, "bad_request".into()),
+            "{body:.40}"
+        );
+    }
+    let long = format!(
+        "{{\"model\":\"oak\",\"prompt\":\"{}\"}}",
+        "x".repeat(70_000)
+    );
+    assert_eq!(send(&fleet, &long), (413, "body_too_large".into()));
+
+    let text = b"POST /v1/completions HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\
+        x-api-key: sk-acme-0123456789abcdef\r\ncontent-length: 29\r\n\r\n\
+        {\"model\":\"oak\",\"prompt\":\"\xff\xfe\"}";
+    let answer = exchange(fleet.caller(0), text);
+    assert_eq!(answer.status, 400, "{}", answer.text());
+    assert_serves(&fleet);
+}
+
+/// A chunked body announces no length, so only counting can bound it.
+#[test]
+fn endless_body() {
+    let fleet = start();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: t\r\nx-api-key: {ACME_KEY}\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    for _ in 0..80 {
+        bytes.extend_from_slice(b"400\r\n");
+        bytes.extend_from_slice(&[b'x'; 1024]);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let answer = Exchange::start(fleet.caller(0), &bytes).finish();
+    assert_eq!(answer.json()["error"]["kind"], "body_too_large");
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert_serves(&fleet);
+}
+
+/// A body that never ends would occupy its connection forever.
+#[test]
+fn slow_body() {
+    let fleet = start();
+    let text = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: t\r\nx-api-key: {ACME_KEY}\r\n\
+         content-length: 100\r\n\r\n{{"
+    );
+    let answer = Exchange::start(fleet.caller(0), text.as_bytes()).finish();
+    assert_eq!(answer.status, 408);
+    assert_eq!(answer.json()["error"]["kind"], "body_timeout");
+    assert_serves(&fleet);
+}
+
+/// Headers that never end would occupy their connection and memory forever.
+#[test]
+fn bad_headers() {
+    let fleet = start();
+    let slow = Exchange::start(fleet.caller(0), b"GET /files HTTP/1.1\r\nhost: ");
+    let large = format!(
+        "GET /files HTTP/1.1\r\nhost: t\r\nx-a: {}",
+        "x".repeat(200_000)
+    );
+    let answer = Exchange::start(fleet.caller(0), large.as_bytes()).finish();
+    assert_eq!(answer.status, 431);
+    let many = format!("GET /files HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(10_000));
+    assert_eq!(exchange(fleet.caller(0), many.as_bytes()).status, 431);
+    let smuggled = "POST /orders HTTP/1.1\r\nhost: t\r\ncontent-length: 2\r\n\
+        content-length: 3\r\nconnection: close\r\n\r\n{}x";
+    assert_eq!(exchange(fleet.caller(0), smuggled.as_bytes()).status, 400);
+    assert_eq!(slow.finish().status, 408);
+    assert_serves(&fleet);
+}
+
+/// Without its body, the rest of a refused request would be read as the next one.
+#[test]
+fn refused_body_left() {
+    let fleet = start();
+    let inner = "GET /files/smuggled HTTP/1.1\r\nhost: t\r\n\r\n";
+    let text = format!(
+        "POST /orders HTTP/1.1\r\nhost: t\r\nx-api-key: sk-wrong\r\ncontent-length: {}\r\n\r\n{inner}",
+        inner.len()
+    );
+    let answer = Exchange::start(fleet.caller(0), text.as_bytes()).finish();
+    assert_eq!(answer.status, 401);
+    assert!(!answer.text().contains("smuggled"), "{}", answer.text());
+    let received = fleet.targets[1].received().to_string();
+    assert!(!received.contains("smuggled"), "{received}");
+}
+
+/// Answers to pipelined requests have to arrive whole and in order.
+#[test]
+fn pipelined() {
+    let fleet = start();
+    let mut bytes = Vec::new();
+    for number in 0..5 {
+        let text = format!("GET /files/{number} HTTP/1.1\r\nhost: t\r\n\r\n");
+        bytes.extend_from_slice(text.as_bytes());
+    }
+    let mut exchange = Exchange::start(fleet.caller(0), &bytes);
+    exchange.read_until("\"path\":\"/files/4\"", 1);
+    exchange.send(b"GET /files/last HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n");
+    let text = exchange.finish().text();
+    let positions: Vec<Option<usize>> = ["1", "2", "3", "4", "last"]
+        .iter()
+        .map(|name| text.find(&format!("\"path\":\"/files/{name}\"")))
+        .collect();
+    assert!(positions.is_sorted() && positions[0].is_some(), "{text}");
+}
+
+/// Random damage must neither crash the entry nor pass for a valid request.
+#[test]
+fn damaged_requests() {
+    let fleet = start();
+    let mut random = Gen::from_size_and_seed(64, 7);
+    let body = completion("p", 1, false);
+    for _ in 0..300 {
+        let mut bytes = post_request("/v1/completions", ACME_KEY, &body);
+        for _ in 0..1 + usize::arbitrary(&mut random) % 4 {
+            let at = usize::arbitrary(&mut random) % bytes.len();
+            match u8::arbitrary(&mut random) % 3 {
+                0 => bytes[at] = u8::arbitrary(&mut random),
+                1 => bytes.truncate(at.max(1)),
+                _ => bytes.insert(at, u8::arbitrary(&mut random)),
+            }
+        }
+        let mut caller = std::net::TcpStream::connect(fleet.caller(0)).unwrap();
+        std::io::Write::write_all(&mut caller, &bytes).unwrap();
+        caller.shutdown(std::net::Shutdown::Write).unwrap();
+        let mut raw = Vec::new();
+        // The entry may close before it has read everything.
+        let _ = std::io::Read::read_to_end(&mut caller, &mut raw);
+        let answer = parse(&raw);
+        assert!(raw.is_empty() || (200..600).contains(&answer.status));
+    }
+    assert_serves(&fleet);
+}
