--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -33,6 +33,8 @@
 pub(super) struct Load {
     pub(super) queued: AtomicUsize,
     pub(super) running: AtomicUsize,
+    /// Streams that an entry has not received completely.
+    pub(super) undelivered: AtomicUsize,
     /// Moving average of the time that an attempt occupies a place.
     pub(super) service_us: AtomicU64,
 }
@@ -68,6 +70,7 @@
     announced: AtomicBool,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
+    members_changed_at_us: AtomicU64,
 }
 
 impl Context {
@@ -89,6 +92,7 @@
             announced: AtomicBool::new(false),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
+            members_changed_at_us: AtomicU64::new(0),
         }
     }
 
@@ -104,6 +108,21 @@
         queued.saturating_mul(service_us) / slots
     }
 
+    /// Notes that the members of this target's service have changed, so that
+    /// idempotency keys may have been run by another agent until now.
+    #[expect(
+        dead_code,
+        reason = "the control thread does not follow the configuration yet"
+    )]
+    pub(super) fn note_members_changed(&self) {
+        let now_us = self.clock.now_us();
+        self.members_changed_at_us.store(now_us, Ordering::Relaxed);
+    }
+
+    pub(super) fn members_changed_at_us(&self) -> u64 {
+        self.members_changed_at_us.load(Ordering::Relaxed)
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -1,6 +1,9 @@
 //! Runs one attempt: waits for its turn, calls the target, relays the answer.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
 use futures_util::StreamExt;
 use ntex::{
@@ -12,6 +15,10 @@
 
 use super::{
     context::Answered,
+    keyed::{
+        Recording,
+        end, //
+    },
     output::Output,
     traffic::Traffic, //
 };
@@ -42,6 +49,12 @@
 /// Header with the request id, towards targets and callers.
 pub(super) const REQUEST_ID: &str = "x-request-id";
 
+/// Time between two tokens after which an engine counts as hung. Tokens are
+/// expected within 50 ms; a pause of seconds only occurs in a hung engine.
+const STALL: Duration = Duration::from_secs(5);
+
+type PayloadPart = Result<Bytes, ntex::http::error::PayloadError>;
+
 /// One attempt on its way through the agent.
 pub(super) struct Runner {
     pub(super) traffic: Rc<Traffic>,
@@ -50,6 +63,7 @@
     pub(super) headers: Vec<(String, String)>,
     pub(super) body: Bytes,
     pub(super) expires_at_us: u64,
+    pub(super) recording: Recording,
 }
 
 /// Measures of an attempt that has started.
@@ -64,6 +78,20 @@
         let traffic = Rc::clone(&self.traffic);
         let id = attempt.id();
         let arrived_at_us = traffic.context.clock.now_us();
+        match self.claim().await {
+            Ok(None) => {}
+            Ok(Some(outcome)) => {
+                self.replay(attempt, &outcome).await;
+                traffic.close(id);
+                return;
+            }
+            Err(kind) => {
+                traffic.fates.borrow_mut().withdraw(attempt);
+                self.output.fail(kind);
+                traffic.close(id);
+                return;
+            }
+        }
         let turn = traffic
             .wait_turn(
                 self.head.organisation.clone(),
@@ -75,6 +103,7 @@
         match turn {
             Err(kind) => {
                 traffic.fates.borrow_mut().withdraw(attempt);
+                self.release_key();
                 self.output.fail(kind);
             }
             Ok(priority) => {
@@ -91,6 +120,7 @@
         let running = match started {
             Ok(running) => running,
             Err(report) => {
+                self.release_key();
                 self.output.fail(*report.current_context());
                 return;
             }
@@ -106,10 +136,8 @@
         let failure = self.relay_until_deadline(priority, &progress).await.err();
         let ended_at_us = self.traffic.context.clock.now_us();
         self.traffic.context.load.note_service(ended_at_us - now_us);
-        match failure {
-            None => self.output.finish(),
-            Some(kind) => self.output.fail(kind),
-        }
+        self.store_outcome(failure);
+        end(&self.output, failure);
         metrics.count_answer(&self.head.organisation, failure);
         info!(self.traffic.context.log, "attempt ended";
             "event" => if failure.is_none() { Event::RequestDone } else { Event::RequestFailed },
@@ -126,18 +154,30 @@
         progress: &Progress,
     ) -> Result<(), ErrorKind> {
         let deadline = self.traffic.context.clock.instant(self.expires_at_us);
-        tokio::time::timeout_at(deadline.into(), self.relay(priority, progress))
-            .await
-            .unwrap_or(Err(ErrorKind::DeadlineExceeded))
+        tokio::select! {
+            result = self.relay(priority, progress) => result,
+            () = tokio::time::sleep_until(deadline.into()) => Err(ErrorKind::DeadlineExceeded),
+            // Without this, a target would work for nobody.
+            () = self.output.abandoned(), if self.head.idempotent => {
+                Err(ErrorKind::OutcomeUnknown)
+            }
+        }
     }
 
     async fn relay(&self, priority: Priority, progress: &Progress) -> Result<(), ErrorKind> {
         let response = self.call_target(priority).await?;
         self.note_answer(&response, progress);
-        self.output
-            .set_head(self.response_head(&response, progress));
+        let head = self.response_head(&response, progress);
+        if self.head.idempotency.is_some() {
+            self.recording.start(&head);
+        }
+        self.output.set_head(head);
+        let content_type = response.headers().get("content-type");
+        let is_event_stream =
+            content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+        let stall = is_event_stream.then_some(STALL);
         let mut payload = response.take_payload();
-        self.copy_body(&mut payload).await
+        self.copy_body(&mut payload, stall).await
     }
 
     async fn call_target(&self, priority: Priority) -> Result<ClientResponse, ErrorKind> {
@@ -206,9 +246,14 @@
         }
     }
 
-    async fn copy_body(&self, payload: &mut Payload) -> Result<(), ErrorKind> {
-        while let Some(part) = payload.next().await {
+    async fn copy_body(
+        &self,
+        payload: &mut Payload,
+        stall: Option<Duration>,
+    ) -> Result<(), ErrorKind> {
+        while let Some(part) = next_part(payload, stall).await? {
             let part = part.map_err(|_| ErrorKind::TargetFailed)?;
+            self.recording.append(&part);
             let data = bytes::Bytes::copy_from_slice(&part);
             let written = self.output.write(data).await;
             written.map_err(|report| *report.current_context())?;
@@ -217,6 +262,18 @@
     }
 }
 
+/// Returns the next part of a body; a stalled one counts as a failed target.
+async fn next_part(
+    payload: &mut Payload,
+    stall: Option<Duration>,
+) -> Result<Option<PayloadPart>, ErrorKind> {
+    let Some(stall) = stall else {
+        return Ok(payload.next().await);
+    };
+    let part = tokio::time::timeout(stall, payload.next()).await;
+    part.map_err(|_| ErrorKind::TargetFailed)
+}
+
 /// Engines commonly run lower values first.
 const fn priority_value(priority: Priority) -> &'static str {
     match priority {
--- a/src/process/agent/traffic.rs
+++ b/src/process/agent/traffic.rs
@@ -8,6 +8,7 @@
         Arc,
         atomic::Ordering, //
     },
+    time::Duration,
 };
 
 use ntex::client::Client;
@@ -21,7 +22,10 @@
     output::Output, //
 };
 use crate::{
-    clock::US_PER_S,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     error::{
         ErrorKind,
         Result, //
@@ -38,13 +42,22 @@
             Priority,
             Rejected, //
         },
-        fate::{FateLimits, FateTable},
+        fate::{
+            FateLimits, FateTable,
+            idempotency::{
+                KeyLimits,
+                KeyTable, //
+            },
+        },
     },
 };
 
 /// How long a finished stream stays available for a resumption.
 const KEEP_FINISHED_US: u64 = 10 * US_PER_S;
 
+/// Interval between checks for streams that nobody has fetched.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Sent to a waiting attempt when it may start or is refused.
 pub(super) type Turn = std::result::Result<Priority, ErrorKind>;
 
@@ -58,6 +71,9 @@
     pub(super) context: Arc<Context>,
     pub(super) client: Client,
     pub(super) fates: RefCell<FateTable>,
+    pub(super) keys: RefCell<KeyTable>,
+    /// Notified when a request with an idempotency key has ended.
+    pub(super) keys_changed: Notify,
     outputs: RefCell<HashMap<AttemptId, Rc<Output>>>,
     finished: RefCell<std::collections::VecDeque<Finished>>,
     queue: RefCell<FairQueue<oneshot::Sender<Turn>>>,
@@ -68,17 +84,25 @@
     pub(super) async fn new(context: Arc<Context>) -> Result<Rc<Self>> {
         let client = client::build("target").await?;
         let fates = FateTable::new(context.incarnation, FateLimits::default());
+        let key_limits = KeyLimits {
+            window_us: context.settings.idempotency_window_ms * US_PER_MS,
+            ..KeyLimits::default()
+        };
+        let keys = KeyTable::new(key_limits, context.clock.now_us());
         let queue = FairQueue::new(context.queue_settings());
         let traffic = Rc::new(Self {
             context,
             client,
             fates: RefCell::new(fates),
+            keys: RefCell::new(keys),
+            keys_changed: Notify::new(),
             outputs: RefCell::default(),
             finished: RefCell::default(),
             queue: RefCell::new(queue),
             queue_changed: Notify::new(),
         });
         ntex::rt::spawn(Rc::clone(&traffic).expire_waiting());
+        ntex::rt::spawn(Rc::clone(&traffic).expire_finished());
         Ok(traffic)
     }
 
@@ -87,6 +111,7 @@
         self.remove_old();
         let output = Rc::new(Output::default());
         self.outputs.borrow_mut().insert(id, Rc::clone(&output));
+        self.publish_load();
         output
     }
 
@@ -108,6 +133,8 @@
         if outputs.get(&id).is_some_and(|output| output.is_delivered()) {
             outputs.remove(&id);
         }
+        drop(outputs);
+        self.publish_load();
     }
 
     fn remove_old(&self) {
@@ -179,6 +206,16 @@
         let load = &self.context.load;
         load.queued.store(queue.len(), Ordering::Relaxed);
         load.running.store(queue.running(), Ordering::Relaxed);
+        let undelivered = self.outputs.borrow().len();
+        load.undelivered.store(undelivered, Ordering::Relaxed);
+    }
+
+    async fn expire_finished(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(EXPIRE_INTERVAL).await;
+            self.remove_old();
+            self.publish_load();
+        }
     }
 
     async fn expire_waiting(self: Rc<Self>) {
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answer;
 mod attempt;
+mod connections;
 mod context;
 mod control;
 mod forward;
@@ -34,6 +35,8 @@
     info, //
 };
 
+use tokio::sync::mpsc;
+
 use self::{
     context::Context,
     worker::Worker, //
@@ -55,6 +58,16 @@
     settings::EntrySettings, //
 };
 
+/// Longest time until a header section is complete.
+const HEADER_TIMEOUT: Seconds = Seconds(5);
+
+/// Largest header section. Together with the head of an attempt it fits into the
+/// 64 KiB that agents accept.
+const MAX_HEADER_BYTES: usize = 32 << 10;
+
+/// Requests with idempotency keys that wait for the control thread.
+const RECORD_CAPACITY: usize = 1_024;
+
 /// Interval between checks whether the last request has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -77,7 +90,8 @@
     let caller = stop::bind(settings.caller_address)?;
     let control = stop::bind(settings.control_address)?;
     let admin = stop::bind(settings.admin_address)?;
-    let context = Arc::new(Context::new(settings, log.clone()));
+    let (records, record_requests) = mpsc::channel(RECORD_CAPACITY);
+    let context = Arc::new(Context::new(settings, log.clone(), records));
     info!(log, "entry listens";
         "event" => Event::Started,
         "incarnation" => %context.incarnation,
@@ -86,7 +100,7 @@
         "admin_address" => %stop::local(&admin)?);
     let shared = Arc::clone(&context);
     stop::spawn_system("control", move || async move {
-        if let Err(report) = control::run(Arc::clone(&shared), control).await {
+        if let Err(report) = control::run(Arc::clone(&shared), control, record_requests).await {
             error!(shared.log, "control thread failed";
                 "event" => Event::Fatal, "error" => ?report);
         }
@@ -103,7 +117,8 @@
     });
     let shared = Arc::clone(&context);
     let http = HttpServiceConfig::new()
-        .set_client_timeout(Seconds(10))
+        .set_client_timeout(HEADER_TIMEOUT)
+        .set_max_buf_size(MAX_HEADER_BYTES)
         .set_keepalive(Seconds(60));
     let server = web::HttpServer::new(async move || {
         let worker = Worker::new(Arc::clone(&shared)).await;
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod fleet;
 mod limits;
+mod records;
 mod status;
 mod targets;
 
@@ -40,7 +41,10 @@
     fleet::Fleet,
     limits::Limits, //
 };
-use super::context::Context;
+use super::context::{
+    Context,
+    RecordRequest, //
+};
 use crate::{
     error::Result,
     names::Incarnation,
@@ -78,7 +82,11 @@
 }
 
 /// Runs the control thread until the process ends.
-pub(super) async fn run(context: Arc<Context>, listener: TcpListener) -> Result<()> {
+pub(super) async fn run(
+    context: Arc<Context>,
+    listener: TcpListener,
+    record_requests: mpsc::Receiver<RecordRequest>,
+) -> Result<()> {
     let (commands, mut inbox) = mpsc::channel(COMMAND_CAPACITY);
     let address = stop::local(&listener)?;
     let handle = peer::serve(listener, Api::methods(commands)?)?;
@@ -89,6 +97,7 @@
     ntex::rt::spawn(Rc::clone(&control).exchange());
     ntex::rt::spawn(Rc::clone(&control).publish_targets());
     ntex::rt::spawn(Rc::clone(&control).share_limits());
+    ntex::rt::spawn(records::run(Arc::clone(&control.context), record_requests));
     loop {
         tokio::select! {
             Some(command) = inbox.recv() => control.execute(command),
--- a/src/process/entry/control/configuration.rs
+++ b/src/process/entry/control/configuration.rs
@@ -74,10 +74,13 @@
         let mut seen = 0;
         loop {
             if !self.reads_platform() {
+                // Fresh news of a peer means that the object API answers.
+                self.context.note_platform(true);
                 tokio::time::sleep(PAUSE).await;
                 continue;
             }
             let is_read = self.read_platform(&platform).await.is_ok();
+            self.context.note_platform(is_read);
             if is_read != is_up {
                 is_up = is_read;
                 self.log_platform(is_up);
--- a/src/process/entry/control/limits/epoch.rs
+++ b/src/process/entry/control/limits/epoch.rs
@@ -184,7 +184,9 @@
             return Ok(());
         }
         let epoch = record.map_or(0, |record| record.epoch) + 1;
-        self.acquire(platform, &key, group, epoch, condition).await
+        self.acquire(platform, &key, group, epoch, condition)
+            .await?;
+        Ok(())
     }
 
     /// Returns whether the recorded ledger still works, in which case it stays.
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -1,5 +1,8 @@
 //! Runs a request: attempts, retries and the stream that follows.
 
+mod keyed;
+mod stream;
+
 use std::rc::Rc;
 
 use error_stack::Report;
@@ -22,20 +25,22 @@
             MAX_HEAD_BLOCKS, //
         },
         frame::Head,
+        liveness::{
+            HEARTBEAT_US,
+            MISSED_HEARTBEATS, //
+        },
         reassembly::Accepted,
     },
     error::{
         ErrorKind,
+        Execution,
         Result, //
     },
     event::Event,
     names::Name,
     process::agent::BarAnswer,
     request::{
-        openai::{
-            continuation::Continuation,
-            stream::CompletionStream, //
-        },
+        openai::stream::CompletionStream,
         prompt::{
             BlockSize,
             Namespace,
@@ -43,9 +48,11 @@
             cut, //
         },
         retry::{
+            Deadline,
             Phase,
             Recovery,
             Retryable,
+            backoff,
             recovery, //
         },
     },
@@ -70,8 +77,14 @@
     body: Bytes,
     tried: Vec<TargetKey>,
     attempt: Option<Attempt>,
+    /// How the last attempt failed that may have run.
+    loss: Option<ErrorKind>,
     /// Text of the stream so far, for a continuation elsewhere.
     stream: Option<CompletionStream>,
+    /// Whether the last failure was one of a connection only.
+    may_reuse: bool,
+    /// Whether the end marker was passed in place of the target's own.
+    is_over: bool,
 }
 
 /// Result of a step that may be repeated elsewhere.
@@ -91,7 +104,10 @@
             body,
             tried: Vec::new(),
             attempt: None,
+            loss: None,
             stream,
+            may_reuse: false,
+            is_over: false,
             request,
         }
     }
@@ -114,20 +130,81 @@
     /// the request ran.
     pub(super) async fn start(&mut self) -> Result<Head> {
         self.worker.budget.borrow_mut().note_first_attempt();
+        self.run_attempts().await
+    }
+
+    /// Starts again after a failure before anything was passed to the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same kinds as [`Self::start`].
+    pub(super) async fn start_over(&mut self, kind: ErrorKind) -> Result<Head> {
+        self.note_loss(kind, Phase::Headed);
+        self.recover(kind, Phase::Headed)?;
+        self.run_attempts().await
+    }
+
+    async fn run_attempts(&mut self) -> Result<Head> {
+        let deadline = self.give_up_at();
+        let head = tokio::time::timeout_at(deadline, self.try_all()).await;
+        let head = head.unwrap_or_else(|_| Err(Report::new(ErrorKind::OutcomeUnknown)));
+        head.map_err(|report| match self.loss {
+            Some(loss) if report.current_context().is_not_run() => Report::new(loss),
+            _ => report,
+        })
+    }
+
+    async fn try_all(&mut self) -> Result<Head> {
         loop {
             let (kind, phase) = match self.try_once().await? {
-                Step::Headed(head) => return Ok(head),
+                Step::Headed(head) => {
+                    if head.status != 200 {
+                        // The answer is no event stream.
+                        self.stream = None;
+                    }
+                    return Ok(head);
+                }
                 Step::Failed(kind, phase) => (kind, phase),
             };
+            self.note_loss(kind, phase);
             self.recover(kind, phase)?;
         }
     }
 
+    /// The agent reports an expired deadline itself; this bound is for an agent
+    /// that cannot be heard.
+    fn give_up_at(&self) -> tokio::time::Instant {
+        let expires_at_us = self.request.expires_at_us;
+        let give_up_at_us = expires_at_us + HEARTBEAT_US * MISSED_HEARTBEATS;
+        self.worker.context.clock.instant(give_up_at_us).into()
+    }
+
+    /// Remembers that an attempt may have run, so that no later failure claims
+    /// that the request did not.
+    fn note_loss(&mut self, kind: ErrorKind, phase: Phase) {
+        self.may_reuse = kind == ErrorKind::Barred;
+        if kind.is_not_run() || phase == Phase::Unsent {
+            return;
+        }
+        self.loss = Some(match kind.answer().execution {
+            Execution::Started => kind,
+            Execution::NotRun | Execution::Unknown => ErrorKind::OutcomeUnknown,
+        });
+    }
+
     /// Decides whether the request may be tried again.
     fn recover(&self, kind: ErrorKind, phase: Phase) -> Result<()> {
+        let is_refused = kind.is_not_run() && kind != ErrorKind::Barred;
+        if self.request.keyed.is_some() && is_refused {
+            // Another agent cannot vouch for the key.
+            return Err(Report::new(truthful(kind)));
+        }
         match recovery(kind, phase, self.retryable()) {
             Recovery::Answer => Err(Report::new(kind)),
             Recovery::AnswerUnknown => Err(Report::new(ErrorKind::OutcomeUnknown)),
+            Recovery::OtherTarget if phase == Phase::Unsent => {
+                self.spend_retry(ErrorKind::NoTarget)
+            }
             Recovery::OtherTarget | Recovery::Continue => self.spend_retry(kind),
             // The attempt has already been settled and resumed.
             Recovery::Settle | Recovery::Resume => Err(Report::new(ErrorKind::OutcomeUnknown)),
@@ -160,29 +237,61 @@
 
     async fn try_once(&mut self) -> Result<Step> {
         let target = self.next_target()?;
+        if self.tried.contains(&target) {
+            self.back_off().await?;
+        }
+        let is_retry = !self.tried.is_empty();
         self.tried.push(target);
-        let (address, head) = self.attempt_head(target)?;
+        let (address, mut head) = self.attempt_head(target)?;
+        head.idempotency = self.claim_key(target, head.agent).await?;
+        let agent = head.agent;
         let (attempt, sent) = Attempt::send(
             &self.worker,
             address,
             head,
             &self.request.headers,
             self.body.clone(),
+            is_retry,
         )
         .await;
+        let is_unsent = attempt.is_unsent;
         self.attempt = Some(attempt);
+        if is_unsent {
+            return Ok(Step::Failed(ErrorKind::PeerUnavailable, Phase::Unsent));
+        }
         let accepted = match sent {
             Ok(()) => self.read_first().await,
             Err(report) => Err(report),
         };
         match accepted {
             Ok(Accepted::Head(head)) => Ok(Step::Headed(head)),
-            Ok(Accepted::Failed(kind)) => Ok(Step::Failed(kind, Phase::Sent)),
+            Ok(Accepted::Failed(ErrorKind::DuplicateAttempt)) => {
+                self.settle(ErrorKind::DuplicateAttempt).await
+            }
+            Ok(Accepted::Failed(kind)) => {
+                if kind == ErrorKind::Stopping {
+                    self.worker.note_stopping(agent);
+                }
+                Ok(Step::Failed(kind, Phase::Sent))
+            }
             Ok(_) => Ok(Step::Failed(ErrorKind::StreamBroken, Phase::Headed)),
             Err(report) => self.settle(*report.current_context()).await,
         }
     }
 
+    /// Waits before the same target is asked again.
+    async fn back_off(&self) -> Result<()> {
+        let clock = self.worker.context.clock;
+        let retries = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        let deadline = Deadline {
+            expires_at_us: self.request.expires_at_us,
+        };
+        let retry_at_us = backoff(clock.now_us(), retries, deadline, &mut rand::rng());
+        let retry_at_us = retry_at_us.ok_or_else(|| Report::new(ErrorKind::DeadlineBeforeStart))?;
+        tokio::time::sleep_until(clock.instant(retry_at_us).into()).await;
+        Ok(())
+    }
+
     /// Finds out whether an attempt without an answer has started.
     async fn settle(&mut self, kind: ErrorKind) -> Result<Step> {
         let Some(attempt) = &mut self.attempt else {
@@ -199,8 +308,12 @@
                 if attempt.resume().await.is_err() {
                     return Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled));
                 }
-                match self.read_first().await {
-                    Ok(Accepted::Head(head)) => Ok(Step::Headed(head)),
+                // From here on the stream is resumed like any other.
+                match attempt.next().await {
+                    Ok(Accepted::Head(head)) => {
+                        self.note_head(&head);
+                        Ok(Step::Headed(head))
+                    }
                     Ok(Accepted::Failed(kind)) => Ok(Step::Failed(kind, Phase::Settled)),
                     _ => Ok(Step::Failed(kind, Phase::Settled)),
                 }
@@ -214,17 +327,23 @@
         };
         let accepted = attempt.next_unresumed().await?;
         if let Accepted::Head(head) = &accepted {
-            let seen = Answered {
-                engine: head.engine_incarnation,
-                matched_blocks: head.matched_blocks,
-                sent_at_us: attempt.sent_at_us,
-            };
-            self.note_head(head, seen);
+            self.note_head(head);
         }
         Ok(accepted)
     }
 
-    fn note_head(&self, head: &Head, seen: Answered) {
+    fn note_head(&self, head: &Head) {
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        if head.leaving {
+            self.worker.note_stopping(attempt.head.agent);
+        }
+        let seen = Answered {
+            engine: head.engine_incarnation,
+            matched_blocks: head.matched_blocks,
+            sent_at_us: attempt.sent_at_us,
+        };
         let metrics = &self.worker.context.metrics;
         metrics
             .matched_blocks
@@ -238,82 +357,6 @@
         }
     }
 
-    /// Returns the next body bytes; `None` at the end.
-    ///
-    /// # Errors
-    ///
-    /// Returns the failure when the stream cannot be completed.
-    pub(super) async fn next(&mut self) -> Result<Option<Bytes>> {
-        loop {
-            let accepted = match &mut self.attempt {
-                Some(attempt) => attempt.next().await,
-                None => Err(Report::new(ErrorKind::Internal)),
-            };
-            let kind = match accepted {
-                Ok(Accepted::Data(data)) => return self.pass(&data).map(Some),
-                Ok(Accepted::End) if self.is_complete() => return Ok(None),
-                Ok(Accepted::End) => ErrorKind::TargetFailed,
-                Ok(Accepted::Failed(kind)) => kind,
-                Ok(Accepted::Head(_) | Accepted::Nothing) => continue,
-                Err(report) => *report.current_context(),
-            };
-            if !self.continue_elsewhere(kind).await? {
-                return Ok(None);
-            }
-        }
-    }
-
-    /// Remembers the text that is passed on.
-    fn pass(&mut self, data: &[u8]) -> Result<Bytes> {
-        let Some(stream) = &mut self.stream else {
-            return Ok(Bytes::copy_from_slice(data));
-        };
-        // Only whole events are passed, so that a continuation starts at an
-        // event boundary.
-        let events = stream.push(data)?;
-        let raw: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
-        Ok(Bytes::from(raw))
-    }
-
-    fn is_complete(&self) -> bool {
-        use crate::request::openai::stream::StreamEnd;
-        let end = self.stream.as_ref().map(CompletionStream::end);
-        matches!(end, None | Some(StreamEnd::Complete | StreamEnd::Unmarked))
-    }
-
-    /// Continues a generation on another target of the same version. Returns
-    /// false when nothing is left to generate.
-    async fn continue_elsewhere(&mut self, kind: ErrorKind) -> Result<bool> {
-        let answer = recovery(kind, Phase::Streaming, self.retryable());
-        if answer != Recovery::Continue {
-            return Err(Report::new(truthful_after_start(kind)));
-        }
-        self.spend_retry(truthful_after_start(kind))?;
-        let (Some(stream), Some(completion)) = (&self.stream, &self.request.completion) else {
-            return Err(Report::new(truthful_after_start(kind)));
-        };
-        match completion.continuation(stream.emitted(), stream.emitted_tokens())? {
-            Continuation::Exhausted => return Ok(false),
-            Continuation::Body(body) => self.body = Bytes::copy_from_slice(&body),
-        }
-        info!(self.worker.context.log, "stream continues on another target";
-            "event" => Event::StreamContinued,
-            "request_id" => %self.request.id,
-            "kind" => kind.name());
-        self.start_continuation().await?;
-        Ok(true)
-    }
-
-    async fn start_continuation(&mut self) -> Result<()> {
-        loop {
-            match self.try_once().await? {
-                Step::Headed(head) if head.status == 200 => return Ok(()),
-                Step::Headed(_) => return Err(Report::new(ErrorKind::TargetFailed)),
-                Step::Failed(kind, _) => self.spend_retry(truthful_after_start(kind))?,
-            }
-        }
-    }
-
     fn next_target(&mut self) -> Result<TargetKey> {
         let config = &self.request.config;
         let route = config.route(self.request.route);
@@ -329,11 +372,20 @@
         let placement = self
             .worker
             .place(config, service, version.as_deref(), &self.prompt.blocks);
-        let untried = placement
-            .ordered
-            .into_iter()
-            .find(|target| !self.tried.contains(target));
-        let target = untried.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
+        if let Some(keyed) = self.request.keyed {
+            let owners = self.worker.owners(config, service, keyed.key);
+            let mut live = owners
+                .into_iter()
+                .filter(|key| placement.ordered.contains(key));
+            self.version = version;
+            return live.next().ok_or_else(|| Report::new(ErrorKind::NoTarget));
+        }
+        let is_untried = |target: &&TargetKey| !self.tried.contains(target);
+        let untried = placement.ordered.iter().find(is_untried);
+        // A target whose link failed may work on a new connection.
+        let again = placement.ordered.first().filter(|_| self.may_reuse);
+        let target = untried.or(again).copied();
+        let target = target.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
         // All attempts of a request use one version, so that a stream never
         // mixes the output of two.
         self.version = version;
@@ -416,12 +468,3 @@
         other => other,
     }
 }
-
-/// After the caller has received a part, no kind may claim "not run".
-const fn truthful_after_start(kind: ErrorKind) -> ErrorKind {
-    if kind.is_not_run() {
-        ErrorKind::StreamBroken
-    } else {
-        kind
-    }
-}
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -21,6 +21,7 @@
         error_event,
         error_response, //
     },
+    connections::BusyGuard,
     context::RunningGuard,
     forward::Call,
     request::{
@@ -84,7 +85,10 @@
 async fn handle(worker: State, request: HttpRequest, payload: web::types::Payload) -> HttpResponse {
     let payload = payload.into_inner();
     let id = request_id(&request);
-    let guard = RunningGuard::new(&worker.context);
+    let guard = (
+        RunningGuard::new(&worker.context),
+        worker.connections.enter(&request),
+    );
     let request = match Request::read(&worker.context, id.clone(), &request, payload).await {
         Ok(request) => request,
         Err(report) => return refuse(&worker, &id, PUBLIC, &report),
@@ -103,7 +107,7 @@
                 ended: false,
                 _guard: guard,
             };
-            relay.answer(&head).await
+            relay.answer(head).await
         }
         Err(report) => refuse(&worker, &id, &organisation, &report),
     }
@@ -143,29 +147,43 @@
     organisation: Name,
     last_at_us: Option<u64>,
     ended: bool,
-    _guard: RunningGuard,
+    _guard: (RunningGuard, Option<BusyGuard>),
 }
 
 impl Relay {
-    async fn answer(mut self, head: &Head) -> HttpResponse {
+    async fn answer(mut self, head: Head) -> HttpResponse {
         let id = self.call.request.id.clone();
-        let is_event_stream = self.call.request.is_stream() && head.status == 200;
+        let mut head = head;
+        let mut is_event_stream = self.call.request.is_stream() && head.status == 200;
         let mut collected: Vec<u8> = Vec::new();
         let mut is_whole = false;
         while !is_event_stream && !is_whole && collected.len() < COLLECT_BYTES {
             match self.next().await {
                 Ok(Some(data)) => collected.extend_from_slice(&data),
                 Ok(None) => is_whole = true,
-                Err(report) => return refuse(&self.worker, &id, &self.organisation, &report),
+                Err(report) => match self.call.start_over(*report.current_context()).await {
+                    Ok(other) => {
+                        head = other;
+                        is_event_stream = self.call.request.is_stream() && head.status == 200;
+                        collected.clear();
+                        self.ended = false;
+                    }
+                    Err(report) => {
+                        return refuse(&self.worker, &id, &self.organisation, &report);
+                    }
+                },
             }
         }
-        let mut response = self.response_builder(head, &id);
+        let is_leaving = self.worker.context.is_leaving();
+        let mut response = self.response_builder(&head, &id);
         let mut response = if is_whole {
             response.body(collected)
         } else {
             response.streaming(self.into_stream(collected))
         };
-        self_close(&mut response, head.leaving);
+        if is_leaving {
+            close_connection(&mut response);
+        }
         response
     }
 
@@ -269,9 +287,3 @@
         }
     }
 }
-
-fn self_close(response: &mut HttpResponse, leaving: bool) {
-    if leaving {
-        close_connection(response);
-    }
-}
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -1,11 +1,18 @@
 //! State of one traffic thread of an entry.
 
 use std::{
-    cell::RefCell,
-    collections::HashMap,
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::{
+        HashMap,
+        HashSet, //
+    },
     num::NonZeroUsize,
     rc::Rc,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use ntex::{
@@ -20,22 +27,32 @@
     },
 };
 
-use super::context::{
-    Context,
-    TargetViews, //
+use tokio::sync::mpsc;
+
+use super::{
+    connections::Connections,
+    context::{
+        Context,
+        TargetViews, //
+    },
 };
 use crate::{
     error::{
         ErrorKind,
         Result, //
     },
-    names::Name,
+    names::{
+        Digest,
+        Incarnation,
+        Name, //
+    },
     process::{
         client,
         hints::{
             Hints,
             Observation, //
         },
+        membership::rendezvous::choose,
     },
     request::{
         placement::{
@@ -68,6 +85,16 @@
 /// Assumed time to compute a block until an engine reports its own.
 const BLOCK_US: u64 = 50_000;
 
+/// Attempts that wait to be cancelled; more are left to their agents.
+const MAX_CANCELLATIONS: usize = 1_024;
+
+/// Agents remembered as stopping. Reports repeat the announcement, so it is safe
+/// to forget.
+const MAX_STOPPING: usize = 1_024;
+
+/// Bound for one cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// State of one traffic thread.
 pub(super) struct Worker {
     pub(super) context: Arc<Context>,
@@ -80,6 +107,11 @@
     placer: RefCell<Placer>,
     hints: RefCell<Hints>,
     ids: RefCell<HashMap<Name, TargetId>>,
+    cancellations: mpsc::Sender<String>,
+    turn: Cell<usize>,
+    pub(super) connections: Rc<Connections>,
+    /// Agents that have announced their stop since the last report.
+    stopping: RefCell<HashSet<Incarnation>>,
 }
 
 /// A target that was chosen, with the alternatives in order.
@@ -90,8 +122,17 @@
 impl Worker {
     pub(super) async fn new(context: Arc<Context>) -> Result<Rc<Self>> {
         let now_us = context.clock.now_us();
+        let client = client::build("agents").await?;
+        let connections = Rc::<Connections>::default();
+        ntex::rt::spawn(Rc::clone(&connections).watch(Arc::clone(&context)));
+        let (cancellations, urls) = mpsc::channel(MAX_CANCELLATIONS);
+        ntex::rt::spawn(send_cancellations(client.clone(), urls));
         Ok(Rc::new(Self {
-            client: client::build("agents").await?,
+            cancellations,
+            turn: Cell::new(0),
+            connections,
+            stopping: RefCell::default(),
+            client,
             fresh_client: fresh_client().await?,
             budget: RefCell::new(RetryBudget::new(RetryRate::default(), now_us)),
             placer: RefCell::new(Placer::new(Settings::default(), HEAT_BLOCKS)),
@@ -114,6 +155,9 @@
         let usable: Vec<(TargetKey, Target)> = keys
             .filter_map(|key| Some((key, self.usable(config, &views, key, version)?)))
             .collect();
+        if blocks.is_empty() {
+            return self.place_evenly(usable);
+        }
         let targets: Vec<Target> = usable.iter().map(|(_, target)| *target).collect();
         let Some(decision) = self.decide(&targets, blocks) else {
             return Placement {
@@ -136,6 +180,54 @@
         Placement { ordered }
     }
 
+    /// Returns the targets of a service in the order in which they are
+    /// responsible for an idempotency key.
+    pub(super) fn owners(
+        &self,
+        config: &Config,
+        service: ServiceKey,
+        key: Digest,
+    ) -> Vec<TargetKey> {
+        let keys = config.targets_of(service);
+        let name_of = |key: &TargetKey| config.target(*key).map(|entry| &entry.target.name);
+        let order = choose(
+            &key.to_string(),
+            keys.iter().filter_map(name_of),
+            keys.len(),
+        );
+        let find = |name: &Name| keys.iter().find(|key| name_of(key) == Some(name)).copied();
+        order.iter().filter_map(find).collect()
+    }
+
+    /// Without a cached prefix, targets with equal queues take turns.
+    fn place_evenly(&self, mut usable: Vec<(TargetKey, Target)>) -> Placement {
+        let turn = self.turn.get().wrapping_add(1);
+        self.turn.set(turn);
+        if !usable.is_empty() {
+            let first = turn % usable.len();
+            usable.rotate_left(first);
+        }
+        usable.sort_by_key(|(_, target)| target.queue_us);
+        Placement {
+            ordered: usable.into_iter().map(|(key, _)| key).collect(),
+        }
+    }
+
+    /// Cancels an attempt at its agent. One that does not arrive is cancelled by
+    /// the agent itself when nobody reads its stream.
+    pub(super) fn cancel(&self, url: String) {
+        let _ = self.cancellations.try_send(url);
+    }
+
+    /// Notes that an agent has announced its stop, earlier than its next report.
+    pub(super) fn note_stopping(&self, agent: Incarnation) {
+        let mut stopping = self.stopping.borrow_mut();
+        if stopping.len() >= MAX_STOPPING {
+            stopping.clear();
+        }
+        stopping.insert(agent);
+    }
+
     /// Records what an answer told about the cache of a target.
     pub(super) fn note_answer(&self, target: &Name, blocks: &[BlockHash], seen: Answered) {
         let now_us = self.context.clock.now_us();
@@ -174,7 +266,7 @@
         let serves = version.is_none_or(|version| {
             view.versions.is_empty() || view.versions.iter().any(|own| **own == *version)
         });
-        if view.leaving || !serves {
+        if view.leaving || !serves || self.stopping.borrow().contains(&view.agent) {
             return None;
         }
         Some(Target {
@@ -206,6 +298,15 @@
     pub(super) sent_at_us: u64,
 }
 
+async fn send_cancellations(client: Client, mut urls: mpsc::Receiver<String>) {
+    while let Some(url) = urls.recv().await {
+        let request = client.post(url);
+        ntex::rt::spawn(async move {
+            let _ = tokio::time::timeout(CANCEL_TIMEOUT, request.send()).await;
+        });
+    }
+}
+
 async fn fresh_client() -> Result<Client> {
     let config =
         ntex::SharedCfg::new("fresh").add(IoConfig::new().set_connect_timeout(Millis(1_000)));
