--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -34,10 +34,7 @@
     traffic::Traffic, //
 };
 use crate::{
-    clock::{
-        US_PER_MS,
-        US_PER_S, //
-    },
+    clock::US_PER_MS,
     error::{
         ErrorKind,
         Result, //
@@ -59,11 +56,6 @@
 /// Answers that wait for the control thread; more are dropped.
 const ANSWERED_CAPACITY: usize = 1_024;
 
-/// Time for which a stopping agent still answers. An entry that has not heard of
-/// the stop would otherwise lose an attempt on a connection that closes, and
-/// could not tell whether it ran. Reports take one second.
-const LINGER_US: u64 = 2 * US_PER_S;
-
 /// Interval between checks whether the last attempt has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
--- a/src/process/entry/admission.rs
+++ b/src/process/entry/admission.rs
@@ -1,6 +1,9 @@
 //! Reserves the tokens of a request before it is placed.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use error_stack::Report;
 
@@ -9,12 +12,19 @@
     request::Request, //
 };
 use crate::{
-    clock::US_PER_MS,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     error::{
         ErrorKind,
         Result, //
     },
-    process::limits::message::Amount,
+    names::Name,
+    process::limits::{
+        message::Amount,
+        meter::Meter, //
+    },
     request::admission::{
         Admission,
         Cost,
@@ -28,6 +38,11 @@
 /// because a share may arrive between the check and the wait.
 const RECHECK_US: u64 = 50 * US_PER_MS;
 
+/// Bound for the first meter of a new organisation.
+const METER_WITHIN_US: u64 = US_PER_S;
+
+const METER_RECHECK_US: u64 = 10 * US_PER_MS;
+
 /// Waits until the organisation's share covers a request.
 ///
 /// Requests without an organisation are not limited here.
@@ -46,9 +61,7 @@
     let Some(organisation) = organisation else {
         return Ok(None);
     };
-    let meter = context.meters.load().get(&organisation.name).cloned();
-    // The meters follow the configuration within one round.
-    let meter = meter.ok_or_else(|| Report::new(ErrorKind::NotReady))?;
+    let meter = meter(context, &organisation.name).await?;
     let limits = Amount {
         rate_tokens_per_s: organisation.rate_tokens_per_s,
         burst_tokens: organisation.burst_tokens,
@@ -60,6 +73,21 @@
     }
 }
 
+/// Returns the meter of an organisation. The meters follow the configuration
+/// within one round of the control thread.
+async fn meter(context: &Context, organisation: &Name) -> Result<Arc<Meter>> {
+    let expires_at_us = context.clock.now_us() + METER_WITHIN_US;
+    loop {
+        if let Some(meter) = context.meters.load().get(organisation) {
+            return Ok(Arc::clone(meter));
+        }
+        if context.clock.now_us() >= expires_at_us {
+            return Err(Report::new(ErrorKind::NotReady));
+        }
+        tokio::time::sleep(Duration::from_micros(METER_RECHECK_US)).await;
+    }
+}
+
 async fn wait(context: &Context, mut waiting: Waiting) -> Result<Reservation> {
     loop {
         let changed = context.shares_changed.notified();
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -144,7 +144,7 @@
             Command::LimitDirective(directive, sender) => {
                 let now_us = self.context.clock.now_us();
                 self.apply_directives(&[*directive], now_us);
-                drop(sender.send(()));
+                let _ = sender.send(());
             }
             Command::Status(sender) => drop(sender.send(self.status())),
             Command::Explain(request, sender) => {
--- a/src/process/entry/control/limits/epoch.rs
+++ b/src/process/entry/control/limits/epoch.rs
@@ -26,10 +26,7 @@
     },
     process::{
         limits::ledger::Ledger,
-        membership::{
-            GRACE_US,
-            Role, //
-        },
+        membership::Role,
         platform::{Condition, ObjectVersion, Platform, PlatformError, PlatformResult},
     },
 };
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -40,6 +40,7 @@
     names::Name,
     process::agent::BarAnswer,
     request::{
+        admission::Cost,
         openai::stream::CompletionStream,
         prompt::{
             BlockSize,
@@ -112,16 +113,36 @@
         }
     }
 
-    /// Returns the tokens that the request may use at most.
-    pub(super) fn cost_tokens(&self) -> u64 {
+    /// Returns the tokens that the request may use.
+    pub(super) fn cost(&self) -> Cost {
         match &self.request.completion {
-            Some(completion) => {
-                completion.prompt_tokens() + completion.output_tokens(DEFAULT_OUTPUT_TOKENS)
-            }
-            None => 1 + self.request.body.len() as u64 / BYTES_PER_TOKEN,
+            Some(completion) => Cost {
+                prompt_tokens: completion.prompt_tokens(),
+                output_bound_tokens: completion.output_tokens(DEFAULT_OUTPUT_TOKENS),
+            },
+            None => Cost {
+                prompt_tokens: 1 + self.request.body.len() as u64 / BYTES_PER_TOKEN,
+                output_bound_tokens: 0,
+            },
         }
     }
 
+    fn cost_tokens(&self) -> u64 {
+        self.cost().total_tokens().get()
+    }
+
+    /// Returns the tokens that a request has used whose answer is complete.
+    ///
+    /// An answer that does not tell counts with its bound.
+    pub(super) fn used_tokens(&self, whole_answer: &[u8]) -> u64 {
+        let cost = self.cost();
+        let emitted_tokens = match &self.stream {
+            Some(stream) => Some(u64::from(stream.emitted_tokens())),
+            None => completion_tokens(whole_answer),
+        };
+        cost.prompt_tokens + emitted_tokens.unwrap_or(cost.output_bound_tokens)
+    }
+
     /// Sends attempts until one has a head.
     ///
     /// # Errors
@@ -451,6 +472,20 @@
     }
 }
 
+/// Output tokens that a whole completion reports.
+fn completion_tokens(answer: &[u8]) -> Option<u64> {
+    #[derive(serde::Deserialize)]
+    struct Answer {
+        usage: Usage,
+    }
+    #[derive(serde::Deserialize)]
+    struct Usage {
+        completion_tokens: u64,
+    }
+    let answer: Answer = serde_json::from_slice(answer).ok()?;
+    Some(answer.usage.completion_tokens)
+}
+
 fn empty_prompt() -> Prompt {
     Prompt {
         namespace: Namespace(0),
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -16,6 +16,7 @@
 use slog::info;
 
 use super::{
+    admission::admit,
     answer::{
         REQUEST_ID,
         error_event,
@@ -41,6 +42,7 @@
     event::Event,
     names::Name,
     process::metrics::OrganisationMetrics,
+    request::admission::Reservation,
     version::config::ServiceKind,
 };
 
@@ -96,6 +98,10 @@
     let organisation = request.organisation_name.clone();
     let metrics = worker.context.metrics.organisation(&organisation);
     let mut call = Call::new(&worker, request);
+    let reservation = match admit(&worker.context, &call.request, call.cost()).await {
+        Ok(reservation) => reservation,
+        Err(report) => return refuse(&worker, &id, &organisation, &report),
+    };
     match call.start().await {
         Ok(head) => {
             let relay = Relay {
@@ -105,11 +111,24 @@
                 organisation,
                 last_at_us: None,
                 ended: false,
+                reservation,
                 _guard: guard,
             };
             relay.answer(head).await
         }
-        Err(report) => refuse(&worker, &id, &organisation, &report),
+        Err(report) => {
+            if report.current_context().is_not_run() {
+                settle(&worker, reservation, 0);
+            }
+            refuse(&worker, &id, &organisation, &report)
+        }
+    }
+}
+
+/// Ends a reservation and refunds what was not used.
+fn settle(worker: &Worker, reservation: Option<Reservation>, used_tokens: u64) {
+    if let Some(reservation) = reservation {
+        reservation.settle(used_tokens, worker.context.clock.now_us());
     }
 }
 
@@ -147,6 +166,7 @@
     organisation: Name,
     last_at_us: Option<u64>,
     ended: bool,
+    reservation: Option<Reservation>,
     _guard: (RunningGuard, Option<BusyGuard>),
 }
 
@@ -174,6 +194,10 @@
                 },
             }
         }
+        if is_whole {
+            let used_tokens = self.call.used_tokens(&collected);
+            settle(&self.worker, self.reservation.take(), used_tokens);
+        }
         let is_leaving = self.worker.context.is_leaving();
         let mut response = self.response_builder(&head, &id);
         let mut response = if is_whole {
@@ -227,6 +251,10 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
+        if self.call.request.is_stream() {
+            let used_tokens = self.call.used_tokens(&[]);
+            settle(&self.worker, self.reservation.take(), used_tokens);
+        }
         let total_us = now_us - self.call.request.arrived_at_us;
         self.metrics.total.observe(total_us as f64 / 1e6);
         if failure.is_none() {
