Measure how state, messages and processor time grow

Cause: the capacity page needs slopes that can be measured again. Conclusion: one command repeats all slopes.

--- a/src/bin/yuccalatch-replay/app.rs
+++ b/src/bin/yuccalatch-replay/app.rs
@@ -17,6 +17,7 @@
         Measurement,
         markdown, //
     },
+    slopes,
 };
 
 /// Help text.
@@ -24,11 +25,13 @@
 Usage: yuccalatch-replay evaluate [OPTIONS] [EVALUATION...]
        yuccalatch-replay play [OPTIONS] TRACE
        yuccalatch-replay load [OPTIONS]
+       yuccalatch-replay slopes
 
 evaluate compares policies in virtual time and prints a table. Without a name,
 all evaluations run: placement, fairness. play sends the requests of a trace to
 running entries and checks the outcomes that it states. load sends completions
-from a fixed number of streams.
+from a fixed number of streams. slopes measures how state, messages and processor
+time grow.
 
 Options of play:
       --entry ADDRESS    entry to send to; may be repeated, requests alternate
@@ -97,6 +100,7 @@
 pub(crate) enum Config {
     Evaluate(EvaluateConfig),
     Traffic(TrafficConfig),
+    Slopes,
     Help,
     Version,
 }
@@ -108,6 +112,10 @@
             Some(Short('h') | Long("help")) => Ok(Self::Help),
             Some(Short('V') | Long("version")) => Ok(Self::Version),
             Some(Value(command)) if command == "evaluate" => parse_evaluate(parser),
+            Some(Value(command)) if command == "slopes" => match parser.next()? {
+                None => Ok(Self::Slopes),
+                Some(other) => Err(other.unexpected()),
+            },
             Some(Value(command)) if command == "play" => traffic::parse_play(parser),
             Some(Value(command)) if command == "load" => traffic::parse_load(parser),
             Some(Value(command)) => {
@@ -165,6 +173,7 @@
         Config::Version => println!("yuccalatch-replay {}", env!("CARGO_PKG_VERSION")),
         Config::Evaluate(config) => return evaluate(config),
         Config::Traffic(config) => return traffic::run(config),
+        Config::Slopes => print!("{}", slopes::markdown(&slopes::measure())),
     }
     ExitCode::SUCCESS
 }
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -6,4 +6,5 @@
 pub mod outcome;
 pub mod player;
 pub mod report;
+pub mod slopes;
 pub mod trace;
--- /dev/null
+++ b/src/replay/slopes.rs
@@ -0,0 +1,182 @@
+//! Measures how state, messages and processor time grow, for the capacity page.
+//!
+//! Each slope is measured at three sizes or more and fitted by least squares.
+
+mod control;
+mod traffic;
+
+use std::hint::black_box;
+
+use serde::Serialize;
+
+use crate::clock::Clock;
+
+/// Bytes in a page of memory on the supported machines.
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// Microseconds of a run that is long against the resolution of the clock.
+const TIMED_RUN_US: u64 = 20_000;
+
+/// One measured point.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Point {
+    /// Size of the problem.
+    pub size: f64,
+    /// What was measured.
+    pub value: f64,
+}
+
+/// How a value grows with the size of the problem.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Slope {
+    /// What was measured, with its unit.
+    pub subject: &'static str,
+    /// What the size counts.
+    pub per: &'static str,
+    /// Measured points.
+    pub points: Vec<Point>,
+    /// Growth for one more.
+    pub slope: f64,
+}
+
+impl Slope {
+    /// Fits a line through the points.
+    ///
+    /// ```
+    /// use yuccalatch::replay::slopes::{Point, Slope};
+    ///
+    /// let points = [(1.0, 5.0), (2.0, 7.0), (3.0, 9.0)];
+    /// let points = points.map(|(size, value)| Point { size, value });
+    /// assert_eq!(Slope::fit("bytes", "row", points.to_vec()).slope, 2.0);
+    /// ```
+    pub fn fit(subject: &'static str, per: &'static str, points: Vec<Point>) -> Self {
+        let count = points.len().max(1) as f64;
+        let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+        let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+        let covariance: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size) * (point.value - mean_value))
+            .sum();
+        let variance: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size).powi(2))
+            .sum();
+        Self {
+            subject,
+            per,
+            slope: if variance > 0.0 {
+                covariance / variance
+            } else {
+                0.0
+            },
+            points,
+        }
+    }
+}
+
+/// Measures all slopes.
+///
+/// The figures depend on the machine; nothing is asserted about them.
+pub fn measure() -> Vec<Slope> {
+    let mut slopes = control::measure();
+    slopes.extend(traffic::measure());
+    slopes
+}
+
+/// Formats slopes as a Markdown table.
+///
+/// ```
+/// assert!(yuccalatch::replay::slopes::markdown(&[]).starts_with("| measured"));
+/// ```
+pub fn markdown(slopes: &[Slope]) -> String {
+    let mut table =
+        String::from("| measured | per | points | slope |\n| --- | --- | --- | --- |\n");
+    for slope in slopes {
+        let points: Vec<String> = slope
+            .points
+            .iter()
+            .map(|point| format!("{}: {:.1}", point.size, point.value))
+            .collect();
+        let points = points.join(", ");
+        table.push_str(&format!(
+            "| {} | {} | {points} | {:.3} |\n",
+            slope.subject, slope.per, slope.slope
+        ));
+    }
+    table
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
+
+/// Measures the memory that a value keeps at several sizes. Every value stays
+/// alive until the end, so that freed memory is not counted twice.
+fn memory<T>(
+    subject: &'static str,
+    per: &'static str,
+    sizes: &[usize],
+    build: impl Fn(usize) -> T,
+) -> Slope {
+    let mut kept = Vec::new();
+    let mut points = Vec::new();
+    for &size in sizes {
+        let before = resident_bytes();
+        kept.push(build(size));
+        points.push(Point {
+            size: size as f64,
+            value: resident_bytes() - before,
+        });
+    }
+    black_box(&kept);
+    Slope::fit(subject, per, points)
+}
+
+/// Measures the time of an action at several sizes, in microseconds.
+fn time<T>(
+    subject: &'static str,
+    per: &'static str,
+    sizes: &[usize],
+    prepare: impl Fn(usize) -> T,
+    act: impl Fn(&mut T),
+) -> Slope {
+    let clock = Clock::start();
+    let points = sizes
+        .iter()
+        .map(|&size| {
+            let mut state = prepare(size);
+            let started_us = clock.now_us();
+            let mut runs = 0;
+            while clock.now_us() - started_us < TIMED_RUN_US {
+                act(&mut state);
+                runs += 1;
+            }
+            let elapsed_us = clock.now_us() - started_us;
+            Point {
+                size: size as f64,
+                value: elapsed_us as f64 / f64::from(runs),
+            }
+        })
+        .collect();
+    Slope::fit(subject, per, points)
+}
+
+/// Records the size of messages, in bytes.
+fn bytes(
+    subject: &'static str,
+    per: &'static str,
+    sizes: &[usize],
+    encode: impl Fn(usize) -> usize,
+) -> Slope {
+    let points = sizes
+        .iter()
+        .map(|&size| Point {
+            size: size as f64,
+            value: encode(size) as f64,
+        })
+        .collect();
+    Slope::fit(subject, per, points)
+}
--- /dev/null
+++ b/src/replay/slopes/control.rs
@@ -0,0 +1,220 @@
+//! Slopes of the control state: configuration, members, limits.
+
+use super::{
+    Slope,
+    bytes,
+    memory,
+    time, //
+};
+use crate::{
+    names::{
+        Digest,
+        Incarnation,
+        Name, //
+    },
+    process::{
+        limits::{
+            message::{
+                AccountReport,
+                Amount,
+                Demand,
+                HolderId,
+                Report as LimitReport, //
+            },
+            participant::Participant,
+        },
+        membership::{
+            Membership,
+            Report,
+            Role, //
+        },
+    },
+    version::{
+        config::{
+            Fold,
+            Key,
+            Object,
+            Organisation, //
+        },
+        head::Head,
+        keys::digest_of,
+        ticket::Ticket,
+    },
+};
+
+const ORGANISATIONS: [usize; 3] = [2_000, 8_000, 28_000];
+const TARGETS: [usize; 3] = [500, 1_500, 5_300];
+const LOG_ENTRIES: [usize; 3] = [8, 16, 64];
+const ACCOUNTS: [usize; 3] = [1, 8, 64];
+
+/// Measures all slopes of the control state.
+pub(super) fn measure() -> Vec<Slope> {
+    vec![
+        memory(
+            "configuration and snapshot, bytes",
+            "organisation with a key",
+            &ORGANISATIONS,
+            |n| {
+                let fold = configuration(n);
+                let config = fold.publish();
+                (fold, config)
+            },
+        ),
+        time(
+            "ticket with one key: fold and publish, us",
+            "organisation with a key",
+            &ORGANISATIONS,
+            |n| (configuration(n), 2),
+            |(fold, next)| {
+                let ticket = ticket(*next, vec![key(0, *next)]);
+                fold.apply(*next, &ticket);
+                *next += 1;
+                std::hint::black_box(fold.publish());
+            },
+        ),
+        bytes(
+            "head object, bytes",
+            "ticket in the log",
+            &LOG_ENTRIES,
+            |n| {
+                let head = (0..n as u64).fold(Head::default(), |head, number| {
+                    head.with(number + 1, digest_of(b"content"))
+                });
+                serde_json::to_vec(&head).map_or(0, |json| json.len())
+            },
+        ),
+        memory("members, bytes", "target", &TARGETS, members),
+        time(
+            "report of a known target, us",
+            "target",
+            &TARGETS,
+            members,
+            |members| {
+                members.report(report(7), 1);
+            },
+        ),
+        bytes("report of an agent, bytes", "report", &[1, 2, 4], |n| {
+            n * postcard::to_stdvec(&report(1)).map_or(0, |bytes| bytes.len())
+        }),
+        memory(
+            "limit shares of a holder, bytes",
+            "organisation",
+            &ORGANISATIONS,
+            holder,
+        ),
+        bytes(
+            "limit report, bytes",
+            "organisation with news",
+            &ACCOUNTS,
+            |n| postcard::to_stdvec(&limit_report(n)).map_or(0, |bytes| bytes.len()),
+        ),
+    ]
+}
+
+fn organisation(number: usize) -> Object {
+    Object::Organisation(Organisation {
+        name: name("organisation", number),
+        rate_tokens_per_s: 1_000,
+        burst_tokens: 10_000,
+        weight: 1,
+    })
+}
+
+fn key(number: usize, salt: u64) -> Object {
+    Object::Key(Key {
+        name: name("key", number),
+        organisation: name("organisation", number),
+        digest: Digest(digest_of(format!("{number}/{salt}").as_bytes()).0),
+    })
+}
+
+fn ticket(number: u64, set: Vec<Object>) -> Ticket {
+    Ticket {
+        ticket: number,
+        author: "slopes".into(),
+        comment: String::new(),
+        set,
+        remove: Vec::new(),
+    }
+}
+
+fn configuration(organisations: usize) -> Fold {
+    let mut fold = Fold::default();
+    let set = (0..organisations).flat_map(|number| [organisation(number), key(number, 0)]);
+    fold.apply(1, &ticket(1, set.collect()));
+    fold
+}
+
+fn name(kind: &str, number: usize) -> Name {
+    format!("{kind}-{number:05}").into()
+}
+
+fn report(number: usize) -> Report {
+    Report {
+        name: name("engine", number),
+        role: Role::Target,
+        data_centre: "es-norte-a".into(),
+        service: "draft".into(),
+        control_address: ([10, 0, 0, 1], 7_000).into(),
+        incarnation: Incarnation(number as u64),
+        sequence: 1,
+        is_leaving: false,
+        revision: 14_000,
+        running: 12,
+        queued: 3,
+        queue_us: 40_000,
+        engine: Incarnation(7),
+        versions: vec!["2026-12-a".into()],
+    }
+}
+
+fn members(targets: usize) -> Membership {
+    let mut members = Membership::default();
+    for number in 0..targets {
+        members.report(report(number), 0);
+    }
+    members
+}
+
+fn holder(organisations: usize) -> Participant {
+    let mut participant = Participant::new(holder_id(), 0);
+    for number in 0..organisations {
+        participant.holder().meter(&name("organisation", number), 0);
+    }
+    participant
+}
+
+fn holder_id() -> HolderId {
+    HolderId {
+        slot: "entry-001".into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn limit_report(accounts: usize) -> LimitReport {
+    let account = |number| AccountReport {
+        organisation: name("organisation", number),
+        held: Amount {
+            rate_tokens_per_s: 1_000,
+            burst_tokens: 10_000,
+        },
+        lend_seen: 12,
+        release: None,
+        demand: Demand {
+            offered_tokens_per_s: 900,
+            shortfall_tokens: 0,
+            level_tokens: 8_000,
+        },
+        granted_tokens: 0,
+    };
+    LimitReport {
+        from: holder_id(),
+        group: 17,
+        epoch: 3,
+        heard: 900,
+        sequence: 1_200,
+        is_complete: false,
+        accounts: (0..accounts).map(account).collect(),
+        borrowers: Vec::new(),
+    }
+}
