--- a/src/process/limits.rs
+++ b/src/process/limits.rs
@@ -13,3 +13,5 @@
 pub mod message;
 pub mod meter;
 pub mod participant;
+mod position;
+mod slot;
--- a/src/process/limits/allocation.rs
+++ b/src/process/limits/allocation.rs
@@ -18,7 +18,9 @@
 /// Part of the limits kept for single grants, in percent.
 pub const POOL_PERCENT: u64 = 10;
 /// Part of the limits kept at each deputy beyond its own demand, in percent.
-pub const DEPUTY_PERCENT: u64 = 10;
+/// With 10 the loss of a ledger in an outage refused up to 0.98% inside the
+/// rate, see `docs/limits.md`.
+pub const DEPUTY_PERCENT: u64 = 15;
 /// A standing share is changed when it differs from the wanted one by more
 /// than this, in percent of the wanted one; smaller changes cost messages and
 /// gain nothing.
@@ -158,9 +160,8 @@
         let tolerance = percent(wanted, TOLERANCE_PERCENT);
         let excess = held.minus(wanted);
         let lacking = wanted.minus(held);
-        let is_above = exceeds(excess, tolerance);
-        if is_above && account.demand().shortfall_tokens == 0 {
-            self.recall(slot, excess, 0);
+        if exceeds(excess, tolerance) {
+            self.recall(slot, releasable(account, wanted, excess), 0);
         }
         if !exceeds(lacking, tolerance) || account.lend().is_some() {
             return free;
@@ -204,6 +205,23 @@
     }
 }
 
+/// Returns the part of an excess that waiting requests do not need.
+///
+/// Burst that was granted and is used up has to return to the pool even while
+/// requests wait, because the pool keeps no tokens without it.
+fn releasable(account: &Account, wanted: Amount, excess: Amount) -> Amount {
+    let demand = account.demand();
+    let needed_tokens = match demand.shortfall_tokens {
+        0 => 0,
+        shortfall_tokens => demand.level_tokens + shortfall_tokens.min(wanted.burst_tokens),
+    };
+    let unneeded_tokens = account.held().burst_tokens.saturating_sub(needed_tokens);
+    Amount {
+        rate_tokens_per_s: excess.rate_tokens_per_s,
+        burst_tokens: excess.burst_tokens.min(unneeded_tokens),
+    }
+}
+
 const fn tokens(burst_tokens: u64) -> Amount {
     Amount {
         rate_tokens_per_s: 0,
--- a/src/process/limits/holder.rs
+++ b/src/process/limits/holder.rs
@@ -9,58 +9,22 @@
 };
 
 use super::{
-    account::{
-        Account,
-        Loan, //
-    },
     message::{
         AccountDirective,
         AccountReport,
-        Amount,
-        Demand,
         Directive,
         HolderId,
         Lender,
         Report, //
     },
-    meter::{
-        Meter,
-        Usage, //
-    },
+    meter::Meter,
+    position::Position,
 };
-use crate::{
-    clock::US_PER_S,
-    names::{
-        Incarnation,
-        Name, //
-    },
+use crate::names::{
+    Incarnation,
+    Name, //
 };
 
-/// Length of one sample of the offered rate.
-pub const SAMPLE_US: u64 = 200_000;
-/// An account without changes is reported this often, because an earlier
-/// report may have been lost.
-pub const REFRESH_US: u64 = 5_000_000;
-
-/// Weight of the newest sample is one in this many, which averages requests of
-/// thousands of tokens over about 1.6 s.
-const SAMPLE_WEIGHT: u64 = 8;
-/// A demand or level that changed by one part in this many is reported.
-const CHANGE_PARTS: u64 = 4;
-
-#[derive(Debug)]
-struct Organisation {
-    meter: Arc<Meter>,
-    own: Loan,
-    borrowed: BTreeMap<Incarnation, Loan>,
-    granted: BTreeMap<HolderId, Account>,
-    demand: Demand,
-    reported: Demand,
-    report_due_at_us: u64,
-    sampled_at_us: u64,
-    sampled_tokens: u64,
-}
-
 /// Shares of one process in one ledger group.
 #[derive(Debug)]
 pub struct Holder {
@@ -73,7 +37,7 @@
     is_known: bool,
     is_deputy: bool,
     is_leaving: bool,
-    organisations: BTreeMap<Name, Organisation>,
+    organisations: BTreeMap<Name, Position>,
     borrowers: BTreeSet<HolderId>,
 }
 
@@ -104,25 +68,61 @@
     }
 
     /// Returns the highest epoch seen.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let holder = Holder::new(id, 0);
+    /// assert_eq!(holder.epoch(), 0);
+    /// ```
     pub const fn epoch(&self) -> u64 {
         self.epoch
     }
 
     /// Returns the identity of the process.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let holder = Holder::new(id, 0);
+    /// assert_eq!(&*holder.id().slot, "entry-1");
+    /// ```
     pub const fn id(&self) -> &HolderId {
         &self.id
     }
 
     /// Returns whether this process may grant to others.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let holder = Holder::new(id, 0);
+    /// assert!(!holder.is_deputy());
+    /// ```
     pub const fn is_deputy(&self) -> bool {
         self.is_deputy
     }
 
     /// Returns whether nothing is left to hand back.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let holder = Holder::new(id, 0);
+    /// assert!(holder.is_empty());
+    /// ```
     pub fn is_empty(&self) -> bool {
-        self.organisations.values().all(|organisation| {
-            organisation.own.held().is_zero() && organisation.own.release().is_none()
-        })
+        self.organisations
+            .values()
+            .all(|organisation| organisation.is_returned())
     }
 
     /// Returns the meter of an organisation for the traffic side.
@@ -136,13 +136,23 @@
     /// assert!(holder.meter(&"acme".into(), 0).amount().is_zero());
     /// ```
     pub fn meter(&mut self, organisation: &Name, now_us: u64) -> Arc<Meter> {
-        Arc::clone(&self.organisation(organisation, now_us).meter)
+        self.organisation(organisation, now_us).meter()
     }
 
     /// Starts to hand back all shares, before the process stops.
     ///
     /// The reports carry the releases until they are acknowledged; the process
     /// may stop once [`Holder::is_empty`] holds.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// holder.leave();
+    /// assert!(holder.is_empty());
+    /// ```
     pub const fn leave(&mut self) {
         self.is_leaving = true;
     }
@@ -172,17 +182,24 @@
         self.is_known = false;
         self.is_deputy = false;
         for organisation in self.organisations.values_mut() {
-            let granted = std::mem::take(&mut organisation.granted);
-            self.borrowers.extend(granted.into_keys());
-            organisation.borrowed.clear();
-            // The bucket has exactly what is neither granted nor on its way.
-            organisation.own = Loan::new(organisation.meter.amount());
+            self.borrowers.extend(organisation.follow_epoch());
         }
     }
 
     /// Adds processes that a ledger, retired in this process, has lent to.
     ///
     /// Has to be called before the next report, see [`super::participant`].
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// let borrower = HolderId { slot: "entry-2".into(), incarnation: Incarnation(2) };
+    /// holder.add_borrowers(vec![borrower.clone()]);
+    /// assert_eq!(holder.report(0).unwrap().borrowers, [borrower]);
+    /// ```
     pub fn add_borrowers(&mut self, borrowers: Vec<HolderId>) {
         self.borrowers.extend(borrowers);
     }
@@ -190,6 +207,19 @@
     /// Applies a message from the ledger or a deputy.
     ///
     /// Returns whether a share arrived, so that waiting requests are retried.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, ledger::Ledger, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// for directive in ledger.tick(0) {
+    ///     assert!(!holder.on_directive(&directive, 0));
+    /// }
+    /// assert_eq!(holder.epoch(), 7);
+    /// ```
     pub fn on_directive(&mut self, directive: &Directive, now_us: u64) -> bool {
         let is_addressed = directive.slot == self.id.slot
             && directive.group == self.group
@@ -216,6 +246,15 @@
     }
 
     /// Makes the next message to the ledger; `None` when there is no news.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// assert!(holder.report(0).unwrap().is_complete);
+    /// ```
     pub fn report(&mut self, now_us: u64) -> Option<Report> {
         let is_complete = !self.is_known;
         let mut accounts = Vec::new();
@@ -225,9 +264,7 @@
                 organisation.hand_back(now_us);
             }
             if is_complete || organisation.is_due(now_us) {
-                organisation.report_due_at_us = now_us.saturating_add(REFRESH_US);
-                organisation.reported = organisation.demand;
-                accounts.push(organisation.own_report(name));
+                accounts.push(organisation.own_report(name, now_us));
             }
         }
         if accounts.is_empty() && !is_complete {
@@ -241,6 +278,15 @@
     ///
     /// Used while the ledger is silent, and afterwards until all grants are
     /// returned.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// assert!(holder.report_to_deputy(Incarnation(2), 0).is_none());
+    /// ```
     pub fn report_to_deputy(&mut self, deputy: Incarnation, now_us: u64) -> Option<Report> {
         let mut accounts = Vec::new();
         for (name, organisation) in &mut self.organisations {
@@ -253,6 +299,16 @@
     }
 
     /// As a deputy, answers a message of another holder.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// let report = holder.report(0).unwrap();
+    /// assert!(holder.on_report(&report, 0).unwrap().accounts.is_empty());
+    /// ```
     pub fn on_report(&mut self, report: &Report, now_us: u64) -> Option<Directive> {
         if report.group != self.group {
             return None;
@@ -282,28 +338,7 @@
 
     fn apply(&mut self, lender: Lender, account: &AccountDirective, now_us: u64) -> bool {
         let organisation = self.organisation(&account.organisation, now_us);
-        organisation.report_due_at_us = 0;
-        let loan = match lender {
-            Lender::Ledger => &mut organisation.own,
-            Lender::Deputy(deputy) => organisation.borrowed.entry(deputy).or_default(),
-        };
-        loan.acknowledge(account.release_seen);
-        let lent = account.lend.and_then(|lend| loan.accept(lend));
-        if let Some(share) = lent {
-            organisation.meter.merge(share, now_us);
-        }
-        if let Some(recall) = account.recall
-            && loan.may_release(account.release_seen)
-        {
-            let wanted = recall.amount.min(loan.held());
-            let share = organisation
-                .meter
-                .split(wanted, recall.level_tokens, now_us);
-            if !share.amount.is_zero() {
-                loan.open_release(share);
-            }
-        }
-        lent.is_some()
+        organisation.apply(lender, account, now_us)
     }
 
     fn envelope(&mut self, is_complete: bool, accounts: Vec<AccountReport>) -> Report {
@@ -320,153 +355,9 @@
         }
     }
 
-    fn organisation(&mut self, name: &Name, now_us: u64) -> &mut Organisation {
+    fn organisation(&mut self, name: &Name, now_us: u64) -> &mut Position {
         self.organisations
             .entry(name.clone())
-            .or_insert_with(|| Organisation::new(now_us))
-    }
-}
-
-impl Organisation {
-    fn new(now_us: u64) -> Self {
-        Self {
-            meter: Arc::new(Meter::new(now_us)),
-            own: Loan::default(),
-            borrowed: BTreeMap::new(),
-            granted: BTreeMap::new(),
-            demand: Demand::default(),
-            reported: Demand::default(),
-            report_due_at_us: 0,
-            sampled_at_us: now_us,
-            sampled_tokens: 0,
-        }
-    }
-
-    fn sample(&mut self, now_us: u64) {
-        let Usage {
-            offered_tokens,
-            shortfall_tokens,
-            level_tokens,
-        } = self.meter.usage(now_us);
-        self.demand.shortfall_tokens = shortfall_tokens;
-        self.demand.level_tokens = level_tokens;
-        self.sampled_tokens = self.sampled_tokens.saturating_add(offered_tokens);
-        let elapsed_us = now_us.saturating_sub(self.sampled_at_us);
-        if elapsed_us < SAMPLE_US {
-            return;
-        }
-        let newest = super::bucket::scale(self.sampled_tokens, US_PER_S, elapsed_us);
-        let average = &mut self.demand.offered_tokens_per_s;
-        // A long gap counts as several samples.
-        let samples = (elapsed_us / SAMPLE_US).min(SAMPLE_WEIGHT);
-        let kept = average.saturating_mul(SAMPLE_WEIGHT - samples);
-        *average = kept.saturating_add(newest.saturating_mul(samples)) / SAMPLE_WEIGHT;
-        self.sampled_at_us = now_us;
-        self.sampled_tokens = 0;
-    }
-
-    fn is_due(&self, now_us: u64) -> bool {
-        let is_idle = self.demand == Demand::default() && self.own.held().is_zero();
-        let has_changed = |new: u64, old: u64| new.abs_diff(old) > new.max(old) / CHANGE_PARTS;
-        self.own.release().is_some()
-            || self.demand.shortfall_tokens > 0
-            || self.demand.shortfall_tokens != self.reported.shortfall_tokens
-            || has_changed(
-                self.demand.offered_tokens_per_s,
-                self.reported.offered_tokens_per_s,
-            )
-            || has_changed(self.demand.level_tokens, self.reported.level_tokens)
-            || (self.report_due_at_us <= now_us && (!is_idle || self.report_due_at_us == 0))
-    }
-
-    fn hand_back(&mut self, now_us: u64) {
-        // Without a demand the ledger lends nothing new.
-        self.demand = Demand::default();
-        if self.own.release().is_none() && !self.own.held().is_zero() {
-            let share = self.meter.split(self.own.held(), 0, now_us);
-            if !share.amount.is_zero() {
-                self.own.open_release(share);
-            }
-        }
-    }
-
-    fn own_report(&self, name: &Name) -> AccountReport {
-        let granted = self.granted.values().map(Account::held);
-        AccountReport {
-            organisation: name.clone(),
-            held: self.own.held(),
-            lend_seen: self.own.lend_seen(),
-            release: self.own.release(),
-            demand: self.demand,
-            granted_tokens: granted.fold(Amount::default(), Amount::plus).burst_tokens,
-        }
-    }
-
-    fn deputy_report(
-        &mut self,
-        name: &Name,
-        deputy: Incarnation,
-        now_us: u64,
-    ) -> Option<AccountReport> {
-        let is_short = self.demand.shortfall_tokens > 0;
-        if !is_short && !self.borrowed.contains_key(&deputy) {
-            return None;
-        }
-        let loan = self.borrowed.entry(deputy).or_default();
-        // A grant is returned as soon as the waiting requests are served.
-        if !is_short && loan.release().is_none() && !loan.held().is_zero() {
-            let share = self.meter.split(loan.held(), 0, now_us);
-            if !share.amount.is_zero() {
-                loan.open_release(share);
-            }
-        }
-        let report = AccountReport {
-            organisation: name.clone(),
-            held: loan.held(),
-            lend_seen: loan.lend_seen(),
-            release: loan.release(),
-            demand: self.demand,
-            granted_tokens: 0,
-        };
-        // The entry stays for its numbers: they must not start again.
-        let is_settled = !is_short && loan.release().is_none() && loan.held().is_zero();
-        (!is_settled).then_some(report)
-    }
-
-    fn grant(
-        &mut self,
-        borrower: &HolderId,
-        asked: &AccountReport,
-        is_deputy: bool,
-        now_us: u64,
-    ) -> Option<AccountDirective> {
-        if !is_deputy && !self.granted.contains_key(borrower) {
-            return None;
-        }
-        let account = self.granted.entry(borrower.clone()).or_default();
-        if let Some(share) = account.apply(asked) {
-            self.meter.merge(share, now_us);
-        }
-        let Usage {
-            offered_tokens,
-            shortfall_tokens,
-            level_tokens,
-        } = self.meter.usage(now_us);
-        self.sampled_tokens = self.sampled_tokens.saturating_add(offered_tokens);
-        let wanted_tokens = asked.demand.shortfall_tokens.min(level_tokens);
-        let may_grant = is_deputy && shortfall_tokens == 0 && account.lend().is_none();
-        if may_grant && wanted_tokens > 0 {
-            let wanted = Amount {
-                rate_tokens_per_s: 0,
-                burst_tokens: wanted_tokens,
-            };
-            account.open_lend(self.meter.split(wanted, wanted_tokens, now_us));
-        }
-        Some(AccountDirective {
-            organisation: asked.organisation.clone(),
-            lend: account.lend(),
-            release_seen: account.release_seen(),
-            recall: None,
-        })
+            .or_insert_with(|| Position::new(now_us))
     }
 }
--- a/src/process/limits/ledger.rs
+++ b/src/process/limits/ledger.rs
@@ -17,32 +17,12 @@
         Lender,
         Report, //
     },
+    slot::{
+        Acceptance,
+        Slot, //
+    },
 };
-use crate::names::{
-    Incarnation,
-    Name, //
-};
-
-#[derive(Clone, Copy, Debug)]
-struct Contact {
-    incarnation: Incarnation,
-    heard: u64,
-    report_sequence: u64,
-}
-
-/// What the ledger knows of one slot in its epoch.
-#[derive(Clone, Debug, Default)]
-struct Slot {
-    contact: Option<Contact>,
-    /// Another incarnation is accepted only if it heard a later message, which
-    /// proves that it is the newer one.
-    answered_at: u64,
-    /// The slot counts as answered only after it heard a later message.
-    required_after: u64,
-    gone_at_us: Option<u64>,
-    was_deputy: bool,
-    has_granted: bool,
-}
+use crate::names::Name;
 
 /// Lends the shares of one ledger group in one epoch.
 ///
@@ -88,17 +68,45 @@
     }
 
     /// Returns the epoch.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::ledger::Ledger;
+    ///
+    /// let ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// assert_eq!(ledger.epoch(), 7);
+    /// ```
     pub const fn epoch(&self) -> u64 {
         self.epoch
     }
 
     /// Returns whether all slots have answered or are gone.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, ledger::Ledger, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// for directive in ledger.tick(0) {
+    ///     holder.on_directive(&directive, 0);
+    /// }
+    /// ledger.on_report(&holder.report(0).unwrap(), 0);
+    /// assert!(ledger.is_recovered());
+    /// ```
     pub const fn is_recovered(&self) -> bool {
         self.is_recovered
     }
 
     /// Returns whether reserved shares can be recovered by acquiring a new
     /// epoch.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::ledger::Ledger;
+    ///
+    /// let ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// assert!(!ledger.wants_epoch());
+    /// ```
     pub const fn wants_epoch(&self) -> bool {
         self.wants_epoch
     }
@@ -127,6 +135,14 @@
     }
 
     /// Adds a slot that was registered after the epoch was acquired.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::ledger::Ledger;
+    ///
+    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// ledger.add_slot("entry-2".into());
+    /// assert_eq!(ledger.tick(0).len(), 2);
+    /// ```
     pub fn add_slot(&mut self, slot: Name) {
         let answered_at = self.sequence;
         let state = self.slots.entry(slot).or_insert_with(|| Slot {
@@ -138,6 +154,17 @@
 
     /// Notes that the platform's list no longer has a slot; it counts as gone
     /// at the given time, which includes the grace period.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::ledger::Ledger;
+    ///
+    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// ledger.remove_slot(&"entry-1".into(), 10);
+    /// ledger.tick(9);
+    /// assert!(!ledger.is_recovered());
+    /// ledger.tick(10);
+    /// assert!(ledger.is_recovered());
+    /// ```
     pub fn remove_slot(&mut self, slot: &Name, gone_at_us: u64) {
         if let Some(state) = self.slots.get_mut(slot) {
             state.gone_at_us = Some(gone_at_us);
@@ -145,6 +172,13 @@
     }
 
     /// Names the slots that keep a reserve and grant while the ledger is down.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::ledger::Ledger;
+    ///
+    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// ledger.set_deputies(vec!["entry-1".into()]);
+    /// ```
     pub fn set_deputies(&mut self, deputies: Vec<Name>) {
         self.deputies = deputies;
     }
@@ -173,6 +207,13 @@
     }
 
     /// Returns whether the shares of an organisation fit the configured limits.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::ledger::Ledger;
+    ///
+    /// let ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// assert!(!ledger.is_in_force(&"acme".into()));
+    /// ```
     pub fn is_in_force(&self, organisation: &Name) -> bool {
         self.is_recovered && self.books.get(organisation).is_some_and(Book::is_in_force)
     }
@@ -194,6 +235,17 @@
     }
 
     /// Applies a report and returns the answers.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, ledger::Ledger, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let answers = ledger.on_report(&holder.report(0).unwrap(), 0);
+    /// assert!(answers[0].is_recover);
+    /// ```
     pub fn on_report(&mut self, report: &Report, now_us: u64) -> Vec<Directive> {
         let is_known = self.slots.contains_key(&report.from.slot);
         if report.group != self.group || !is_known || report.epoch > self.epoch {
@@ -218,6 +270,13 @@
     }
 
     /// Reclaims, rebalances and repeats open messages; call about every 100 ms.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::ledger::Ledger;
+    ///
+    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// assert!(ledger.tick(0)[0].is_recover);
+    /// ```
     pub fn tick(&mut self, now_us: u64) -> Vec<Directive> {
         self.drop_gone(now_us);
         self.check_recovered(now_us);
@@ -237,32 +296,8 @@
     }
 
     fn accept(&mut self, report: &Report) -> Acceptance {
-        let sequence = self.sequence;
-        let Some(slot) = self.slots.get_mut(&report.from.slot) else {
-            return Acceptance::Stale;
-        };
-        let known = slot
-            .contact
-            .filter(|contact| contact.incarnation == report.from.incarnation);
-        let acceptance = match known {
-            Some(contact) if report.sequence <= contact.report_sequence => {
-                return Acceptance::Stale;
-            }
-            Some(_) => Acceptance::Known,
-            None if !report.is_complete
-                || report.heard <= slot.answered_at.max(slot.required_after) =>
-            {
-                return Acceptance::Unproven;
-            }
-            None => Acceptance::First,
-        };
-        slot.answered_at = sequence;
-        slot.contact = Some(Contact {
-            incarnation: report.from.incarnation,
-            heard: report.heard,
-            report_sequence: report.sequence,
-        });
-        acceptance
+        let slot = self.slots.get_mut(&report.from.slot);
+        slot.map_or(Acceptance::Stale, |slot| slot.accept(report, self.sequence))
     }
 
     /// Replaces the accounts of an earlier incarnation by the answer of a new
@@ -432,17 +467,3 @@
             .or_insert_with(|| Book::new(now_us))
     }
 }
-
-enum Acceptance {
-    Stale,
-    Unproven,
-    First,
-    Known,
-}
-
-impl Slot {
-    fn has_answered(&self) -> bool {
-        self.contact
-            .is_some_and(|contact| contact.heard > self.required_after)
-    }
-}
--- a/src/process/limits/meter.rs
+++ b/src/process/limits/meter.rs
@@ -20,6 +20,9 @@
 /// Waiting requests of one organisation in one process; further ones are
 /// refused, which bounds the memory of the queue.
 pub const MAX_WAITERS: usize = 1_024;
+/// Shortest time between two tries of a waiting request. Without it, a request
+/// behind one that has not been retried yet would ask again at once.
+pub const MIN_RETRY_US: u64 = 1_000;
 
 /// Position of a waiting request.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -67,6 +70,8 @@
     waiting_tokens: u64,
     offered_tokens: u64,
     next_ticket: u64,
+    /// No waiting request expires earlier, so that most calls need no search.
+    next_expiry_us: u64,
 }
 
 /// Bucket of one organisation in one process.
@@ -115,8 +120,8 @@
     /// use yuccalatch::process::limits::meter::{Meter, Take};
     ///
     /// let meter = Meter::new(0);
-    /// assert_eq!(meter.take(10, 1_000, 1_000_000, 0), Take::Refused);
-    /// assert!(matches!(meter.take(10, 1_000, 10_000, 0), Take::Waiting { .. }));
+    /// assert_eq!(meter.take(10, 1_000, 5_000, 0), Take::Refused);
+    /// assert!(matches!(meter.take(10, 1_000, 20_000, 0), Take::Waiting { .. }));
     /// ```
     pub fn take(
         &self,
@@ -140,6 +145,7 @@
         let ticket = Ticket(state.next_ticket);
         state.next_ticket += 1;
         state.waiting_tokens = needed_tokens;
+        state.next_expiry_us = state.next_expiry_us.min(expires_at_us);
         state.waiters.push_back(Waiter {
             ticket,
             cost_tokens,
@@ -156,10 +162,10 @@
     /// use yuccalatch::process::limits::meter::{Meter, Take};
     ///
     /// let meter = Meter::new(0);
-    /// let Take::Waiting { ticket, .. } = meter.take(10, 1_000, 10_000, 0) else {
+    /// let Take::Waiting { ticket, .. } = meter.take(10, 1_000, 20_000, 0) else {
     ///     panic!("an empty bucket cannot admit");
     /// };
-    /// assert_eq!(meter.retry(ticket, 10_000), Take::Refused);
+    /// assert_eq!(meter.retry(ticket, 20_000), Take::Refused);
     /// ```
     pub fn retry(&self, ticket: Ticket, now_us: u64) -> Take {
         let mut state = self.lock();
@@ -188,7 +194,7 @@
     /// use yuccalatch::process::limits::meter::{Meter, Take};
     ///
     /// let meter = Meter::new(0);
-    /// if let Take::Waiting { ticket, .. } = meter.take(10, 1_000, 10_000, 0) {
+    /// if let Take::Waiting { ticket, .. } = meter.take(10, 1_000, 20_000, 0) {
     ///     meter.cancel(ticket);
     /// }
     /// assert_eq!(meter.usage(0).shortfall_tokens, 0);
@@ -277,8 +283,13 @@
     }
 
     fn drop_expired(&mut self, now_us: u64) {
+        if now_us < self.next_expiry_us {
+            return;
+        }
         self.waiters.retain(|waiter| waiter.expires_at_us > now_us);
         self.waiting_tokens = self.waiters.iter().map(|waiter| waiter.cost_tokens).sum();
+        let expiries = self.waiters.iter().map(|waiter| waiter.expires_at_us);
+        self.next_expiry_us = expiries.min().unwrap_or(u64::MAX);
     }
 
     fn waiting(
@@ -289,7 +300,8 @@
         now_us: u64,
     ) -> Take {
         let rate_tokens_per_s = self.bucket.amount().rate_tokens_per_s;
-        let retry_at_us = ready_at_us(lacking_tokens, rate_tokens_per_s, now_us);
+        let retry_at_us = ready_at_us(lacking_tokens, rate_tokens_per_s, now_us)
+            .max(now_us.saturating_add(MIN_RETRY_US));
         Take::Waiting {
             ticket,
             retry_at_us: retry_at_us.min(expires_at_us),
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -59,6 +59,21 @@
 
 impl Reservation {
     /// Returns the reserved tokens.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use yuccalatch::process::limits::{message::*, meter::Meter};
+    /// use yuccalatch::request::admission::{reserve, Admission, Cost};
+    ///
+    /// let limits = Amount { rate_tokens_per_s: 1_000, burst_tokens: 100 };
+    /// let meter = Arc::new(Meter::new(0));
+    /// let cost = Cost { prompt_tokens: 6, output_bound_tokens: 4 };
+    /// meter.merge(Share { amount: limits, level_microtokens: 100_000_000 }, 0);
+    /// let Admission::Admitted(reservation) = reserve(&meter, cost, limits, 1, 0).unwrap() else {
+    ///     panic!("a full bucket admits at once");
+    /// };
+    /// assert_eq!(reservation.reserved_tokens(), 10);
+    /// ```
     pub const fn reserved_tokens(&self) -> u64 {
         self.reserved_tokens
     }
@@ -102,6 +117,21 @@
 
 impl Waiting {
     /// Returns when to call [`Waiting::retry`] unless a share arrives before.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use yuccalatch::process::limits::{message::Amount, meter::Meter};
+    /// use yuccalatch::request::admission::{reserve, Admission, Cost};
+    ///
+    /// let limits = Amount { rate_tokens_per_s: 1_000, burst_tokens: 100 };
+    /// let meter = Arc::new(Meter::new(0));
+    /// let cost = Cost { prompt_tokens: 6, output_bound_tokens: 4 };
+    /// let Admission::Waiting(waiting) = reserve(&meter, cost, limits, 20_000, 0).unwrap() else {
+    ///     panic!("an empty bucket cannot admit");
+    /// };
+    /// // Without a local rate only a share can help, so that the deadline is next.
+    /// assert_eq!(waiting.retry_at_us(), 20_000);
+    /// ```
     pub const fn retry_at_us(&self) -> u64 {
         self.retry_at_us
     }
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -12,6 +12,7 @@
     Gen,
     QuickCheck, //
 };
+use yuccalatch::process::limits::message::Amount;
 
 const GEN_SIZE: usize = 1_000;
 const SCHEDULES: u64 = 1_000;
@@ -141,3 +142,27 @@
     let ledger = world.participants[2].as_mut().unwrap().ledger().unwrap();
     assert!(ledger.is_recovered());
 }
+
+/// Guards against a raised rate that is lent before the burst lowered by the
+/// same change has been released.
+#[test]
+fn raises_only_after_releases() {
+    let mut world = World::new(false);
+    world.rounds(20, 20);
+    let organisation = world.organisation.clone();
+    let limits = Amount {
+        rate_tokens_per_s: 3_000,
+        burst_tokens: 500,
+    };
+    let now_us = world.now_us;
+    let ledger = world.participants[0].as_mut().unwrap().ledger().unwrap();
+    let before = ledger.unlent(&organisation);
+    ledger.set_limits(&organisation, limits, 2, now_us);
+    ledger.tick(now_us);
+    let after = ledger.unlent(&organisation);
+    assert_eq!(after.rate_tokens_per_s, before.rate_tokens_per_s);
+    assert!(!ledger.is_in_force(&organisation));
+    world.rounds(5, 0);
+    let ledger = world.participants[0].as_mut().unwrap().ledger().unwrap();
+    assert!(ledger.is_in_force(&organisation));
+}
