Read the epochs before an entry takes part in the limits

Cause: a restarted entry could follow a ledger that had been replaced while it was away. Change: the slot is registered and the epochs are read first; during an outage the entry follows what its peers name. Figures: a_killed_entry_gets_the_configuration_of_its_peers failed before (never served), passes now. Conclusion: an entry that restarts alone during an outage gets tokens from the ledger or a deputy.

--- a/src/process/entry/control/limits.rs
+++ b/src/process/entry/control/limits.rs
@@ -55,7 +55,7 @@
 const LEDGER_SILENT_US: u64 = US_PER_S;
 
 /// Slots that keep a reserve for the time without a ledger.
-const DEPUTIES: usize = 1;
+const DEPUTIES: usize = 2;
 
 /// Returns the group of an organisation.
 fn group_of(organisation: &str) -> u16 {
@@ -78,6 +78,8 @@
     /// Slots that may hold shares, as registered in the object API.
     slots: RefCell<BTreeSet<Name>>,
     is_registered: Cell<bool>,
+    /// Whether the present epochs were read, or cannot be read now.
+    takes_part: Cell<bool>,
     revision: Cell<u64>,
     is_leaving: Cell<bool>,
 }
@@ -92,6 +94,7 @@
             groups: RefCell::default(),
             slots: RefCell::default(),
             is_registered: Cell::new(false),
+            takes_part: Cell::new(false),
             revision: Cell::new(0),
             is_leaving: Cell::new(false),
         }
@@ -163,8 +166,10 @@
             if self.context.is_leaving() && !self.limits.is_leaving.get() {
                 self.limits.leave();
             }
-            self.run_ledgers(now_us);
-            self.report_to_ledgers(now_us);
+            if self.limits.takes_part.get() {
+                self.run_ledgers(now_us);
+                self.report_to_ledgers(now_us);
+            }
             let is_released = self.limits.is_leaving.get() && self.limits.is_empty();
             self.context.set_shares_released(is_released);
             tokio::time::sleep(ROUND).await;
--- a/src/process/entry/control/limits/epoch.rs
+++ b/src/process/entry/control/limits/epoch.rs
@@ -70,7 +70,13 @@
                 continue;
             }
             // Every step is repeated until it succeeds.
-            let _ = self.register_slot(&platform).await;
+            if !self.limits.is_registered.get() {
+                let joined = self.join(&platform).await;
+                // During an outage the entry follows the epochs that its peers
+                // name, so that a restarted one serves.
+                let is_out = joined.is_err() && self.context.has_config();
+                self.limits.takes_part.set(joined.is_ok() || is_out);
+            }
             let now_us = self.context.clock.now_us();
             if self.limits.is_registered.get() && now_us >= read_at_us {
                 read_at_us = now_us + SLOTS_EVERY_US;
@@ -85,12 +91,45 @@
         }
     }
 
+    /// Registers the slot and then reads the epochs.
+    ///
     /// A slot is registered before it holds anything, so that a new ledger
-    /// knows whom to ask.
-    async fn register_slot(&self, platform: &Platform) -> PlatformResult<()> {
-        if self.limits.is_registered.get() {
-            return Ok(());
+    /// knows whom to ask; it knows the epochs before it takes part, so that it
+    /// does not follow a ledger that has been replaced.
+    async fn join(&self, platform: &Platform) -> PlatformResult<()> {
+        self.register_slot(platform).await?;
+        for group in 0..GROUPS {
+            if !self.limits.groups.borrow().contains_key(&group) {
+                continue;
+            }
+            let stored = self.epoch_record(platform, group).await?;
+            let record = stored.map(|(record, _)| record);
+            let mut groups = self.limits.groups.borrow_mut();
+            if let (Some(record), Some(state)) = (record, groups.get_mut(&group)) {
+                state.participant.observe_epoch(record.epoch);
+                state.ledger = Some(record.slot);
+            }
         }
+        self.limits.is_registered.set(self.context.has_config());
+        Ok(())
+    }
+
+    async fn epoch_record(
+        &self,
+        platform: &Platform,
+        group: u16,
+    ) -> PlatformResult<Option<(EpochRecord, ObjectVersion)>> {
+        let key = format!("{EPOCH_PREFIX}{group}");
+        let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
+        let Some(stored) = platform.get(&key, deadline_us).await? else {
+            return Ok(None);
+        };
+        let record = serde_json::from_slice(&stored.value)
+            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
+        Ok(Some((record, stored.version)))
+    }
+
+    async fn register_slot(&self, platform: &Platform) -> PlatformResult<()> {
         let key = format!("{SLOT_PREFIX}{}", self.limits.id.slot);
         let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
         let put = platform.put(
@@ -100,10 +139,7 @@
             deadline_us,
         );
         match put.await {
-            Ok(_) | Err(PlatformError::Conflict { .. }) => {
-                self.limits.is_registered.set(true);
-                Ok(())
-            }
+            Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
             Err(error) => Err(error),
         }
     }
@@ -165,15 +201,9 @@
 
     async fn take_ledger(&self, platform: &Platform, group: u16) -> PlatformResult<()> {
         let key = format!("{EPOCH_PREFIX}{group}");
-        let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
-        let stored = platform.get(&key, deadline_us).await?;
-        let (record, condition) = match &stored {
+        let (record, condition) = match self.epoch_record(platform, group).await? {
             None => (None, Condition::Absent),
-            Some(stored) => {
-                let record: EpochRecord = serde_json::from_slice(&stored.value)
-                    .map_err(|error| PlatformError::Malformed(error.to_string()))?;
-                (Some(record), Condition::Version(stored.version))
-            }
+            Some((record, version)) => (Some(record), Condition::Version(version)),
         };
         if let Some(record) = &record
             && self.is_served_by(group, record)
--- a/tests/entry_restart.rs
+++ b/tests/entry_restart.rs
@@ -57,6 +57,7 @@
     let mut fleet = Fleet::start(&plan());
     fleet.wait_in_force(1);
     wait_for_agents(&fleet, 1);
+    expect_service(&fleet);
     fleet.platform.signal("STOP");
     fleet.replace_all_entries();
     fleet.wait_ready();
@@ -67,6 +68,8 @@
 #[test]
 fn a_killed_entry_gets_the_configuration_of_its_peers() {
     let mut fleet = Fleet::start(&plan());
+    // Limits need a ledger, which takes its epoch while the object API is up.
+    expect_service(&fleet);
     fleet.platform.signal("KILL");
     fleet.entries.remove(2);
     let peers = [fleet.entries[0].address("control_address")];
