--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -123,7 +123,10 @@
         let now_us = self.context.clock.now_us();
         let name = &self.context.settings.name;
         let collectors = self.entries.borrow().collectors(name, now_us);
-        let reports = collectors.iter().map(|contact| self.report_to(contact));
+        let reports = collectors
+            .iter()
+            .enumerate()
+            .map(|(position, contact)| self.report_to(contact, position == 0));
         join_all(reports).await;
         if collectors.is_empty() {
             let seeds = self.context.settings.peers.iter();
@@ -131,24 +134,25 @@
         }
     }
 
-    async fn report_to(&self, contact: &Contact) {
+    async fn report_to(&self, contact: &Contact, is_first: bool) {
         let address = contact.control_address;
         let Some(_turn) = self.links.turn(address) else {
             self.links.call_again(address);
             return;
         };
-        self.report_once(contact).await;
+        self.report_once(contact, is_first).await;
         // The state has changed while the first report was under way.
         if self.links.take_again(address) {
-            self.report_once(contact).await;
+            self.report_once(contact, is_first).await;
         }
     }
 
-    async fn report_once(&self, contact: &Contact) {
+    async fn report_once(&self, contact: &Contact, is_first: bool) {
         let address = contact.control_address;
         let sent_at_us = self.context.clock.now_us();
         let message = AgentReport {
             report: self.own_report(),
+            is_first,
             entries_checksum: self.entries.borrow().checksum(),
             news_age_ms: self.freshness.borrow().news_age_ms(sent_at_us),
         };
--- a/src/process/entry/control/exchange.rs
+++ b/src/process/entry/control/exchange.rs
@@ -237,7 +237,10 @@
         let now_us = self.context.clock.now_us();
         let report = message.report;
         self.store.offer(report.revision, report.control_address);
-        let changes = self.fleet.borrow_mut().report(report, now_us);
+        let changes = self
+            .fleet
+            .borrow_mut()
+            .report(report, message.is_first, now_us);
         // Peers hear at once of targets that come and go.
         if !changes.is_empty() {
             self.context.changed.notify_one();
--- a/src/process/entry/control/fleet.rs
+++ b/src/process/entry/control/fleet.rs
@@ -45,7 +45,7 @@
 /// Entries of a data centre for each second between two digests of a pair. In a
 /// large data centre every pair exchanges digests less often, so that the bytes
 /// sent do not grow with the number of entries; changes are told at once.
-const ENTRIES_PER_ROUND: usize = 8;
+const ENTRIES_PER_ROUND: usize = 6;
 
 /// Rounds after the next digest of a pair is due until it counts as missed.
 const SPARE_ROUNDS: u64 = 2;
@@ -93,6 +93,12 @@
     ranking.iter().filter(is_child).cloned().collect()
 }
 
+/// A target that reports here.
+struct Collected {
+    expires_at_us: u64,
+    is_first: bool,
+}
+
 /// What the entry knows of the fleet.
 pub(super) struct Fleet {
     name: Name,
@@ -100,8 +106,8 @@
     pub(super) members: Membership,
     pub(super) sums: Sums,
     peers: HashMap<Name, Peer>,
-    /// Targets that report here, until when this entry vouches for them.
-    collected: BTreeMap<Name, u64>,
+    /// Targets that report here.
+    collected: BTreeMap<Name, Collected>,
 }
 
 impl Fleet {
@@ -117,9 +123,12 @@
     }
 
     /// Takes the report of an agent.
-    pub(super) fn report(&mut self, report: Report, now_us: u64) -> Vec<Change> {
-        let expires_at_us = now_us + VOUCHED_US;
-        self.collected.insert(report.name.clone(), expires_at_us);
+    pub(super) fn report(&mut self, report: Report, is_first: bool, now_us: u64) -> Vec<Change> {
+        let collected = Collected {
+            expires_at_us: now_us + VOUCHED_US,
+            is_first,
+        };
+        self.collected.insert(report.name.clone(), collected);
         self.members.report(report, now_us)
     }
 
@@ -170,7 +179,7 @@
     pub(super) fn drop_silent(&mut self, now_us: u64) -> bool {
         let before = self.collected.len();
         self.collected
-            .retain(|_, expires_at_us| now_us < *expires_at_us);
+            .retain(|_, collected| now_us < collected.expires_at_us);
         self.collected.len() < before
     }
 
@@ -223,14 +232,16 @@
             return Batch::default();
         };
         if is_local {
-            let names = self.collected.keys();
-            let reports = names.filter_map(|name| self.members.get(name));
+            let each = self.collected.iter();
+            let reports = each.filter_map(|(name, collected)| {
+                Some((self.members.get(name)?, collected.is_first))
+            });
             return known.outbox.next(reports);
         }
         let entries = self.members.live(Role::Entry);
         let own = entries
             .filter(|report| report.data_centre == self.data_centre && report.name != self.name);
-        known.outbox.next(own)
+        known.outbox.next(own.map(|report| (report, false)))
     }
 
     /// Returns the entries of the data centre that agents may report to.
--- a/src/process/membership/digest.rs
+++ b/src/process/membership/digest.rs
@@ -171,14 +171,15 @@
 }
 
 impl Outbox {
-    /// Makes the next batch.
-    pub fn next<'a>(&mut self, members: impl Iterator<Item = &'a Report>) -> Batch {
+    /// Makes the next batch from the members and whether their load is told.
+    /// One of the two collectors of a target is enough for that.
+    pub fn next<'a>(&mut self, members: impl Iterator<Item = (&'a Report, bool)>) -> Batch {
         let mut batch = Batch {
             is_complete: !self.is_started,
             ..Batch::default()
         };
         let mut present = BTreeSet::new();
-        for report in members {
+        for (report, tells_load) in members {
             let checksum = checksum_of(report);
             batch.checksum ^= checksum;
             present.insert(report.name.clone());
@@ -186,7 +187,8 @@
             let now = (checksum, load.steps());
             match self.told.insert(report.name.clone(), now) {
                 Some(told) if told == now => {}
-                Some((told, _)) if told == checksum => batch.loads.push(load),
+                Some((told, _)) if told == checksum && tells_load => batch.loads.push(load),
+                Some((told, _)) if told == checksum => {}
                 _ => batch.changed.push(report.clone()),
             }
         }
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -7,7 +7,7 @@
 
 use base64::{
     Engine,
-    engine::general_purpose::STANDARD, //
+    engine::general_purpose::STANDARD_NO_PAD, //
 };
 use error_stack::ResultExt;
 use jsonrpsee::{
@@ -67,7 +67,9 @@
 /// heartbeats that data connections allow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Every call has a deadline of its own, so that pings only have to find silent
+/// connections without calls.
+const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
 const MISSED_PINGS: usize = 3;
 
@@ -115,14 +117,16 @@
 impl<T: Serialize> Serialize for Packed<T> {
     fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
         let bytes = postcard::to_stdvec(&self.0).map_err(serde::ser::Error::custom)?;
-        serializer.serialize_str(&STANDARD.encode(bytes))
+        serializer.serialize_str(&STANDARD_NO_PAD.encode(bytes))
     }
 }
 
 impl<'de, T: DeserializeOwned> Deserialize<'de> for Packed<T> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
         let text = String::deserialize(deserializer)?;
-        let bytes = STANDARD.decode(text).map_err(serde::de::Error::custom)?;
+        let bytes = STANDARD_NO_PAD
+            .decode(text)
+            .map_err(serde::de::Error::custom)?;
         let value = postcard::from_bytes(&bytes).map_err(serde::de::Error::custom)?;
         Ok(Self(value))
     }
@@ -146,6 +150,8 @@
 pub struct AgentReport {
     /// State of agent and target.
     pub report: Report,
+    /// Whether the receiver is the first of the two collectors.
+    pub is_first: bool,
     /// Checksum of the entries that the agent knows.
     pub entries_checksum: u64,
     /// Age of the agent's news from the object API; `None` without any.
