--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -13,7 +13,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration, //
+    time::Duration,
 };
 
 use error_stack::ResultExt;
@@ -44,9 +44,10 @@
             self,
             Observed, //
         },
+        client,
         stop, //
     },
-    settings::AgentSettings, //
+    settings::AgentSettings,
 };
 
 pub use server::BarAnswer;
@@ -111,6 +112,7 @@
     })
     .workers(1)
     .disable_signals()
+    .config(client::server_config("agent"))
     .shutdown_timeout(ntex::time::Seconds(1))
     .listen(data)
     .change_context(ErrorKind::Io)?
--- a/src/process/entry/control/fleet.rs
+++ b/src/process/entry/control/fleet.rs
@@ -47,6 +47,14 @@
 /// sent do not grow with the number of entries; changes are told at once.
 const ENTRIES_PER_ROUND: usize = 6;
 
+/// Digests that an entry of a large data centre sends in a second: to its parents
+/// and children in the tree and to the pairs that are due.
+const DIGESTS_PER_S: usize = 16;
+
+/// Loads of targets that an entry tells in a second, in all digests together.
+/// With 12 bytes each they take a fifth of the budget of a node.
+const LOADS_PER_S: usize = 96;
+
 /// Rounds after the next digest of a pair is due until it counts as missed.
 const SPARE_ROUNDS: u64 = 2;
 
@@ -228,6 +236,7 @@
     }
 
     fn batch(&mut self, peer: &Report, is_local: bool) -> Batch {
+        let max_loads = LOADS_PER_S / self.contacts().count().clamp(1, DIGESTS_PER_S);
         let Some(known) = self.peers.get_mut(&peer.name) else {
             return Batch::default();
         };
@@ -236,12 +245,12 @@
             let reports = each.filter_map(|(name, collected)| {
                 Some((self.members.get(name)?, collected.is_first))
             });
-            return known.outbox.next(reports);
+            return known.outbox.next(reports, max_loads);
         }
         let entries = self.members.live(Role::Entry);
         let own = entries
             .filter(|report| report.data_centre == self.data_centre && report.name != self.name);
-        known.outbox.next(own.map(|report| (report, false)))
+        known.outbox.next(own.map(|report| (report, false)), 0)
     }
 
     /// Returns the entries of the data centre that agents may report to.
--- a/src/process/membership/digest.rs
+++ b/src/process/membership/digest.rs
@@ -82,6 +82,11 @@
     fn steps(self) -> [u64; 3] {
         [self.queue_ms, self.running, self.queued].map(|load| load_step(u64::from(load)))
     }
+
+    fn distance(self, told: &[u64; 3]) -> u64 {
+        let each = self.steps().into_iter().zip(told);
+        each.map(|(now, told)| now.abs_diff(*told)).sum()
+    }
 }
 
 fn name_hash(name: &str) -> u32 {
@@ -171,26 +176,45 @@
 }
 
 impl Outbox {
-    /// Makes the next batch from the members and whether their load is told.
-    /// One of the two collectors of a target is enough for that.
-    pub fn next<'a>(&mut self, members: impl Iterator<Item = (&'a Report, bool)>) -> Batch {
+    /// Makes the next batch from the members and whether their load is told; one
+    /// of the two collectors of a target is enough for that. At most `max_loads`
+    /// loads are told, those that changed most; the others follow later.
+    pub fn next<'a>(
+        &mut self,
+        members: impl Iterator<Item = (&'a Report, bool)>,
+        max_loads: usize,
+    ) -> Batch {
         let mut batch = Batch {
             is_complete: !self.is_started,
             ..Batch::default()
         };
         let mut present = BTreeSet::new();
+        let mut moved = Vec::new();
         for (report, tells_load) in members {
             let checksum = checksum_of(report);
             batch.checksum ^= checksum;
             present.insert(report.name.clone());
             let load = Load::of(report);
-            let now = (checksum, load.steps());
-            match self.told.insert(report.name.clone(), now) {
-                Some(told) if told == now => {}
-                Some((told, _)) if told == checksum && tells_load => batch.loads.push(load),
-                Some((told, _)) if told == checksum => {}
-                _ => batch.changed.push(report.clone()),
+            match self.told.get(&report.name) {
+                Some((told, steps)) if *told == checksum => {
+                    let change = load.distance(steps);
+                    if tells_load && change > 0 {
+                        moved.push((change, report.name.clone(), load));
+                    }
+                }
+                _ => {
+                    let now = (checksum, load.steps());
+                    self.told.insert(report.name.clone(), now);
+                    batch.changed.push(report.clone());
+                }
+            }
+        }
+        moved.sort_by_key(|(change, ..)| std::cmp::Reverse(*change));
+        for (_, name, load) in moved.into_iter().take(max_loads) {
+            if let Some((_, steps)) = self.told.get_mut(&name) {
+                *steps = load.steps();
             }
+            batch.loads.push(load);
         }
         self.told.retain(|name, _| {
             let is_present = present.contains(name);
@@ -225,7 +249,7 @@
     ///     digest::{Inbox, Outbox},
     /// };
     ///
-    /// let batch = Outbox::default().next(std::iter::empty());
+    /// let batch = Outbox::default().next(std::iter::empty(), 0);
     /// let mut inbox = Inbox::default();
     /// inbox.take(&batch, &mut Membership::default(), 0, 3_000_000);
     /// assert!(!inbox.misses_some());
