--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -290,6 +290,15 @@
         }
     }
 
+    /// Notes the revision that a member has applied; it never goes back.
+    pub fn raise_revision(&mut self, name: &str, incarnation: Incarnation, revision: u64) {
+        if let Some(member) = self.members.get_mut(name)
+            && member.report.incarnation == incarnation
+        {
+            member.report.revision = member.report.revision.max(revision);
+        }
+    }
+
     /// Returns the last report of a member.
     pub fn get(&self, name: &str) -> Option<&Report> {
         self.members.get(name).map(|member| &member.report)
--- a/src/process/membership/digest.rs
+++ b/src/process/membership/digest.rs
@@ -93,6 +93,15 @@
     xxh3_64(name.as_bytes()) as u32
 }
 
+/// Member with an older configuration revision than the others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Behind {
+    /// Lower half of the hash of the member's name.
+    pub name_hash: u32,
+    /// Its revision.
+    pub revision: u64,
+}
+
 /// Members that a sender vouches for, as far as they changed.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Batch {
@@ -106,6 +115,27 @@
     pub dropped: Vec<Name>,
     /// Checksum of all members that the sender vouches for.
     pub checksum: u64,
+    /// Configuration revision of all these members but the following. Most have
+    /// the same, so that a new revision does not repeat their reports.
+    pub revision: u64,
+    /// Members with an older revision.
+    pub behind: Vec<Behind>,
+}
+
+impl Batch {
+    fn set_revisions(&mut self, revisions: &[(u32, u64)]) {
+        let newest = revisions.iter().map(|(_, revision)| *revision).max();
+        self.revision = newest.unwrap_or(0);
+        let older = revisions
+            .iter()
+            .filter(|(_, revision)| *revision < self.revision);
+        self.behind = older
+            .map(|&(name_hash, revision)| Behind {
+                name_hash,
+                revision,
+            })
+            .collect();
+    }
 }
 
 /// Message from one process to another, about itself and what it collects.
@@ -155,10 +185,11 @@
     each.fold(0, |sum, bytes| sum ^ xxh3_64(&bytes))
 }
 
-/// Returns a checksum of all that matters in a report but the load.
+/// Returns a checksum of what is told by repeating a report.
 fn checksum_of(report: &Report) -> u64 {
     let identity = Report {
         sequence: 0,
+        revision: 0,
         running: 0,
         queued: 0,
         queue_us: 0,
@@ -190,10 +221,12 @@
         };
         let mut present = BTreeSet::new();
         let mut moved = Vec::new();
+        let mut revisions = Vec::new();
         for (report, tells_load) in members {
             let checksum = checksum_of(report);
             batch.checksum ^= checksum;
             present.insert(report.name.clone());
+            revisions.push((name_hash(&report.name), report.revision));
             let load = Load::of(report);
             match self.told.get(&report.name) {
                 Some((told, steps)) if *told == checksum => {
@@ -216,6 +249,7 @@
             }
             batch.loads.push(load);
         }
+        batch.set_revisions(&revisions);
         self.told.retain(|name, _| {
             let is_present = present.contains(name);
             if !is_present {
@@ -282,6 +316,7 @@
             changes.extend(members.vouch(name, *incarnation, now_us, until_us));
         }
         self.take_loads(&batch.loads, members);
+        self.take_revisions(batch, members);
         changes
     }
 
@@ -304,6 +339,16 @@
         }
     }
 
+    fn take_revisions(&self, batch: &Batch, members: &mut Membership) {
+        for (name, (incarnation, _)) in &self.held {
+            let hash = name_hash(name);
+            let mut behind = batch.behind.iter();
+            let older = behind.find(|member| member.name_hash == hash);
+            let revision = older.map_or(batch.revision, |member| member.revision);
+            members.raise_revision(name, *incarnation, revision);
+        }
+    }
+
     /// Returns whether the sender vouches for a member.
     pub fn holds(&self, name: &str) -> bool {
         self.held.contains_key(name)
--- a/tests/message_cost.rs
+++ b/tests/message_cost.rs
@@ -138,6 +138,34 @@
     assert!(loaded <= BUDGET_BYTES);
 }
 
+#[test]
+fn a_new_revision_repeats_no_report() {
+    let mut members = Membership::default();
+    let mut outbox = Outbox::default();
+    let mut inbox = Inbox::default();
+    let mut entries: Vec<Report> = (0..3)
+        .map(|number| report(&format!("entry-{number}"), Role::Entry, 1))
+        .collect();
+    let mut pass = |entries: &[Report]| {
+        let batch = outbox.next(entries.iter().map(|entry| (entry, false)), 0);
+        inbox.take(&batch, &mut members, 0, 9);
+        assert!(!inbox.misses_some());
+        let revision_of = |entry: &Report| members.get(&entry.name).unwrap().revision;
+        assert!(
+            entries
+                .iter()
+                .all(|entry| revision_of(entry) == entry.revision)
+        );
+        batch.changed.len()
+    };
+    assert_eq!(pass(&entries), 3);
+    entries[0].revision += 1;
+    entries[2].revision += 1;
+    assert_eq!(pass(&entries), 0);
+    entries[1].revision += 1;
+    assert_eq!(pass(&entries), 0);
+}
+
 #[test]
 fn a_lost_batch_is_noticed() {
     let mut members = Membership::default();
@@ -153,6 +181,7 @@
     assert!(!inbox.misses_some());
     target.is_leaving = true;
     target.sequence = 2;
+    target.revision += 1;
     let _lost = outbox.next([(&target, true)].into_iter(), MAX_LOADS);
     inbox.take(
         &outbox.next([(&target, true)].into_iter(), MAX_LOADS),
@@ -170,4 +199,5 @@
     );
     assert!(!inbox.misses_some());
     assert!(members.get("engine-1").unwrap().is_leaving);
+    assert_eq!(members.get("engine-1").unwrap().revision, 1_000_001);
 }
