--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -17,7 +17,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration, //
+    time::Duration,
 };
 
 use error_stack::ResultExt;
@@ -53,9 +53,9 @@
             self,
             Observed, //
         },
-        stop, //
+        stop,
     },
-    settings::EntrySettings, //
+    settings::EntrySettings,
 };
 
 /// Longest time until a header section is complete.
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -14,7 +14,7 @@
         Payload, //
     },
     util::Bytes,
-    web::HttpRequest, //
+    web::HttpRequest,
 };
 
 use super::{
@@ -57,7 +57,7 @@
             RouteKey,
             RouteMiss, //
         },
-        keys, //
+        keys,
     },
 };
 
--- a/src/process/membership/digest.rs
+++ b/src/process/membership/digest.rs
@@ -82,12 +82,26 @@
     fn steps(self) -> [u64; 3] {
         [self.queue_ms, self.running, self.queued].map(|load| load_step(u64::from(load)))
     }
+
+    fn distance(self, told: &[u64; 3]) -> u64 {
+        let each = self.steps().into_iter().zip(told);
+        each.map(|(now, told)| now.abs_diff(*told)).sum()
+    }
 }
 
 fn name_hash(name: &str) -> u32 {
     xxh3_64(name.as_bytes()) as u32
 }
 
+/// Member with an older configuration revision than the others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Behind {
+    /// Lower half of the hash of the member's name.
+    pub name_hash: u32,
+    /// Its revision.
+    pub revision: u64,
+}
+
 /// Members that a sender vouches for, as far as they changed.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Batch {
@@ -101,6 +115,27 @@
     pub dropped: Vec<Name>,
     /// Checksum of all members that the sender vouches for.
     pub checksum: u64,
+    /// Configuration revision of all these members but the following. Most have
+    /// the same, so that a new revision does not repeat their reports.
+    pub revision: u64,
+    /// Members with an older revision.
+    pub behind: Vec<Behind>,
+}
+
+impl Batch {
+    fn set_revisions(&mut self, revisions: &[(u32, u64)]) {
+        let newest = revisions.iter().map(|(_, revision)| *revision).max();
+        self.revision = newest.unwrap_or(0);
+        let older = revisions
+            .iter()
+            .filter(|(_, revision)| *revision < self.revision);
+        self.behind = older
+            .map(|&(name_hash, revision)| Behind {
+                name_hash,
+                revision,
+            })
+            .collect();
+    }
 }
 
 /// Message from one process to another, about itself and what it collects.
@@ -150,10 +185,11 @@
     each.fold(0, |sum, bytes| sum ^ xxh3_64(&bytes))
 }
 
-/// Returns a checksum of all that matters in a report but the load.
+/// Returns a checksum of what is told by repeating a report.
 fn checksum_of(report: &Report) -> u64 {
     let identity = Report {
         sequence: 0,
+        revision: 0,
         running: 0,
         queued: 0,
         queue_us: 0,
@@ -171,25 +207,49 @@
 }
 
 impl Outbox {
-    /// Makes the next batch.
-    pub fn next<'a>(&mut self, members: impl Iterator<Item = &'a Report>) -> Batch {
+    /// Makes the next batch from the members and whether their load is told; one
+    /// of the two collectors of a target is enough for that. At most `max_loads`
+    /// loads are told, those that changed most; the others follow later.
+    pub fn next<'a>(
+        &mut self,
+        members: impl Iterator<Item = (&'a Report, bool)>,
+        max_loads: usize,
+    ) -> Batch {
         let mut batch = Batch {
             is_complete: !self.is_started,
             ..Batch::default()
         };
         let mut present = BTreeSet::new();
-        for report in members {
+        let mut moved = Vec::new();
+        let mut revisions = Vec::new();
+        for (report, tells_load) in members {
             let checksum = checksum_of(report);
             batch.checksum ^= checksum;
             present.insert(report.name.clone());
+            revisions.push((name_hash(&report.name), report.revision));
             let load = Load::of(report);
-            let now = (checksum, load.steps());
-            match self.told.insert(report.name.clone(), now) {
-                Some(told) if told == now => {}
-                Some((told, _)) if told == checksum => batch.loads.push(load),
-                _ => batch.changed.push(report.clone()),
+            match self.told.get(&report.name) {
+                Some((told, steps)) if *told == checksum => {
+                    let change = load.distance(steps);
+                    if tells_load && change > 0 {
+                        moved.push((change, report.name.clone(), load));
+                    }
+                }
+                _ => {
+                    let now = (checksum, load.steps());
+                    self.told.insert(report.name.clone(), now);
+                    batch.changed.push(report.clone());
+                }
+            }
+        }
+        moved.sort_by_key(|(change, ..)| std::cmp::Reverse(*change));
+        for (_, name, load) in moved.into_iter().take(max_loads) {
+            if let Some((_, steps)) = self.told.get_mut(&name) {
+                *steps = load.steps();
             }
+            batch.loads.push(load);
         }
+        batch.set_revisions(&revisions);
         self.told.retain(|name, _| {
             let is_present = present.contains(name);
             if !is_present {
@@ -223,7 +283,7 @@
     ///     digest::{Inbox, Outbox},
     /// };
     ///
-    /// let batch = Outbox::default().next(std::iter::empty());
+    /// let batch = Outbox::default().next(std::iter::empty(), 0);
     /// let mut inbox = Inbox::default();
     /// inbox.take(&batch, &mut Membership::default(), 0, 3_000_000);
     /// assert!(!inbox.misses_some());
@@ -256,6 +316,7 @@
             changes.extend(members.vouch(name, *incarnation, now_us, until_us));
         }
         self.take_loads(&batch.loads, members);
+        self.take_revisions(batch, members);
         changes
     }
 
@@ -278,6 +339,16 @@
         }
     }
 
+    fn take_revisions(&self, batch: &Batch, members: &mut Membership) {
+        for (name, (incarnation, _)) in &self.held {
+            let hash = name_hash(name);
+            let mut behind = batch.behind.iter();
+            let older = behind.find(|member| member.name_hash == hash);
+            let revision = older.map_or(batch.revision, |member| member.revision);
+            members.raise_revision(name, *incarnation, revision);
+        }
+    }
+
     /// Returns whether the sender vouches for a member.
     pub fn holds(&self, name: &str) -> bool {
         self.held.contains_key(name)
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -19,13 +19,12 @@
         Stdio, //
     },
     sync::{
-        Arc,
-        Mutex,
+        Arc, Mutex,
         atomic::{
             AtomicU64,
             Ordering, //
         },
-        mpsc, //
+        mpsc,
     },
     thread,
     time::{
