Count allocated memory for the slopes instead of resident pages

Cause: resident memory hardly changed between sizes, because freed pages are reused; several slopes came out as zero. Change: the replay tool uses a counting allocator (cap).

--- a/src/bin/yuccalatch-replay/app.rs
+++ b/src/bin/yuccalatch-replay/app.rs
@@ -173,7 +173,10 @@
         Config::Version => println!("yuccalatch-replay {}", env!("CARGO_PKG_VERSION")),
         Config::Evaluate(config) => return evaluate(config),
         Config::Traffic(config) => return traffic::run(config),
-        Config::Slopes => print!("{}", slopes::markdown(&slopes::measure())),
+        Config::Slopes => print!(
+            "{}",
+            slopes::markdown(&slopes::measure(crate::allocated_bytes))
+        ),
     }
     ExitCode::SUCCESS
 }
--- a/src/bin/yuccalatch-replay/main.rs
+++ b/src/bin/yuccalatch-replay/main.rs
@@ -3,7 +3,21 @@
 mod app;
 mod traffic;
 
-use std::process::ExitCode;
+use std::{
+    alloc::System,
+    process::ExitCode, //
+};
+
+use cap::Cap;
+
+/// Counts allocated memory for the slopes.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
+/// Returns the bytes that are allocated now.
+pub(crate) fn allocated_bytes() -> usize {
+    ALLOCATOR.allocated()
+}
 
 fn main() -> ExitCode {
     match app::Config::from_args(lexopt::Parser::from_env()) {
--- a/src/replay/slopes.rs
+++ b/src/replay/slopes.rs
@@ -11,9 +11,6 @@
 
 use crate::clock::Clock;
 
-/// Bytes in a page of memory on the supported machines.
-const PAGE_BYTES: f64 = 4_096.0;
-
 /// Microseconds of a run that is long against the resolution of the clock.
 const TIMED_RUN_US: u64 = 20_000;
 
@@ -74,12 +71,12 @@
     }
 }
 
-/// Measures all slopes.
+/// Measures all slopes, with an allocator that counts.
 ///
 /// The figures depend on the machine; nothing is asserted about them.
-pub fn measure() -> Vec<Slope> {
-    let mut slopes = control::measure();
-    slopes.extend(traffic::measure());
+pub fn measure(allocated: Allocated) -> Vec<Slope> {
+    let mut slopes = control::measure(allocated);
+    slopes.extend(traffic::measure(allocated));
     slopes
 }
 
@@ -106,32 +103,30 @@
     table
 }
 
-/// Resident memory of this process.
-fn resident_bytes() -> f64 {
-    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
-    pages.unwrap_or(0.0) * PAGE_BYTES
-}
+/// Returns the bytes that are allocated now.
+pub type Allocated = fn() -> usize;
 
-/// Measures the memory that a value keeps at several sizes. Every value stays
-/// alive until the end, so that freed memory is not counted twice.
+/// Measures the memory that a value keeps at several sizes.
 fn memory<T>(
+    allocated: Allocated,
     subject: &'static str,
     per: &'static str,
     sizes: &[usize],
     build: impl Fn(usize) -> T,
 ) -> Slope {
-    let mut kept = Vec::new();
-    let mut points = Vec::new();
-    for &size in sizes {
-        let before = resident_bytes();
-        kept.push(build(size));
-        points.push(Point {
-            size: size as f64,
-            value: resident_bytes() - before,
-        });
-    }
-    black_box(&kept);
+    let points = sizes
+        .iter()
+        .map(|&size| {
+            let before = allocated();
+            let value = black_box(build(size));
+            let kept = allocated().saturating_sub(before);
+            drop(value);
+            Point {
+                size: size as f64,
+                value: kept as f64,
+            }
+        })
+        .collect();
     Slope::fit(subject, per, points)
 }
 
--- a/src/replay/slopes/control.rs
+++ b/src/replay/slopes/control.rs
@@ -1,6 +1,7 @@
 //! Slopes of the control state: configuration, members, limits.
 
 use super::{
+    Allocated,
     Slope,
     bytes,
     memory,
@@ -48,9 +49,10 @@
 const ACCOUNTS: [usize; 3] = [1, 8, 64];
 
 /// Measures all slopes of the control state.
-pub(super) fn measure() -> Vec<Slope> {
+pub(super) fn measure(allocated: Allocated) -> Vec<Slope> {
     vec![
         memory(
+            allocated,
             "configuration and snapshot, bytes",
             "organisation with a key",
             &ORGANISATIONS,
@@ -83,7 +85,7 @@
                 serde_json::to_vec(&head).map_or(0, |json| json.len())
             },
         ),
-        memory("members, bytes", "target", &TARGETS, members),
+        memory(allocated, "members, bytes", "target", &TARGETS, members),
         time(
             "report of a known target, us",
             "target",
@@ -97,6 +99,7 @@
             n * postcard::to_stdvec(&report(1)).map_or(0, |bytes| bytes.len())
         }),
         memory(
+            allocated,
             "limit shares of a holder, bytes",
             "organisation",
             &ORGANISATIONS,
--- a/src/replay/slopes/traffic.rs
+++ b/src/replay/slopes/traffic.rs
@@ -8,6 +8,7 @@
 };
 
 use super::{
+    Allocated,
     Slope,
     memory,
     time, //
@@ -58,9 +59,15 @@
 const CAPACITY: NonZeroUsize = NonZeroUsize::new(100_000).unwrap();
 
 /// Measures all slopes of the request path.
-pub(super) fn measure() -> Vec<Slope> {
+pub(super) fn measure(allocated: Allocated) -> Vec<Slope> {
     vec![
-        memory("cache index of an agent, bytes", "block", &BLOCKS, index),
+        memory(
+            allocated,
+            "cache index of an agent, bytes",
+            "block",
+            &BLOCKS,
+            index,
+        ),
         time(
             "cache events, us",
             "event",
@@ -72,8 +79,14 @@
                 }
             },
         ),
-        memory("placement hints, bytes", "block", &BLOCKS, hints),
-        memory("fates of ended attempts, bytes", "attempt", &BLOCKS, fates),
+        memory(allocated, "placement hints, bytes", "block", &BLOCKS, hints),
+        memory(
+            allocated,
+            "fates of ended attempts, bytes",
+            "attempt",
+            &BLOCKS,
+            fates,
+        ),
         time(
             "placement of a prompt of 20 blocks, us",
             "target of the model",
