--- a/src/version/evidence.rs
+++ b/src/version/evidence.rs
@@ -1,15 +1,15 @@
 //! Statistical comparison of a new version with the old one.
 //!
-//! Counts are kept per route and version in slots of one second. Windows of
-//! several lengths are compared side by side: a short one reacts to a fault
-//! that starts late under high traffic, the total collects evidence on a route
-//! with little traffic. An outage that affects both versions appears on both
-//! sides of each window and is no evidence against the new version.
+//! Counts are kept per route and version in blocks of a few seconds, and both
+//! versions are compared block by block. Recent blocks react to a fault that
+//! starts late, all blocks together collect evidence under little traffic. An
+//! outage that affects both versions appears on both sides of its blocks and is
+//! no evidence against the new version.
 
+pub mod blocks;
 pub mod counts;
 pub mod pool;
 pub mod sequential;
-pub mod timeline;
 
 use std::collections::BTreeMap;
 
@@ -19,27 +19,41 @@
 };
 
 use crate::names::Name;
+use blocks::{
+    Blocks,
+    Comparison,
+    KEPT_BLOCKS, //
+};
 use counts::{
     Counts,
     Sample, //
 };
 use sequential::{
+    Strata,
     Symptom,
     Tally, //
 };
-use timeline::Timeline;
 
 /// Log odds above which an entry cuts a version by itself: 1e8 to 1. Several
-/// windows, routes and entries are tested all the time; 1e6 to 1 would leave
+/// periods, routes and entries are tested all the time; 1e6 to 1 would leave
 /// too little margin over the thousands of tests in a fleet.
 pub const STRONG_LN: f64 = 18.42;
 /// Log odds above which a move is held at its share: 100 to 1.
 pub const SUSPECT_LN: f64 = 4.6;
-/// Log odds that the recent window has to show before the total counts: 20 to
-/// 1. An outage of both versions fails this test.
+/// Log odds that the recent blocks have to show before older ones count: 20 to
+/// 1.
 const RECENT_LN: f64 = 3.0;
-/// Lengths of the compared windows.
-const WINDOWS_S: [u64; 3] = [4, 16, timeline::KEPT_S];
+/// Log odds that answers of the same time alone have to show before a version
+/// is cut: 1e6 to 1. An outage of both versions while the old one has little
+/// traffic exceeds [`STRONG_LN`] but not this. With 1e4 to 1, one good version
+/// in 1,000 moves was taken back.
+const SIDE_LN: f64 = 13.82;
+/// Recent periods that are compared, in blocks. They overlap, so that evidence
+/// which arrives a second later is still within a similar period.
+const PERIODS: [u64; 5] = [2, 3, 5, 9, KEPT_BLOCKS];
+/// Smallest part of slow answers that counts as a slow version. Queueing makes
+/// latencies depend on each other, so smaller excesses occur by chance.
+const SLOW_RATE: f64 = 0.2;
 
 /// Which version of a move answered.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -51,18 +65,74 @@
     New,
 }
 
-/// What the evidence says about the new version on one route.
+/// What the evidence says about the new version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
     /// No worse than the old version, as far as can be seen.
     Clear,
     /// Possibly worse; the share must not grow.
     Suspect(Symptom),
+    /// Certainly worse than the old version usually is, but the old version had
+    /// too few answers at the same time to rule out an outage of both. Give it
+    /// more traffic to find out.
+    Unpaired(Symptom),
     /// Worse with near certainty; cut the version.
     Strong(Symptom),
 }
 
-/// Cumulative counts of both versions on one route.
+/// Log odds of the most likely fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Score {
+    /// Log odds that the new version is worse.
+    pub log_odds: f64,
+    /// In which respect.
+    pub symptom: Symptom,
+    /// Whether answers of the same time alone confirm it.
+    pub is_paired: bool,
+}
+
+impl Score {
+    const NONE: Self = Self {
+        log_odds: 0.0,
+        symptom: Symptom::Errors,
+        is_paired: false,
+    };
+
+    /// Returns the verdict for this score.
+    ///
+    /// ```
+    /// use yuccalatch::version::evidence::{Score, Verdict, sequential::Symptom};
+    ///
+    /// let symptom = Symptom::Errors;
+    /// let score = Score { log_odds: 9.0, symptom, is_paired: true };
+    /// assert_eq!(score.verdict(), Verdict::Suspect(Symptom::Errors));
+    /// ```
+    pub fn verdict(self) -> Verdict {
+        if self.log_odds >= STRONG_LN && self.is_paired {
+            return Verdict::Strong(self.symptom);
+        }
+        if self.log_odds >= STRONG_LN {
+            return Verdict::Unpaired(self.symptom);
+        }
+        if self.log_odds >= SUSPECT_LN {
+            return Verdict::Suspect(self.symptom);
+        }
+        Verdict::Clear
+    }
+
+    fn max(self, other: Self) -> Self {
+        let rank = |score: Self| {
+            let is_strong = score.log_odds >= STRONG_LN && score.is_paired;
+            (is_strong, score.log_odds)
+        };
+        if rank(other) > rank(self) {
+            return other;
+        }
+        self
+    }
+}
+
+/// Counts of both versions.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Pair {
     /// Counts of the old version.
@@ -71,50 +141,126 @@
     pub new: Counts,
 }
 
+impl Pair {
+    /// Returns the counts of one version.
+    pub fn side_mut(&mut self, side: Side) -> &mut Counts {
+        match side {
+            Side::Old => &mut self.old,
+            Side::New => &mut self.new,
+        }
+    }
+}
+
+/// What is compared, for one route or for all together.
+#[derive(Clone, Copy, Debug, Default)]
+struct Summary {
+    recent: [Comparison; PERIODS.len()],
+    total: Comparison,
+    base: [Tally; 3],
+}
+
+impl Summary {
+    fn of(blocks: &Blocks, now_us: u64) -> Self {
+        let recent = blocks.recent(PERIODS, now_us);
+        let mut total = *blocks.closed();
+        total.merge(&recent[PERIODS.len() - 1]);
+        Self {
+            recent,
+            total,
+            base: blocks.base(),
+        }
+    }
+
+    fn merge(&mut self, other: &Self) {
+        for (sum, recent) in self.recent.iter_mut().zip(&other.recent) {
+            sum.merge(recent);
+        }
+        self.total.merge(&other.total);
+        for (sum, base) in self.base.iter_mut().zip(other.base) {
+            sum.merge(base);
+        }
+    }
+
+    fn score(&self) -> Score {
+        let mut worst = Score::NONE;
+        let mut recent = Score::NONE;
+        for comparison in &self.recent {
+            recent = self.compare(comparison);
+            worst = worst.max(recent);
+        }
+        if recent.log_odds >= RECENT_LN {
+            worst = worst.max(self.compare(&self.total));
+        }
+        worst
+    }
+
+    fn compare(&self, comparison: &Comparison) -> Score {
+        let [errors, first_token, between_tokens] = self.base;
+        let any_rate = 0.0;
+        score(&comparison.errors, errors, any_rate, Symptom::Errors)
+            .max(score(
+                &comparison.first_token,
+                first_token,
+                SLOW_RATE,
+                Symptom::FirstToken,
+            ))
+            .max(score(
+                &comparison.between_tokens,
+                between_tokens,
+                SLOW_RATE,
+                Symptom::BetweenTokens,
+            ))
+    }
+}
+
+fn score(strata: &Strata, base: Tally, least_rate: f64, symptom: Symptom) -> Score {
+    if strata.new_answers().rate() < least_rate {
+        return Score::NONE;
+    }
+    Score {
+        log_odds: strata.log_odds(base),
+        symptom,
+        is_paired: strata.side_by_side() >= SIDE_LN,
+    }
+}
+
 /// Evidence on one route.
 #[derive(Clone, Debug, Default)]
 pub struct RouteEvidence {
-    old: Timeline,
-    new: Timeline,
+    blocks: Blocks,
     new_answers_at_mark: u64,
 }
 
 impl RouteEvidence {
     /// Adds counts of one side.
     pub fn add(&mut self, side: Side, counts: &Counts, now_us: u64) {
-        match side {
-            Side::Old => self.old.add(counts, now_us),
-            Side::New => self.new.add(counts, now_us),
-        }
+        self.blocks.add(side, counts, now_us);
     }
 
-    /// Adds a single answer.
-    pub fn record(&mut self, side: Side, sample: Sample, now_us: u64) {
-        match side {
-            Side::Old => self.old.record(sample, now_us),
-            Side::New => self.new.record(sample, now_us),
-        }
+    /// Adds a single answer. Returns whether it speaks against the new version;
+    /// the entry then sends its totals to its peers without waiting for the
+    /// next exchange.
+    pub fn record(&mut self, side: Side, sample: Sample, now_us: u64) -> bool {
+        self.blocks.record(side, sample, now_us);
+        side == Side::New && self.blocks.is_bad(sample)
     }
 
     /// Returns cumulative counts, to be sent to peers.
-    pub fn totals(&self) -> Pair {
-        Pair {
-            old: self.old.total().clone(),
-            new: self.new.total().clone(),
-        }
+    pub fn totals(&self) -> &Pair {
+        self.blocks.total()
     }
 
     /// Starts to count the answers of a new step.
     pub fn mark(&mut self) {
-        self.new_answers_at_mark = self.new.total().answered;
+        self.new_answers_at_mark = self.totals().new.answered;
     }
 
     /// Returns the answers of the new version since the last mark.
     pub fn new_answers_since_mark(&self) -> u64 {
-        self.new.total().answered - self.new_answers_at_mark
+        self.totals().new.answered - self.new_answers_at_mark
     }
 
-    /// Compares both versions.
+    /// Compares both versions on this route.
     ///
     /// ```
     /// use yuccalatch::version::evidence::{RouteEvidence, Side, Verdict};
@@ -128,38 +274,16 @@
     /// for _ in 0..10 {
     ///     evidence.record(Side::New, failed, 0);
     /// }
-    /// assert!(matches!(evidence.verdict(0), Verdict::Strong(_)));
+    /// assert!(matches!(evidence.score(0).verdict(), Verdict::Strong(_)));
     /// ```
-    pub fn verdict(&self, now_us: u64) -> Verdict {
-        let mut worst = (0.0, Symptom::Errors);
-        let mut recent = 0.0;
-        for window_s in WINDOWS_S {
-            let old = self.old.window(window_s, now_us);
-            let new = self.new.window(window_s, now_us);
-            if new.answered == 0 {
-                continue;
-            }
-            let base = self.old.total().since(&old);
-            let score = sequential::worst(&old, &new, &base);
-            recent = score.0;
-            if score.0 > worst.0 {
-                worst = score;
-            }
-        }
-        let total = sequential::worst(self.old.total(), self.new.total(), &Counts::default());
-        if recent >= RECENT_LN && total.0 > worst.0 {
-            worst = total;
-        }
-        match worst {
-            (score, symptom) if score >= STRONG_LN => Verdict::Strong(symptom),
-            (score, symptom) if score >= SUSPECT_LN => Verdict::Suspect(symptom),
-            _ => Verdict::Clear,
-        }
+    pub fn score(&self, now_us: u64) -> Score {
+        Summary::of(&self.blocks, now_us).score()
     }
 
-    /// Returns answers and failures of the new version in the longest window.
+    /// Returns failed and good answers of the new version in the last minute.
     pub fn recent_errors(&self, now_us: u64) -> Tally {
-        self.new.window(timeline::KEPT_S, now_us).errors()
+        let [recent] = self.blocks.recent([KEPT_BLOCKS], now_us);
+        recent.errors.new_answers()
     }
 }
 
@@ -176,7 +300,7 @@
     /// use yuccalatch::version::evidence::{Evidence, Verdict};
     ///
     /// let mut evidence = Evidence::default();
-    /// assert_eq!(evidence.route(&"chat".into()).verdict(0), Verdict::Clear);
+    /// assert_eq!(evidence.route(&"chat".into()).score(0).verdict(), Verdict::Clear);
     /// ```
     pub fn route(&mut self, route: &Name) -> &mut RouteEvidence {
         self.routes.entry(route.clone()).or_default()
@@ -187,6 +311,23 @@
         self.routes.iter()
     }
 
+    /// Compares both versions on every route and on all routes together, which
+    /// recognises a general fault earlier. Returns the worst score and the
+    /// route that contributes most, or `None` without routes.
+    pub fn worst(&self, now_us: u64) -> Option<(&Name, Score)> {
+        let mut together = Summary::default();
+        let mut worst: Option<(&Name, Score)> = None;
+        for (route, evidence) in &self.routes {
+            let summary = Summary::of(&evidence.blocks, now_us);
+            together.merge(&summary);
+            let score = summary.score();
+            if worst.is_none_or(|(_, known)| known.max(score) != known) {
+                worst = Some((route, score));
+            }
+        }
+        worst.map(|(route, score)| (route, score.max(together.score())))
+    }
+
     /// Starts to count the answers of a new step on every route.
     pub fn mark(&mut self) {
         self.routes.values_mut().for_each(RouteEvidence::mark);
@@ -196,7 +337,7 @@
     pub fn totals(&self) -> BTreeMap<Name, Pair> {
         self.routes
             .iter()
-            .map(|(route, evidence)| (route.clone(), evidence.totals()))
+            .map(|(route, evidence)| (route.clone(), evidence.totals().clone()))
             .collect()
     }
 }
--- a/src/version/evidence/counts.rs
+++ b/src/version/evidence/counts.rs
@@ -80,7 +80,7 @@
     }
 }
 
-fn bucket(value_us: u64) -> usize {
+pub(super) fn bucket(value_us: u64) -> usize {
     let mut edge = FIRST_EDGE_US;
     for octave in 0..BUCKETS / 2 {
         if value_us < edge {
--- a/src/version/evidence/sequential.rs
+++ b/src/version/evidence/sequential.rs
@@ -12,20 +12,17 @@
     Serialize, //
 };
 
-use super::counts::{
-    Counts,
-    Latency, //
-};
-
 /// Prior of the old version's rate: about 2.4% with the weight of 20 answers.
 const PRIOR_BAD: f64 = 0.5;
 const PRIOR_GOOD: f64 = 20.0;
-/// Greatest weight of older answers of the old version, in answers. They stand
-/// in when the old version gets little traffic, and yield to present ones.
-const BASE_WEIGHT: f64 = 100.0;
-/// Smallest part of slow answers that counts as a slow version. Queueing makes
-/// latencies depend on each other, so smaller excesses occur by chance.
-const SLOW_RATE: f64 = 0.2;
+/// Greatest weight of all older answers of the old version, in answers. They
+/// stand in when the old version gets little traffic, and yield to present
+/// ones.
+const BASE_WEIGHT: f64 = 20.0;
+/// Weight of the usual rate within one block, in answers.
+const BLOCK_WEIGHT: f64 = 0.5;
+/// Prior of the old version's rate where only answers of the same time count.
+const SIDE_PRIOR: f64 = 0.5;
 
 /// What is wrong with a version.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -49,6 +46,17 @@
 }
 
 impl Tally {
+    /// Returns the number of answers.
+    ///
+    /// ```
+    /// use yuccalatch::version::evidence::sequential::Tally;
+    ///
+    /// assert_eq!(Tally { bad: 1, good: 3 }.count(), 4);
+    /// ```
+    pub fn count(self) -> u64 {
+        self.bad + self.good
+    }
+
     /// Returns the part of bad answers, zero without any.
     ///
     /// ```
@@ -57,83 +65,103 @@
     /// assert_eq!(Tally { bad: 1, good: 3 }.rate(), 0.25);
     /// ```
     pub fn rate(self) -> f64 {
-        let total = self.bad + self.good;
-        if total == 0 {
+        if self.count() == 0 {
             return 0.0;
         }
-        self.bad as f64 / total as f64
+        self.bad as f64 / self.count() as f64
     }
-}
 
-/// Returns the log odds that the new version is worse than the old one, given
-/// the answers of both in the same period and older ones of the old version.
-///
-/// ```
-/// use yuccalatch::version::evidence::sequential::{log_odds, Tally};
-///
-/// let old = Tally { bad: 5, good: 995 };
-/// let bad = log_odds(old, Tally { bad: 6, good: 0 }, Tally::default());
-/// let fine = log_odds(old, Tally { bad: 1, good: 99 }, Tally::default());
-/// assert!(bad > 18.0 && fine < 3.0);
-/// ```
-pub fn log_odds(old: Tally, new: Tally, base: Tally) -> f64 {
-    let base_count = (base.bad + base.good) as f64;
-    let weight = if base_count > BASE_WEIGHT {
-        BASE_WEIGHT / base_count
-    } else {
-        1.0
-    };
-    let alpha = PRIOR_BAD + base.bad as f64 * weight + old.bad as f64;
-    let beta = PRIOR_GOOD + base.good as f64 * weight + old.good as f64;
-    if new.rate() <= alpha / (alpha + beta) {
-        return 0.0;
+    /// Adds another tally.
+    pub fn merge(&mut self, other: Self) {
+        self.bad += other.bad;
+        self.good += other.good;
     }
-    let (bad, good) = (new.bad as f64, new.good as f64);
-    let same_rate = ln_beta(alpha + bad, beta + good) - ln_beta(alpha, beta);
-    let own_rate = ln_beta(1.0 + bad, 1.0 + good);
-    own_rate - same_rate
 }
 
-/// Returns the highest log odds of all symptoms.
-///
-/// ```
-/// use yuccalatch::version::evidence::counts::Counts;
-/// use yuccalatch::version::evidence::sequential::worst;
-///
-/// let none = Counts::default();
-/// assert_eq!(worst(&none, &none, &none).0, 0.0);
-/// ```
-pub fn worst(old: &Counts, new: &Counts, base: &Counts) -> (f64, Symptom) {
-    let errors = log_odds(old.errors(), new.errors(), base.errors());
-    let first_token = slowness(&old.first_token, &new.first_token, &base.first_token);
-    let between = slowness(
-        &old.between_tokens,
-        &new.between_tokens,
-        &base.between_tokens,
-    );
-    let mut worst = (errors, Symptom::Errors);
-    if first_token > worst.0 {
-        worst = (first_token, Symptom::FirstToken);
+/// Answers of the new version, and those of the old one weighted to the same
+/// times. Shares change during a move, so a plain sum would compare an outage
+/// that mainly one version saw with quiet times of the other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Strata {
+    new: Tally,
+    expected_bad: f64,
+    /// Sum of `new^2 / old` over the blocks, the variance of `expected_bad`
+    /// up to a factor. It yields the number of old answers that count: a block
+    /// with many new and few old answers tells little about the old version.
+    spread: f64,
+}
+
+impl Strata {
+    /// Compares the answers of one block. A block without answers of the old
+    /// version is no evidence. `usual` holds all answers of the old version.
+    ///
+    /// ```
+    /// use yuccalatch::version::evidence::sequential::{Strata, Tally};
+    ///
+    /// let old = Tally { bad: 5, good: 995 };
+    /// let bad = Strata::of(old, Tally { bad: 7, good: 0 }, old);
+    /// let fine = Strata::of(old, Tally { bad: 1, good: 99 }, old);
+    /// assert!(bad.log_odds(old) > 18.0 && fine.log_odds(old) < 3.0);
+    /// ```
+    pub fn of(old: Tally, new: Tally, usual: Tally) -> Self {
+        if new.count() == 0 || old.count() == 0 {
+            return Self::default();
+        }
+        let weighted_bad = old.bad as f64 + BLOCK_WEIGHT * usual.rate();
+        let rate = weighted_bad / (old.count() as f64 + BLOCK_WEIGHT);
+        let new_count = new.count() as f64;
+        Self {
+            new,
+            expected_bad: rate * new_count,
+            spread: new_count * new_count / old.count() as f64,
+        }
+    }
+
+    /// Adds another block or route.
+    pub fn merge(&mut self, other: &Self) {
+        self.new.merge(other.new);
+        self.expected_bad += other.expected_bad;
+        self.spread += other.spread;
     }
-    if between > worst.0 {
-        worst = (between, Symptom::BetweenTokens);
+
+    /// Returns the answers of the new version.
+    pub fn new_answers(&self) -> Tally {
+        self.new
     }
-    worst
-}
 
-/// Log odds that the new version exceeds the usual latencies of the old one
-/// more often. Usual is everything up to one bucket above the 95th percentile,
-/// now or before, whichever is higher.
-fn slowness(old: &Latency, new: &Latency, base: &Latency) -> f64 {
-    let Some(usual) = old.p95_bucket().max(base.p95_bucket()) else {
-        return 0.0;
-    };
-    let limit = usual + 1;
-    let tally = new.above(limit);
-    if tally.rate() < SLOW_RATE {
-        return 0.0;
+    /// Returns the log odds that the new version is worse than the old one.
+    /// `base` holds all answers of the old version.
+    pub fn log_odds(&self, base: Tally) -> f64 {
+        let base_weight = BASE_WEIGHT.min(base.count() as f64);
+        self.odds_against(
+            PRIOR_BAD + base.rate() * base_weight,
+            PRIOR_GOOD + (1.0 - base.rate()) * base_weight,
+        )
+    }
+
+    /// Returns the log odds from answers of the same time alone. In an outage
+    /// the old version's usual rate misleads, however well it is known.
+    pub fn side_by_side(&self) -> f64 {
+        self.odds_against(SIDE_PRIOR, SIDE_PRIOR)
+    }
+
+    fn odds_against(&self, prior_bad: f64, prior_good: f64) -> f64 {
+        if self.new.bad == 0 {
+            return 0.0;
+        }
+        let new_count = self.new.count() as f64;
+        let old_count = new_count * new_count / self.spread;
+        let old_bad = self.expected_bad / new_count * old_count;
+        let alpha = prior_bad + old_bad;
+        let beta = prior_good + old_count - old_bad;
+        if self.new.rate() <= alpha / (alpha + beta) {
+            return 0.0;
+        }
+        let (bad, good) = (self.new.bad as f64, self.new.good as f64);
+        let same_rate = ln_beta(alpha + bad, beta + good) - ln_beta(alpha, beta);
+        let own_rate = ln_beta(1.0 + bad, 1.0 + good);
+        own_rate - same_rate
     }
-    log_odds(old.above(limit), tally, base.above(limit))
 }
 
 fn ln_beta(a: f64, b: f64) -> f64 {
--- a/src/version/rollout/cut.rs
+++ b/src/version/rollout/cut.rs
@@ -1,5 +1,7 @@
 //! Shares and cuts at an entry.
 
+use std::collections::BTreeMap;
+
 use serde::{
     Deserialize,
     Serialize, //
@@ -23,6 +25,9 @@
     },
 };
 
+/// Greatest share while the old version has too few answers to compare with.
+const CAUTIOUS_PERMILLE: u16 = 250;
+
 /// Notice that an entry has cut a version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Cut {
@@ -39,26 +44,34 @@
 pub struct LocalMove {
     current: Move,
     cut: Option<Cut>,
-    carry_permille: u16,
+    is_cautious: bool,
+    first_carry_permille: u16,
+    carry_permille: BTreeMap<Name, u16>,
 }
 
 impl LocalMove {
-    /// Starts to apply a move. `phase` offsets the distribution, so that
-    /// entries do not send their first requests to the new version together.
+    /// Starts to apply a move at the entry with this rank among the live ones.
+    ///
+    /// The ranks spread the first requests to the new version evenly, so the
+    /// whole fleet stays at the share from the first request on, with few
+    /// entries as well as with many.
     ///
     /// ```
     /// use yuccalatch::version::rollout::{cut::LocalMove, plan, Move};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
     /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
-    /// assert_eq!(LocalMove::new(planned, 3).share_permille(), 0);
+    /// assert_eq!(LocalMove::new(planned, 0, 4).share_permille(), 0);
     /// ```
-    pub fn new(current: Move, phase: u64) -> Self {
-        let carry = phase % u64::from(FULL_PERMILLE);
+    pub fn new(current: Move, rank: usize, live_entries: usize) -> Self {
+        let rank = rank % live_entries.max(1);
+        let first = rank * usize::from(FULL_PERMILLE) / live_entries.max(1);
         Self {
             current,
             cut: None,
-            carry_permille: u16::try_from(carry).unwrap_or(0),
+            is_cautious: false,
+            first_carry_permille: u16::try_from(first).unwrap_or(0),
+            carry_permille: BTreeMap::new(),
         }
     }
 
@@ -70,6 +83,8 @@
         }
         if newer.ticket != self.current.ticket {
             self.cut = None;
+            self.is_cautious = false;
+            self.carry_permille.clear();
         }
         self.current = newer;
     }
@@ -89,36 +104,50 @@
         if self.cut.is_some() {
             return 0;
         }
-        self.current.share_permille()
+        let share = self.current.share_permille();
+        if self.is_cautious && !self.current.phase.is_final() {
+            return share.min(CAUTIOUS_PERMILLE);
+        }
+        share
     }
 
-    /// Chooses the version of the next request.
+    /// Chooses the version of the next request of a route.
     ///
     /// The remainder is carried over, so every run of requests matches the
     /// share to within one request.
-    pub fn choose(&mut self) -> Side {
+    pub fn choose(&mut self, route: &Name) -> Side {
         let share = self.share_permille();
         if share == 0 {
             return Side::Old;
         }
-        self.carry_permille += share;
-        if self.carry_permille < FULL_PERMILLE {
+        if !self.carry_permille.contains_key(route) {
+            let first = self.first_carry_permille;
+            self.carry_permille.insert(route.clone(), first);
+        }
+        let Some(carry) = self.carry_permille.get_mut(route) else {
+            return Side::Old;
+        };
+        *carry += share;
+        if *carry < FULL_PERMILLE {
             return Side::Old;
         }
-        self.carry_permille -= FULL_PERMILLE;
+        *carry -= FULL_PERMILLE;
         Side::New
     }
 
-    /// Cuts the version on strong evidence. Returns the notice for the peers
-    /// when the cut is new.
+    /// Cuts the version on strong evidence, and gives the old version most
+    /// traffic while there is too little of it to tell a fault from an
+    /// outage of both. Returns the notice for the peers when the cut is new.
+    ///
+    /// `evidence` is that of the fleet as far as this entry knows.
     pub fn judge(&mut self, evidence: &Evidence, own: Incarnation, now_us: u64) -> Option<Cut> {
-        let (route, symptom) =
-            evidence
-                .routes()
-                .find_map(|(route, evidence)| match evidence.verdict(now_us) {
-                    Verdict::Strong(symptom) => Some((route.clone(), symptom)),
-                    Verdict::Clear | Verdict::Suspect(_) => None,
-                })?;
+        let (route, score) = evidence.worst(now_us)?;
+        let verdict = score.verdict();
+        self.is_cautious = matches!(verdict, Verdict::Unpaired(_));
+        let Verdict::Strong(symptom) = verdict else {
+            return None;
+        };
+        let route = route.clone();
         let notice = Cut {
             service: self.current.service.clone(),
             ticket: self.current.ticket,
--- a/src/version/rollout/plan.rs
+++ b/src/version/rollout/plan.rs
@@ -19,12 +19,13 @@
 /// Share in the settling period. The rest stays on the old version: without
 /// present answers of the old version an outage of both looks like a fault of
 /// the new one.
-pub const LAST_STEP_PERMILLE: u16 = 980;
+pub const LAST_STEP_PERMILLE: u16 = 900;
 /// Answers of the new version that a route needs in each step. A version that
 /// fails three answers in ten is recognised within about this many.
 pub const STEP_ANSWERS: u64 = 20;
-/// Shortest time at one share.
-pub const SHORTEST_STEP_MS: u64 = 10_000;
+/// Shortest time at one share. Five such steps take 100 s, so the 2 s until a
+/// fault in the settling period is cut stay below 2% of the requests.
+pub const SHORTEST_STEP_MS: u64 = 20_000;
 /// Longest planned time at one share. A route too quiet to give enough answers
 /// within it does not hold up the move any longer.
 pub const LONGEST_STEP_MS: u64 = 600_000;
--- a/src/version/rollout/step.rs
+++ b/src/version/rollout/step.rs
@@ -64,7 +64,7 @@
     /// ```
     pub fn of(evidence: &RouteEvidence, now_us: u64) -> Self {
         Self {
-            verdict: evidence.verdict(now_us),
+            verdict: evidence.score(now_us).verdict(),
             new_answers: evidence.new_answers_since_mark(),
         }
     }
