--- a/src/replay/evaluate/moves.rs
+++ b/src/replay/evaluate/moves.rs
@@ -54,12 +54,17 @@
 /// ```
 pub fn run(seed: u64, size: Size) -> Vec<Measurement> {
     let (good_runs, bad_runs, plans) = match size {
-        Size::Small => (100, 4, 200),
+        Size::Small => (100, 2, 200),
         Size::Full => (1_000, 50, 5_000),
     };
     let mut measurements = acceptance(seed, plans);
     for policy in POLICIES {
-        measurements.extend(good(seed, good_runs, policy));
+        // The baselines show their faults in fewer runs.
+        let runs = match policy {
+            Policy::Evidence => good_runs,
+            Policy::Timetable | Policy::Threshold => good_runs / 10,
+        };
+        measurements.extend(good(seed, runs, policy));
         for traffic in Traffic::ALL {
             for fault in Fault::ALL {
                 measurements.extend(bad(seed, bad_runs, policy, traffic, fault));
@@ -123,6 +128,11 @@
     });
     let taken_back = outcomes.iter().filter(|run| run.is_taken_back).count();
     let in_time = outcomes.iter().filter(|run| run.is_in_time).count();
+    let parallel_loads = outcomes
+        .iter()
+        .map(|run| run.most_parallel_loads)
+        .max()
+        .unwrap_or(0);
     let measure = |name, value, bound| Measurement {
         scenario: "good".to_owned(),
         policy: policy.name().to_owned(),
@@ -138,6 +148,11 @@
             in_time as f64 / runs as f64,
             Bound::AtLeast(1.0),
         ),
+        measure(
+            "parallel_loads_max",
+            parallel_loads as f64,
+            Bound::AtMost(2.0),
+        ),
     ]
 }
 
--- a/src/replay/evaluate/moves/fleet.rs
+++ b/src/replay/evaluate/moves/fleet.rs
@@ -92,14 +92,21 @@
         self.targets.is_empty()
     }
 
-    /// Executes orders and finishes loads.
-    pub fn step(&mut self, orders: &[Order], rng: &mut ChaCha8Rng, now_ms: u64) {
+    /// Finishes loads and takes reports.
+    pub fn tick(&mut self, now_ms: u64) {
         for target in &mut self.targets {
             if target.loaded_at_ms.is_some_and(|at_ms| now_ms >= at_ms) {
                 target.view.load = LoadState::Loaded;
                 target.loaded_at_ms = None;
             }
         }
+        if now_ms.is_multiple_of(REPORT_MS) {
+            self.reported = self.targets.iter().map(|t| t.view.clone()).collect();
+        }
+    }
+
+    /// Executes orders.
+    pub fn execute(&mut self, orders: &[Order], rng: &mut ChaCha8Rng, now_ms: u64) {
         for order in orders {
             let Some(target) = self
                 .targets
@@ -124,9 +131,6 @@
         };
         let most = ["a", "b", "c"].map(loading).into_iter().max().unwrap_or(0);
         self.most_parallel = self.most_parallel.max(most);
-        if now_ms.is_multiple_of(REPORT_MS) {
-            self.reported = self.targets.iter().map(|t| t.view.clone()).collect();
-        }
     }
 
     /// Returns the last reports.
--- a/src/replay/evaluate/moves/run.rs
+++ b/src/replay/evaluate/moves/run.rs
@@ -240,9 +240,10 @@
         }
         if self.now_ms.is_multiple_of(HOLDER_MS) {
             self.hold();
+            let orders = self.stored.orders(self.fleet.reports());
+            self.fleet.execute(&orders, &mut self.rng, self.now_ms);
         }
-        let orders = self.stored.orders(self.fleet.reports());
-        self.fleet.step(&orders, &mut self.rng, self.now_ms);
+        self.fleet.tick(self.now_ms);
     }
 
     fn deliver_cuts(&mut self) {
@@ -340,17 +341,17 @@
         entry.is_urgent = false;
         entry.local.apply(self.stored.clone());
         let now_us = self.now_ms * US_PER_MS;
-        let totals = entry.evidence.totals();
-        self.pool.absorb(entry.incarnation, &totals, now_us);
+        let message = entry.evidence.message(now_us);
+        self.pool.absorb(entry.incarnation, &message);
         if self.setup.policy != Policy::Evidence || self.shifting_at_ms.is_none() {
             return;
         }
-        // Every peer has the same totals after an exchange, so all judge alike.
-        for entry in &mut self.entries {
-            let own = entry.incarnation;
-            let cut = entry.local.judge(self.pool.evidence(), own, now_us);
-            self.cuts.extend(cut);
+        if entry.local.cut().is_some() {
+            return;
         }
+        let own = entry.incarnation;
+        let cut = entry.local.judge(self.pool.evidence(), own, now_us);
+        self.cuts.extend(cut);
     }
 
     fn hold(&mut self) {
--- a/src/version/evidence.rs
+++ b/src/version/evidence.rs
@@ -4,7 +4,8 @@
 //! versions are compared block by block. Recent blocks react to a fault that
 //! starts late, all blocks together collect evidence under little traffic. An
 //! outage that affects both versions appears on both sides of its blocks and is
-//! no evidence against the new version.
+//! no evidence against the new version. All times are wall-clock microseconds,
+//! because entries merge their blocks.
 
 pub mod blocks;
 pub mod counts;
@@ -161,13 +162,14 @@
 
 impl Summary {
     fn of(blocks: &Blocks, now_us: u64) -> Self {
-        let recent = blocks.recent(PERIODS, now_us);
+        let usual = blocks.usual();
+        let recent = blocks.recent(&usual, PERIODS, now_us);
         let mut total = *blocks.closed();
         total.merge(&recent[PERIODS.len() - 1]);
         Self {
             recent,
             total,
-            base: blocks.base(),
+            base: usual.base(),
         }
     }
 
@@ -232,20 +234,15 @@
 }
 
 impl RouteEvidence {
-    /// Adds counts of one side.
-    pub fn add(&mut self, side: Side, counts: &Counts, now_us: u64) {
-        self.blocks.add(side, counts, now_us);
-    }
-
     /// Adds a single answer. Returns whether it speaks against the new version;
-    /// the entry then sends its totals to its peers without waiting for the
+    /// the entry then sends its counts to its peers without waiting for the
     /// next exchange.
     pub fn record(&mut self, side: Side, sample: Sample, now_us: u64) -> bool {
         self.blocks.record(side, sample, now_us);
         side == Side::New && self.blocks.is_bad(sample)
     }
 
-    /// Returns cumulative counts, to be sent to peers.
+    /// Returns the counts of all time.
     pub fn totals(&self) -> &Pair {
         self.blocks.total()
     }
@@ -282,7 +279,8 @@
 
     /// Returns failed and good answers of the new version in the last minute.
     pub fn recent_errors(&self, now_us: u64) -> Tally {
-        let [recent] = self.blocks.recent([KEPT_BLOCKS], now_us);
+        let usual = self.blocks.usual();
+        let [recent] = self.blocks.recent(&usual, [KEPT_BLOCKS], now_us);
         recent.errors.new_answers()
     }
 }
@@ -332,12 +330,4 @@
     pub fn mark(&mut self) {
         self.routes.values_mut().for_each(RouteEvidence::mark);
     }
-
-    /// Returns cumulative counts of every route, to be sent to peers.
-    pub fn totals(&self) -> BTreeMap<Name, Pair> {
-        self.routes
-            .iter()
-            .map(|(route, evidence)| (route.clone(), evidence.totals().clone()))
-            .collect()
-    }
 }
--- a/src/version/evidence/blocks.rs
+++ b/src/version/evidence/blocks.rs
@@ -17,7 +17,8 @@
 };
 use crate::clock::US_PER_S;
 
-/// Length of a block. An outage of both versions is compared with itself when
+/// Length of a block. Entries number blocks by wall-clock time, so that their
+/// blocks can be merged; a clock that is wrong only blurs the comparison. An outage of both versions is compared with itself when
 /// it is longer than a block.
 pub const BLOCK_US: u64 = 4 * US_PER_S;
 /// Blocks that are kept one by one: 64 s.
@@ -58,10 +59,12 @@
 }
 
 impl Blocks {
-    /// Adds counts to the present block.
-    pub fn add(&mut self, side: Side, counts: &Counts, now_us: u64) {
+    /// Adds counts to a block.
+    pub fn add(&mut self, side: Side, counts: &Counts, number: u64) {
         self.total.side_mut(side).merge(counts);
-        self.current(now_us).side_mut(side).merge(counts);
+        if let Some(pair) = self.block_mut(number) {
+            pair.side_mut(side).merge(counts);
+        }
     }
 
     /// Adds one answer to the present block.
@@ -75,7 +78,17 @@
     /// ```
     pub fn record(&mut self, side: Side, sample: Sample, now_us: u64) {
         self.total.side_mut(side).record(sample);
-        self.current(now_us).side_mut(side).record(sample);
+        if let Some(pair) = self.block_mut(now_us / BLOCK_US) {
+            pair.side_mut(side).record(sample);
+        }
+    }
+
+    /// Returns the kept blocks from a number on.
+    pub fn since(&self, first: u64) -> impl Iterator<Item = (u64, &Pair)> {
+        self.blocks
+            .iter()
+            .filter(move |block| block.number >= first)
+            .map(|block| (block.number, &block.pair))
     }
 
     /// Returns the counts of all time.
@@ -85,11 +98,15 @@
 
     /// Compares both versions over several recent periods, each given as a
     /// number of blocks in ascending order.
-    pub fn recent<const N: usize>(&self, periods: [u64; N], now_us: u64) -> [Comparison; N] {
+    pub fn recent<const N: usize>(
+        &self,
+        usual: &Usual,
+        periods: [u64; N],
+        now_us: u64,
+    ) -> [Comparison; N] {
         let present = now_us / BLOCK_US;
-        let usual = self.usual();
         let mut sums = [Comparison::default(); N];
-        for block in self.blocks.iter().rev() {
+        for block in &self.blocks {
             if block.pair.new.answered == 0 {
                 continue;
             }
@@ -108,13 +125,6 @@
         &self.closed
     }
 
-    /// Returns the answers of the old version of all time, split in the same
-    /// way as the comparison.
-    pub fn base(&self) -> [Tally; 3] {
-        let usual = self.usual();
-        [usual.errors, usual.first_token, usual.between_tokens]
-    }
-
     /// Returns whether an answer failed or was slow.
     pub fn is_bad(&self, sample: Sample) -> bool {
         let usual = self.usual();
@@ -128,7 +138,8 @@
             || is_slow(sample.between_tokens_us, usual.between_tokens_limit)
     }
 
-    fn usual(&self) -> Usual {
+    /// Returns what is usual for the old version.
+    pub fn usual(&self) -> Usual {
         let mut recent = Counts::default();
         for block in &self.blocks {
             recent.merge(&block.pair.old);
@@ -136,15 +147,26 @@
         Usual::new(&self.total.old, &recent)
     }
 
-    fn current(&mut self, now_us: u64) -> &mut Pair {
-        let number = now_us / BLOCK_US;
-        if self.blocks.back().is_none_or(|block| block.number < number) {
+    /// Finds or inserts a block; a block that is no longer kept has been
+    /// compared already.
+    fn block_mut(&mut self, number: u64) -> Option<&mut Pair> {
+        let newest = self.blocks.back().map_or(0, |block| block.number);
+        if number + KEPT_BLOCKS <= newest {
+            return None;
+        }
+        if number > newest {
             self.close_before((number + 1).saturating_sub(KEPT_BLOCKS));
+        }
+        let at = self.blocks.partition_point(|block| block.number < number);
+        if self
+            .blocks
+            .get(at)
+            .is_none_or(|block| block.number != number)
+        {
             let pair = Pair::default();
-            self.blocks.push_back(Block { number, pair });
+            self.blocks.insert(at, Block { number, pair });
         }
-        let last = self.blocks.len() - 1;
-        &mut self.blocks[last].pair
+        self.blocks.get_mut(at).map(|block| &mut block.pair)
     }
 
     fn close_before(&mut self, first: u64) {
@@ -157,7 +179,8 @@
 
 /// What is usual for the old version. A latency is slow above one bucket more
 /// than the 95th percentile, of all time or recently, whichever is higher.
-struct Usual {
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
     first_token_limit: Option<usize>,
     between_tokens_limit: Option<usize>,
     errors: Tally,
@@ -182,6 +205,11 @@
         }
     }
 
+    /// Returns all answers of the old version, split by each symptom.
+    pub fn base(&self) -> [Tally; 3] {
+        [self.errors, self.first_token, self.between_tokens]
+    }
+
     fn compare(&self, Pair { old, new }: &Pair) -> Comparison {
         let first = |counts: &Counts| slow(&counts.first_token, self.first_token_limit);
         let between = |counts: &Counts| slow(&counts.between_tokens, self.between_tokens_limit);
--- /dev/null
+++ b/tests/fleet_membership.rs
@@ -0,0 +1,178 @@
+//! Live entries and targets from reports and digests.
+
+use quickcheck::{
+    Gen,
+    QuickCheck, //
+};
+use yuccalatch::{
+    names::{
+        Incarnation,
+        Name, //
+    },
+    process::membership::{
+        Change, GONE_US, GRACE_US, Liveness, Membership, Report, Role, SUSPECT_US,
+        digest::{
+            SUM_KEPT_US,
+            Sums, //
+        },
+        rendezvous::{
+            COLLECTORS,
+            choose, //
+        },
+    },
+};
+
+fn report(name: &str, role: Role, incarnation: u64, sequence: u64) -> Report {
+    Report {
+        name: name.into(),
+        role,
+        data_centre: "a".into(),
+        service: "chat".into(),
+        incarnation: Incarnation(incarnation),
+        sequence,
+        is_leaving: false,
+        revision: 1,
+        running: 3,
+        queued: 2,
+        versions: Vec::new(),
+    }
+}
+
+/// Guards against new work for a target that announced its stop, also when an
+/// older report or digest arrives after the announcement.
+#[test]
+fn leaving_targets_get_no_work() {
+    let mut membership = Membership::default();
+    membership.report(report("t1", Role::Target, 1, 1), 0);
+    assert_eq!(membership.serving(Role::Target).count(), 1);
+    let changes = membership.leaving(&"t1".into(), Incarnation(1));
+    assert_eq!(changes, [Change::Leaving("t1".into())]);
+    assert_eq!(membership.serving(Role::Target).count(), 0);
+    membership.report(report("t1", Role::Target, 1, 2), 1);
+    assert_eq!(membership.serving(Role::Target).count(), 0);
+    membership.report(report("t1", Role::Target, 2, 1), 2);
+    assert_eq!(
+        membership.serving(Role::Target).count(),
+        1,
+        "a new process serves"
+    );
+    membership.leaving(&"t1".into(), Incarnation(1));
+    assert_eq!(
+        membership.serving(Role::Target).count(),
+        1,
+        "a late notice of the old one"
+    );
+}
+
+/// Guards against echoes in digests that keep a silent member alive, and
+/// against late reports of a former process.
+#[test]
+fn only_new_reports_count() {
+    let mut membership = Membership::default();
+    membership.report(report("t1", Role::Target, 1, 5), 0);
+    let echo = membership.digest("a", "a", 1);
+    assert!(membership.absorb(&echo, SUSPECT_US - 1).is_empty());
+    assert_eq!(
+        membership.tick(SUSPECT_US),
+        [Change::Suspected("t1".into())]
+    );
+    assert!(membership.digest("a", "a", 2).targets.is_empty());
+    assert_eq!(membership.tick(GONE_US), [Change::Gone("t1".into())]);
+
+    let restarted = membership.report(report("t1", Role::Target, 2, 1), GONE_US);
+    assert_eq!(restarted, [Change::Restarted("t1".into())]);
+    assert!(
+        membership
+            .report(report("t1", Role::Target, 1, 9), GONE_US)
+            .is_empty()
+    );
+    assert!(membership.is_proven_gone("t1", Incarnation(1), GONE_US));
+    assert!(!membership.is_proven_gone("t1", Incarnation(2), GONE_US));
+}
+
+/// Guards against treating the platform's lagging list as membership, and
+/// silence as proof.
+#[test]
+fn platform_list_only_adds_candidates() {
+    let mut membership = Membership::default();
+    membership.report(report("e1", Role::Entry, 1, 1), 0);
+    membership.platform_list(["e1".into(), "e2".into()].into(), 0);
+    let candidates: Vec<&Name> = membership.candidates().collect();
+    assert_eq!(candidates, [&Name::from("e2")]);
+    assert_eq!(membership.serving(Role::Entry).count(), 1);
+
+    membership.platform_list(["e2".into()].into(), 10);
+    assert_eq!(membership.liveness("e1"), Some(Liveness::Live));
+    assert!(!membership.is_proven_gone("e1", Incarnation(1), 10 + GRACE_US - 1));
+    assert!(membership.is_proven_gone("e1", Incarnation(1), 10 + GRACE_US));
+    membership.tick(GONE_US);
+    assert!(!membership.is_proven_gone("e2", Incarnation(7), 100 * GRACE_US));
+    membership.platform_list(["e1".into(), "e2".into()].into(), 20);
+    assert!(!membership.is_proven_gone("e1", Incarnation(1), 10 + GRACE_US));
+}
+
+/// Guards against digests between data centres that grow with the targets, and
+/// against the use of old sums.
+#[test]
+fn data_centres_exchange_sums() {
+    let mut membership = Membership::default();
+    for number in 0..600 {
+        let name = format!("t{number}");
+        membership.report(report(&name, Role::Target, 1, 1), 0);
+    }
+    membership.leaving(&"t0".into(), Incarnation(1));
+    assert_eq!(membership.digest("a", "a", 1).targets.len(), 600);
+    let digest = membership.digest("a", "b", 1);
+    assert!(digest.targets.is_empty());
+    let mut sums = Sums::default();
+    sums.absorb(&digest, 5);
+    sums.absorb(&digest, 5);
+    let sum = sums.get("a", "chat", 5).expect("just received");
+    assert_eq!(
+        (sum.serving, sum.leaving, sum.running, sum.queued),
+        (599, 1, 1_800, 1_200)
+    );
+    assert_eq!(sums.get("a", "chat", 5 + SUM_KEPT_US), None);
+}
+
+/// Guards against agents that lose both collectors when one entry goes.
+#[test]
+fn collectors_move_only_with_their_entry() {
+    fn property(entries: Vec<u16>, agent: u16) -> bool {
+        let entries: std::collections::BTreeSet<Name> = entries
+            .iter()
+            .map(|number| Name::from(format!("e{number}")))
+            .collect();
+        let agent = format!("t{agent}");
+        let chosen = choose(&agent, entries.iter(), COLLECTORS);
+        let Some(lost) = chosen.first() else {
+            return entries.is_empty();
+        };
+        let left = entries.iter().filter(|name| *name != lost);
+        let again = choose(&agent, left, COLLECTORS);
+        chosen.len() == entries.len().min(COLLECTORS)
+            && chosen.iter().skip(1).all(|name| again.contains(name))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 11))
+        .tests(500)
+        .quickcheck(property as fn(Vec<u16>, u16) -> bool);
+}
+
+/// Guards against reports to suspect, leaving or distant entries.
+#[test]
+fn collectors_are_live_and_local() {
+    let mut membership = Membership::default();
+    for number in 0..6 {
+        let mut entry = report(&format!("e{number}"), Role::Entry, 1, 1);
+        entry.data_centre = if number < 4 { "a" } else { "b" }.into();
+        membership.report(entry, 0);
+    }
+    let first = membership.collectors("t1", "a");
+    membership.leaving(&first[0], Incarnation(1));
+    let second = membership.collectors("t1", "a");
+    assert!(!second.contains(&first[0]) && second.contains(&first[1]));
+    assert_eq!(membership.collectors("t1", "c").len(), COLLECTORS);
+    membership.tick(SUSPECT_US);
+    assert!(membership.collectors("t1", "a").is_empty());
+}
