Distribute configuration and membership between peers

Cause: every entry polled every agent four times a second and watched the object API, so calls grew with the product of entries and targets, and a restart during an outage of the object API found no configuration.

Change: agents report to two collectors; entries exchange digests of changes along a tree and, less often, pairwise. Two entries of a data centre watch the object API, all others fetch newer revisions from whoever shows one, in parts of 1 MB. Keys become stale 4 s after the last answer that confirms the applied revision, compared for every request. A stop is announced before the process exits, and an agent stays a second longer. `status` and `explain` answer yuccalatchctl. Paths that a target might resolve differently are refused. Incarnations are numbers in binary messages.

Tests seen to fail without their mechanism: - entry_restart: without fetching what peers offer, the outage test and the one with a peer fail. The two with a running object API pass either way. - key_withdrawal: without the deadline of a watch and the read when news is old, the silent-watch test fails; without the stale deadline, the tests of a paused entry and of one that hears nobody fail. - config_force: with live instead of unproven entries in the status, the frozen entry is not named; with parts larger than a message, the large state does not arrive. The tests of restarts and of an older state were not seen to fail; three checks in a row refuse an older state. - target_leaving: without the announcement it fails.

--- a/src/names.rs
+++ b/src/names.rs
@@ -8,7 +8,10 @@
 
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    Serializer,
+    de::Error, //
 };
 use serde_with::{
     DeserializeFromStr,
@@ -18,7 +21,8 @@
 /// Shared immutable name of an organisation, target, route and so on.
 pub type Name = Arc<str>;
 
-/// Random id that a process draws at its start.
+/// Random id that a process draws at its start, written in hexadecimal; in binary
+/// messages it is a number.
 ///
 /// ```
 /// use yuccalatch::names::Incarnation;
@@ -26,22 +30,30 @@
 /// let incarnation = Incarnation(0x2a);
 /// assert_eq!(incarnation.to_string(), "000000000000002a");
 /// assert_eq!("000000000000002a".parse(), Ok(incarnation));
+/// assert_eq!(postcard::to_stdvec(&incarnation).unwrap(), [0x2a]);
 /// ```
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    DeserializeFromStr,
-    Eq,
-    Hash,
-    Ord,
-    PartialEq,
-    PartialOrd,
-    SerializeDisplay,
-)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Incarnation(pub u64);
 
+impl Serialize for Incarnation {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Incarnation {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            return text.parse().map_err(D::Error::custom);
+        }
+        u64::deserialize(deserializer).map(Self)
+    }
+}
+
 impl Incarnation {
     /// Draws a random incarnation.
     ///
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -130,10 +130,14 @@
     let drain_until_us = context.clock.now_us() + drain_us;
     info!(context.log, "agent stops";
         "event" => Event::Stopping, "drain_until_us" => drain_until_us);
+    let linger_until_us = context.clock.now_us() + stop::LINGER_US;
+    let announce_until_us = linger_until_us + stop::LINGER_US;
     while context.clock.now_us() < drain_until_us {
+        let now_us = context.clock.now_us();
+        let is_told = context.is_announced() || now_us >= announce_until_us;
         let queued = context.load.queued.load(Ordering::Relaxed);
         let running = context.load.running.load(Ordering::Relaxed);
-        if queued + running == 0 {
+        if queued + running == 0 && is_told && now_us >= linger_until_us {
             break;
         }
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -11,7 +11,10 @@
 };
 
 use slog::Logger;
-use tokio::sync::mpsc;
+use tokio::sync::{
+    Notify,
+    mpsc, //
+};
 
 use crate::{
     clock::Clock,
@@ -59,7 +62,10 @@
     pub(super) metrics: Metrics,
     pub(super) load: Load,
     pub(super) answered: mpsc::Sender<Answered>,
+    /// Told when the state that collectors should know of has changed.
+    pub(super) changed: Notify,
     leaving: AtomicBool,
+    announced: AtomicBool,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
 }
@@ -78,7 +84,9 @@
             metrics: Metrics::new(),
             load: Load::default(),
             answered,
+            changed: Notify::new(),
             leaving: AtomicBool::new(false),
+            announced: AtomicBool::new(false),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
         }
@@ -102,6 +110,16 @@
 
     pub(super) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.changed.notify_one();
+    }
+
+    /// Whether the collectors have been told that the agent is leaving.
+    pub(super) fn is_announced(&self) -> bool {
+        self.announced.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_announced(&self) {
+        self.announced.store(true, Ordering::Relaxed);
     }
 
     /// Incarnation of the engine's cache, as last seen.
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -130,8 +130,10 @@
     let drain_until_us = context.clock.now_us() + drain_us;
     info!(context.log, "entry stops";
         "event" => Event::Stopping, "drain_until_us" => drain_until_us);
+    let linger_until_us = context.clock.now_us() + stop::LINGER_US;
     while context.clock.now_us() < drain_until_us {
-        if context.running.load(Ordering::Relaxed) == 0 {
+        let is_told = context.is_announced() || context.clock.now_us() >= linger_until_us;
+        if context.running.load(Ordering::Relaxed) == 0 && is_told {
             break;
         }
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -15,6 +15,7 @@
 
 use arc_swap::ArcSwap;
 use slog::Logger;
+use tokio::sync::Notify;
 
 use crate::{
     clock::Clock,
@@ -59,7 +60,10 @@
     pub(super) running: AtomicUsize,
     next_sequence: AtomicU64,
     leaving: AtomicBool,
-    keys_stale: AtomicBool,
+    keys_stale_at_us: AtomicU64,
+    /// Told when the state that peers should know of has changed.
+    pub(super) changed: Notify,
+    announced: AtomicBool,
 }
 
 impl Context {
@@ -75,7 +79,9 @@
             running: AtomicUsize::new(0),
             next_sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
-            keys_stale: AtomicBool::new(false),
+            keys_stale_at_us: AtomicU64::new(0),
+            changed: Notify::new(),
+            announced: AtomicBool::new(false),
         }
     }
 
@@ -93,15 +99,28 @@
 
     pub(super) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.changed.notify_one();
+    }
+
+    /// Whether the peers have been told that the entry is leaving.
+    pub(super) fn is_announced(&self) -> bool {
+        self.announced.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_announced(&self) {
+        self.announced.store(true, Ordering::Relaxed);
     }
 
     /// Whether withdrawals of keys may have been missed.
+    ///
+    /// The time is compared for every request, because a process that resumes
+    /// after a pause serves before its control thread has run.
     pub(super) fn are_keys_stale(&self) -> bool {
-        self.keys_stale.load(Ordering::Relaxed)
+        self.clock.now_us() >= self.keys_stale_at_us.load(Ordering::Relaxed)
     }
 
-    pub(super) fn set_keys_stale(&self, stale: bool) {
-        self.keys_stale.store(stale, Ordering::Relaxed);
+    pub(super) fn set_keys_stale_at(&self, stale_at_us: u64) {
+        self.keys_stale_at_us.store(stale_at_us, Ordering::Relaxed);
     }
 
     /// Whether a configuration has been received.
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -1,96 +1,166 @@
 //! Control thread of an entry.
 
+mod api;
 mod configuration;
+mod contacts;
+mod exchange;
+mod explain;
+mod fleet;
+mod status;
 mod targets;
 
 use std::{
-    net::TcpListener,
-    rc::Rc,
-    sync::Arc, //
-};
-
-use error_stack::ResultExt;
-use jsonrpsee::{
-    core::{
-        RpcResult,
-        async_trait, //
+    cell::{
+        Cell,
+        RefCell, //
     },
-    server::{
-        ServerBuilder,
-        ServerConfig, //
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::Ordering, //
     },
 };
+
 use tokio::sync::{
-    mpsc,
-    oneshot, //
+    Notify,
+    mpsc, //
 };
 
-use self::configuration::Configuration;
+use self::{
+    api::{
+        Api,
+        Command, //
+    },
+    contacts::Contacts,
+    fleet::Fleet, //
+};
 use super::context::Context;
 use crate::{
-    error::{
-        ErrorKind,
-        Result, //
-    },
-    process::rpc::{
-        EntryApiServer,
-        MAX_MESSAGE_BYTES,
-        rpc_error, //
+    error::Result,
+    names::Incarnation,
+    process::{
+        config_store::ConfigStore,
+        membership::{
+            Report,
+            Role, //
+        },
+        peer::{
+            self,
+            Links, //
+        },
+        stop, //
     },
-    version::config::Update,
+    version::freshness::Freshness, //
 };
 
 const COMMAND_CAPACITY: usize = 1_024;
 
-/// Request of an RPC method to the control loop.
-pub(super) enum Command {
-    ConfigSince(u64, oneshot::Sender<Update>),
-}
-
-struct Api {
-    commands: mpsc::Sender<Command>,
-}
-
-impl Api {
-    async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> RpcResult<T> {
-        let (sender, receiver) = oneshot::channel();
-        let sent = self.commands.send(command(sender)).await;
-        sent.map_err(|_| rpc_error(ErrorKind::Stopping))?;
-        receiver.await.map_err(|_| rpc_error(ErrorKind::Stopping))
-    }
-}
-
-#[async_trait]
-impl EntryApiServer for Api {
-    async fn config_since(&self, revision: u64) -> RpcResult<Update> {
-        self.ask(|sender| Command::ConfigSince(revision, sender))
-            .await
-    }
+/// State of the control thread, shared by its tasks.
+struct Control {
+    context: Arc<Context>,
+    address: SocketAddr,
+    store: ConfigStore,
+    links: Links,
+    fleet: RefCell<Fleet>,
+    contacts: RefCell<Contacts>,
+    freshness: RefCell<Freshness>,
+    sequence: Cell<u64>,
+    /// Told when another revision was applied.
+    revised: Notify,
 }
 
 /// Runs the control thread until the process ends.
 pub(super) async fn run(context: Arc<Context>, listener: TcpListener) -> Result<()> {
     let (commands, mut inbox) = mpsc::channel(COMMAND_CAPACITY);
-    let config = ServerConfig::builder()
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .build();
-    let server = ServerBuilder::with_config(config)
-        .build_from_tcp(listener)
-        .change_context(ErrorKind::Io)?;
-    let handle = server.start(Api { commands }.into_rpc());
-    let configuration = Rc::new(Configuration::new(Arc::clone(&context)));
-    ntex::rt::spawn(Rc::clone(&configuration).run());
-    ntex::rt::spawn(Rc::new(targets::Targets::new(Arc::clone(&context))).run());
+    let address = stop::local(&listener)?;
+    let handle = peer::serve(listener, Api::methods(commands)?)?;
+    let control = Rc::new(Control::new(context, address));
+    ntex::rt::spawn(Rc::clone(&control).follow_peers());
+    ntex::rt::spawn(Rc::clone(&control).follow_platform());
+    ntex::rt::spawn(Rc::clone(&control).follow_list());
+    ntex::rt::spawn(Rc::clone(&control).exchange());
+    ntex::rt::spawn(Rc::clone(&control).publish_targets());
     loop {
         tokio::select! {
-            Some(command) = inbox.recv() => match command {
-                // A caller that has gone away needs no answer.
-                Command::ConfigSince(revision, sender) => {
-                    drop(sender.send(configuration.since(revision)));
-                }
-            },
+            Some(command) = inbox.recv() => control.execute(command),
             () = handle.clone().stopped() => return Ok(()),
         }
     }
 }
+
+impl Control {
+    fn new(context: Arc<Context>, address: SocketAddr) -> Self {
+        let shared = Arc::clone(&context);
+        let store = ConfigStore::new(context.log.clone(), move |config| shared.publish(config));
+        let settings = &context.settings;
+        let fleet = Fleet::new(settings.name.clone(), settings.data_centre.clone());
+        let control = Self {
+            store,
+            links: Links::default(),
+            fleet: RefCell::new(fleet),
+            contacts: RefCell::new(Contacts::new(settings.peers.clone(), address)),
+            freshness: RefCell::default(),
+            sequence: Cell::new(0),
+            revised: Notify::new(),
+            address,
+            context,
+        };
+        control.note_self();
+        control
+    }
+
+    fn execute(self: &Rc<Self>, command: Command) {
+        // A caller that has gone away needs no answer.
+        match command {
+            Command::Exchange(digest, sender) => {
+                drop(sender.send(self.take_exchange(&digest)));
+            }
+            Command::ConfigSince(revision, part, sender) => {
+                drop(sender.send(self.store.part(revision, part)));
+            }
+            Command::Report(report, sender) => drop(sender.send(self.take_report(report))),
+            Command::Status(sender) => drop(sender.send(self.status())),
+            Command::Explain(request, sender) => {
+                let control = Rc::clone(self);
+                ntex::rt::spawn(async move {
+                    drop(sender.send(control.explain(&request).await));
+                });
+            }
+        }
+    }
+
+    /// Returns the report of this entry.
+    fn own_report(&self) -> Report {
+        let context = &self.context;
+        let running = context.running.load(Ordering::Relaxed);
+        self.sequence.set(self.sequence.get() + 1);
+        Report {
+            name: context.settings.name.clone(),
+            role: Role::Entry,
+            data_centre: context.settings.data_centre.clone(),
+            service: "".into(),
+            control_address: self.address,
+            incarnation: context.incarnation,
+            sequence: self.sequence.get(),
+            is_leaving: context.is_leaving(),
+            revision: self.store.revision(),
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            queued: 0,
+            queue_us: 0,
+            engine: Incarnation::default(),
+            versions: Vec::new(),
+        }
+    }
+
+    /// Lists this entry among the members, for duties that they share out.
+    fn note_self(&self) {
+        let now_us = self.context.clock.now_us();
+        let mut fleet = self.fleet.borrow_mut();
+        // The own state needs no log record.
+        let _ = fleet.members.report(self.own_report(), now_us);
+    }
+}
--- /dev/null
+++ b/src/process/entry/control/api.rs
@@ -0,0 +1,107 @@
+//! RPC methods of an entry, passed to the control loop.
+
+use error_stack::ResultExt;
+use jsonrpsee::{
+    RpcModule,
+    core::{
+        RpcResult,
+        async_trait, //
+    },
+};
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
+
+use crate::{
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    operator::status::{
+        ExplainRequest,
+        Explanation,
+        FleetStatus, //
+    },
+    process::{
+        membership::digest::Digest,
+        rpc::{
+            AgentReport,
+            ConfigPart,
+            EntryApiServer,
+            OperatorApiServer,
+            Packed,
+            PeerApiServer,
+            ReportAnswer,
+            rpc_error, //
+        },
+    },
+};
+
+/// Request of an RPC method to the control loop.
+pub(super) enum Command {
+    Exchange(Box<Digest>, oneshot::Sender<Digest>),
+    ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
+    Report(AgentReport, oneshot::Sender<ReportAnswer>),
+    Status(oneshot::Sender<FleetStatus>),
+    Explain(ExplainRequest, oneshot::Sender<Explanation>),
+}
+
+/// Server side of the RPC methods.
+#[derive(Clone)]
+pub(super) struct Api {
+    commands: mpsc::Sender<Command>,
+}
+
+impl Api {
+    /// Returns all methods of an entry.
+    pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<RpcModule<()>> {
+        let api = Self { commands };
+        let mut methods = RpcModule::new(());
+        let merged = methods
+            .merge(PeerApiServer::into_rpc(api.clone()))
+            .and_then(|()| methods.merge(EntryApiServer::into_rpc(api.clone())))
+            .and_then(|()| methods.merge(OperatorApiServer::into_rpc(api)));
+        merged.change_context(ErrorKind::Internal)?;
+        Ok(methods)
+    }
+
+    async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> RpcResult<T> {
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.commands.send(command(sender)).await;
+        sent.map_err(|_| rpc_error(ErrorKind::Stopping))?;
+        receiver.await.map_err(|_| rpc_error(ErrorKind::Stopping))
+    }
+}
+
+#[async_trait]
+impl PeerApiServer for Api {
+    async fn exchange(&self, digest: Packed<Digest>) -> RpcResult<Packed<Digest>> {
+        let answer = self.ask(|sender| Command::Exchange(Box::new(digest.0), sender));
+        Ok(Packed(answer.await?))
+    }
+
+    async fn config_since(&self, revision: u64, part: u32) -> RpcResult<ConfigPart> {
+        self.ask(|sender| Command::ConfigSince(revision, part, sender))
+            .await
+    }
+}
+
+#[async_trait]
+impl EntryApiServer for Api {
+    async fn report(&self, report: Packed<AgentReport>) -> RpcResult<Packed<ReportAnswer>> {
+        let answer = self.ask(|sender| Command::Report(report.0, sender));
+        Ok(Packed(answer.await?))
+    }
+}
+
+#[async_trait]
+impl OperatorApiServer for Api {
+    async fn status(&self) -> RpcResult<FleetStatus> {
+        self.ask(Command::Status).await
+    }
+
+    async fn explain(&self, request: ExplainRequest) -> RpcResult<Explanation> {
+        self.ask(|sender| Command::Explain(request, sender)).await
+    }
+}
--- a/src/process/entry/control/configuration.rs
+++ b/src/process/entry/control/configuration.rs
@@ -1,9 +1,10 @@
 //! Keeps the configuration of an entry up to date.
+//!
+//! Two entries of a data centre read the head of the log, all others learn of
+//! new revisions from digests and reports and fetch them from a peer.
 
 use std::{
-    cell::RefCell,
     rc::Rc,
-    sync::Arc,
     time::Duration, //
 };
 
@@ -12,91 +13,144 @@
     warn, //
 };
 
-use super::super::context::Context;
+use super::Control;
 use crate::{
     clock::US_PER_S,
     event::Event,
     process::platform::{
+        InstanceRole,
         Platform,
         PlatformResult,
         configuration::advance, //
     },
-    version::{
-        config::{
-            Fold,
-            Update, //
-        },
-        head::HEAD_KEY,
-    },
+    version::head::HEAD_KEY, //
 };
 
-/// Bound for reading the configuration.
-const READ_WITHIN_US: u64 = 5 * US_PER_S;
+/// Entries of a data centre that watch the object API.
+const WATCHERS: usize = 2;
 
-/// How long one watch call waits for a change.
-const WATCH_MS: u64 = 10_000;
+/// Age of the newest news in the data centre from which an entry without the
+/// duty reads the object API itself, because those with the duty may be paused.
+const NEWS_OLD_MS: u64 = 4_000;
 
-/// Without news for this long, withdrawals of keys may have been missed. One
-/// second is left of the 5 s in which a withdrawal has to work.
-const KEYS_STALE_AFTER_US: u64 = 4 * US_PER_S;
+/// Pause after such a read. While the object API is down, every entry makes
+/// these calls.
+const READ_SELDOM: Duration = Duration::from_secs(2);
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Bound for reading the configuration. A withdrawal has to work within 5 s,
+/// even when one answer is lost.
+const READ_WITHIN_US: u64 = 2 * US_PER_S;
 
-/// Reads accepted tickets and publishes the folded state.
-pub(super) struct Configuration {
-    context: Arc<Context>,
-    fold: RefCell<Fold>,
-}
+/// How long one watch call waits for a change. The head is read after each, so
+/// that a watch that misses a change delays it by no more than this.
+const WATCH_MS: u64 = 1_000;
 
-impl Configuration {
-    pub(super) fn new(context: Arc<Context>) -> Self {
-        Self {
-            context,
-            fold: RefCell::default(),
-        }
-    }
+/// Bound for a watch call that never answers.
+const WATCH_WITHIN_US: u64 = 3 * US_PER_S / 2;
+
+/// Pause after a failed call, or while others watch.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Time between reads of the platform's list by an entry that watches.
+const LIST_EVERY_US: u64 = 5 * US_PER_S;
+
+/// Time between reads of the platform's list by any other entry.
+const LIST_SELDOM_US: u64 = 60 * US_PER_S;
 
-    pub(super) fn since(&self, revision: u64) -> Update {
-        self.fold.borrow().since(revision)
+impl Control {
+    /// Fetches newer revisions from peers.
+    pub(super) async fn follow_peers(self: Rc<Self>) {
+        let control = Rc::clone(&self);
+        let on_change = move || control.revised.notify_one();
+        self.store.follow(&self.links, on_change).await;
     }
 
-    pub(super) async fn run(self: Rc<Self>) {
-        let context = &self.context;
-        let Ok(platform) = Platform::new(context.settings.platform_address, context.clock).await
-        else {
+    /// Reads the object API while it is this entry's duty.
+    pub(super) async fn follow_platform(self: Rc<Self>) {
+        let Some(platform) = self.platform().await else {
             return;
         };
         let mut is_up = true;
         let mut seen = 0;
-        let mut stale_at_us = 0;
         loop {
-            let result = self.follow(&platform, &mut seen).await;
-            let now_us = context.clock.now_us();
-            if result.is_ok() {
-                stale_at_us = now_us + KEYS_STALE_AFTER_US;
+            if !self.reads_platform() {
+                tokio::time::sleep(PAUSE).await;
+                continue;
             }
-            context.set_keys_stale(now_us >= stale_at_us);
-            if result.is_ok() != is_up {
-                is_up = result.is_ok();
+            let is_read = self.read_platform(&platform).await.is_ok();
+            if is_read != is_up {
+                is_up = is_read;
                 self.log_platform(is_up);
             }
-            if !is_up {
-                tokio::time::sleep(RETRY_PAUSE).await;
+            if !self.has_duty() {
+                tokio::time::sleep(READ_SELDOM).await;
+            } else if !is_read || self.watch(&platform, &mut seen).await.is_err() {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+
+    /// Reads the platform's list of instances.
+    pub(super) async fn follow_list(self: Rc<Self>) {
+        let Some(platform) = self.platform().await else {
+            return;
+        };
+        let mut read_at_us = 0;
+        loop {
+            let now_us = self.context.clock.now_us();
+            let is_often = self.has_duty() || self.is_alone();
+            let every_us = if is_often {
+                LIST_EVERY_US
+            } else {
+                LIST_SELDOM_US
+            };
+            if read_at_us == 0 || now_us >= read_at_us + every_us {
+                read_at_us = now_us.max(1);
+                // The list only adds candidates; the next read may succeed.
+                let _ = self.read_list(&platform).await;
             }
+            tokio::time::sleep(PAUSE).await;
         }
     }
 
-    /// Applies what was accepted and waits for the next change.
-    async fn follow(&self, platform: &Platform, seen: &mut u64) -> PlatformResult<()> {
-        let clock = self.context.clock;
-        let mut fold = self.fold.borrow().clone();
-        let before = fold.revision();
-        let revision = advance(platform, &mut fold, clock.now_us() + READ_WITHIN_US).await?;
-        if revision > before {
-            self.apply(fold);
+    async fn platform(&self) -> Option<Platform> {
+        let address = self.context.settings.platform_address;
+        let made = Platform::new(address, self.context.clock).await;
+        made.inspect_err(|error| {
+            warn!(self.context.log, "object API client failed";
+                "event" => Event::PlatformDown, "error" => %error);
+        })
+        .ok()
+    }
+
+    fn has_duty(&self) -> bool {
+        self.fleet.borrow().has_duty(WATCHERS)
+    }
+
+    fn reads_platform(&self) -> bool {
+        let now_us = self.context.clock.now_us();
+        let age_ms = self.freshness.borrow().news_age_ms(now_us);
+        let is_old = age_ms.is_none_or(|age_ms| age_ms >= NEWS_OLD_MS);
+        self.has_duty() || self.store.revision() == 0 || is_old
+    }
+
+    async fn read_platform(&self, platform: &Platform) -> PlatformResult<()> {
+        let sent_at_us = self.context.clock.now_us();
+        let mut fold = self.store.fold();
+        let result = advance(platform, &mut fold, sent_at_us + READ_WITHIN_US).await;
+        // What was read before a failure is valid.
+        if self.store.replace(fold) {
+            self.revised.notify_one();
         }
-        let deadline_us = clock.now_us() + WATCH_MS * 1_000 + READ_WITHIN_US;
+        result?;
+        let mut freshness = self.freshness.borrow_mut();
+        freshness.hear_platform(sent_at_us);
+        self.context.set_keys_stale_at(freshness.stale_at_us());
+        Ok(())
+    }
+
+    async fn watch(&self, platform: &Platform, seen: &mut u64) -> PlatformResult<()> {
+        let deadline_us = self.context.clock.now_us() + WATCH_WITHIN_US;
         let changes = platform
             .watch(HEAD_KEY, *seen, WATCH_MS, deadline_us)
             .await?;
@@ -104,11 +158,22 @@
         Ok(())
     }
 
-    fn apply(&self, fold: Fold) {
-        info!(self.context.log, "configuration was applied";
-            "event" => Event::RevisionApplied, "revision" => fold.revision());
-        self.context.publish(fold.publish());
-        *self.fold.borrow_mut() = fold;
+    async fn read_list(&self, platform: &Platform) -> PlatformResult<()> {
+        let now_us = self.context.clock.now_us();
+        let list = platform.instances(now_us + READ_WITHIN_US).await?;
+        let own = &self.context.settings.data_centre;
+        let names = list.iter().map(|record| record.name.clone()).collect();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.members.platform_list(names, now_us);
+        fleet.members.forget(now_us);
+        let mut contacts = self.contacts.borrow_mut();
+        for record in &list {
+            let is_wanted = record.role == InstanceRole::Entry || record.data_centre == *own;
+            if is_wanted && !fleet.is_member(&record.control_address) {
+                contacts.introduce(record.control_address);
+            }
+        }
+        Ok(())
     }
 
     fn log_platform(&self, is_up: bool) {
--- a/src/process/entry/control/targets.rs
+++ b/src/process/entry/control/targets.rs
@@ -1,110 +1,69 @@
-//! Live state of the targets, read from their agents.
+//! Views of the targets for the traffic threads.
 
 use std::{
-    cell::RefCell,
-    collections::HashMap,
-    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
-use jsonrpsee::ws_client::WsClient;
+use slog::warn;
 
-use super::super::context::{
-    Context,
-    TargetView, //
+use super::{
+    super::context::{
+        TargetView,
+        TargetViews, //
+    },
+    Control, //
 };
 use crate::{
-    clock::US_PER_S,
-    names::Name,
-    process::rpc::{
-        self,
-        AgentApiClient, //
-    },
+    event::Event,
+    process::membership::Role, //
 };
 
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
-
-/// A target that has not answered for this long gets no work.
-const GONE_AFTER_US: u64 = 2 * US_PER_S;
-
-struct Seen {
-    view: TargetView,
-    gone_at_us: u64,
-}
+/// Time between checks of deadlines.
+const TICK: Duration = Duration::from_millis(100);
 
-/// Reads the state of every configured target.
-pub(super) struct Targets {
-    context: Arc<Context>,
-    clients: RefCell<HashMap<Name, Rc<WsClient>>>,
-    seen: RefCell<HashMap<Name, Seen>>,
-}
-
-impl Targets {
-    pub(super) fn new(context: Arc<Context>) -> Self {
-        Self {
-            context,
-            clients: RefCell::default(),
-            seen: RefCell::default(),
-        }
-    }
-
-    pub(super) async fn run(self: Rc<Self>) {
+impl Control {
+    /// Applies deadlines of members and of the keys.
+    pub(super) async fn publish_targets(self: Rc<Self>) {
+        let mut was_stale = true;
         loop {
-            let config = self.context.config.load_full();
-            let reads = config.targets().map(|(_, entry)| {
-                let target = &entry.target;
-                self.read(target.name.clone(), target.control_address)
-            });
-            futures_util::future::join_all(reads).await;
-            self.publish();
-            tokio::time::sleep(POLL_INTERVAL).await;
+            let now_us = self.context.clock.now_us();
+            if self.fleet.borrow_mut().drop_silent(now_us) {
+                self.context.changed.notify_one();
+            }
+            let changes = self.fleet.borrow_mut().members.tick(now_us);
+            if !changes.is_empty() {
+                self.note_changes(&changes);
+            }
+            let is_stale = self.context.are_keys_stale();
+            if is_stale && !was_stale {
+                warn!(self.context.log, "keys cannot be verified"; "event" => Event::KeysStale);
+            }
+            was_stale = is_stale;
+            tokio::time::sleep(TICK).await;
         }
     }
 
-    async fn read(&self, target: Name, address: SocketAddr) {
-        let known = self.clients.borrow().get(&target).cloned();
-        let client = match known {
-            Some(client) if client.is_connected() => client,
-            _ => {
-                let Ok(client) = rpc::connect(address).await else {
-                    return;
+    /// Publishes the live targets if they have changed.
+    pub(super) fn publish_views(&self) {
+        let fleet = self.fleet.borrow();
+        let views: TargetViews = fleet
+            .members
+            .live(Role::Target)
+            .map(|report| {
+                let view = TargetView {
+                    agent: report.incarnation,
+                    engine: report.engine,
+                    versions: report.versions.clone(),
+                    queue_us: report.queue_us,
+                    leaving: report.is_leaving,
                 };
-                let client = Rc::new(client);
-                let mut clients = self.clients.borrow_mut();
-                clients.insert(target.clone(), Rc::clone(&client));
-                client
-            }
-        };
-        let Ok(status) = client.status().await else {
-            self.clients.borrow_mut().remove(&target);
-            return;
-        };
-        let view = TargetView {
-            agent: status.agent,
-            engine: status.engine,
-            versions: status
-                .versions
-                .iter()
-                .map(|name| name.as_str().into())
-                .collect(),
-            queue_us: 0,
-            leaving: status.leaving,
-        };
-        let gone_at_us = self.context.clock.now_us() + GONE_AFTER_US;
-        let mut seen = self.seen.borrow_mut();
-        seen.insert(target, Seen { view, gone_at_us });
-    }
-
-    fn publish(&self) {
-        let now_us = self.context.clock.now_us();
-        let mut seen = self.seen.borrow_mut();
-        seen.retain(|_, seen| seen.gone_at_us > now_us);
-        let views = seen
-            .iter()
-            .map(|(name, seen)| (name.clone(), seen.view.clone()))
+                (report.name.clone(), view)
+            })
             .collect();
-        self.context.targets.store(Arc::new(views));
+        if views != **self.context.targets.load() {
+            self.context.targets.store(Arc::new(views));
+        }
     }
 }
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -35,7 +35,8 @@
         headers::{
             Direction,
             HeaderFilter,
-            forwarded_path, //
+            forwarded_path,
+            is_normalised, //
         },
         openai::{
             BodyLimits,
@@ -164,6 +165,9 @@
         if !context.has_config() {
             return Err(Report::new(ErrorKind::NotReady));
         }
+        if !is_normalised(request.uri().path()) {
+            return Err(Report::new(ErrorKind::BadRequest).attach("the path is not normalised"));
+        }
         let config = context.config.load_full();
         let organisation = authenticate(context, &config, request.headers())?;
         let body = read_body(context, request, payload).await?;
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -8,10 +8,13 @@
 pub mod digest;
 pub mod rendezvous;
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet,
-    VecDeque, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        VecDeque, //
+    },
+    net::SocketAddr, //
 };
 
 use serde::{
@@ -19,8 +22,12 @@
     Serialize, //
 };
 
+use self::digest::Load;
 use crate::{
-    clock::US_PER_S,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     names::{
         Incarnation,
         Name, //
@@ -31,6 +38,9 @@
 pub const REPORT_US: u64 = US_PER_S;
 /// Silence after which a member gets no new work: three missed reports.
 pub const SUSPECT_US: u64 = 3 * US_PER_S;
+/// Time for which a collector vouches for a target after its last report: one
+/// report may be lost. The collector tells at once when the time has passed.
+pub const VOUCHED_US: u64 = 2 * US_PER_S;
 /// Silence after which a member is no longer listed.
 pub const GONE_US: u64 = 10 * US_PER_S;
 /// Time between the removal from the platform's list and the proof that the
@@ -61,6 +71,8 @@
     pub data_centre: Name,
     /// Service of a target; empty for an entry.
     pub service: Name,
+    /// Control listener.
+    pub control_address: SocketAddr,
     /// Incarnation of the process.
     pub incarnation: Incarnation,
     /// Grows with every report of the incarnation.
@@ -73,6 +85,10 @@
     pub running: u32,
     /// Requests that wait.
     pub queued: u32,
+    /// Expected wait in the queue.
+    pub queue_us: u64,
+    /// Incarnation of the engine's cache; zero for an entry.
+    pub engine: Incarnation,
     /// Versions that are loaded.
     pub versions: Vec<Name>,
 }
@@ -111,6 +127,7 @@
     liveness: Liveness,
     suspect_at_us: u64,
     gone_at_us: u64,
+    heard_at_us: u64,
     former: VecDeque<Incarnation>,
 }
 
@@ -121,6 +138,7 @@
             liveness: Liveness::Live,
             suspect_at_us: now_us + SUSPECT_US,
             gone_at_us: now_us + GONE_US,
+            heard_at_us: now_us,
             former: VecDeque::new(),
         }
     }
@@ -146,6 +164,7 @@
         self.liveness = Liveness::Live;
         self.suspect_at_us = now_us + SUSPECT_US;
         self.gone_at_us = now_us + GONE_US;
+        self.heard_at_us = now_us;
     }
 }
 
@@ -172,12 +191,15 @@
     ///     role: Role::Entry,
     ///     data_centre: "a".into(),
     ///     service: "".into(),
+    ///     control_address: "127.0.0.1:7100".parse().unwrap(),
     ///     incarnation: Incarnation(1),
     ///     sequence: 1,
     ///     is_leaving: false,
     ///     revision: 0,
     ///     running: 0,
     ///     queued: 0,
+    ///     queue_us: 0,
+    ///     engine: Incarnation(0),
     ///     versions: Vec::new(),
     /// };
     /// let mut membership = Membership::default();
@@ -213,6 +235,93 @@
         changes
     }
 
+    /// Keeps a member alive of which a peer has reports that it does not repeat.
+    ///
+    /// ```
+    /// use yuccalatch::{names::Incarnation, process::membership::Membership};
+    ///
+    /// let mut membership = Membership::default();
+    /// assert!(membership.vouch("engine-1", Incarnation(1), 0, 3_000_000).is_empty());
+    /// ```
+    pub fn vouch(
+        &mut self,
+        name: &str,
+        incarnation: Incarnation,
+        now_us: u64,
+        until_us: u64,
+    ) -> Vec<Change> {
+        let Some(member) = self.members.get_mut(name) else {
+            return Vec::new();
+        };
+        if member.report.incarnation != incarnation {
+            return Vec::new();
+        }
+        let was_live = member.liveness == Liveness::Live;
+        member.liveness = Liveness::Live;
+        member.suspect_at_us = member.suspect_at_us.max(until_us);
+        member.gone_at_us = member.gone_at_us.max(until_us + GONE_US - SUSPECT_US);
+        member.heard_at_us = now_us;
+        if was_live {
+            return Vec::new();
+        }
+        vec![Change::Joined(member.report.name.clone())]
+    }
+
+    /// Suspects a member that no peer vouches for any more.
+    pub fn suspect(&mut self, name: &str) -> Vec<Change> {
+        match self.members.get_mut(name) {
+            Some(member) if member.liveness == Liveness::Live => {
+                member.liveness = Liveness::Suspect;
+                vec![Change::Suspected(member.report.name.clone())]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Updates the load of a member of which a peer has reports.
+    pub fn set_load(&mut self, name: &str, incarnation: Incarnation, load: &Load) {
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        if member.report.incarnation == incarnation {
+            member.report.queue_us = u64::from(load.queue_ms) * US_PER_MS;
+            member.report.running = load.running;
+            member.report.queued = load.queued;
+        }
+    }
+
+    /// Notes the revision that a member has applied; it never goes back.
+    pub fn raise_revision(&mut self, name: &str, incarnation: Incarnation, revision: u64) {
+        if let Some(member) = self.members.get_mut(name)
+            && member.report.incarnation == incarnation
+        {
+            member.report.revision = member.report.revision.max(revision);
+        }
+    }
+
+    /// Returns the last report of a member.
+    pub fn get(&self, name: &str) -> Option<&Report> {
+        self.members.get(name).map(|member| &member.report)
+    }
+
+    /// Returns when a member was last heard of, directly or through a peer.
+    pub fn heard_at_us(&self, name: &str) -> Option<u64> {
+        self.members.get(name).map(|member| member.heard_at_us)
+    }
+
+    /// Returns the last reports of all members that may still run: silence does
+    /// not prove otherwise, an announced stop followed by silence does.
+    pub fn unproven(&self, role: Role, now_us: u64) -> impl Iterator<Item = &Report> {
+        self.members
+            .iter()
+            .filter(move |(_, member)| member.report.role == role)
+            .filter(|(_, member)| member.liveness != Liveness::Gone || !member.report.is_leaving)
+            .filter(move |(name, member)| {
+                !self.is_proven_gone(name, member.report.incarnation, now_us)
+            })
+            .map(|(_, member)| &member.report)
+    }
+
     /// Marks a member as leaving, as announced or seen on a response.
     pub fn leaving(&mut self, name: &Name, incarnation: Incarnation) -> Vec<Change> {
         let Some(member) = self.members.get_mut(name) else {
@@ -302,6 +411,13 @@
             .map(|member| (&member.report, member.liveness))
     }
 
+    /// Returns members that report.
+    pub fn live(&self, role: Role) -> impl Iterator<Item = &Report> {
+        self.present(role)
+            .filter(|(_, liveness)| *liveness == Liveness::Live)
+            .map(|(report, _)| report)
+    }
+
     /// Returns members that may get new work.
     pub fn serving(&self, role: Role) -> impl Iterator<Item = &Report> {
         self.present(role)
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -5,10 +5,11 @@
     time::Duration, //
 };
 
-use error_stack::{
-    Report,
-    ResultExt, //
+use base64::{
+    Engine,
+    engine::general_purpose::STANDARD_NO_PAD, //
 };
+use error_stack::ResultExt;
 use jsonrpsee::{
     core::RpcResult,
     proc_macros::rpc,
@@ -21,7 +22,14 @@
 };
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    Serializer,
+    de::DeserializeOwned, //
+};
+use serde_with::{
+    base64::Base64,
+    serde_as, //
 };
 
 use crate::{
@@ -33,22 +41,35 @@
         Incarnation,
         Name, //
     },
+    operator::status::{
+        ExplainRequest,
+        Explanation,
+        FleetStatus, //
+    },
+    process::membership::{
+        Report,
+        digest::Digest, //
+    },
     request::prompt::{
         BlockHash,
         Namespace, //
     },
-    version::config::Update,
 };
 
-/// Largest control message: a configuration snapshot part below 1 MB, with room
-/// for JSON escapes.
+/// Largest control message: a part of the configuration of [`PART_BYTES`] in
+/// base64, with room for a full digest.
 pub const MAX_MESSAGE_BYTES: u32 = 4 << 20;
 
+/// Largest part of a configuration update before its encoding.
+pub const PART_BYTES: usize = 1 << 20;
+
 /// Bound for one control call. Two missed calls are noticed within the three
 /// heartbeats that data connections allow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Every call has a deadline of its own, so that pings only have to find silent
+/// connections without calls.
+const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
 const MISSED_PINGS: usize = 3;
 
@@ -80,27 +101,95 @@
     pub leaving: bool,
 }
 
-/// What an agent says about itself.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct AgentStatus {
-    /// Name of the target.
-    pub target: Name,
-    /// Data centre of the target.
-    pub data_centre: Name,
-    /// Incarnation of the agent.
-    pub agent: Incarnation,
-    /// Incarnation of the engine's cache.
-    pub engine: Incarnation,
-    /// Versions that the target serves.
-    pub versions: Vec<String>,
-    /// Attempts that wait.
-    pub queued: usize,
-    /// Attempts that run.
-    pub running: usize,
-    /// Whether the target takes no further work.
-    pub leaving: bool,
-    /// Configuration revision that the agent holds.
+/// Message that travels in binary form: base64 of postcard, about a third of the
+/// same message in JSON.
+///
+/// ```
+/// use yuccalatch::process::rpc::Packed;
+///
+/// let text = serde_json::to_string(&Packed((7_u32, true))).unwrap();
+/// let packed: Packed<(u32, bool)> = serde_json::from_str(&text).unwrap();
+/// assert_eq!(packed.0, (7, true));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Packed<T>(pub T);
+
+impl<T: Serialize> Serialize for Packed<T> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+        let bytes = postcard::to_stdvec(&self.0).map_err(serde::ser::Error::custom)?;
+        serializer.serialize_str(&STANDARD_NO_PAD.encode(bytes))
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for Packed<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let bytes = STANDARD_NO_PAD
+            .decode(text)
+            .map_err(serde::de::Error::custom)?;
+        let value = postcard::from_bytes(&bytes).map_err(serde::de::Error::custom)?;
+        Ok(Self(value))
+    }
+}
+
+/// One part of a configuration update.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ConfigPart {
+    /// Revision that the complete update leads to.
+    pub revision: u64,
+    /// Number of parts.
+    pub parts: u32,
+    /// Bytes of this part.
+    #[serde_as(as = "Base64")]
+    pub data: Vec<u8>,
+}
+
+/// Report of an agent to a collector.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AgentReport {
+    /// State of agent and target.
+    pub report: Report,
+    /// Whether the receiver is the first of the two collectors.
+    pub is_first: bool,
+    /// Checksum of the entries that the agent knows.
+    pub entries_checksum: u64,
+    /// Age of the agent's news from the object API; `None` without any.
+    pub news_age_ms: Option<u64>,
+}
+
+/// An entry that agents may report to.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Contact {
+    /// Name of the instance.
+    pub name: Name,
+    /// Incarnation of its process.
+    pub incarnation: Incarnation,
+    /// Control listener.
+    pub control_address: SocketAddr,
+}
+
+/// Answer of a collector to a report.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ReportAnswer {
+    /// Configuration revision of the entry.
     pub revision: u64,
+    /// Age of the entry's news from the object API; `None` without any.
+    pub news_age_ms: Option<u64>,
+    /// Entries of the agent's data centre, when the agent knows others.
+    pub entries: Option<Vec<Contact>>,
+}
+
+/// Methods of every process.
+#[rpc(server, client, namespace = "peer")]
+pub trait PeerApi {
+    /// Exchanges digests.
+    #[method(name = "exchange")]
+    async fn exchange(&self, digest: Packed<Digest>) -> RpcResult<Packed<Digest>>;
+
+    /// Returns a part of the configuration after a revision.
+    #[method(name = "config_since")]
+    async fn config_since(&self, revision: u64, part: u32) -> RpcResult<ConfigPart>;
 }
 
 /// Methods of an agent.
@@ -109,22 +198,26 @@
     /// Estimates cache and queue for a prompt.
     #[method(name = "probe")]
     async fn probe(&self, request: ProbeRequest) -> RpcResult<ProbeAnswer>;
-
-    /// Returns the state of the agent and its target.
-    #[method(name = "status")]
-    async fn status(&self) -> RpcResult<AgentStatus>;
-
-    /// Returns the configuration after a revision.
-    #[method(name = "config_since")]
-    async fn config_since(&self, revision: u64) -> RpcResult<Update>;
 }
 
 /// Methods of an entry.
 #[rpc(server, client, namespace = "entry")]
 pub trait EntryApi {
-    /// Returns the configuration after a revision.
-    #[method(name = "config_since")]
-    async fn config_since(&self, revision: u64) -> RpcResult<Update>;
+    /// Takes the report of an agent.
+    #[method(name = "report")]
+    async fn report(&self, report: Packed<AgentReport>) -> RpcResult<Packed<ReportAnswer>>;
+}
+
+/// Methods of an entry for operators.
+#[rpc(server)]
+pub trait OperatorApi {
+    /// Returns the status of the fleet.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<FleetStatus>;
+
+    /// Returns how a request would be treated.
+    #[method(name = "explain")]
+    async fn explain(&self, request: ExplainRequest) -> RpcResult<Explanation>;
 }
 
 /// Opens a control connection that closes itself when the peer goes silent.
@@ -175,10 +268,10 @@
 /// let report = call_failed(jsonrpsee::core::client::Error::RequestTimeout);
 /// assert_eq!(*report.current_context(), ErrorKind::PeerUnavailable);
 /// ```
-pub fn call_failed(error: jsonrpsee::core::client::Error) -> Report<ErrorKind> {
+pub fn call_failed(error: jsonrpsee::core::client::Error) -> error_stack::Report<ErrorKind> {
     let kind = match &error {
         jsonrpsee::core::client::Error::Call(object) => kind_of(object),
         _ => None,
     };
-    Report::new(kind.unwrap_or(ErrorKind::PeerUnavailable)).attach(error.to_string())
+    error_stack::Report::new(kind.unwrap_or(ErrorKind::PeerUnavailable)).attach(error.to_string())
 }
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -14,11 +14,20 @@
     signal, //
 };
 
-use crate::error::{
-    ErrorKind,
-    Result, //
+use crate::{
+    clock::US_PER_S,
+    error::{
+        ErrorKind,
+        Result, //
+    },
 };
 
+/// Time for which an agent without work stays after it has announced its stop.
+/// Entries that have not heard of it get a refusal instead of a lost connection,
+/// which would leave the outcome of a request unknown. An entry waits this long
+/// at most until its peers have answered the announcement.
+pub const LINGER_US: u64 = US_PER_S;
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -159,3 +159,29 @@
     hex::decode_to_slice(digits, &mut value).ok()?;
     Some(value[0])
 }
+
+/// Returns whether a path means the same to every server: it has no empty or
+/// dot segments and no encoded slashes, backslashes or dots. A target might
+/// resolve these after the route was chosen.
+///
+/// ```
+/// use yuccalatch::request::headers::is_normalised;
+///
+/// assert!(is_normalised("/v1/models"));
+/// assert!(is_normalised("/files/report.v2.pdf/"));
+/// for path in ["/a/../b", "/a//b", "/a/./b", "/a%2fb", "/a%2E%2e/b", "/a\\b", "/a%5Cb", "a"] {
+///     assert!(!is_normalised(path), "{path}");
+/// }
+/// ```
+pub fn is_normalised(path: &str) -> bool {
+    let Some(inner) = path.strip_prefix('/') else {
+        return false;
+    };
+    let encoded = path.as_bytes().windows(3);
+    let hides_separator = encoded
+        .map(|window| window.to_ascii_lowercase())
+        .any(|window| matches!(&window[..], b"%2e" | b"%2f" | b"%5c" | b"%00"));
+    let mut segments = inner.strip_suffix('/').unwrap_or(inner).split('/');
+    let is_plain = |segment: &str| !matches!(segment, "" | "." | "..");
+    !hides_separator && !path.contains(['\\', '\0']) && (inner.is_empty() || segments.all(is_plain))
+}
--- a/src/standin/fault.rs
+++ b/src/standin/fault.rs
@@ -32,6 +32,8 @@
     pub down_after_writes: u64,
     /// Answers every call with bytes that are not valid; writes take effect.
     pub garbage: bool,
+    /// Never answers a watch; other calls work.
+    pub silent_watch: bool,
     /// Age of the list of instances, in milliseconds.
     pub instances_lag_ms: u64,
 }
--- a/src/standin/platform/handlers.rs
+++ b/src/standin/platform/handlers.rs
@@ -204,6 +204,9 @@
     if faults.down {
         return close(request);
     }
+    if faults.silent_watch && matches!(call, Call::Watch) {
+        std::future::pending::<()>().await;
+    }
     if faults.slow_ms > 0 {
         sleep(Duration::from_millis(faults.slow_ms)).await;
     }
--- a/src/version.rs
+++ b/src/version.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod evidence;
 pub mod fence;
+pub mod freshness;
 pub mod head;
 pub mod keys;
 pub mod lease;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -43,6 +43,10 @@
 };
 use yuccalatch::{
     clock::Clock,
+    operator::{
+        remote,
+        status::FleetStatus, //
+    },
     process::platform::{
         Platform,
         configuration::submit, //
@@ -548,3 +552,75 @@
     }
     text[prompt.len()..].to_owned()
 }
+
+impl Fleet {
+    /// Kills an entry and starts another process in its slot.
+    pub(crate) fn replace_entry(&mut self, entry: usize) {
+        self.entries[entry].signal("KILL");
+        let settings = self.entry_settings(&format!("entry-{entry}"));
+        let program = env!("CARGO_BIN_EXE_yuccalatch-entry");
+        self.entries[entry] = Process::start(program, &settings);
+    }
+
+    /// Kills all entries, then starts a process in each slot.
+    pub(crate) fn replace_all_entries(&mut self) {
+        let count = self.entries.len();
+        self.entries.clear();
+        for entry in 0..count {
+            self.add_entry(&format!("entry-{entry}"));
+        }
+    }
+
+    /// Starts an entry that knows certain peers only.
+    pub(crate) fn add_entry_with_peers(&mut self, name: &str, peers: &[SocketAddr]) {
+        let mut settings = self.entry_settings(name);
+        settings["peers"] = json!(peers);
+        let program = env!("CARGO_BIN_EXE_yuccalatch-entry");
+        self.entries.push(Process::start(program, &settings));
+    }
+
+    /// Returns the status of the fleet as an entry sees it.
+    pub(crate) fn status(&self, entry: usize) -> FleetStatus {
+        let address = self.entries[entry].address("control_address");
+        System::new("status", DefaultRuntime)
+            .block_on(async move { remote::status(address, 10_000).await.unwrap() })
+    }
+
+    /// Waits until a revision is in force on every entry.
+    pub(crate) fn wait_in_force(&self, revision: u64) {
+        for entry in 0..self.entries.len() {
+            eventually("the revision is in force", || {
+                self.status(entry).config.in_force_revision == revision
+            });
+        }
+    }
+
+    /// Sets the faults of the object API.
+    pub(crate) fn set_platform_faults(&self, faults: &Value) {
+        let answer = put(self.platform_address(), "/faults", faults);
+        assert!(answer.status < 300, "{}", answer.text());
+    }
+}
+
+/// Builds a ticket.
+pub(crate) fn ticket(number: u64, set: &Value, remove: &Value) -> Ticket {
+    let ticket = json!({"ticket": number, "author": "test", "comment": "test",
+        "set": set, "remove": remove});
+    serde_json::from_value(ticket).unwrap()
+}
+
+/// A ticket that changes an organisation.
+pub(crate) fn organisation_ticket(number: u64) -> Ticket {
+    let organisation = json!({"organisation": {"name": "acme",
+        "rate_tokens_per_s": 1_000_000 + number, "burst_tokens": 10_000_000, "weight": 1}});
+    ticket(number, &json!([organisation]), &json!([]))
+}
+
+/// Returns the revision that an entry shows in its metrics.
+pub(crate) fn revision(entry: &Process) -> u64 {
+    let metrics = get(entry.address("admin_address"), "/metrics").text();
+    let line = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("yuccalatch_revision "));
+    line.unwrap().parse().unwrap()
+}
