--- a/src/connection/attempt.rs
+++ b/src/connection/attempt.rs
@@ -30,6 +30,10 @@
 /// Header with the encoded [`AttemptHead`].
 pub const ATTEMPT_HEADER: &str = "x-yl-attempt";
 
+/// Header that marks a request body as one that passes through without being
+/// kept.
+pub const UPLOAD_HEADER: &str = "x-yl-upload";
+
 /// Blocks named in a head. More would not fit into the 32 KiB that HTTP
 /// servers commonly allow for a header section.
 pub const MAX_HEAD_BLOCKS: usize = 1_024;
--- a/src/process.rs
+++ b/src/process.rs
@@ -15,3 +15,4 @@
 pub mod platform;
 pub mod rpc;
 pub mod stop;
+pub(crate) mod upload;
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -8,7 +8,10 @@
 use futures_util::StreamExt;
 use ntex::{
     client::ClientResponse,
-    http::Payload,
+    http::{
+        Payload,
+        body::Body, //
+    },
     util::Bytes, //
 };
 use slog::info;
@@ -39,6 +42,7 @@
             Attempt,
             Queued, //
         },
+        upload::Upload,
     },
     request::headers::{
         Direction,
@@ -55,13 +59,20 @@
 
 type PayloadPart = Result<Bytes, ntex::http::error::PayloadError>;
 
+/// Body of an attempt.
+pub(super) enum AttemptBody {
+    Kept(Bytes),
+    /// One that passes through.
+    Upload(Rc<Upload>),
+}
+
 /// One attempt on its way through the agent.
 pub(super) struct Runner {
     pub(super) traffic: Rc<Traffic>,
     pub(super) output: Rc<Output>,
     pub(super) head: AttemptHead,
     pub(super) headers: Vec<(String, String)>,
-    pub(super) body: Bytes,
+    pub(super) body: AttemptBody,
     pub(super) expires_at_us: u64,
     pub(super) recording: Recording,
 }
@@ -197,7 +208,11 @@
             .set_header("x-cache-namespace", self.head.namespace.to_string())
             .set_header("x-model-version", &*self.head.version)
             .set_header("x-priority", priority_value(priority));
-        let response = request.send_body(self.body.clone()).await;
+        let body = match &self.body {
+            AttemptBody::Kept(body) => body.clone().into(),
+            AttemptBody::Upload(upload) => upload.body(),
+        };
+        let response = request.send_body::<Body>(body).await;
         response.map_err(|_| ErrorKind::TargetFailed)
     }
 
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -1,11 +1,21 @@
 //! HTTP interface of the agent for entries.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
 
+use bytes::BytesMut;
 use error_stack::Report;
-use futures_util::stream;
+use futures_util::{
+    StreamExt,
+    stream, //
+};
 use ntex::{
-    http::StatusCode,
+    http::{
+        Payload,
+        StatusCode, //
+    },
     util::Bytes,
     web::{
         self,
@@ -22,6 +32,7 @@
     keyed::Recording,
     output,
     runner::{
+        AttemptBody,
         Runner,
         expires_at_us, //
     },
@@ -31,7 +42,8 @@
     connection::{
         attempt::{
             ATTEMPT_HEADER,
-            AttemptHead, //
+            AttemptHead,
+            UPLOAD_HEADER, //
         },
         frame::Frame,
     },
@@ -43,7 +55,10 @@
         AttemptId,
         Incarnation, //
     },
-    process::fate::Fate,
+    process::{
+        fate::Fate,
+        upload::Upload, //
+    },
     request::headers::{
         Direction,
         HeaderFilter, //
@@ -55,10 +70,13 @@
 /// Largest request body that is accepted from an entry.
 const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// Longest time until a kept body is complete or the next part of another one
+/// arrives. The entry applies the bound of its settings first.
+const BODY_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Adds the routes of the agent to an application.
 pub(super) fn configure(config: &mut web::ServiceConfig) {
     config
-        .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
         .route("/attempts", web::post().to(start))
         .route("/attempts/{id}/frames", web::get().to(resume))
         .route("/attempts/{id}/ack", web::post().to(acknowledge))
@@ -66,7 +84,11 @@
         .route("/attempts/{id}/cancel", web::post().to(cancel));
 }
 
-async fn start(traffic: State, request: HttpRequest, body: Bytes) -> HttpResponse {
+async fn start(traffic: State, request: HttpRequest, payload: web::types::Payload) -> HttpResponse {
+    let body = match read_body(&request, payload.into_inner()).await {
+        Ok(body) => body,
+        Err(report) => return failed(*report.current_context()),
+    };
     match admit(&traffic, &request, body) {
         Ok(output) => match output.read(0) {
             Ok(frames) => frame_response(frames),
@@ -76,7 +98,33 @@
     }
 }
 
-fn admit(traffic: &Rc<Traffic>, request: &HttpRequest, body: Bytes) -> Result<Rc<output::Output>> {
+async fn read_body(request: &HttpRequest, mut payload: Payload) -> Result<AttemptBody> {
+    if request.headers().contains_key(UPLOAD_HEADER) {
+        let length = request.headers().get("content-length");
+        let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+        let upload = Upload::new(Bytes::new(), payload, length, BODY_TIMEOUT);
+        return Ok(AttemptBody::Upload(upload));
+    }
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(part) = payload.next().await {
+            let part = part.map_err(|_| Report::new(ErrorKind::BadRequest))?;
+            if body.len() + part.len() > MAX_BODY_BYTES {
+                return Err(Report::new(ErrorKind::BodyTooLarge));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(AttemptBody::Kept(Bytes::copy_from_slice(&body)))
+    };
+    let body = tokio::time::timeout(BODY_TIMEOUT, read).await;
+    body.unwrap_or_else(|_| Err(Report::new(ErrorKind::BodyTimeout)))
+}
+
+fn admit(
+    traffic: &Rc<Traffic>,
+    request: &HttpRequest,
+    body: AttemptBody,
+) -> Result<Rc<output::Output>> {
     let value = request.headers().get(ATTEMPT_HEADER);
     let value = value.ok_or_else(|| Report::new(ErrorKind::BadRequest))?;
     let head = AttemptHead::decode(value.as_bytes())?;
--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -17,7 +17,10 @@
             ConnectError, //
         },
     },
-    http::Payload,
+    http::{
+        Payload,
+        body::Body, //
+    },
     util::Bytes,
 };
 use slog::info;
@@ -27,7 +30,8 @@
     connection::{
         attempt::{
             ATTEMPT_HEADER,
-            AttemptHead, //
+            AttemptHead,
+            UPLOAD_HEADER, //
         },
         frame,
         liveness::{
@@ -46,7 +50,8 @@
     event::Event,
     process::{
         agent::BarAnswer,
-        client, //
+        client,
+        upload::Upload, //
     },
 };
 
@@ -57,6 +62,14 @@
 /// up. Three cover the silence of a link for about five seconds.
 const MAX_RESUMES: u32 = 3;
 
+/// Body of an attempt.
+pub(super) enum Outgoing {
+    /// One that can be sent again.
+    Kept(Bytes),
+    /// One that passes through.
+    Upload(Rc<Upload>),
+}
+
 /// One attempt of a request at one agent.
 pub(super) struct Attempt {
     worker: Rc<Worker>,
@@ -85,7 +98,7 @@
         address: SocketAddr,
         head: AttemptHead,
         headers: &[(String, String)],
-        body: Bytes,
+        body: Outgoing,
         is_retry: bool,
     ) -> (Self, Result<()>) {
         let mut attempt = Self {
@@ -107,7 +120,7 @@
     async fn post(
         &mut self,
         headers: &[(String, String)],
-        body: Bytes,
+        body: Outgoing,
         is_retry: bool,
     ) -> Result<()> {
         let mut request = if is_retry {
@@ -123,7 +136,16 @@
         }
         request = request.set_header(ATTEMPT_HEADER, self.head.encode()?);
         let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
-        let answer = tokio::time::timeout(SILENCE, request.send_body(body)).await;
+        let (body, limit) = match body {
+            Outgoing::Kept(body) => (body.into(), SILENCE),
+            Outgoing::Upload(upload) => {
+                request = request.set_header(UPLOAD_HEADER, "1");
+                // The caller sets the pace; the request's deadline is the bound.
+                let limit = Duration::from_millis(self.head.budget_ms) + SILENCE;
+                (upload.body(), limit)
+            }
+        };
+        let answer = tokio::time::timeout(limit, request.send_body::<Body>(body)).await;
         let response = answer.map_err(|_| lost())?.map_err(|error| {
             self.is_unsent = is_unsent(&error);
             lost()
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -9,8 +9,12 @@
 use ntex::util::Bytes;
 use slog::info;
 
+use self::stream::truthful_after_start;
 use super::{
-    attempt::Attempt,
+    attempt::{
+        Attempt,
+        Outgoing, //
+    },
     request::Request,
     worker::{
         Answered,
@@ -118,7 +122,12 @@
             Some(completion) => {
                 completion.prompt_tokens() + completion.output_tokens(DEFAULT_OUTPUT_TOKENS)
             }
-            None => 1 + self.request.body.len() as u64 / BYTES_PER_TOKEN,
+            None => {
+                let upload = self.request.upload.as_ref();
+                let upload_bytes = upload.and_then(|upload| upload.length_bytes());
+                let body_bytes = self.request.body.len() as u64 + upload_bytes.unwrap_or(0);
+                1 + body_bytes / BYTES_PER_TOKEN
+            }
         }
     }
 
@@ -195,10 +204,16 @@
     /// Decides whether the request may be tried again.
     fn recover(&self, kind: ErrorKind, phase: Phase) -> Result<()> {
         let is_refused = kind.is_not_run() && kind != ErrorKind::Barred;
-        if self.request.keyed.is_some() && is_refused {
-            // Another agent cannot vouch for the key.
+        // Another agent cannot vouch for an idempotency key.
+        let is_bound = self.request.keyed.is_some() && is_refused;
+        let upload = self.request.upload.as_ref();
+        let is_consumed = upload.is_some_and(|upload| upload.is_started());
+        if is_bound || (is_consumed && kind.is_not_run()) {
             return Err(Report::new(truthful(kind)));
         }
+        if is_consumed {
+            return Err(Report::new(truthful_after_start(kind)));
+        }
         match recovery(kind, phase, self.retryable()) {
             Recovery::Answer => Err(Report::new(kind)),
             Recovery::AnswerUnknown => Err(Report::new(ErrorKind::OutcomeUnknown)),
@@ -250,7 +265,7 @@
             address,
             head,
             &self.request.headers,
-            self.body.clone(),
+            self.outgoing(),
             is_retry,
         )
         .await;
@@ -279,6 +294,13 @@
         }
     }
 
+    fn outgoing(&self) -> Outgoing {
+        match &self.request.upload {
+            Some(upload) => Outgoing::Upload(Rc::clone(upload)),
+            None => Outgoing::Kept(self.body.clone()),
+        }
+    }
+
     /// Waits before the same target is asked again.
     async fn back_off(&self) -> Result<()> {
         let clock = self.worker.context.clock;
--- a/src/process/entry/forward/stream.rs
+++ b/src/process/entry/forward/stream.rs
@@ -147,7 +147,7 @@
 }
 
 /// After the caller has received a part, no kind may claim "not run".
-const fn truthful_after_start(kind: ErrorKind) -> ErrorKind {
+pub(super) const fn truthful_after_start(kind: ErrorKind) -> ErrorKind {
     if kind.is_not_run() {
         ErrorKind::StreamBroken
     } else {
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -1,6 +1,7 @@
 //! What an entry knows about a caller's request before it is placed.
 
 use std::{
+    rc::Rc,
     sync::Arc,
     time::Duration, //
 };
@@ -32,9 +33,12 @@
         Incarnation,
         Name, //
     },
-    process::fate::idempotency::{
-        KeyId,
-        request_digest, //
+    process::{
+        fate::idempotency::{
+            KeyId,
+            request_digest, //
+        },
+        upload::Upload,
     },
     request::{
         headers::{
@@ -60,6 +64,10 @@
     },
 };
 
+/// Bodies of plain requests up to this size are kept, so that the request can be
+/// sent again.
+const KEPT_BYTES: usize = 64 << 10;
+
 /// Longest request id that is accepted from a caller.
 const MAX_REQUEST_ID_BYTES: usize = 128;
 
@@ -80,6 +88,8 @@
     pub(super) path: String,
     pub(super) headers: Vec<(String, String)>,
     pub(super) body: Bytes,
+    /// Present instead of `body` when the body is too large to be kept.
+    pub(super) upload: Option<Rc<Upload>>,
     pub(super) completion: Option<Completion>,
     /// Present when the route must not run the request twice and the caller has
     /// sent a key.
@@ -186,7 +196,7 @@
         context: &Context,
         id: Name,
         request: &HttpRequest,
-        payload: Payload,
+        payload: &mut Payload,
     ) -> Result<Self> {
         let arrived_at_us = context.clock.now_us();
         if context.is_leaving() {
@@ -197,12 +207,18 @@
         }
         let config = context.config.load_full();
         let organisation = authenticate(context, &config, request.headers())?;
-        let body = read_body(context, request, payload).await?;
         let path = request.uri().path().to_owned();
         let method = request.method().as_str().to_owned();
-        let completion = match Endpoint::of_path(&path) {
-            Some(endpoint) if method == "POST" => Some(parse(endpoint, &body)?),
-            _ => None,
+        let endpoint = Endpoint::of_path(&path).filter(|_| method == "POST");
+        let has_key = idempotency_key(request.headers())?.is_some();
+        let (body, upload) = if endpoint.is_some() || has_key {
+            (read_body(context, request, payload).await?, None)
+        } else {
+            read_start(context, request, payload).await?
+        };
+        let completion = match endpoint {
+            Some(endpoint) => Some(parse(endpoint, &body)?),
+            None => None,
         };
         let model = completion.as_ref().map(|completion| &*completion.model);
         let route = config
@@ -232,6 +248,7 @@
             path: forwarded_path(uri_text(request)),
             headers: forwarded_headers(request.headers()),
             body,
+            upload,
             completion,
             keyed,
             arrived_at_us,
@@ -275,28 +292,59 @@
 async fn read_body(
     context: &Context,
     request: &HttpRequest,
-    mut payload: Payload,
+    payload: &mut Payload,
 ) -> Result<Bytes> {
     let limit_bytes = context.settings.body_limit_bytes;
-    let announced = request
-        .headers()
-        .get("content-length")
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.parse::<usize>().ok());
+    let announced = announced_bytes(request).and_then(|length| usize::try_from(length).ok());
     if announced.is_some_and(|length| length > limit_bytes) {
         return Err(Report::new(ErrorKind::BodyTooLarge));
     }
+    match read_within(context, payload, limit_bytes).await? {
+        Read::Whole(body) => Ok(body),
+        Read::Part(_) => Err(Report::new(ErrorKind::BodyTooLarge)),
+    }
+}
+
+/// Reads a small body; a larger one passes through.
+async fn read_start(
+    context: &Context,
+    request: &HttpRequest,
+    payload: &mut Payload,
+) -> Result<(Bytes, Option<Rc<Upload>>)> {
+    match read_within(context, payload, KEPT_BYTES).await? {
+        Read::Whole(body) => Ok((body, None)),
+        Read::Part(start) => {
+            let idle = Duration::from_millis(context.settings.body_timeout_ms);
+            let payload = std::mem::replace(payload, Payload::None);
+            let upload = Upload::new(start, payload, announced_bytes(request), idle);
+            Ok((Bytes::new(), Some(upload)))
+        }
+    }
+}
+
+enum Read {
+    Whole(Bytes),
+    /// Slightly more than the limit.
+    Part(Bytes),
+}
+
+fn announced_bytes(request: &HttpRequest) -> Option<u64> {
+    let value = request.headers().get("content-length")?;
+    value.to_str().ok()?.parse().ok()
+}
+
+async fn read_within(context: &Context, payload: &mut Payload, limit_bytes: usize) -> Result<Read> {
     let read = async {
         let mut body = BytesMut::new();
         while let Some(part) = payload.next().await {
             let part = part
                 .map_err(|_| Report::new(ErrorKind::BadRequest).attach("the body is incomplete"))?;
-            if body.len() + part.len() > limit_bytes {
-                return Err(Report::new(ErrorKind::BodyTooLarge));
-            }
             body.extend_from_slice(&part);
+            if body.len() > limit_bytes {
+                return Ok(Read::Part(Bytes::copy_from_slice(&body)));
+            }
         }
-        Ok(Bytes::copy_from_slice(&body))
+        Ok(Read::Whole(Bytes::copy_from_slice(&body)))
     };
     let timeout = Duration::from_millis(context.settings.body_timeout_ms);
     tokio::time::timeout(timeout, read)
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -40,7 +40,10 @@
     },
     event::Event,
     names::Name,
-    process::metrics::OrganisationMetrics,
+    process::{
+        metrics::OrganisationMetrics,
+        upload, //
+    },
     version::config::ServiceKind,
 };
 
@@ -83,15 +86,18 @@
 }
 
 async fn handle(worker: State, request: HttpRequest, payload: web::types::Payload) -> HttpResponse {
-    let payload = payload.into_inner();
+    let mut payload = payload.into_inner();
     let id = request_id(&request);
     let guard = (
         RunningGuard::new(&worker.context),
         worker.connections.enter(&request),
     );
-    let request = match Request::read(&worker.context, id.clone(), &request, payload).await {
+    let request = match Request::read(&worker.context, id.clone(), &request, &mut payload).await {
         Ok(request) => request,
-        Err(report) => return refuse(&worker, &id, PUBLIC, &report),
+        Err(report) => {
+            upload::discard(&mut payload).await;
+            return refuse(&worker, &id, PUBLIC, &report);
+        }
     };
     let organisation = request.organisation_name.clone();
     let metrics = worker.context.metrics.organisation(&organisation);
@@ -109,7 +115,12 @@
             };
             relay.answer(head).await
         }
-        Err(report) => refuse(&worker, &id, &organisation, &report),
+        Err(report) => {
+            if let Some(upload) = &call.request.upload {
+                upload.discard().await;
+            }
+            refuse(&worker, &id, &organisation, &report)
+        }
     }
 }
 
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -131,9 +131,12 @@
         "POST /orders HTTP/1.1\r\nhost: t\r\nx-api-key: sk-wrong\r\ncontent-length: {}\r\n\r\n{inner}",
         inner.len()
     );
-    let answer = Exchange::start(fleet.caller(0), text.as_bytes()).finish();
-    assert_eq!(answer.status, 401);
-    assert!(!answer.text().contains("smuggled"), "{}", answer.text());
+    let mut exchange = Exchange::start(fleet.caller(0), text.as_bytes());
+    exchange.read_until("unknown_key", 2);
+    exchange.send(b"GET /files/next HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n");
+    let text = exchange.finish().text();
+    assert!(text.contains("\"path\":\"/files/next\""), "{text}");
+    assert!(!text.contains("smuggled"), "{text}");
     let received = fleet.targets[1].received().to_string();
     assert!(!received.contains("smuggled"), "{received}");
 }
