--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,6 +6,7 @@
 mod context;
 mod control;
 mod forward;
+mod probe;
 mod request;
 mod server;
 mod worker;
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -1,6 +1,7 @@
 //! Runs a request: attempts, retries and the stream that follows.
 
 mod keyed;
+mod settle;
 mod stream;
 
 use std::rc::Rc;
@@ -42,7 +43,7 @@
     },
     event::Event,
     names::Name,
-    process::agent::BarAnswer,
+    process::rpc::ProbeRequest,
     request::{
         openai::stream::CompletionStream,
         prompt::{
@@ -251,7 +252,7 @@
     }
 
     async fn try_once(&mut self) -> Result<Step> {
-        let target = self.next_target()?;
+        let target = self.next_target().await?;
         if self.tried.contains(&target) {
             self.back_off().await?;
         }
@@ -314,35 +315,6 @@
         Ok(())
     }
 
-    /// Finds out whether an attempt without an answer has started.
-    async fn settle(&mut self, kind: ErrorKind) -> Result<Step> {
-        let Some(attempt) = &mut self.attempt else {
-            return Err(Report::new(ErrorKind::Internal));
-        };
-        let answer = match attempt.bar().await {
-            Ok(answer) => answer,
-            Err(_) => return Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled)),
-        };
-        match answer {
-            BarAnswer::Barred => Ok(Step::Failed(ErrorKind::Barred, Phase::Settled)),
-            BarAnswer::Unknown => Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled)),
-            BarAnswer::Running | BarAnswer::Done => {
-                if attempt.resume().await.is_err() {
-                    return Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled));
-                }
-                // From here on the stream is resumed like any other.
-                match attempt.next().await {
-                    Ok(Accepted::Head(head)) => {
-                        self.note_head(&head);
-                        Ok(Step::Headed(head))
-                    }
-                    Ok(Accepted::Failed(kind)) => Ok(Step::Failed(kind, Phase::Settled)),
-                    _ => Ok(Step::Failed(kind, Phase::Settled)),
-                }
-            }
-        }
-    }
-
     async fn read_first(&mut self) -> Result<Accepted> {
         let Some(attempt) = &mut self.attempt else {
             return Err(Report::new(ErrorKind::Internal));
@@ -379,7 +351,7 @@
         }
     }
 
-    fn next_target(&mut self) -> Result<TargetKey> {
+    async fn next_target(&mut self) -> Result<TargetKey> {
         let config = &self.request.config;
         let route = config.route(self.request.route);
         let service = route.map(|entry| entry.service);
@@ -393,7 +365,8 @@
         }
         let placement = self
             .worker
-            .place(config, service, version.as_deref(), &self.prompt.blocks);
+            .place(config, service, version.as_deref(), &self.probe_request())
+            .await;
         if let Some(keyed) = self.request.keyed {
             let owners = self.worker.owners(config, service, keyed.key);
             let mut live = owners
@@ -414,6 +387,17 @@
         Ok(target)
     }
 
+    fn probe_request(&self) -> ProbeRequest {
+        let organisation = self.request.organisation;
+        let organisation = organisation.and_then(|key| self.request.config.organisation(key));
+        ProbeRequest {
+            organisation: self.request.organisation_name.clone(),
+            weight: organisation.map_or(1, |organisation| organisation.weight),
+            namespace: self.prompt.namespace,
+            blocks: self.prompt.blocks.clone(),
+        }
+    }
+
     fn choose_version(&self) -> Option<Name> {
         let config = &self.request.config;
         let service = config.route(self.request.route)?.service;
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -35,6 +35,10 @@
         Context,
         TargetViews, //
     },
+    probe::{
+        Asked,
+        Prober, //
+    },
 };
 use crate::{
     error::{
@@ -53,11 +57,13 @@
             Observation, //
         },
         membership::rendezvous::choose,
+        rpc::ProbeRequest,
     },
     request::{
         placement::{
             Decision,
             Placer,
+            Probe,
             Settings,
             Target,
             TargetId,
@@ -109,6 +115,7 @@
     ids: RefCell<HashMap<Name, TargetId>>,
     cancellations: mpsc::Sender<String>,
     turn: Cell<usize>,
+    prober: Rc<Prober>,
     pub(super) connections: Rc<Connections>,
     /// Agents that have announced their stop since the last report.
     stopping: RefCell<HashSet<Incarnation>>,
@@ -130,6 +137,7 @@
         Ok(Rc::new(Self {
             cancellations,
             turn: Cell::new(0),
+            prober: Rc::default(),
             connections,
             stopping: RefCell::default(),
             client,
@@ -143,13 +151,14 @@
     }
 
     /// Returns the targets of a service that may run a version, best first.
-    pub(super) fn place(
+    pub(super) async fn place(
         &self,
         config: &Config,
         service: ServiceKey,
         version: Option<&str>,
-        blocks: &[BlockHash],
+        prompt: &ProbeRequest,
     ) -> Placement {
+        let blocks = &prompt.blocks;
         let views = self.context.targets.load();
         let keys = config.targets_of(service).iter().copied();
         let usable: Vec<(TargetKey, Target)> = keys
@@ -159,7 +168,7 @@
             return self.place_evenly(usable);
         }
         let targets: Vec<Target> = usable.iter().map(|(_, target)| *target).collect();
-        let Some(decision) = self.decide(&targets, blocks) else {
+        let Some(decision) = self.decide(config, &usable, &targets, prompt).await else {
             return Placement {
                 ordered: Vec::new(),
             };
@@ -242,16 +251,67 @@
             .answered(blocks, observation, now_us);
     }
 
-    fn decide(&self, targets: &[Target], blocks: &[BlockHash]) -> Option<Decision> {
+    async fn decide(
+        &self,
+        config: &Config,
+        usable: &[(TargetKey, Target)],
+        targets: &[Target],
+        prompt: &ProbeRequest,
+    ) -> Option<Decision> {
+        let blocks = &prompt.blocks;
         let now_us = self.context.clock.now_us();
         let engine_of = |id| {
             let target = targets.iter().find(|target| target.id == id);
             target.map(|target| target.engine)
         };
         let hints = self.hints.borrow().lookup(blocks, engine_of);
-        let mut placer = self.placer.borrow_mut();
-        let plan = placer.plan(blocks, targets, &hints, now_us);
-        placer.decide(&plan, blocks, targets, &[])
+        let plan = self
+            .placer
+            .borrow_mut()
+            .plan(blocks, targets, &hints, now_us);
+        let mut probes = self.probe(config, usable, &plan.probes, prompt).await;
+        let more = self
+            .placer
+            .borrow()
+            .more_probes(&plan, blocks, targets, &probes);
+        if !probes.is_empty() && !more.is_empty() {
+            probes.extend(self.probe(config, usable, &more, prompt).await);
+        }
+        let placer = self.placer.borrow();
+        placer.decide(&plan, blocks, targets, &probes)
+    }
+
+    async fn probe(
+        &self,
+        config: &Config,
+        usable: &[(TargetKey, Target)],
+        ids: &[TargetId],
+        prompt: &ProbeRequest,
+    ) -> Vec<Probe> {
+        if ids.is_empty() {
+            return Vec::new();
+        }
+        let asked = usable.iter().filter(|(_, target)| ids.contains(&target.id));
+        let asked: Vec<Asked> = asked
+            .filter_map(|(key, _)| config.target(*key))
+            .map(|entry| Asked {
+                target: entry.target.name.clone(),
+                control_address: entry.target.control_address,
+            })
+            .collect();
+        let answers = self.prober.ask(&asked, prompt).await;
+        let probes = answers.into_iter().map(|(target, answer)| {
+            if answer.leaving {
+                self.note_stopping(answer.agent);
+            }
+            Probe {
+                target: self.id(&target),
+                engine: answer.engine,
+                matched_blocks: answer.matched_blocks,
+                queue_us: answer.queue_us,
+            }
+        });
+        probes.collect()
     }
 
     fn usable(
