--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -15,6 +15,7 @@
     Plan,
     eventually,
     exchange,
+    get,
     post_request,
     put,
     request, //
@@ -166,11 +167,18 @@
     assert_eq!(executions(&fleet, "a"), 1);
 }
 
+fn arrived(fleet: &Fleet) -> usize {
+    let received = fleet.targets[0].received();
+    let lines = received.as_array().unwrap().iter();
+    lines.filter(|line| **line == "/orders").count()
+}
+
 /// Answers that cross on the link would reach the wrong caller.
 #[test]
 fn answers_crossed() {
     let fleet = start(1, true);
-    set_faults(&fleet, &json!({"slow_ms": 300}));
+    set_faults(&fleet, &json!({"slow_ms": 3_000}));
+    let before = arrived(&fleet);
     let calls: Vec<Exchange> = (0..8)
         .map(|number| {
             let body = Value::from("x".repeat(number + 1));
@@ -178,8 +186,8 @@
             Exchange::start(fleet.caller(0), &request)
         })
         .collect();
+    eventually("all orders run", || arrived(&fleet) == before + 8);
     fleet.targets[0].relay().freeze_open();
-    set_faults(&fleet, &json!({}));
     for (number, call) in calls.into_iter().enumerate() {
         let answer = call.finish();
         assert_eq!(answer.json()["body_bytes"], number + 3, "{}", answer.text());
@@ -295,3 +303,22 @@
     });
     assert_eq!(executions(&fleet, "a"), 1);
 }
+
+/// Records that stay would fill the object API.
+#[test]
+fn key_records_removed() {
+    let fleet = start_keyed();
+    for number in 0..10 {
+        let key = format!("k-{number}");
+        assert_eq!(send_keyed(&fleet, number % 2, &key, &key).status, 200);
+    }
+    eventually("the records are removed", || {
+        let listing = get(
+            fleet.platform_address(),
+            "/objects?prefix=idempotency/&after=",
+        );
+        listing.json()["objects"] == json!([])
+    });
+    let counters = get(fleet.platform_address(), "/counters").text();
+    println!("calls of the object API: {counters}");
+}
