--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -18,9 +18,13 @@
 };
 
 use error_stack::ResultExt;
-use ntex::web::{
-    self,
-    App, //
+use ntex::{
+    http::HttpServiceConfig,
+    time::Seconds,
+    web::{
+        self,
+        App, //
+    },
 };
 use slog::{
     Logger,
@@ -63,6 +67,10 @@
 /// could not tell whether it ran. Reports take one second.
 const LINGER_US: u64 = 2 * US_PER_S;
 
+/// Longer than entries keep an idle connection (15 s), so that no attempt is sent
+/// into one that the agent closes.
+const KEEP_ALIVE: Seconds = Seconds(60);
+
 /// Interval between checks whether the last attempt has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -112,6 +120,7 @@
         let _ = admin::serve(admin, observed).await;
     });
     let shared = Arc::clone(&context);
+    let http = HttpServiceConfig::new().set_keepalive(KEEP_ALIVE);
     let server = web::HttpServer::new(async move || {
         let traffic = Traffic::new(Arc::clone(&shared)).await;
         // Without a client the agent cannot serve at all.
@@ -120,7 +129,8 @@
     })
     .workers(1)
     .disable_signals()
-    .shutdown_timeout(ntex::time::Seconds(1))
+    .shutdown_timeout(Seconds(1))
+    .config(ntex::SharedCfg::new("attempts").add(http))
     .listen(data)
     .change_context(ErrorKind::Io)?
     .run();
--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -113,8 +113,17 @@
 #[test]
 fn agents_stop() {
     let fleet = start(1, 2, 2);
+    let order_arrives = || {
+        let before = fleet.targets[2].received();
+        eventually("an order arrives", || fleet.targets[2].received() != before);
+    };
+    // Longer than the HTTP server itself waits when it stops.
+    for target in [2, 3] {
+        fleet.targets[target].set_faults(&json!({"slow_ms": 1_500}));
+    }
     let seen = under_load(&fleet, |seen| {
         wait_served(seen, 10);
+        order_arrives();
         fleet.targets[0].agent.signal("TERM");
         fleet.targets[2].agent.signal("TERM");
         for target in [0, 2] {
