--- a/src/process.rs
+++ b/src/process.rs
@@ -17,3 +17,4 @@
 pub mod platform;
 pub mod rpc;
 pub mod stop;
+pub(crate) mod upload;
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -18,9 +18,12 @@
 };
 
 use error_stack::ResultExt;
-use ntex::web::{
-    self,
-    App, //
+use ntex::{
+    time::Seconds,
+    web::{
+        self,
+        App, //
+    },
 };
 use slog::{
     Logger,
@@ -113,8 +116,8 @@
     })
     .workers(1)
     .disable_signals()
-    .config(client::server_config("agent"))
-    .shutdown_timeout(ntex::time::Seconds(1))
+    .shutdown_timeout(Seconds(1))
+    .config(client::server_config("attempts"))
     .listen(data)
     .change_context(ErrorKind::Io)?
     .run();
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -1,6 +1,7 @@
 //! Runs one attempt: waits for its turn, calls the target, relays the answer.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::Duration, //
 };
@@ -8,7 +9,10 @@
 use futures_util::StreamExt;
 use ntex::{
     client::ClientResponse,
-    http::Payload,
+    http::{
+        Payload,
+        body::Body, //
+    },
     util::Bytes, //
 };
 use slog::info;
@@ -39,6 +43,7 @@
             Attempt,
             Queued, //
         },
+        upload::Upload,
     },
     request::headers::{
         Direction,
@@ -55,13 +60,20 @@
 
 type PayloadPart = Result<Bytes, ntex::http::error::PayloadError>;
 
+/// Body of an attempt.
+pub(super) enum AttemptBody {
+    Kept(Bytes),
+    /// One that passes through.
+    Upload(Rc<Upload>),
+}
+
 /// One attempt on its way through the agent.
 pub(super) struct Runner {
     pub(super) traffic: Rc<Traffic>,
     pub(super) output: Rc<Output>,
     pub(super) head: AttemptHead,
     pub(super) headers: Vec<(String, String)>,
-    pub(super) body: Bytes,
+    pub(super) body: AttemptBody,
     pub(super) expires_at_us: u64,
     pub(super) recording: Recording,
 }
@@ -72,6 +84,36 @@
     sent_at_us: u64,
 }
 
+/// An attempt whose target has not begun to answer. The fair queue is told once
+/// when that changes, also on a failure.
+struct Starting {
+    traffic: Rc<Traffic>,
+    priority: Priority,
+    is_told: Cell<bool>,
+}
+
+impl Starting {
+    fn new(traffic: &Rc<Traffic>, priority: Priority) -> Self {
+        Self {
+            traffic: Rc::clone(traffic),
+            priority,
+            is_told: Cell::new(false),
+        }
+    }
+
+    fn first_token(&self) {
+        if !self.is_told.replace(true) {
+            self.traffic.first_token(self.priority);
+        }
+    }
+}
+
+impl Drop for Starting {
+    fn drop(&mut self) {
+        self.first_token();
+    }
+}
+
 impl Runner {
     /// Runs the attempt to its end.
     pub(super) async fn run(self, attempt: Attempt<Queued>) {
@@ -108,14 +150,16 @@
             }
             Ok(priority) => {
                 let organisation = self.head.organisation.clone();
-                self.start(attempt, priority, arrived_at_us).await;
+                let starting = Starting::new(&traffic, priority);
+                self.start(attempt, &starting, arrived_at_us).await;
+                drop(starting);
                 traffic.leave(&organisation);
             }
         }
         traffic.close(id);
     }
 
-    async fn start(self, attempt: Attempt<Queued>, priority: Priority, arrived_at_us: u64) {
+    async fn start(self, attempt: Attempt<Queued>, starting: &Starting, arrived_at_us: u64) {
         let started = self.traffic.fates.borrow_mut().start(attempt);
         let running = match started {
             Ok(running) => running,
@@ -133,7 +177,7 @@
         let metrics = &self.traffic.context.metrics;
         let wait = &metrics.organisation(&self.head.organisation).queue_wait;
         wait.observe(progress.queued_us as f64 / 1e6);
-        let failure = self.relay_until_deadline(priority, &progress).await.err();
+        let failure = self.relay_until_deadline(starting, &progress).await.err();
         let ended_at_us = self.traffic.context.clock.now_us();
         self.traffic.context.load.note_service(ended_at_us - now_us);
         self.store_outcome(failure);
@@ -150,12 +194,12 @@
 
     async fn relay_until_deadline(
         &self,
-        priority: Priority,
+        starting: &Starting,
         progress: &Progress,
     ) -> Result<(), ErrorKind> {
         let deadline = self.traffic.context.clock.instant(self.expires_at_us);
         tokio::select! {
-            result = self.relay(priority, progress) => result,
+            result = self.relay(starting, progress) => result,
             () = tokio::time::sleep_until(deadline.into()) => Err(ErrorKind::DeadlineExceeded),
             // Without this, a target would work for nobody.
             () = self.output.abandoned(), if self.head.idempotent => {
@@ -164,8 +208,9 @@
         }
     }
 
-    async fn relay(&self, priority: Priority, progress: &Progress) -> Result<(), ErrorKind> {
-        let response = self.call_target(priority).await?;
+    async fn relay(&self, starting: &Starting, progress: &Progress) -> Result<(), ErrorKind> {
+        let response = self.call_target(starting.priority).await?;
+        starting.first_token();
         self.note_answer(&response, progress);
         let head = self.response_head(&response, progress);
         if self.head.idempotency.is_some() {
@@ -196,8 +241,12 @@
             .set_header(REQUEST_ID, &*self.head.request_id)
             .set_header("x-cache-namespace", self.head.namespace.to_string())
             .set_header("x-model-version", &*self.head.version)
-            .set_header("x-priority", priority_value(priority));
-        let response = request.send_body(self.body.clone()).await;
+            .set_header("x-priority", priority_value(priority).to_string());
+        let body = match &self.body {
+            AttemptBody::Kept(body) => body.clone().into(),
+            AttemptBody::Upload(upload) => upload.body(),
+        };
+        let response = request.send_body::<Body>(body).await;
         response.map_err(|_| ErrorKind::TargetFailed)
     }
 
@@ -275,11 +324,8 @@
 }
 
 /// Engines commonly run lower values first.
-const fn priority_value(priority: Priority) -> &'static str {
-    match priority {
-        Priority::WithinShare => "0",
-        Priority::AboveShare => "1",
-    }
+const fn priority_value(priority: Priority) -> u8 {
+    Priority::HIGHEST.0.saturating_sub(priority.0)
 }
 
 fn number_header(response: &ClientResponse, name: &str, radix: u32) -> Option<u64> {
--- a/src/process/agent/traffic.rs
+++ b/src/process/agent/traffic.rs
@@ -180,6 +180,12 @@
         turn.await.unwrap_or(Err(ErrorKind::Overloaded))
     }
 
+    /// Notes that the target has begun to answer an attempt, or never will.
+    pub(super) fn first_token(&self, priority: Priority) {
+        self.queue.borrow_mut().first_token(priority);
+        self.start_waiting();
+    }
+
     /// Returns the place of an attempt that has ended.
     pub(super) fn leave(&self, organisation: &str) {
         self.queue.borrow_mut().finish(organisation);
@@ -195,7 +201,9 @@
             let organisation = started.item.organisation;
             if started.item.payload.send(Ok(started.priority)).is_err() {
                 // The attempt was barred while it waited.
-                self.queue.borrow_mut().finish(&organisation);
+                let mut queue = self.queue.borrow_mut();
+                queue.first_token(started.priority);
+                queue.finish(&organisation);
             }
         }
         self.publish_load();
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -1,6 +1,7 @@
 //! Runs a request: attempts, retries and the stream that follows.
 
 mod keyed;
+mod settle;
 mod stream;
 
 use std::rc::Rc;
@@ -9,8 +10,12 @@
 use ntex::util::Bytes;
 use slog::info;
 
+use self::stream::truthful_after_start;
 use super::{
-    attempt::Attempt,
+    attempt::{
+        Attempt,
+        Outgoing, //
+    },
     request::Request,
     worker::{
         Answered,
@@ -38,7 +43,7 @@
     },
     event::Event,
     names::Name,
-    process::agent::BarAnswer,
+    process::rpc::ProbeRequest,
     request::{
         admission::Cost,
         openai::stream::CompletionStream,
@@ -120,10 +125,15 @@
                 prompt_tokens: completion.prompt_tokens(),
                 output_bound_tokens: completion.output_tokens(DEFAULT_OUTPUT_TOKENS),
             },
-            None => Cost {
-                prompt_tokens: 1 + self.request.body.len() as u64 / BYTES_PER_TOKEN,
-                output_bound_tokens: 0,
-            },
+            None => {
+                let upload = self.request.upload.as_ref();
+                let upload_bytes = upload.and_then(|upload| upload.length_bytes());
+                let body_bytes = self.request.body.len() as u64 + upload_bytes.unwrap_or(0);
+                Cost {
+                    prompt_tokens: 1 + body_bytes / BYTES_PER_TOKEN,
+                    output_bound_tokens: 0,
+                }
+            }
         }
     }
 
@@ -216,10 +226,16 @@
     /// Decides whether the request may be tried again.
     fn recover(&self, kind: ErrorKind, phase: Phase) -> Result<()> {
         let is_refused = kind.is_not_run() && kind != ErrorKind::Barred;
-        if self.request.keyed.is_some() && is_refused {
-            // Another agent cannot vouch for the key.
+        // Another agent cannot vouch for an idempotency key.
+        let is_bound = self.request.keyed.is_some() && is_refused;
+        let upload = self.request.upload.as_ref();
+        let is_consumed = upload.is_some_and(|upload| upload.is_started());
+        if is_bound || (is_consumed && kind.is_not_run()) {
             return Err(Report::new(truthful(kind)));
         }
+        if is_consumed {
+            return Err(Report::new(truthful_after_start(kind)));
+        }
         match recovery(kind, phase, self.retryable()) {
             Recovery::Answer => Err(Report::new(kind)),
             Recovery::AnswerUnknown => Err(Report::new(ErrorKind::OutcomeUnknown)),
@@ -257,7 +273,7 @@
     }
 
     async fn try_once(&mut self) -> Result<Step> {
-        let target = self.next_target()?;
+        let target = self.next_target().await?;
         if self.tried.contains(&target) {
             self.back_off().await?;
         }
@@ -271,7 +287,7 @@
             address,
             head,
             &self.request.headers,
-            self.body.clone(),
+            self.outgoing(),
             is_retry,
         )
         .await;
@@ -300,6 +316,13 @@
         }
     }
 
+    fn outgoing(&self) -> Outgoing {
+        match &self.request.upload {
+            Some(upload) => Outgoing::Upload(Rc::clone(upload)),
+            None => Outgoing::Kept(self.body.clone()),
+        }
+    }
+
     /// Waits before the same target is asked again.
     async fn back_off(&self) -> Result<()> {
         let clock = self.worker.context.clock;
@@ -313,35 +336,6 @@
         Ok(())
     }
 
-    /// Finds out whether an attempt without an answer has started.
-    async fn settle(&mut self, kind: ErrorKind) -> Result<Step> {
-        let Some(attempt) = &mut self.attempt else {
-            return Err(Report::new(ErrorKind::Internal));
-        };
-        let answer = match attempt.bar().await {
-            Ok(answer) => answer,
-            Err(_) => return Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled)),
-        };
-        match answer {
-            BarAnswer::Barred => Ok(Step::Failed(ErrorKind::Barred, Phase::Settled)),
-            BarAnswer::Unknown => Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled)),
-            BarAnswer::Running | BarAnswer::Done => {
-                if attempt.resume().await.is_err() {
-                    return Ok(Step::Failed(ErrorKind::OutcomeUnknown, Phase::Settled));
-                }
-                // From here on the stream is resumed like any other.
-                match attempt.next().await {
-                    Ok(Accepted::Head(head)) => {
-                        self.note_head(&head);
-                        Ok(Step::Headed(head))
-                    }
-                    Ok(Accepted::Failed(kind)) => Ok(Step::Failed(kind, Phase::Settled)),
-                    _ => Ok(Step::Failed(kind, Phase::Settled)),
-                }
-            }
-        }
-    }
-
     async fn read_first(&mut self) -> Result<Accepted> {
         let Some(attempt) = &mut self.attempt else {
             return Err(Report::new(ErrorKind::Internal));
@@ -378,7 +372,7 @@
         }
     }
 
-    fn next_target(&mut self) -> Result<TargetKey> {
+    async fn next_target(&mut self) -> Result<TargetKey> {
         let config = &self.request.config;
         let route = config.route(self.request.route);
         let service = route.map(|entry| entry.service);
@@ -392,7 +386,8 @@
         }
         let placement = self
             .worker
-            .place(config, service, version.as_deref(), &self.prompt.blocks);
+            .place(config, service, version.as_deref(), &self.probe_request())
+            .await;
         if let Some(keyed) = self.request.keyed {
             let owners = self.worker.owners(config, service, keyed.key);
             let mut live = owners
@@ -413,6 +408,17 @@
         Ok(target)
     }
 
+    fn probe_request(&self) -> ProbeRequest {
+        let organisation = self.request.organisation;
+        let organisation = organisation.and_then(|key| self.request.config.organisation(key));
+        ProbeRequest {
+            organisation: self.request.organisation_name.clone(),
+            weight: organisation.map_or(1, |organisation| organisation.weight),
+            namespace: self.prompt.namespace,
+            blocks: self.prompt.blocks.clone(),
+        }
+    }
+
     fn choose_version(&self) -> Option<Name> {
         let config = &self.request.config;
         let service = config.route(self.request.route)?.service;
