Fence orders of moves at the agent

Cause: agents took no orders, so a move could not load or unload versions, and an outdated holder would have had to be refused by the engine.

Change: the RPC method `order` of the agent loads and unloads versions on the target. Orders with an old fencing number are refused with `order_fenced`. After a restart the agent reads the number from the object `moves/SERVICE` first. Orders run in the background, one at a time; an order whose answer is lost blocks the target until it restarts, unless the target checks numbers itself. Plain services take no orders, because the path may belong to their callers.

Conclusion: agents are ready for the holder of a move; no entry sends orders yet.

--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod engine;
+mod order;
 mod report;
 
 use std::{
@@ -38,7 +39,10 @@
 use crate::{
     error::Result,
     event::Event,
-    names::Incarnation,
+    names::{
+        Incarnation,
+        Name, //
+    },
     process::{
         cache_index::CacheIndex,
         config_store::ConfigStore,
@@ -57,6 +61,7 @@
             Config,
             ServiceKind, //
         },
+        fence::FenceTable,
         freshness::Freshness, //
     },
 };
@@ -77,6 +82,11 @@
     entries: RefCell<Entries>,
     freshness: RefCell<Freshness>,
     sequence: Cell<u64>,
+    fences: RefCell<FenceTable>,
+    /// Version that the target loads now.
+    ordered: RefCell<Option<Name>>,
+    /// Version whose last load failed.
+    failed: RefCell<Option<Name>>,
 }
 
 /// Runs the control thread until the process ends.
@@ -117,12 +127,15 @@
             entries: RefCell::default(),
             freshness: RefCell::default(),
             sequence: Cell::new(0),
+            fences: RefCell::default(),
+            ordered: RefCell::default(),
+            failed: RefCell::default(),
             address,
             context,
         }
     }
 
-    fn execute(&self, command: Command) {
+    fn execute(self: &Rc<Self>, command: Command) {
         // A caller that has gone away needs no answer.
         match command {
             Command::Exchange(digest, sender) => drop(sender.send(self.take_exchange(&digest))),
@@ -130,6 +143,13 @@
                 drop(sender.send(self.store.part(revision, part)));
             }
             Command::Probe(request, sender) => drop(sender.send(self.probe(&request))),
+            Command::Order(request, sender) => {
+                let control = Rc::clone(self);
+                ntex::rt::spawn(async move {
+                    let answer = control.order(request).await;
+                    drop(sender.send(answer.map_err(|report| *report.current_context())));
+                });
+            }
         }
     }
 
@@ -166,7 +186,12 @@
         }
         info!(self.context.log, "engine has an empty cache";
             "event" => Event::EngineRestarted, "engine" => %engine);
+        let is_restart = index.engine() != Incarnation::default();
         index.restarted(engine);
         self.context.set_engine(engine);
+        if is_restart {
+            // An order to the former process cannot take effect any more.
+            self.finish_order();
+        }
     }
 }
--- a/src/process/agent/control/api.rs
+++ b/src/process/agent/control/api.rs
@@ -23,6 +23,8 @@
         rpc::{
             AgentApiServer,
             ConfigPart,
+            OrderAnswer,
+            OrderRequest,
             Packed,
             PeerApiServer,
             ProbeAnswer,
@@ -37,6 +39,10 @@
     Exchange(Box<Digest>, oneshot::Sender<Digest>),
     ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
     Probe(ProbeRequest, oneshot::Sender<ProbeAnswer>),
+    Order(
+        OrderRequest,
+        oneshot::Sender<std::result::Result<OrderAnswer, ErrorKind>>,
+    ),
 }
 
 /// Server side of the RPC methods.
@@ -83,4 +89,9 @@
     async fn probe(&self, request: ProbeRequest) -> RpcResult<ProbeAnswer> {
         self.ask(|sender| Command::Probe(request, sender)).await
     }
+
+    async fn order(&self, request: OrderRequest) -> RpcResult<OrderAnswer> {
+        let answer = self.ask(|sender| Command::Order(request, sender)).await?;
+        answer.map_err(rpc_error)
+    }
 }
--- a/src/process/client.rs
+++ b/src/process/client.rs
@@ -8,8 +8,11 @@
 };
 use ntex::{
     client::{
-        Client,
-        Connector, //
+        Client, Connector,
+        error::{
+            ClientError,
+            ConnectError, //
+        },
     },
     http::HttpServiceConfig,
     io::IoConfig,
@@ -99,3 +102,23 @@
         .set_keepalive(SERVER_KEEP_ALIVE);
     ntex::SharedCfg::new(name).add(http).into()
 }
+
+/// Returns whether a request certainly did not leave this process.
+///
+/// `Disconnected` without a reason also stands for a connection that closes
+/// after the request was sent.
+///
+/// ```
+/// use ntex::client::error::{ClientError, ConnectError};
+/// use yuccalatch::process::client::is_unsent;
+///
+/// let error = ClientError::Connect(ConnectError::Disconnected(None));
+/// assert!(!is_unsent(&error));
+/// ```
+pub const fn is_unsent(error: &ClientError) -> bool {
+    match error {
+        ClientError::Connect(ConnectError::Disconnected(reason)) => reason.is_some(),
+        ClientError::Connect(_) => true,
+        _ => false,
+    }
+}
--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -11,11 +11,8 @@
 use futures_util::StreamExt;
 use ntex::{
     client::{
-        ClientRequest, ClientResponse,
-        error::{
-            ClientError,
-            ConnectError, //
-        },
+        ClientRequest,
+        ClientResponse, //
     },
     http::Payload,
     util::Bytes,
@@ -125,7 +122,7 @@
         let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
         let answer = tokio::time::timeout(SILENCE, request.send_body(body)).await;
         let response = answer.map_err(|_| lost())?.map_err(|error| {
-            self.is_unsent = is_unsent(&error);
+            self.is_unsent = client::is_unsent(&error);
             lost()
         })?;
         self.use_response(&response)
@@ -280,16 +277,6 @@
     }
 }
 
-/// `Disconnected` without a reason also stands for a connection that closes
-/// after the request was sent.
-const fn is_unsent(error: &ClientError) -> bool {
-    match error {
-        ClientError::Connect(ConnectError::Disconnected(reason)) => reason.is_some(),
-        ClientError::Connect(_) => true,
-        _ => false,
-    }
-}
-
 async fn within<T, E>(
     limit: Duration,
     call: impl Future<Output = std::result::Result<T, E>>,
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -105,6 +105,49 @@
     pub leaving: bool,
 }
 
+/// What an agent has to do for a move.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderAction {
+    /// Only raise the fencing number.
+    Fence,
+    /// Load a version beside the others.
+    Load {
+        /// The version.
+        version: Name,
+    },
+    /// Unload a version.
+    Unload {
+        /// The version.
+        version: Name,
+    },
+}
+
+/// Order of the holder of a move to an agent. It may be repeated.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderRequest {
+    /// Service of the move.
+    pub service: Name,
+    /// Fencing number of the holder.
+    pub fencing: u64,
+    /// What to do.
+    pub action: OrderAction,
+}
+
+/// State of a target after its agent has taken an order. Orders to the target
+/// run in the background; the holder repeats the order to learn the outcome.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderAnswer {
+    /// Highest fencing number that the agent knows.
+    pub fencing: Option<u64>,
+    /// Versions that the target serves.
+    pub versions: Vec<Name>,
+    /// Version that the target loads now.
+    pub loading: Option<Name>,
+    /// Version whose last load failed.
+    pub failed: Option<Name>,
+}
+
 /// Message that travels in binary form: base64 of postcard, about a third of the
 /// same message in JSON.
 ///
@@ -198,6 +241,10 @@
     /// Estimates cache and queue for a prompt.
     #[method(name = "probe")]
     async fn probe(&self, request: ProbeRequest) -> RpcResult<ProbeAnswer>;
+
+    /// Loads or unloads a version, unless the fencing number is old.
+    #[method(name = "order")]
+    async fn order(&self, request: OrderRequest) -> RpcResult<OrderAnswer>;
 }
 
 /// Methods of an entry.
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -30,6 +30,17 @@
 /// Share of all traffic, in thousandths.
 pub const FULL_PERMILLE: u16 = 1_000;
 
+/// Returns the key of the move object of a service in the object API.
+///
+/// ```
+/// use yuccalatch::version::rollout::object_key;
+///
+/// assert_eq!(object_key("chat"), "moves/chat");
+/// ```
+pub fn object_key(service: &str) -> String {
+    format!("moves/{service}")
+}
+
 /// Why a version is taken back.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
