--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -1,12 +1,15 @@
 //! State of an agent that both threads share.
 
-use std::sync::{
-    Mutex, PoisonError,
-    atomic::{
-        AtomicBool,
-        AtomicU64,
-        AtomicUsize,
-        Ordering, //
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            AtomicUsize,
+            Ordering, //
+        },
     },
 };
 
@@ -18,7 +21,10 @@
 
 use crate::{
     clock::Clock,
-    names::Incarnation,
+    names::{
+        Incarnation,
+        Name, //
+    },
     process::{
         cache_index::Answer,
         fair_queue,
@@ -70,6 +76,7 @@
     announced: AtomicBool,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
+    running_versions: Mutex<BTreeMap<Name, u64>>,
     members_changed_at_us: AtomicU64,
 }
 
@@ -92,6 +99,7 @@
             announced: AtomicBool::new(false),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
+            running_versions: Mutex::default(),
             members_changed_at_us: AtomicU64::new(0),
         }
     }
@@ -150,6 +158,23 @@
         self.engine.store(engine.0, Ordering::Relaxed);
     }
 
+    /// Counts an attempt on a version until the result is dropped.
+    pub(super) fn use_version(self: &Arc<Self>, version: &Name) -> VersionUse {
+        let running = self.running_versions.lock();
+        let mut running = running.unwrap_or_else(PoisonError::into_inner);
+        *running.entry(version.clone()).or_default() += 1;
+        VersionUse {
+            context: Arc::clone(self),
+            version: version.clone(),
+        }
+    }
+
+    /// Attempts that have not ended, by version.
+    pub(super) fn running_versions(&self) -> BTreeMap<Name, u64> {
+        let running = self.running_versions.lock();
+        running.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Versions that the target serves; empty when the target does not say.
     pub(super) fn versions(&self) -> Vec<String> {
         let versions = self.versions.lock();
@@ -161,3 +186,22 @@
         *current = versions;
     }
 }
+
+/// Counts an attempt on a version until it is dropped.
+pub(super) struct VersionUse {
+    context: Arc<Context>,
+    version: Name,
+}
+
+impl Drop for VersionUse {
+    fn drop(&mut self) {
+        let running = self.context.running_versions.lock();
+        let mut running = running.unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = running.get_mut(&self.version) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&self.version);
+            }
+        }
+    }
+}
--- a/src/process/agent/control/order.rs
+++ b/src/process/agent/control/order.rs
@@ -198,6 +198,7 @@
             versions: versions.into_iter().map(Name::from).collect(),
             loading: self.ordered.borrow().clone(),
             failed: self.failed.borrow().clone(),
+            running: self.context.running_versions(),
         }
     }
 }
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -14,7 +14,10 @@
 use slog::info;
 
 use super::{
-    context::Answered,
+    context::{
+        Answered,
+        VersionUse, //
+    },
     keyed::{
         Recording,
         end, //
@@ -64,6 +67,7 @@
     pub(super) body: Bytes,
     pub(super) expires_at_us: u64,
     pub(super) recording: Recording,
+    pub(super) _version: VersionUse,
 }
 
 /// Measures of an attempt that has started.
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -96,6 +96,7 @@
         headers: forwarded_headers(request),
         body,
         expires_at_us: expires_at_us(context.clock.now_us(), head.budget_ms),
+        _version: context.use_version(&head.version),
         head,
         recording: Recording::default(),
     };
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -7,6 +7,7 @@
 mod context;
 mod control;
 mod forward;
+mod moves;
 mod request;
 mod server;
 mod worker;
@@ -68,6 +69,9 @@
 /// Requests with idempotency keys that wait for the control thread.
 const RECORD_CAPACITY: usize = 1_024;
 
+/// Answers whose evidence waits for the control thread; more are not counted.
+const SAMPLE_CAPACITY: usize = 4_096;
+
 /// Interval between checks whether the last request has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -91,7 +95,8 @@
     let control = stop::bind(settings.control_address)?;
     let admin = stop::bind(settings.admin_address)?;
     let (records, record_requests) = mpsc::channel(RECORD_CAPACITY);
-    let context = Arc::new(Context::new(settings, log.clone(), records));
+    let (samples, sample_inbox) = mpsc::channel(SAMPLE_CAPACITY);
+    let context = Arc::new(Context::new(settings, log.clone(), records, samples));
     info!(log, "entry listens";
         "event" => Event::Started,
         "incarnation" => %context.incarnation,
@@ -100,7 +105,9 @@
         "admin_address" => %stop::local(&admin)?);
     let shared = Arc::clone(&context);
     stop::spawn_system("control", move || async move {
-        if let Err(report) = control::run(Arc::clone(&shared), control, record_requests).await {
+        if let Err(report) =
+            control::run(Arc::clone(&shared), control, record_requests, sample_inbox).await
+        {
             error!(shared.log, "control thread failed";
                 "event" => Event::Fatal, "error" => ?report);
         }
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -21,7 +21,14 @@
     oneshot, //
 };
 
-use super::control::Meters;
+use super::{
+    control::Meters,
+    moves::{
+        LiveMoves,
+        MoveSample,
+        RunningVersions, //
+    },
+};
 use crate::{
     clock::{
         Clock,
@@ -67,6 +74,10 @@
     pub(super) config: ArcSwap<Config>,
     pub(super) targets: ArcSwap<TargetViews>,
     pub(super) meters: ArcSwap<Meters>,
+    pub(super) moves: ArcSwap<LiveMoves>,
+    pub(super) running_versions: RunningVersions,
+    /// Takes evidence to the control thread.
+    pub(super) samples: mpsc::Sender<MoveSample>,
     /// Told when a share of any organisation has grown.
     pub(super) shares_changed: Notify,
     /// Requests that have not been answered completely.
@@ -103,6 +114,7 @@
         settings: EntrySettings,
         log: Logger,
         records: mpsc::Sender<RecordRequest>,
+        samples: mpsc::Sender<MoveSample>,
     ) -> Self {
         Self {
             settings,
@@ -113,6 +125,9 @@
             config: ArcSwap::default(),
             targets: ArcSwap::default(),
             meters: ArcSwap::default(),
+            moves: ArcSwap::default(),
+            running_versions: RunningVersions::default(),
+            samples,
             shares_changed: Notify::new(),
             shares_released: AtomicBool::new(false),
             running: AtomicUsize::new(0),
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -7,6 +7,7 @@
 mod explain;
 mod fleet;
 mod limits;
+mod moves;
 mod records;
 mod status;
 mod targets;
@@ -39,12 +40,14 @@
     },
     contacts::Contacts,
     fleet::Fleet,
-    limits::Limits, //
+    limits::Limits,
+    moves::Moves, //
 };
 use super::context::{
     Context,
     RecordRequest, //
 };
+use super::moves::MoveSample;
 use crate::{
     error::Result,
     names::Incarnation,
@@ -79,6 +82,7 @@
     /// Told when another revision was applied.
     revised: Notify,
     limits: Limits,
+    moves: Moves,
 }
 
 /// Runs the control thread until the process ends.
@@ -86,6 +90,7 @@
     context: Arc<Context>,
     listener: TcpListener,
     record_requests: mpsc::Receiver<RecordRequest>,
+    mut samples: mpsc::Receiver<MoveSample>,
 ) -> Result<()> {
     let (commands, mut inbox) = mpsc::channel(COMMAND_CAPACITY);
     let address = stop::local(&listener)?;
@@ -97,10 +102,12 @@
     ntex::rt::spawn(Rc::clone(&control).exchange());
     ntex::rt::spawn(Rc::clone(&control).publish_targets());
     ntex::rt::spawn(Rc::clone(&control).share_limits());
+    ntex::rt::spawn(Rc::clone(&control).follow_moves());
     ntex::rt::spawn(records::run(Arc::clone(&control.context), record_requests));
     loop {
         tokio::select! {
             Some(command) = inbox.recv() => control.execute(command),
+            Some(sample) = samples.recv() => control.take_sample(&sample),
             () = handle.clone().stopped() => return Ok(()),
         }
     }
@@ -121,6 +128,7 @@
             sequence: Cell::new(0),
             revised: Notify::new(),
             limits: Limits::new(settings.name.clone(), context.incarnation),
+            moves: Moves::default(),
             address,
             context,
         };
@@ -146,6 +154,13 @@
                 self.apply_directives(&[*directive], now_us);
                 let _ = sender.send(());
             }
+            Command::MoveReport(report, sender) => {
+                drop(sender.send(self.take_move_report(&report)));
+            }
+            Command::Cut(cut, sender) => {
+                self.take_cut(&cut);
+                let _ = sender.send(());
+            }
             Command::Status(sender) => drop(sender.send(self.status())),
             Command::Explain(request, sender) => {
                 let control = Rc::clone(self);
--- a/src/process/entry/control/api.rs
+++ b/src/process/entry/control/api.rs
@@ -32,6 +32,8 @@
             EntryApiServer,
             LimitAnswer,
             LimitReport,
+            MoveAnswer,
+            MoveReport,
             OperatorApiServer,
             Packed,
             PeerApiServer,
@@ -39,6 +41,7 @@
             rpc_error, //
         },
     },
+    version::rollout::cut::Cut, //
 };
 
 /// Request of an RPC method to the control loop.
@@ -50,6 +53,8 @@
     Explain(ExplainRequest, oneshot::Sender<Explanation>),
     Limits(Box<LimitReport>, oneshot::Sender<LimitAnswer>),
     LimitDirective(Box<Directive>, oneshot::Sender<()>),
+    MoveReport(Box<MoveReport>, oneshot::Sender<MoveAnswer>),
+    Cut(Box<Cut>, oneshot::Sender<()>),
 }
 
 /// Server side of the RPC methods.
@@ -108,6 +113,15 @@
         self.ask(|sender| Command::LimitDirective(Box::new(directive.0), sender))
             .await
     }
+
+    async fn move_report(&self, report: MoveReport) -> RpcResult<MoveAnswer> {
+        self.ask(|sender| Command::MoveReport(Box::new(report), sender))
+            .await
+    }
+
+    async fn cut(&self, cut: Cut) -> RpcResult<()> {
+        self.ask(|sender| Command::Cut(Box::new(cut), sender)).await
+    }
 }
 
 #[async_trait]
--- /dev/null
+++ b/src/process/entry/control/moves/targets.rs
@@ -0,0 +1,170 @@
+//! Orders of the holder to the agents, and what they answer.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc, //
+};
+
+use futures_util::future::join_all;
+use jsonrpsee::ws_client::WsClient;
+
+use super::Control;
+use crate::{
+    names::Name,
+    process::{
+        membership::Liveness,
+        rpc::{
+            AgentApiClient,
+            OrderAction,
+            OrderAnswer,
+            OrderRequest, //
+        },
+    },
+    version::rollout::{
+        Move, Phase,
+        order::{
+            Action,
+            LoadState,
+            TargetView, //
+        },
+    },
+};
+
+/// A target that the holder gives orders to.
+struct Ordered {
+    name: Name,
+    data_centre: Name,
+    address: SocketAddr,
+    is_leaving: bool,
+}
+
+impl Control {
+    /// Sends the outstanding orders. Returns the state of the targets, and
+    /// whether the version that is not in use any more is unloaded.
+    pub(super) async fn order_targets(self: &Rc<Self>, current: &Move) -> (Vec<TargetView>, bool) {
+        let targets = self.ordered(&current.service);
+        // Raising the number changes nothing else and yields the state.
+        let fence = |target| self.order(current, target, OrderAction::Fence);
+        let answers = join_all(targets.iter().map(fence)).await;
+        let views: Vec<TargetView> = targets
+            .iter()
+            .zip(&answers)
+            .map(|(target, answer)| view(current, target, answer.as_ref()))
+            .collect();
+        let unused = match current.phase {
+            Phase::Done => Some(&current.from),
+            Phase::TakenBack { .. } => Some(&current.to),
+            _ => None,
+        };
+        let is_unloaded = |answer: &Option<OrderAnswer>| {
+            let answer = answer.as_ref();
+            answer.is_some_and(|answer| {
+                unused.is_some_and(|unused| !answer.versions.contains(unused))
+            })
+        };
+        let is_settled = answers.iter().all(is_unloaded);
+        if !is_settled {
+            self.send_orders(current, &targets, &views).await;
+        }
+        (views, is_settled)
+    }
+
+    async fn send_orders(&self, current: &Move, targets: &[Ordered], views: &[TargetView]) {
+        let orders = current.orders(views);
+        let calls = orders.iter().filter_map(|order| {
+            let target = targets.iter().find(|target| target.name == order.target)?;
+            let action = match order.action {
+                Action::Fence => return None,
+                Action::LoadNew => OrderAction::Load {
+                    version: current.to.clone(),
+                },
+                Action::UnloadNew => OrderAction::Unload {
+                    version: current.to.clone(),
+                },
+                Action::UnloadOld => OrderAction::Unload {
+                    version: current.from.clone(),
+                },
+            };
+            Some(self.order(current, target, action))
+        });
+        // An order without an answer is repeated in the next round.
+        join_all(calls).await;
+    }
+
+    fn ordered(&self, service: &Name) -> Vec<Ordered> {
+        let config = self.context.config.load();
+        let fleet = self.fleet.borrow();
+        let Some(key) = config.service_by_name(service) else {
+            return Vec::new();
+        };
+        let targets = config.targets_of(key).iter();
+        let targets = targets.filter_map(|key| config.target(*key));
+        targets
+            .filter(|entry| {
+                let liveness = fleet.members.liveness(&entry.target.name);
+                matches!(liveness, Some(Liveness::Live | Liveness::Suspect))
+            })
+            .map(|entry| {
+                let report = fleet.members.get(&entry.target.name);
+                Ordered {
+                    name: entry.target.name.clone(),
+                    data_centre: entry.target.data_centre.clone(),
+                    address: entry.target.control_address,
+                    is_leaving: report.is_some_and(|report| report.is_leaving),
+                }
+            })
+            .collect()
+    }
+
+    async fn order(
+        &self,
+        current: &Move,
+        target: &Ordered,
+        action: OrderAction,
+    ) -> Option<OrderAnswer> {
+        let request = OrderRequest {
+            service: current.service.clone(),
+            fencing: current.lease.fencing,
+            action,
+        };
+        let call = async |client: &WsClient| client.order(request).await;
+        self.links.call(target.address, call).await.ok()
+    }
+}
+
+fn view(current: &Move, target: &Ordered, answer: Option<&OrderAnswer>) -> TargetView {
+    let base = TargetView {
+        name: target.name.clone(),
+        data_centre: target.data_centre.clone(),
+        is_leaving: target.is_leaving,
+        load: LoadState::Absent,
+        fencing: None,
+        // A target that does not answer may still run requests of both.
+        running_from: 1,
+        running_to: 1,
+    };
+    let Some(answer) = answer else {
+        return base;
+    };
+    let running = |version| answer.running.get(version).copied().unwrap_or(0);
+    TargetView {
+        load: load_state(&current.to, answer),
+        fencing: answer.fencing,
+        running_from: running(&current.from),
+        running_to: running(&current.to),
+        ..base
+    }
+}
+
+fn load_state(version: &Name, answer: &OrderAnswer) -> LoadState {
+    if answer.versions.contains(version) {
+        return LoadState::Loaded;
+    }
+    if answer.loading.as_ref() == Some(version) {
+        return LoadState::Loading;
+    }
+    if answer.failed.as_ref() == Some(version) {
+        return LoadState::Failed;
+    }
+    LoadState::Absent
+}
--- a/src/process/entry/control/status.rs
+++ b/src/process/entry/control/status.rs
@@ -8,7 +8,6 @@
         ConfigStatus,
         EntryStatus,
         FleetStatus,
-        MoveStatus,
         TargetStatus, //
     },
     process::membership::{
@@ -56,11 +55,6 @@
                 .is_some_and(|age_ms| age_ms * US_PER_MS < KEYS_STALE_AFTER_US),
         }
     }
-
-    /// Moves are added with the version moves.
-    fn move_statuses(&self) -> Vec<MoveStatus> {
-        Vec::new()
-    }
 }
 
 fn entry_status(report: &Report) -> EntryStatus {
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -11,6 +11,10 @@
 
 use super::{
     attempt::Attempt,
+    moves::{
+        Measure,
+        VersionUse, //
+    },
     request::Request,
     worker::{
         Answered,
@@ -74,6 +78,10 @@
     worker: Rc<Worker>,
     pub(super) request: Request,
     version: Option<Name>,
+    usage: Option<VersionUse>,
+    measure: Measure,
+    /// Whether the target answered with a failure of its own.
+    is_failed: bool,
     prompt: Prompt,
     body: Bytes,
     tried: Vec<TargetKey>,
@@ -101,6 +109,9 @@
         Self {
             worker: Rc::clone(worker),
             version: None,
+            usage: None,
+            measure: Measure::default(),
+            is_failed: false,
             prompt: empty_prompt(),
             body,
             tried: Vec::new(),
@@ -179,6 +190,10 @@
         loop {
             let (kind, phase) = match self.try_once().await? {
                 Step::Headed(head) => {
+                    if head.status >= 500 {
+                        self.note_answer_of_version(true);
+                    }
+                    self.is_failed = head.status >= 500;
                     if head.status != 200 {
                         // The answer is no event stream.
                         self.stream = None;
@@ -207,6 +222,7 @@
         if kind.is_not_run() || phase == Phase::Unsent {
             return;
         }
+        self.note_answer_of_version(true);
         self.loss = Some(match kind.answer().execution {
             Execution::Started => kind,
             Execution::NotRun | Execution::Unknown => ErrorKind::OutcomeUnknown,
@@ -379,14 +395,14 @@
     }
 
     fn next_target(&mut self) -> Result<TargetKey> {
+        let version = match &self.version {
+            Some(version) => Some(version.clone()),
+            None => Some(self.choose_version()?),
+        };
         let config = &self.request.config;
         let route = config.route(self.request.route);
         let service = route.map(|entry| entry.service);
         let service = service.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
-        let version = match &self.version {
-            Some(version) => Some(version.clone()),
-            None => self.choose_version(),
-        };
         if let Some(version) = &version {
             self.prompt = self.cut_prompt(version);
         }
@@ -413,12 +429,38 @@
         Ok(target)
     }
 
-    fn choose_version(&self) -> Option<Name> {
+    /// Chooses by the move of the service, or takes the configured version.
+    fn choose_version(&mut self) -> Result<Name> {
+        let lost = || Report::new(ErrorKind::NoTarget);
         let config = &self.request.config;
-        let service = config.route(self.request.route)?.service;
-        let target = config.targets_of(service).first()?;
-        let version = config.target(*target)?.version;
-        config.version(version).map(|version| version.name.clone())
+        let route = config.route(self.request.route).ok_or_else(lost)?;
+        let service = config.service(route.service).ok_or_else(lost)?;
+        let target = config.targets_of(route.service).first();
+        let target = target.and_then(|key| config.target(*key));
+        let version = target.and_then(|entry| config.version(entry.version));
+        let configured = version.ok_or_else(lost)?.name.clone();
+        let usage = VersionUse::choose(
+            &self.worker.context,
+            &service.name,
+            &route.route.name,
+            configured,
+        );
+        let version = usage.version().clone();
+        self.usage = Some(usage);
+        Ok(version)
+    }
+
+    /// Records an answer of the version as evidence.
+    fn note_answer_of_version(&mut self, is_failed: bool) {
+        if self.is_failed {
+            return;
+        }
+        let now_us = self.worker.context.clock.now_us();
+        let started_at_us = self.attempt.as_ref().map(|attempt| attempt.sent_at_us);
+        let sample = self.measure.take(is_failed, started_at_us, now_us);
+        if let Some(usage) = &self.usage {
+            usage.record(sample);
+        }
     }
 
     fn cut_prompt(&self, version: &str) -> Prompt {
--- a/src/process/entry/forward/stream.rs
+++ b/src/process/entry/forward/stream.rs
@@ -66,9 +66,13 @@
                         // An empty chunk would end the response.
                         continue;
                     }
+                    self.note_part();
                     return Ok(Some(events));
                 }
-                Ok(Accepted::End) if self.stream.is_none() => return Ok(None),
+                Ok(Accepted::End) if self.stream.is_none() => {
+                    self.note_answer_of_version(false);
+                    return Ok(None);
+                }
                 Ok(Accepted::End) => ErrorKind::TargetFailed,
                 Ok(Accepted::Failed(kind)) => kind,
                 Ok(Accepted::Head(_) | Accepted::Nothing) => continue,
@@ -77,10 +81,19 @@
             // A generation that has ended needs only its end marker.
             let end = self.stream.as_ref().map(CompletionStream::end);
             match end {
-                Some(StreamEnd::Complete) => return Ok(None),
-                Some(StreamEnd::Unmarked) => return Ok(Some(self.end_marker())),
+                Some(StreamEnd::Complete) => {
+                    self.note_answer_of_version(false);
+                    return Ok(None);
+                }
+                Some(StreamEnd::Unmarked) => {
+                    self.note_answer_of_version(false);
+                    return Ok(Some(self.end_marker()));
+                }
                 _ => {}
             }
+            if !kind.is_not_run() {
+                self.note_answer_of_version(true);
+            }
             if !self.continue_elsewhere(kind).await? {
                 return Ok(Some(self.end_marker()));
             }
@@ -99,6 +112,14 @@
         Ok(Bytes::from(raw))
     }
 
+    fn note_part(&mut self) {
+        let Some(stream) = &self.stream else {
+            return;
+        };
+        let now_us = self.worker.context.clock.now_us();
+        self.measure.note_part(now_us, stream.emitted_tokens());
+    }
+
     fn end_marker(&mut self) -> Bytes {
         self.is_over = true;
         Bytes::from_static(END_MARKER)
--- /dev/null
+++ b/src/process/entry/moves.rs
@@ -0,0 +1,192 @@
+//! Version moves as the traffic threads apply them.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+};
+
+use super::context::Context;
+use crate::{
+    names::Name,
+    version::{
+        evidence::{
+            Side,
+            counts::Sample, //
+        },
+        rollout::cut::LocalMove, //
+    },
+};
+
+/// Moves by service, published by the control thread.
+pub(super) type LiveMoves = HashMap<Name, Arc<LiveMove>>;
+
+/// Move of a service, the last one or the present one.
+pub(super) struct LiveMove {
+    local: Mutex<LocalMove>,
+}
+
+impl LiveMove {
+    pub(super) fn new(local: LocalMove) -> Self {
+        Self {
+            local: Mutex::new(local),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, LocalMove> {
+        self.local.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Requests that run, by service and version.
+#[derive(Default)]
+pub(super) struct RunningVersions {
+    counts: Mutex<BTreeMap<(Name, Name), u64>>,
+}
+
+impl RunningVersions {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<(Name, Name), u64>> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the requests of a service that run on a version.
+    pub(super) fn of(&self, service: &Name, version: &Name) -> u64 {
+        let key = (service.clone(), version.clone());
+        self.lock().get(&key).copied().unwrap_or(0)
+    }
+}
+
+/// Evidence from one answer.
+#[derive(Clone, Debug)]
+pub(super) struct MoveSample {
+    pub(super) service: Name,
+    pub(super) ticket: u64,
+    pub(super) route: Name,
+    pub(super) side: Side,
+    pub(super) sample: Sample,
+}
+
+/// Version of a request, counted as running until it is dropped.
+pub(super) struct VersionUse {
+    context: Arc<Context>,
+    service: Name,
+    route: Name,
+    version: Name,
+    /// Ticket of the move and side of the version.
+    compared: Option<(u64, Side)>,
+}
+
+impl VersionUse {
+    /// Chooses the version of a request.
+    pub(super) fn choose(
+        context: &Arc<Context>,
+        service: &Name,
+        route: &Name,
+        configured: Name,
+    ) -> Self {
+        let moves = context.moves.load();
+        // The request is counted before the lock is released, so that an
+        // entry never acknowledges a step while it starts a request by the
+        // former one.
+        let mut local = moves.get(service).map(|live| live.lock());
+        let (version, compared) = match &mut local {
+            None => (configured, None),
+            Some(local) => {
+                let side = local.choose(route);
+                let current = local.current();
+                let version = match side {
+                    Side::Old => current.from.clone(),
+                    Side::New => current.to.clone(),
+                };
+                (version, Some((current.ticket, side)))
+            }
+        };
+        let key = (service.clone(), version.clone());
+        *context.running_versions.lock().entry(key).or_default() += 1;
+        drop(local);
+        Self {
+            context: Arc::clone(context),
+            service: service.clone(),
+            route: route.clone(),
+            version,
+            compared,
+        }
+    }
+
+    pub(super) fn version(&self) -> &Name {
+        &self.version
+    }
+
+    /// Passes evidence to the control thread; it is not counted when that is
+    /// too busy.
+    pub(super) fn record(&self, sample: Sample) {
+        let Some((ticket, side)) = self.compared else {
+            return;
+        };
+        let _ = self.context.samples.try_send(MoveSample {
+            service: self.service.clone(),
+            ticket,
+            route: self.route.clone(),
+            side,
+            sample,
+        });
+    }
+}
+
+impl Drop for VersionUse {
+    fn drop(&mut self) {
+        let key = (self.service.clone(), self.version.clone());
+        let mut running = self.context.running_versions.lock();
+        if let Some(count) = running.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&key);
+            }
+        }
+    }
+}
+
+/// Times of a stream for the evidence.
+#[derive(Default)]
+pub(super) struct Measure {
+    first: Option<(u64, u32)>,
+    last: Option<(u64, u32)>,
+}
+
+impl Measure {
+    /// Notes that a stream has emitted this many tokens so far.
+    pub(super) fn note_part(&mut self, now_us: u64, tokens: u32) {
+        self.first.get_or_insert((now_us, tokens));
+        self.last = Some((now_us, tokens));
+    }
+
+    /// Returns the sample of an answer that has ended, and starts again.
+    pub(super) fn take(
+        &mut self,
+        is_failed: bool,
+        started_at_us: Option<u64>,
+        now_us: u64,
+    ) -> Sample {
+        let first = self.first.take();
+        let last = self.last.take();
+        let first_token_us = first
+            .zip(started_at_us)
+            .map(|((at_us, _), started_at_us)| at_us.min(now_us).saturating_sub(started_at_us));
+        let between_tokens_us = first.zip(last).and_then(|(first, last)| {
+            let tokens = u64::from(last.1.saturating_sub(first.1));
+            (last.0 - first.0).checked_div(tokens)
+        });
+        Sample {
+            failed: is_failed,
+            first_token_us,
+            between_tokens_us,
+        }
+    }
+}
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -1,6 +1,7 @@
 //! Control messages between processes of the system, over JSON-RPC.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::Duration, //
 };
@@ -60,6 +61,13 @@
         BlockHash,
         Namespace, //
     },
+    version::{
+        evidence::Pair,
+        rollout::{
+            Move,
+            cut::Cut, //
+        },
+    },
 };
 
 /// Largest control message: a part of the configuration of [`PART_BYTES`] in
@@ -146,6 +154,38 @@
     pub loading: Option<Name>,
     /// Version whose last load failed.
     pub failed: Option<Name>,
+    /// Requests that have not ended, by version.
+    pub running: BTreeMap<Name, u64>,
+}
+
+/// What an entry tells the holder of a move.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct MoveReport {
+    /// Service of the move.
+    pub service: Name,
+    /// Ticket of the move.
+    pub ticket: u64,
+    /// Entry that reports.
+    pub entry: Incarnation,
+    /// Step that it applies.
+    pub step: u64,
+    /// Requests of the old version that it runs.
+    pub running_from: u64,
+    /// Requests of the new version that it runs.
+    pub running_to: u64,
+    /// Cumulative evidence of each route.
+    pub totals: BTreeMap<Name, Pair>,
+    /// Cut that is in force at the entry.
+    pub cut: Option<Cut>,
+}
+
+/// Answer of the holder of a move.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct MoveAnswer {
+    /// Move as it is stored; `None` when the entry knows none of the service.
+    pub current: Option<Move>,
+    /// Cut that is in force at the holder.
+    pub cut: Option<Cut>,
 }
 
 /// Message that travels in binary form: base64 of postcard, about a third of the
@@ -261,6 +301,14 @@
     /// Takes a message of a ledger to a holder.
     #[method(name = "limit_directive")]
     async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<()>;
+
+    /// Takes the report of an entry to the holder of a move.
+    #[method(name = "move_report")]
+    async fn move_report(&self, report: MoveReport) -> RpcResult<MoveAnswer>;
+
+    /// Takes the notice that a peer has cut a version.
+    #[method(name = "cut")]
+    async fn cut(&self, cut: Cut) -> RpcResult<()>;
 }
 
 /// Report of a holder to a ledger or deputy.
--- a/src/replay/evaluate/moves.rs
+++ b/src/replay/evaluate/moves.rs
@@ -107,7 +107,7 @@
     for route in &mut request.routes {
         route.requests_per_s = rng.random_range(0.001..1_000.0);
     }
-    request.settle_ms = rng.random_range(0..600_000);
+    request.pace.settle_ms = rng.random_range(0..600_000);
     request
 }
 
--- a/src/replay/evaluate/moves/run.rs
+++ b/src/replay/evaluate/moves/run.rs
@@ -456,7 +456,7 @@
                 requests_per_s: traffic.rate_per_s(number),
             })
             .collect(),
-        settle_ms: 60_000,
+        pace: plan::Pace::default(),
         longest_request_ms: 10_000,
     };
     // From the tightest feasible time to half as long again.
--- a/src/version/rollout/cut.rs
+++ b/src/version/rollout/cut.rs
@@ -89,6 +89,11 @@
         self.current = newer;
     }
 
+    /// Returns the value of the object that is applied.
+    pub fn current(&self) -> &Move {
+        &self.current
+    }
+
     /// Returns the step to acknowledge.
     pub fn step(&self) -> u64 {
         self.current.step
--- a/src/version/rollout/plan.rs
+++ b/src/version/rollout/plan.rs
@@ -25,15 +25,41 @@
 pub const STEP_ANSWERS: u64 = 20;
 /// Shortest time at one share. Five such steps take 100 s, so the 2 s until a
 /// fault in the settling period is cut stay below 2% of the requests.
-pub const SHORTEST_STEP_MS: u64 = 20_000;
+const SHORTEST_STEP_MS: u64 = 20_000;
 /// Longest planned time at one share. A route too quiet to give enough answers
 /// within it does not hold up the move any longer.
 pub const LONGEST_STEP_MS: u64 = 600_000;
 /// Time from a step to its acknowledgement by every entry, and the write.
 const STEP_OVERHEAD_MS: u64 = 3_000;
+/// Length of the settling period: the period in which late faults were taken
+/// back in the evaluation of moves.
+const SETTLE_MS: u64 = 60_000;
 /// Traffic may be this much below the stated rate: three quarters.
 const RATE_MARGIN: f64 = 0.75;
 
+/// Shortest times of a move. The defaults carry the guarantees of the steps;
+/// shorter ones are for tests.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Pace {
+    /// Shortest time at one share, in milliseconds.
+    pub shortest_step_ms: u64,
+    /// Time from a step to its acknowledgement by every entry, in milliseconds.
+    pub step_overhead_ms: u64,
+    /// Length of the settling period, in milliseconds.
+    pub settle_ms: u64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            shortest_step_ms: SHORTEST_STEP_MS,
+            step_overhead_ms: STEP_OVERHEAD_MS,
+            settle_ms: SETTLE_MS,
+        }
+    }
+}
+
 /// Weight loads in one data centre.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadEstimate {
@@ -67,8 +93,8 @@
     pub loads: Vec<LoadEstimate>,
     /// Routes of the service.
     pub routes: Vec<RouteRate>,
-    /// Length of the settling period, in milliseconds.
-    pub settle_ms: u64,
+    /// Shortest times.
+    pub pace: Pace,
     /// Longest request, in milliseconds; the old version's requests need it to
     /// finish.
     pub longest_request_ms: u64,
@@ -96,7 +122,7 @@
                 route: "chat".into(),
                 requests_per_s: 100.0,
             }],
-            settle_ms: 60_000,
+            pace: Pace::default(),
             longest_request_ms: 30_000,
         }
     }
@@ -122,8 +148,8 @@
     pub steps: Vec<PlannedStep>,
     /// Latest time to begin the settling period.
     pub settle_by_unix_ms: u64,
-    /// Length of the settling period, in milliseconds.
-    pub settle_ms: u64,
+    /// Shortest times.
+    pub pace: Pace,
     /// Latest time to move all traffic.
     pub full_by_unix_ms: u64,
     /// Time by which the move has to be done.
@@ -187,22 +213,23 @@
 pub fn needed_ms(request: &PlanRequest) -> u64 {
     let shifting_ms: u64 = SHARES_PERMILLE
         .iter()
-        .map(|share| hold_ms(*share, &request.routes))
+        .map(|share| hold_ms(*share, request))
         .sum();
-    loading_ms(&request.loads)
+    loading_ms(request)
         .saturating_add(shifting_ms)
-        .saturating_add(request.settle_ms)
-        .saturating_add(STEP_OVERHEAD_MS)
+        .saturating_add(request.pace.settle_ms)
+        .saturating_add(request.pace.step_overhead_ms)
         .saturating_add(finishing_ms(request))
 }
 
 fn backwards(request: &PlanRequest, needed_ms: u64) -> Plan {
     let full_by_unix_ms = request.finish_at_unix_ms - finishing_ms(request);
-    let settle_by_unix_ms = full_by_unix_ms - request.settle_ms - STEP_OVERHEAD_MS;
+    let settle_by_unix_ms =
+        full_by_unix_ms - request.pace.settle_ms - request.pace.step_overhead_ms;
     let mut start_by_unix_ms = settle_by_unix_ms;
     let mut steps = Vec::new();
     for share_permille in SHARES_PERMILLE.into_iter().rev() {
-        start_by_unix_ms -= hold_ms(share_permille, &request.routes);
+        start_by_unix_ms -= hold_ms(share_permille, request);
         steps.push(PlannedStep {
             share_permille,
             start_by_unix_ms,
@@ -211,7 +238,7 @@
     steps.reverse();
     // Half of the needed time again is spent on waiting for evidence when the
     // requested time allows it.
-    let latest = start_by_unix_ms - loading_ms(&request.loads);
+    let latest = start_by_unix_ms - loading_ms(request);
     let load_at_unix_ms = latest
         .saturating_sub(needed_ms / 2)
         .max(request.now_unix_ms);
@@ -220,33 +247,39 @@
         loads: request.loads.clone(),
         steps,
         settle_by_unix_ms,
-        settle_ms: request.settle_ms,
+        pace: request.pace,
         full_by_unix_ms,
         finish_at_unix_ms: request.finish_at_unix_ms,
     }
 }
 
-fn loading_ms(loads: &[LoadEstimate]) -> u64 {
-    let slowest = loads
+fn loading_ms(request: &PlanRequest) -> u64 {
+    let slowest = request
+        .loads
         .iter()
         .map(|load| u64::from(load.targets.div_ceil(load.parallel_loads)) * load.load_ms)
         .max()
         .unwrap_or(0);
     // A slot stays empty between the end of a load and its report.
-    slowest.saturating_mul(2).saturating_add(STEP_OVERHEAD_MS)
+    slowest
+        .saturating_mul(2)
+        .saturating_add(request.pace.step_overhead_ms)
 }
 
-fn hold_ms(share_permille: u16, routes: &[RouteRate]) -> u64 {
+fn hold_ms(share_permille: u16, request: &PlanRequest) -> u64 {
     let part = f64::from(share_permille) / 1_000.0;
-    let slowest_ms = routes
+    let slowest_ms = request
+        .routes
         .iter()
         .filter(|route| route.requests_per_s > 0.0)
         .map(|route| STEP_ANSWERS as f64 * 1_000.0 / (route.requests_per_s * RATE_MARGIN * part))
         .fold(0.0, f64::max);
     let evidence_ms = slowest_ms.min(LONGEST_STEP_MS as f64) as u64;
-    evidence_ms.max(SHORTEST_STEP_MS) + STEP_OVERHEAD_MS
+    evidence_ms.max(request.pace.shortest_step_ms) + request.pace.step_overhead_ms
 }
 
 fn finishing_ms(request: &PlanRequest) -> u64 {
-    request.longest_request_ms.saturating_add(STEP_OVERHEAD_MS)
+    request
+        .longest_request_ms
+        .saturating_add(request.pace.step_overhead_ms)
 }
--- a/src/version/rollout/step.rs
+++ b/src/version/rollout/step.rs
@@ -179,7 +179,7 @@
             return None;
         }
         let held_ms = seen.now_unix_ms.saturating_sub(since_unix_ms);
-        let has_evidence = held_ms >= plan::SHORTEST_STEP_MS
+        let has_evidence = held_ms >= self.plan.pace.shortest_step_ms
             && seen
                 .routes
                 .iter()
@@ -201,7 +201,7 @@
 
     fn settled(&self, since_unix_ms: u64, seen: &Observation) -> Option<Phase> {
         let held_ms = seen.now_unix_ms.saturating_sub(since_unix_ms);
-        let is_over = held_ms >= self.plan.settle_ms;
+        let is_over = held_ms >= self.plan.pace.settle_ms;
         (is_over && self.may_grow(seen)).then_some(Phase::Finishing)
     }
 
--- a/tests/move_processes.rs
+++ b/tests/move_processes.rs
@@ -2,7 +2,17 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    thread, //
+};
 
 use ntex::rt::{
     DefaultRuntime,
@@ -10,10 +20,15 @@
 };
 use serde_json::json;
 use support::fleet::{
+    ACME_KEY,
     Fleet,
     Plan,
+    completion,
     eventually,
-    get, //
+    get,
+    post,
+    reference,
+    ticket, //
 };
 use yuccalatch::{
     clock::{
@@ -44,6 +59,9 @@
     },
 };
 
+/// Callers that send requests all the time.
+const CALLERS: usize = 8;
+
 /// Stores the move object of the service with a fencing number.
 fn store_move(address: SocketAddr, fencing: u64) {
     let accepted = plan::accept(&plan::PlanRequest::example()).unwrap();
@@ -185,3 +203,163 @@
     let received = fleet.targets.remove(0).received();
     assert_eq!(received, json!([]));
 }
+
+/// A fleet with short times of moves, so that a move takes seconds.
+fn moving_fleet(entries: usize) -> Fleet {
+    Fleet::start(&Plan {
+        entries,
+        engines: 2,
+        entry: json!({"moves": {"shortest_step_ms": 300, "step_overhead_ms": 300,
+            "settle_ms": 1_000}}),
+        agent: json!({"checks_fencing": false}),
+        engine: json!({"checks_fencing": false, "load_weights_ms": 50,
+            "decode_tokens_per_s": 2_000, "prefill_tokens_per_s": 100_000}),
+        ..Plan::default()
+    })
+}
+
+/// Submits a move to `v2`. The requested time leaves room for the longest
+/// request of the routes.
+fn submit_move(fleet: &Fleet) {
+    let finish_by_unix_ms = Clock::start().unix_ms() + 72_000;
+    let set = json!([
+        {"version": {"name": "v2", "service": "draft", "weights": "oak/2"}},
+        {"move": {"name": "to-v2", "service": "draft", "from": "v1", "to": "v2",
+            "finish_by_unix_ms": finish_by_unix_ms}},
+    ]);
+    fleet.submit(&ticket(2, &set, &json!([])));
+}
+
+/// Returns the state and share of the move at an entry.
+fn state(fleet: &Fleet, entry: usize) -> (String, u32) {
+    let moves = fleet.status(entry).moves;
+    let status = moves.first();
+    status.map_or_else(Default::default, |status| {
+        (status.state.clone(), status.share_permille)
+    })
+}
+
+/// Sends requests from several callers until told to stop. Every answer of a
+/// good version has status 200.
+struct Traffic {
+    is_over: Arc<AtomicBool>,
+    callers: Vec<thread::JoinHandle<u64>>,
+}
+
+impl Traffic {
+    fn start(fleet: &Fleet) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let callers = (0..CALLERS)
+            .map(|number| {
+                let is_over = Arc::clone(&is_over);
+                let caller = fleet.caller(number % fleet.entries.len());
+                thread::spawn(move || {
+                    let body = completion(&format!("order {number}"), 2, false);
+                    let mut failed = 0;
+                    while !is_over.load(Ordering::Relaxed) {
+                        let answer = post(caller, "/v1/completions", ACME_KEY, &body);
+                        failed += u64::from(answer.status != 200);
+                    }
+                    failed
+                })
+            })
+            .collect();
+        Self { is_over, callers }
+    }
+
+    /// Stops and returns the number of failed requests.
+    fn stop(self) -> u64 {
+        self.is_over.store(true, Ordering::Relaxed);
+        let failed = self
+            .callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap());
+        failed.sum()
+    }
+}
+
+/// Guards against a move that never ends, ends without its traffic, breaks
+/// requests, or unloads the old version before late faults could show.
+#[test]
+fn a_good_version_is_moved_to() {
+    let fleet = moving_fleet(2);
+    let traffic = Traffic::start(&fleet);
+    submit_move(&fleet);
+    eventually("the settling period begins", || {
+        let (state, _) = state(&fleet, 0);
+        assert_ne!(state, "done", "the settling period was left out");
+        state == "settling" || state == "finishing"
+    });
+    for entry in 0..2 {
+        eventually("the move is done", || {
+            // The engine is read first: an old version that is missing while
+            // the state read later is "settling" was unloaded too early.
+            let loaded = versions(&fleet);
+            let (state, _) = state(&fleet, entry);
+            assert!(state == "done" || loaded.contains(&"v1".to_owned()));
+            state == "done"
+        });
+    }
+    eventually("the old version is unloaded", || versions(&fleet) == ["v2"]);
+    let answer = post(
+        fleet.caller(0),
+        "/v1/completions",
+        ACME_KEY,
+        &completion("order", 8, false),
+    );
+    let text = &answer.json()["choices"][0]["text"];
+    assert_eq!(*text, reference("v2", "order", 8));
+    assert_eq!(traffic.stop(), 0);
+}
+
+fn break_new_version(fleet: &Fleet) {
+    for target in &fleet.targets {
+        target.set_faults(&json!({"error_percent": 100, "error_versions": ["v2"]}));
+    }
+}
+
+/// Guards against a bad version that keeps its traffic, and against a status
+/// that says "taken back" too early or never.
+#[test]
+fn a_failing_version_is_taken_back() {
+    let fleet = moving_fleet(2);
+    break_new_version(&fleet);
+    let traffic = Traffic::start(&fleet);
+    submit_move(&fleet);
+    for entry in 0..2 {
+        eventually("the move is taken back", || {
+            let (state, share) = state(&fleet, entry);
+            assert_ne!(state, "done");
+            state == "taken_back" && share == 0
+        });
+        assert!(fleet.entries[entry].log_contains("YL7002"));
+    }
+    eventually("the new version is unloaded", || versions(&fleet) == ["v1"]);
+    traffic.stop();
+}
+
+/// Guards against a cut that needs the object API.
+#[test]
+fn a_failing_version_is_cut_without_the_object_api() {
+    let fleet = moving_fleet(2);
+    submit_move(&fleet);
+    eventually("the version has a share", || state(&fleet, 0).1 > 0);
+    fleet.set_platform_faults(&json!({"down": true}));
+    break_new_version(&fleet);
+    let traffic = Traffic::start(&fleet);
+    for entry in 0..2 {
+        eventually("the version is cut", || {
+            fleet.entries[entry].log_contains("YL7002")
+        });
+        let (state, share) = state(&fleet, entry);
+        assert_ne!(state, "taken_back", "nothing was recorded");
+        assert_eq!(share, 0);
+    }
+    fleet.set_platform_faults(&json!({"down": false}));
+    for entry in 0..2 {
+        eventually("the move is taken back", || {
+            state(&fleet, entry).0 == "taken_back"
+        });
+    }
+    traffic.stop();
+}
