--- a/src/process/entry/control/moves.rs
+++ b/src/process/entry/control/moves.rs
@@ -69,6 +69,9 @@
 /// Shortest time between reports after answers against the new version.
 const URGENT: Duration = Duration::from_millis(100);
 
+/// Moves of the configuration with their tickets.
+type WantedMoves = Rc<Vec<(u64, config::Move)>>;
+
 /// Move of one service.
 struct State {
     live: Arc<LiveMove>,
@@ -90,8 +93,8 @@
     /// Moves that cannot finish by the requested time, by ticket.
     infeasible: RefCell<BTreeMap<u64, String>>,
     read_at_us: Cell<u64>,
-    /// Moves of the configuration with their tickets, by its revision.
-    wanted: RefCell<(u64, Rc<Vec<(u64, config::Move)>>)>,
+    /// Moves of the configuration, with its revision.
+    wanted: RefCell<(u64, WantedMoves)>,
 }
 
 impl Control {
--- a/src/process/entry/control/moves/holder.rs
+++ b/src/process/entry/control/moves/holder.rs
@@ -7,7 +7,10 @@
     warn, //
 };
 
-use super::Control;
+use super::{
+    Control,
+    WantedMoves, //
+};
 use crate::{
     clock::US_PER_S,
     event::Event,
@@ -148,7 +151,7 @@
     }
 
     /// Returns the moves of the configuration with their tickets.
-    pub(super) fn wanted_moves(&self) -> Rc<Vec<(u64, config::Move)>> {
+    pub(super) fn wanted_moves(&self) -> WantedMoves {
         let revision = self.store.revision();
         let mut wanted = self.moves.wanted.borrow_mut();
         if wanted.0 != revision {
