--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -1,12 +1,15 @@
 //! State of an agent that both threads share.
 
-use std::sync::{
-    Mutex, PoisonError,
-    atomic::{
-        AtomicBool,
-        AtomicU64,
-        AtomicUsize,
-        Ordering, //
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            AtomicUsize,
+            Ordering, //
+        },
     },
 };
 
@@ -18,7 +21,10 @@
 
 use crate::{
     clock::Clock,
-    names::Incarnation,
+    names::{
+        Incarnation,
+        Name, //
+    },
     process::{
         cache_index::Answer,
         fair_queue,
@@ -26,8 +32,17 @@
     },
     request::prompt::BlockHash,
     settings::AgentSettings,
+    version::config::ServiceKind,
 };
 
+/// Requests without a first token that an engine holds. Two keep it busy while
+/// the order is decided in the queue as long as possible.
+const MAX_STARTING: usize = 2;
+
+/// Tokens per unit of weight and round. Weights in tickets are small numbers, so
+/// that a round is worth a typical prompt.
+const QUANTUM_TOKENS: u64 = 4_000;
+
 /// Load of the traffic thread, for reports.
 #[derive(Debug, Default)]
 pub(super) struct Load {
@@ -70,6 +85,7 @@
     announced: AtomicBool,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
+    running_versions: Mutex<BTreeMap<Name, u64>>,
     members_changed_at_us: AtomicU64,
 }
 
@@ -92,12 +108,27 @@
             announced: AtomicBool::new(false),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
+            running_versions: Mutex::default(),
             members_changed_at_us: AtomicU64::new(0),
         }
     }
 
     pub(super) fn queue_settings(&self) -> fair_queue::Settings {
-        fair_queue::Settings::default()
+        let queue = &self.settings.queue;
+        // Only an engine orders requests of its own; a plain server starts them
+        // at once.
+        let max_starting = match self.settings.target_kind {
+            ServiceKind::Model => MAX_STARTING,
+            ServiceKind::Plain => queue.max_running,
+        };
+        fair_queue::Settings {
+            max_queued: queue.max_requests,
+            slots: queue.max_running,
+            reserved_slots: queue.max_running / 2,
+            max_starting,
+            quantum_tokens: QUANTUM_TOKENS,
+            ..fair_queue::Settings::default()
+        }
     }
 
     /// Expected wait of a new attempt behind those that are queued.
@@ -150,6 +181,23 @@
         self.engine.store(engine.0, Ordering::Relaxed);
     }
 
+    /// Counts an attempt on a version until the result is dropped.
+    pub(super) fn use_version(self: &Arc<Self>, version: &Name) -> VersionUse {
+        let running = self.running_versions.lock();
+        let mut running = running.unwrap_or_else(PoisonError::into_inner);
+        *running.entry(version.clone()).or_default() += 1;
+        VersionUse {
+            context: Arc::clone(self),
+            version: version.clone(),
+        }
+    }
+
+    /// Attempts that have not ended, by version.
+    pub(super) fn running_versions(&self) -> BTreeMap<Name, u64> {
+        let running = self.running_versions.lock();
+        running.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Versions that the target serves; empty when the target does not say.
     pub(super) fn versions(&self) -> Vec<String> {
         let versions = self.versions.lock();
@@ -161,3 +209,22 @@
         *current = versions;
     }
 }
+
+/// Counts an attempt on a version until it is dropped.
+pub(super) struct VersionUse {
+    context: Arc<Context>,
+    version: Name,
+}
+
+impl Drop for VersionUse {
+    fn drop(&mut self) {
+        let running = self.context.running_versions.lock();
+        let mut running = running.unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = running.get_mut(&self.version) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&self.version);
+            }
+        }
+    }
+}
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -18,7 +18,10 @@
 use slog::info;
 
 use super::{
-    context::Answered,
+    context::{
+        Answered,
+        VersionUse, //
+    },
     keyed::{
         Recording,
         end, //
@@ -76,6 +79,7 @@
     pub(super) body: AttemptBody,
     pub(super) expires_at_us: u64,
     pub(super) recording: Recording,
+    pub(super) _version: VersionUse,
 }
 
 /// Measures of an attempt that has started.
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -144,6 +144,7 @@
         headers: forwarded_headers(request),
         body,
         expires_at_us: expires_at_us(context.clock.now_us(), head.budget_ms),
+        _version: context.use_version(&head.version),
         head,
         recording: Recording::default(),
     };
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -1,6 +1,7 @@
 //! Control messages between processes of the system, over JSON-RPC.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     time::Duration, //
 };
@@ -60,6 +61,13 @@
         BlockHash,
         Namespace, //
     },
+    version::{
+        evidence::pool::BlockCounts,
+        rollout::{
+            Move,
+            cut::Cut, //
+        },
+    },
 };
 
 /// Largest control message: a part of the configuration of [`PART_BYTES`] in
@@ -107,6 +115,81 @@
     pub leaving: bool,
 }
 
+/// What an agent has to do for a move.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderAction {
+    /// Only raise the fencing number.
+    Fence,
+    /// Load a version beside the others.
+    Load {
+        /// The version.
+        version: Name,
+    },
+    /// Unload a version.
+    Unload {
+        /// The version.
+        version: Name,
+    },
+}
+
+/// Order of the holder of a move to an agent. It may be repeated.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderRequest {
+    /// Service of the move.
+    pub service: Name,
+    /// Fencing number of the holder.
+    pub fencing: u64,
+    /// What to do.
+    pub action: OrderAction,
+}
+
+/// State of a target after its agent has taken an order. Orders to the target
+/// run in the background; the holder repeats the order to learn the outcome.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderAnswer {
+    /// Highest fencing number that the agent knows.
+    pub fencing: Option<u64>,
+    /// Versions that the target serves.
+    pub versions: Vec<Name>,
+    /// Version that the target loads now.
+    pub loading: Option<Name>,
+    /// Version whose last load failed.
+    pub failed: Option<Name>,
+    /// Requests that have not ended, by version.
+    pub running: BTreeMap<Name, u64>,
+}
+
+/// What an entry tells the holder of a move.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct MoveReport {
+    /// Service of the move.
+    pub service: Name,
+    /// Ticket of the move.
+    pub ticket: u64,
+    /// Entry that reports.
+    pub entry: Incarnation,
+    /// Step that it applies.
+    pub step: u64,
+    /// Requests of the old version that it runs.
+    pub running_from: u64,
+    /// Requests of the new version that it runs.
+    pub running_to: u64,
+    /// Latest evidence of each route.
+    pub evidence: Vec<BlockCounts>,
+    /// Cut that is in force at the entry.
+    pub cut: Option<Cut>,
+}
+
+/// Answer of the holder of a move.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct MoveAnswer {
+    /// Move as it is stored; `None` when the entry knows none of the service.
+    pub current: Option<Move>,
+    /// Cut that is in force at the holder.
+    pub cut: Option<Cut>,
+}
+
 /// Message that travels in binary form: base64 of postcard, about a third of the
 /// same message in JSON.
 ///
@@ -204,6 +287,10 @@
     /// Estimates cache and queue for a prompt.
     #[method(name = "probe")]
     async fn probe(&self, request: ProbeRequest) -> RpcResult<ProbeAnswer>;
+
+    /// Loads or unloads a version, unless the fencing number is old.
+    #[method(name = "order")]
+    async fn order(&self, request: OrderRequest) -> RpcResult<OrderAnswer>;
 }
 
 /// Methods of an entry.
@@ -220,6 +307,14 @@
     /// Takes a message of a ledger to a holder.
     #[method(name = "limit_directive")]
     async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<()>;
+
+    /// Takes the report of an entry to the holder of a move.
+    #[method(name = "move_report")]
+    async fn move_report(&self, report: MoveReport) -> RpcResult<MoveAnswer>;
+
+    /// Takes the notice that a peer has cut a version.
+    #[method(name = "cut")]
+    async fn cut(&self, cut: Cut) -> RpcResult<()>;
 }
 
 /// Report of a holder to a ledger or deputy.
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -297,6 +297,8 @@
         agent: json!({"idempotency_window_ms": 100}),
         ..Plan::default()
     });
+    // Limits need a ledger, which takes its epoch while the object API is up.
+    assert_eq!(send(&fleet, "first").status, 200);
     silence_platform(&fleet);
     eventually("the agent covers the window", || {
         send_keyed(&fleet, 0, "k", "a").status == 200
