--- a/src/bin/yuccalatch-replay/app.rs
+++ b/src/bin/yuccalatch-replay/app.rs
@@ -11,6 +11,8 @@
     evaluate::{
         Size,
         fairness,
+        limits,
+        moves,
         placement, //
     },
     report::{
@@ -28,7 +30,7 @@
        yuccalatch-replay slopes
 
 evaluate compares policies in virtual time and prints a table. Without a name,
-all evaluations run: placement, fairness. play sends the requests of a trace to
+all evaluations run: placement, fairness, limits, moves. play sends the requests of a trace to
 running entries and checks the outcomes that it states. load sends completions
 from a fixed number of streams. slopes measures how state, messages and processor
 time grow.
@@ -66,15 +68,24 @@
 pub(crate) enum Evaluation {
     Placement,
     Fairness,
+    Limits,
+    Moves,
 }
 
-const EVALUATIONS: [Evaluation; 2] = [Evaluation::Placement, Evaluation::Fairness];
+const EVALUATIONS: [Evaluation; 4] = [
+    Evaluation::Placement,
+    Evaluation::Fairness,
+    Evaluation::Limits,
+    Evaluation::Moves,
+];
 
 impl Evaluation {
     fn name(self) -> &'static str {
         match self {
             Self::Placement => "placement",
             Self::Fairness => "fairness",
+            Self::Limits => "limits",
+            Self::Moves => "moves",
         }
     }
 
@@ -82,6 +93,8 @@
         match self {
             Self::Placement => placement::run(seed, size),
             Self::Fairness => fairness::run(seed, size),
+            Self::Limits => limits::run(seed, size),
+            Self::Moves => moves::run(seed, size),
         }
     }
 }
--- a/src/replay/evaluate/limits.rs
+++ b/src/replay/evaluate/limits.rs
@@ -25,7 +25,28 @@
     Workload, //
 };
 
-use crate::replay::report::Measurement;
+use super::Size;
+use crate::{
+    clock::US_PER_S,
+    replay::report::Measurement, //
+};
+
+/// Duration of a full evaluation.
+const FULL_US: u64 = 60 * US_PER_S;
+
+/// Duration of a small evaluation.
+const SMALL_US: u64 = 20 * US_PER_S;
+
+/// Runs the comparison at a given size.
+pub fn run(seed: u64, size: Size) -> Vec<Measurement> {
+    evaluate(
+        seed,
+        match size {
+            Size::Small => SMALL_US,
+            Size::Full => FULL_US,
+        },
+    )
+}
 
 /// Runs all policies in all scenarios and returns the figures.
 ///
@@ -43,14 +64,14 @@
     let mut measurements = Vec::new();
     for scenario in Scenario::ALL {
         let workload = Workload::new(scenario, seed, duration_us);
-        measurements.extend(run(&workload, EqualSplit::new(&workload), seed));
-        measurements.extend(run(&workload, CentralCounter::new(&workload), seed));
-        measurements.extend(run(&workload, GossipEstimate::new(&workload), seed));
-        measurements.extend(run(&workload, ConservedShares::new(&workload), seed));
+        measurements.extend(run_policy(&workload, EqualSplit::new(&workload), seed));
+        measurements.extend(run_policy(&workload, CentralCounter::new(&workload), seed));
+        measurements.extend(run_policy(&workload, GossipEstimate::new(&workload), seed));
+        measurements.extend(run_policy(&workload, ConservedShares::new(&workload), seed));
     }
     measurements
 }
 
-fn run<P: Policy>(workload: &Workload, policy: P, seed: u64) -> Vec<Measurement> {
+fn run_policy<P: Policy>(workload: &Workload, policy: P, seed: u64) -> Vec<Measurement> {
     Simulation::new(workload, policy, seed).run()
 }
--- a/src/replay/slopes/control.rs
+++ b/src/replay/slopes/control.rs
@@ -48,6 +48,9 @@
 const LOG_ENTRIES: [usize; 3] = [8, 16, 64];
 const ACCOUNTS: [usize; 3] = [1, 8, 64];
 
+/// Organisations in one ticket, which keeps it below the limit of its size.
+const TICKET_ORGANISATIONS: usize = 1_000;
+
 /// Measures all slopes of the control state.
 pub(super) fn measure(allocated: Allocated) -> Vec<Slope> {
     vec![
@@ -66,7 +69,7 @@
             "ticket with one key: fold and publish, us",
             "organisation with a key",
             &ORGANISATIONS,
-            |n| (configuration(n), 2),
+            |n| (configuration(n), next_ticket(n)),
             |(fold, next)| {
                 let ticket = ticket(*next, vec![key(0, *next)]);
                 fold.apply(*next, &ticket);
@@ -141,10 +144,19 @@
     }
 }
 
+fn next_ticket(organisations: usize) -> u64 {
+    organisations.div_ceil(TICKET_ORGANISATIONS) as u64 + 1
+}
+
 fn configuration(organisations: usize) -> Fold {
     let mut fold = Fold::default();
-    let set = (0..organisations).flat_map(|number| [organisation(number), key(number, 0)]);
-    fold.apply(1, &ticket(1, set.collect()));
+    let numbers: Vec<usize> = (0..organisations).collect();
+    for (number, part) in (1..).zip(numbers.chunks(TICKET_ORGANISATIONS)) {
+        let set = part
+            .iter()
+            .flat_map(|&own| [organisation(own), key(own, 0)]);
+        fold.apply(number, &ticket(number, set.collect()));
+    }
     fold
 }
 
