--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -2,6 +2,7 @@
 
 mod context;
 mod control;
+mod keyed;
 mod output;
 mod runner;
 mod server;
@@ -17,9 +18,12 @@
 };
 
 use error_stack::ResultExt;
-use ntex::web::{
-    self,
-    App, //
+use ntex::{
+    time::Seconds,
+    web::{
+        self,
+        App, //
+    },
 };
 use slog::{
     Logger,
@@ -112,8 +116,8 @@
     })
     .workers(1)
     .disable_signals()
-    .config(client::server_config("agent"))
-    .shutdown_timeout(ntex::time::Seconds(1))
+    .shutdown_timeout(Seconds(1))
+    .config(client::server_config("attempts"))
     .listen(data)
     .change_context(ErrorKind::Io)?
     .run();
@@ -130,10 +134,16 @@
     let drain_until_us = context.clock.now_us() + drain_us;
     info!(context.log, "agent stops";
         "event" => Event::Stopping, "drain_until_us" => drain_until_us);
+    let linger_until_us = context.clock.now_us() + stop::LINGER_US.min(drain_us);
+    let announce_until_us = linger_until_us + stop::LINGER_US;
     while context.clock.now_us() < drain_until_us {
+        let now_us = context.clock.now_us();
+        let is_told = context.is_announced() || now_us >= announce_until_us;
         let queued = context.load.queued.load(Ordering::Relaxed);
         let running = context.load.running.load(Ordering::Relaxed);
-        if queued + running == 0 {
+        let undelivered = context.load.undelivered.load(Ordering::Relaxed);
+        let is_idle = queued + running + undelivered == 0;
+        if is_idle && is_told && now_us >= linger_until_us {
             break;
         }
         tokio::time::sleep(DRAIN_CHECK).await;
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -1,21 +1,30 @@
 //! State of an agent that both threads share.
 
-use std::sync::{
-    Mutex, PoisonError,
-    atomic::{
-        AtomicBool,
-        AtomicU64,
-        AtomicUsize,
-        Ordering, //
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            AtomicUsize,
+            Ordering, //
+        },
     },
 };
 
 use slog::Logger;
-use tokio::sync::mpsc;
+use tokio::sync::{
+    Notify,
+    mpsc, //
+};
 
 use crate::{
     clock::Clock,
-    names::Incarnation,
+    names::{
+        Incarnation,
+        Name, //
+    },
     process::{
         cache_index::Answer,
         fair_queue,
@@ -23,13 +32,24 @@
     },
     request::prompt::BlockHash,
     settings::AgentSettings,
+    version::config::ServiceKind,
 };
 
+/// Requests without a first token that an engine holds. Two keep it busy while
+/// the order is decided in the queue as long as possible.
+const MAX_STARTING: usize = 2;
+
+/// Tokens per unit of weight and round. Weights in tickets are small numbers, so
+/// that a round is worth a typical prompt.
+const QUANTUM_TOKENS: u64 = 4_000;
+
 /// Load of the traffic thread, for reports.
 #[derive(Debug, Default)]
 pub(super) struct Load {
     pub(super) queued: AtomicUsize,
     pub(super) running: AtomicUsize,
+    /// Streams that an entry has not received completely.
+    pub(super) undelivered: AtomicUsize,
     /// Moving average of the time that an attempt occupies a place.
     pub(super) service_us: AtomicU64,
 }
@@ -59,9 +79,14 @@
     pub(super) metrics: Metrics,
     pub(super) load: Load,
     pub(super) answered: mpsc::Sender<Answered>,
+    /// Told when the state that collectors should know of has changed.
+    pub(super) changed: Notify,
     leaving: AtomicBool,
+    announced: AtomicBool,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
+    running_versions: Mutex<BTreeMap<Name, u64>>,
+    members_changed_at_us: AtomicU64,
 }
 
 impl Context {
@@ -78,14 +103,32 @@
             metrics: Metrics::new(),
             load: Load::default(),
             answered,
+            changed: Notify::new(),
             leaving: AtomicBool::new(false),
+            announced: AtomicBool::new(false),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
+            running_versions: Mutex::default(),
+            members_changed_at_us: AtomicU64::new(0),
         }
     }
 
     pub(super) fn queue_settings(&self) -> fair_queue::Settings {
-        fair_queue::Settings::default()
+        let queue = &self.settings.queue;
+        // Only an engine orders requests of its own; a plain server starts them
+        // at once.
+        let max_starting = match self.settings.target_kind {
+            ServiceKind::Model => MAX_STARTING,
+            ServiceKind::Plain => queue.max_running,
+        };
+        fair_queue::Settings {
+            max_queued: queue.max_requests,
+            slots: queue.max_running,
+            reserved_slots: queue.max_running / 2,
+            max_starting,
+            quantum_tokens: QUANTUM_TOKENS,
+            ..fair_queue::Settings::default()
+        }
     }
 
     /// Expected wait of a new attempt behind those that are queued.
@@ -96,12 +139,37 @@
         queued.saturating_mul(service_us) / slots
     }
 
+    /// Notes that the members of this target's service have changed, so that
+    /// idempotency keys may have been run by another agent until now.
+    #[expect(
+        dead_code,
+        reason = "the control thread does not follow the configuration yet"
+    )]
+    pub(super) fn note_members_changed(&self) {
+        let now_us = self.clock.now_us();
+        self.members_changed_at_us.store(now_us, Ordering::Relaxed);
+    }
+
+    pub(super) fn members_changed_at_us(&self) -> u64 {
+        self.members_changed_at_us.load(Ordering::Relaxed)
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
 
     pub(super) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.changed.notify_one();
+    }
+
+    /// Whether the collectors have been told that the agent is leaving.
+    pub(super) fn is_announced(&self) -> bool {
+        self.announced.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_announced(&self) {
+        self.announced.store(true, Ordering::Relaxed);
     }
 
     /// Incarnation of the engine's cache, as last seen.
@@ -113,6 +181,23 @@
         self.engine.store(engine.0, Ordering::Relaxed);
     }
 
+    /// Counts an attempt on a version until the result is dropped.
+    pub(super) fn use_version(self: &Arc<Self>, version: &Name) -> VersionUse {
+        let running = self.running_versions.lock();
+        let mut running = running.unwrap_or_else(PoisonError::into_inner);
+        *running.entry(version.clone()).or_default() += 1;
+        VersionUse {
+            context: Arc::clone(self),
+            version: version.clone(),
+        }
+    }
+
+    /// Attempts that have not ended, by version.
+    pub(super) fn running_versions(&self) -> BTreeMap<Name, u64> {
+        let running = self.running_versions.lock();
+        running.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Versions that the target serves; empty when the target does not say.
     pub(super) fn versions(&self) -> Vec<String> {
         let versions = self.versions.lock();
@@ -124,3 +209,22 @@
         *current = versions;
     }
 }
+
+/// Counts an attempt on a version until it is dropped.
+pub(super) struct VersionUse {
+    context: Arc<Context>,
+    version: Name,
+}
+
+impl Drop for VersionUse {
+    fn drop(&mut self) {
+        let running = self.context.running_versions.lock();
+        let mut running = running.unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = running.get_mut(&self.version) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&self.version);
+            }
+        }
+    }
+}
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,10 +1,14 @@
 //! The entry process: everything between callers and agents.
 
+mod admission;
 mod answer;
 mod attempt;
+mod connections;
 mod context;
 mod control;
 mod forward;
+mod moves;
+mod probe;
 mod request;
 mod server;
 mod worker;
@@ -33,6 +37,8 @@
     info, //
 };
 
+use tokio::sync::mpsc;
+
 use self::{
     context::Context,
     worker::Worker, //
@@ -54,6 +60,19 @@
     settings::EntrySettings,
 };
 
+/// Longest time until a header section is complete.
+const HEADER_TIMEOUT: Seconds = Seconds(5);
+
+/// Largest header section. Together with the head of an attempt it fits into the
+/// 64 KiB that agents accept.
+const MAX_HEADER_BYTES: usize = 32 << 10;
+
+/// Requests with idempotency keys that wait for the control thread.
+const RECORD_CAPACITY: usize = 1_024;
+
+/// Answers whose evidence waits for the control thread; more are not counted.
+const SAMPLE_CAPACITY: usize = 4_096;
+
 /// Interval between checks whether the last request has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -76,7 +95,9 @@
     let caller = stop::bind(settings.caller_address)?;
     let control = stop::bind(settings.control_address)?;
     let admin = stop::bind(settings.admin_address)?;
-    let context = Arc::new(Context::new(settings, log.clone()));
+    let (records, record_requests) = mpsc::channel(RECORD_CAPACITY);
+    let (samples, sample_inbox) = mpsc::channel(SAMPLE_CAPACITY);
+    let context = Arc::new(Context::new(settings, log.clone(), records, samples));
     info!(log, "entry listens";
         "event" => Event::Started,
         "incarnation" => %context.incarnation,
@@ -85,7 +106,9 @@
         "admin_address" => %stop::local(&admin)?);
     let shared = Arc::clone(&context);
     stop::spawn_system("control", move || async move {
-        if let Err(report) = control::run(Arc::clone(&shared), control).await {
+        if let Err(report) =
+            control::run(Arc::clone(&shared), control, record_requests, sample_inbox).await
+        {
             error!(shared.log, "control thread failed";
                 "event" => Event::Fatal, "error" => ?report);
         }
@@ -102,7 +125,8 @@
     });
     let shared = Arc::clone(&context);
     let http = HttpServiceConfig::new()
-        .set_client_timeout(Seconds(10))
+        .set_client_timeout(HEADER_TIMEOUT)
+        .set_max_buf_size(MAX_HEADER_BYTES)
         .set_keepalive(Seconds(60));
     let server = web::HttpServer::new(async move || {
         let worker = Worker::new(Arc::clone(&shared)).await;
@@ -130,8 +154,12 @@
     let drain_until_us = context.clock.now_us() + drain_us;
     info!(context.log, "entry stops";
         "event" => Event::Stopping, "drain_until_us" => drain_until_us);
+    let linger_until_us = context.clock.now_us() + stop::LINGER_US;
     while context.clock.now_us() < drain_until_us {
-        if context.running.load(Ordering::Relaxed) == 0 {
+        let is_lingering = context.clock.now_us() < linger_until_us;
+        let is_told = context.is_announced() && context.are_shares_released();
+        let is_told = is_told || !is_lingering;
+        if context.running.load(Ordering::Relaxed) == 0 && is_told {
             break;
         }
         tokio::time::sleep(DRAIN_CHECK).await;
--- /dev/null
+++ b/src/process/entry/admission.rs
@@ -0,0 +1,103 @@
+//! Reserves the tokens of a request before it is placed.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use error_stack::Report;
+
+use super::{
+    context::Context,
+    request::Request, //
+};
+use crate::{
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::Name,
+    process::limits::{
+        message::Amount,
+        meter::Meter, //
+    },
+    request::admission::{
+        Admission,
+        Cost,
+        Reservation,
+        Waiting,
+        reserve, //
+    },
+};
+
+/// A waiting request looks again after this time even when no share arrives,
+/// because a share may arrive between the check and the wait.
+const RECHECK_US: u64 = 50 * US_PER_MS;
+
+/// Bound for the first meter of a new organisation.
+const METER_WITHIN_US: u64 = US_PER_S;
+
+const METER_RECHECK_US: u64 = 10 * US_PER_MS;
+
+/// Waits until the organisation's share covers a request.
+///
+/// Requests without an organisation are not limited here.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::RateLimited`] or [`ErrorKind::CostAboveBurst`].
+pub(super) async fn admit(
+    context: &Context,
+    request: &Request,
+    cost: Cost,
+) -> Result<Option<Reservation>> {
+    let organisation = request
+        .organisation
+        .and_then(|key| request.config.organisation(key));
+    let Some(organisation) = organisation else {
+        return Ok(None);
+    };
+    let meter = meter(context, &organisation.name).await?;
+    let limits = Amount {
+        rate_tokens_per_s: organisation.rate_tokens_per_s,
+        burst_tokens: organisation.burst_tokens,
+    };
+    let now_us = context.clock.now_us();
+    match reserve(&meter, cost, limits, request.expires_at_us, now_us)? {
+        Admission::Admitted(reservation) => Ok(Some(reservation)),
+        Admission::Waiting(waiting) => wait(context, waiting).await.map(Some),
+    }
+}
+
+/// Returns the meter of an organisation. The meters follow the configuration
+/// within one round of the control thread.
+async fn meter(context: &Context, organisation: &Name) -> Result<Arc<Meter>> {
+    let expires_at_us = context.clock.now_us() + METER_WITHIN_US;
+    loop {
+        if let Some(meter) = context.meters.load().get(organisation) {
+            return Ok(Arc::clone(meter));
+        }
+        if context.clock.now_us() >= expires_at_us {
+            return Err(Report::new(ErrorKind::NotReady));
+        }
+        tokio::time::sleep(Duration::from_micros(METER_RECHECK_US)).await;
+    }
+}
+
+async fn wait(context: &Context, mut waiting: Waiting) -> Result<Reservation> {
+    loop {
+        let changed = context.shares_changed.notified();
+        let now_us = context.clock.now_us();
+        let wait_us = waiting.retry_at_us().saturating_sub(now_us);
+        let pause = Duration::from_micros(wait_us.clamp(US_PER_MS, RECHECK_US));
+        // Either way the bucket is looked at again.
+        let _ = tokio::time::timeout(pause, changed).await;
+        if let Some(reservation) = waiting.retry(context.clock.now_us())? {
+            return Ok(reservation);
+        }
+    }
+}
--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one agent, as the entry sees it.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -13,7 +14,10 @@
         ClientRequest,
         ClientResponse, //
     },
-    http::Payload,
+    http::{
+        Payload,
+        body::Body, //
+    },
     util::Bytes,
 };
 use slog::info;
@@ -23,7 +27,8 @@
     connection::{
         attempt::{
             ATTEMPT_HEADER,
-            AttemptHead, //
+            AttemptHead,
+            UPLOAD_HEADER, //
         },
         frame,
         liveness::{
@@ -42,17 +47,26 @@
     event::Event,
     process::{
         agent::BarAnswer,
-        client, //
+        client,
+        upload::Upload, //
     },
 };
 
 /// Time without a frame after which a connection counts as silent.
 const SILENCE: Duration = Duration::from_micros(HEARTBEAT_US * MISSED_HEARTBEATS);
 
-/// New connections that are tried for one stream before it is given up. Three
-/// cover the silence of a link for about five seconds.
+/// New connections in a row that are tried for one stream before it is given
+/// up. Three cover the silence of a link for about five seconds.
 const MAX_RESUMES: u32 = 3;
 
+/// Body of an attempt.
+pub(super) enum Outgoing {
+    /// One that can be sent again.
+    Kept(Bytes),
+    /// One that passes through.
+    Upload(Rc<Upload>),
+}
+
 /// One attempt of a request at one agent.
 pub(super) struct Attempt {
     worker: Rc<Worker>,
@@ -63,10 +77,14 @@
     buffer: BytesMut,
     reassembly: Reassembly,
     resumes: u32,
+    acknowledgement_lost: Rc<Cell<bool>>,
+    /// Whether the connection was refused before a byte of the attempt was sent.
+    pub(super) is_unsent: bool,
 }
 
 impl Attempt {
-    /// Sends an attempt and returns when the agent has accepted the request.
+    /// Sends an attempt and returns when the agent has accepted the request. A
+    /// retry opens a new connection.
     ///
     /// # Errors
     ///
@@ -77,7 +95,8 @@
         address: SocketAddr,
         head: AttemptHead,
         headers: &[(String, String)],
-        body: Bytes,
+        body: Outgoing,
+        is_retry: bool,
     ) -> (Self, Result<()>) {
         let mut attempt = Self {
             worker: Rc::clone(worker),
@@ -87,20 +106,47 @@
             buffer: BytesMut::new(),
             reassembly: Reassembly::new(),
             resumes: 0,
+            acknowledgement_lost: Rc::default(),
+            is_unsent: false,
             head,
         };
-        let sent = attempt.post(headers, body).await;
+        let sent = attempt.post(headers, body, is_retry).await;
         (attempt, sent)
     }
 
-    async fn post(&mut self, headers: &[(String, String)], body: Bytes) -> Result<()> {
-        let url = client::url(self.address, "/attempts");
-        let mut request = self.worker.client.post(url);
+    async fn post(
+        &mut self,
+        headers: &[(String, String)],
+        body: Outgoing,
+        is_retry: bool,
+    ) -> Result<()> {
+        let mut request = if is_retry {
+            // Other kept connections may have gone silent like the first.
+            self.fresh("POST", "/attempts")
+        } else {
+            self.worker
+                .client
+                .post(client::url(self.address, "/attempts"))
+        };
         for (name, value) in headers {
             request = request.header(name.as_str(), value.as_str());
         }
         request = request.set_header(ATTEMPT_HEADER, self.head.encode()?);
-        let response = within(SILENCE, request.send_body(body)).await?;
+        let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
+        let (body, limit) = match body {
+            Outgoing::Kept(body) => (body.into(), SILENCE),
+            Outgoing::Upload(upload) => {
+                request = request.set_header(UPLOAD_HEADER, "1");
+                // The caller sets the pace; the request's deadline is the bound.
+                let limit = Duration::from_millis(self.head.budget_ms) + SILENCE;
+                (upload.body(), limit)
+            }
+        };
+        let answer = tokio::time::timeout(limit, request.send_body::<Body>(body)).await;
+        let response = answer.map_err(|_| lost())?.map_err(|error| {
+            self.is_unsent = client::is_unsent(&error);
+            lost()
+        })?;
         self.use_response(&response)
     }
 
@@ -123,8 +169,9 @@
     pub(super) async fn next(&mut self) -> Result<Accepted> {
         loop {
             match self.read_frame().await {
-                Ok(Accepted::Nothing) => {}
+                Ok(Accepted::Nothing) => self.acknowledge(),
                 Ok(accepted) => {
+                    self.resumes = 0;
                     self.acknowledge();
                     return Ok(accepted);
                 }
@@ -146,7 +193,10 @@
         loop {
             match self.read_frame().await? {
                 Accepted::Nothing => {}
-                accepted => return Ok(accepted),
+                accepted => {
+                    self.acknowledge();
+                    return Ok(accepted);
+                }
             }
         }
     }
@@ -215,18 +265,40 @@
     }
 
     fn acknowledge(&mut self) {
+        let was_lost = self.acknowledgement_lost.take();
+        if was_lost {
+            self.reassembly.acknowledgement_lost();
+        }
         let Some(next) = self.reassembly.take_acknowledgement() else {
             return;
         };
         let path = format!("/attempts/{}/ack?next={next}", self.head.id);
-        let request = self.worker.client.post(client::url(self.address, &path));
+        let request = if was_lost {
+            self.fresh("POST", &path)
+        } else {
+            self.worker.client.post(client::url(self.address, &path))
+        };
+        let lost = Rc::clone(&self.acknowledgement_lost);
         ntex::rt::spawn(async move {
-            // The agent keeps the chunks a little longer when this is lost.
-            let _ = within(SILENCE, request.send()).await;
+            // The agent stops reading from the target until it hears this, so a
+            // lost one is sent again with the next frame or heartbeat.
+            let answer = within(SILENCE, request.send()).await;
+            lost.set(lost.get() || answer.is_err());
         });
     }
 }
 
+/// An attempt that nobody reads any more is cancelled if the route allows it to
+/// run again; any other runs to its end.
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if self.head.idempotent && !self.is_unsent && !self.reassembly.is_ended() {
+            let path = format!("/attempts/{}/cancel", self.head.id);
+            self.worker.cancel(client::url(self.address, &path));
+        }
+    }
+}
+
 async fn within<T, E>(
     limit: Duration,
     call: impl Future<Output = std::result::Result<T, E>>,
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -15,11 +15,29 @@
 
 use arc_swap::ArcSwap;
 use slog::Logger;
+use tokio::sync::{
+    Notify,
+    mpsc,
+    oneshot, //
+};
 
+use super::{
+    control::Meters,
+    moves::{
+        LiveMoves,
+        MoveSample,
+        RunningVersions, //
+    },
+};
 use crate::{
-    clock::Clock,
+    clock::{
+        Clock,
+        US_PER_MS,
+        US_PER_S, //
+    },
     names::{
         AttemptId,
+        Digest,
         Incarnation,
         Name, //
     },
@@ -55,15 +73,49 @@
     pub(super) metrics: Metrics,
     pub(super) config: ArcSwap<Config>,
     pub(super) targets: ArcSwap<TargetViews>,
+    pub(super) meters: ArcSwap<Meters>,
+    pub(super) moves: ArcSwap<LiveMoves>,
+    pub(super) running_versions: RunningVersions,
+    /// Takes evidence to the control thread.
+    pub(super) samples: mpsc::Sender<MoveSample>,
+    /// Told when a share of any organisation has grown.
+    pub(super) shares_changed: Notify,
     /// Requests that have not been answered completely.
     pub(super) running: AtomicUsize,
     next_sequence: AtomicU64,
     leaving: AtomicBool,
-    keys_stale: AtomicBool,
+    shares_released: AtomicBool,
+    keys_stale_at_us: AtomicU64,
+    /// Told when the state that peers should know of has changed.
+    pub(super) changed: Notify,
+    announced: AtomicBool,
+    /// Asks the control thread for records of idempotency keys.
+    pub(super) records: mpsc::Sender<RecordRequest>,
+    platform_heard_at_us: AtomicU64,
+    platform_failed_at_us: AtomicU64,
 }
 
+/// Request for the record of an idempotency key.
+pub(super) struct RecordRequest {
+    pub(super) key: Digest,
+    /// Agent that would run the request.
+    pub(super) agent: Incarnation,
+    /// Whether the record belongs to that agent; `None` when the object API
+    /// cannot vouch for it.
+    pub(super) answer: oneshot::Sender<Option<bool>>,
+}
+
+/// Longest time between two answers of the object API that still counts as
+/// continuous service: one watch call with its bound.
+const PLATFORM_GAP_US: u64 = 20 * US_PER_S;
+
 impl Context {
-    pub(super) fn new(settings: EntrySettings, log: Logger) -> Self {
+    pub(super) fn new(
+        settings: EntrySettings,
+        log: Logger,
+        records: mpsc::Sender<RecordRequest>,
+        samples: mpsc::Sender<MoveSample>,
+    ) -> Self {
         Self {
             settings,
             log,
@@ -72,10 +124,21 @@
             metrics: Metrics::new(),
             config: ArcSwap::default(),
             targets: ArcSwap::default(),
+            meters: ArcSwap::default(),
+            moves: ArcSwap::default(),
+            running_versions: RunningVersions::default(),
+            samples,
+            shares_changed: Notify::new(),
+            shares_released: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             next_sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
-            keys_stale: AtomicBool::new(false),
+            keys_stale_at_us: AtomicU64::new(0),
+            changed: Notify::new(),
+            announced: AtomicBool::new(false),
+            records,
+            platform_heard_at_us: AtomicU64::new(0),
+            platform_failed_at_us: AtomicU64::new(0),
         }
     }
 
@@ -87,21 +150,67 @@
         }
     }
 
+    /// Whether all shares were handed back before a stop.
+    pub(super) fn are_shares_released(&self) -> bool {
+        self.shares_released.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_shares_released(&self, released: bool) {
+        self.shares_released.store(released, Ordering::Relaxed);
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
 
     pub(super) fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.changed.notify_one();
+    }
+
+    /// Whether the peers have been told that the entry is leaving.
+    pub(super) fn is_announced(&self) -> bool {
+        self.announced.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_announced(&self) {
+        self.announced.store(true, Ordering::Relaxed);
     }
 
     /// Whether withdrawals of keys may have been missed.
+    ///
+    /// The time is compared for every request, because a process that resumes
+    /// after a pause serves before its control thread has run.
     pub(super) fn are_keys_stale(&self) -> bool {
-        self.keys_stale.load(Ordering::Relaxed)
+        self.clock.now_us() >= self.keys_stale_at_us.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_keys_stale_at(&self, stale_at_us: u64) {
+        self.keys_stale_at_us.store(stale_at_us, Ordering::Relaxed);
+    }
+
+    /// Notes whether the object API answered just now.
+    pub(super) fn note_platform(&self, is_up: bool) {
+        let now_us = self.clock.now_us();
+        let heard_at_us = self.platform_heard_at_us.load(Ordering::Relaxed);
+        if !is_up || now_us.saturating_sub(heard_at_us) > PLATFORM_GAP_US {
+            self.platform_failed_at_us.store(now_us, Ordering::Relaxed);
+        }
+        if is_up {
+            self.platform_heard_at_us.store(now_us, Ordering::Relaxed);
+        }
     }
 
-    pub(super) fn set_keys_stale(&self, stale: bool) {
-        self.keys_stale.store(stale, Ordering::Relaxed);
+    /// Whether the object API is known to have answered throughout the window of
+    /// idempotency keys.
+    pub(super) fn has_platform_covered_window(&self) -> bool {
+        let now_us = self.clock.now_us();
+        let heard_at_us = self.platform_heard_at_us.load(Ordering::Relaxed);
+        let failed_at_us = self.platform_failed_at_us.load(Ordering::Relaxed);
+        let window_us = self.settings.idempotency_window_ms * US_PER_MS;
+        heard_at_us > 0
+            && now_us.saturating_sub(heard_at_us) <= PLATFORM_GAP_US
+            && now_us.saturating_sub(failed_at_us) >= window_us
     }
 
     /// Whether a configuration has been received.
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -16,11 +16,13 @@
 use slog::info;
 
 use super::{
+    admission::admit,
     answer::{
         REQUEST_ID,
         error_event,
         error_response, //
     },
+    connections::BusyGuard,
     context::RunningGuard,
     forward::Call,
     request::{
@@ -39,7 +41,11 @@
     },
     event::Event,
     names::Name,
-    process::metrics::OrganisationMetrics,
+    process::{
+        metrics::OrganisationMetrics,
+        upload, //
+    },
+    request::admission::Reservation,
     version::config::ServiceKind,
 };
 
@@ -82,16 +88,26 @@
 }
 
 async fn handle(worker: State, request: HttpRequest, payload: web::types::Payload) -> HttpResponse {
-    let payload = payload.into_inner();
+    let mut payload = payload.into_inner();
     let id = request_id(&request);
-    let guard = RunningGuard::new(&worker.context);
-    let request = match Request::read(&worker.context, id.clone(), &request, payload).await {
+    let guard = (
+        RunningGuard::new(&worker.context),
+        worker.connections.enter(&request),
+    );
+    let request = match Request::read(&worker.context, id.clone(), &request, &mut payload).await {
         Ok(request) => request,
-        Err(report) => return refuse(&worker, &id, PUBLIC, &report),
+        Err(report) => {
+            upload::discard(&mut payload).await;
+            return refuse(&worker, &id, PUBLIC, &report);
+        }
     };
     let organisation = request.organisation_name.clone();
     let metrics = worker.context.metrics.organisation(&organisation);
     let mut call = Call::new(&worker, request);
+    let reservation = match admit(&worker.context, &call.request, call.cost()).await {
+        Ok(reservation) => reservation,
+        Err(report) => return refuse(&worker, &id, &organisation, &report),
+    };
     match call.start().await {
         Ok(head) => {
             let relay = Relay {
@@ -101,11 +117,27 @@
                 organisation,
                 last_at_us: None,
                 ended: false,
+                reservation,
                 _guard: guard,
             };
-            relay.answer(&head).await
+            relay.answer(head).await
+        }
+        Err(report) => {
+            if report.current_context().is_not_run() {
+                settle(&worker, reservation, 0);
+            }
+            if let Some(upload) = &call.request.upload {
+                upload.discard().await;
+            }
+            refuse(&worker, &id, &organisation, &report)
         }
-        Err(report) => refuse(&worker, &id, &organisation, &report),
+    }
+}
+
+/// Ends a reservation and refunds what was not used.
+fn settle(worker: &Worker, reservation: Option<Reservation>, used_tokens: u64) {
+    if let Some(reservation) = reservation {
+        reservation.settle(used_tokens, worker.context.clock.now_us());
     }
 }
 
@@ -143,29 +175,48 @@
     organisation: Name,
     last_at_us: Option<u64>,
     ended: bool,
-    _guard: RunningGuard,
+    reservation: Option<Reservation>,
+    _guard: (RunningGuard, Option<BusyGuard>),
 }
 
 impl Relay {
-    async fn answer(mut self, head: &Head) -> HttpResponse {
+    async fn answer(mut self, head: Head) -> HttpResponse {
         let id = self.call.request.id.clone();
-        let is_event_stream = self.call.request.is_stream() && head.status == 200;
+        let mut head = head;
+        let mut is_event_stream = self.call.request.is_stream() && head.status == 200;
         let mut collected: Vec<u8> = Vec::new();
         let mut is_whole = false;
         while !is_event_stream && !is_whole && collected.len() < COLLECT_BYTES {
             match self.next().await {
                 Ok(Some(data)) => collected.extend_from_slice(&data),
                 Ok(None) => is_whole = true,
-                Err(report) => return refuse(&self.worker, &id, &self.organisation, &report),
+                Err(report) => match self.call.start_over(*report.current_context()).await {
+                    Ok(other) => {
+                        head = other;
+                        is_event_stream = self.call.request.is_stream() && head.status == 200;
+                        collected.clear();
+                        self.ended = false;
+                    }
+                    Err(report) => {
+                        return refuse(&self.worker, &id, &self.organisation, &report);
+                    }
+                },
             }
         }
-        let mut response = self.response_builder(head, &id);
+        if is_whole {
+            let used_tokens = self.call.used_tokens(&collected);
+            settle(&self.worker, self.reservation.take(), used_tokens);
+        }
+        let is_leaving = self.worker.context.is_leaving();
+        let mut response = self.response_builder(&head, &id);
         let mut response = if is_whole {
             response.body(collected)
         } else {
             response.streaming(self.into_stream(collected))
         };
-        self_close(&mut response, head.leaving);
+        if is_leaving {
+            close_connection(&mut response);
+        }
         response
     }
 
@@ -209,6 +260,10 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
+        if self.call.request.is_stream() {
+            let used_tokens = self.call.used_tokens(&[]);
+            settle(&self.worker, self.reservation.take(), used_tokens);
+        }
         let total_us = now_us - self.call.request.arrived_at_us;
         self.metrics.total.observe(total_us as f64 / 1e6);
         if failure.is_none() {
@@ -269,9 +324,3 @@
         }
     }
 }
-
-fn self_close(response: &mut HttpResponse, leaving: bool) {
-    if leaving {
-        close_connection(response);
-    }
-}
