--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -1,8 +1,10 @@
 //! Runs a request: attempts, retries and the stream that follows.
 
+mod cost;
 mod keyed;
 mod settle;
 mod stream;
+mod target;
 
 use std::rc::Rc;
 
@@ -10,7 +12,10 @@
 use ntex::util::Bytes;
 use slog::info;
 
-use self::stream::truthful_after_start;
+use self::{
+    stream::truthful_after_start,
+    target::empty_prompt, //
+};
 use super::{
     attempt::{
         Attempt,
@@ -27,12 +32,7 @@
     },
 };
 use crate::{
-    clock::US_PER_MS,
     connection::{
-        attempt::{
-            AttemptHead,
-            MAX_HEAD_BLOCKS, //
-        },
         frame::Head,
         liveness::{
             HEARTBEAT_US,
@@ -47,16 +47,9 @@
     },
     event::Event,
     names::Name,
-    process::rpc::ProbeRequest,
     request::{
-        admission::Cost,
         openai::stream::CompletionStream,
-        prompt::{
-            BlockSize,
-            Namespace,
-            Prompt,
-            cut, //
-        },
+        prompt::Prompt,
         retry::{
             Deadline,
             Phase,
@@ -72,12 +65,6 @@
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: usize = 4;
 
-/// Bytes in an assumed token of a plain request.
-const BYTES_PER_TOKEN: u64 = 4;
-
-/// Output bound of a completion that states none.
-const DEFAULT_OUTPUT_TOKENS: u32 = 1_024;
-
 /// A request that is being run.
 pub(super) struct Call {
     worker: Rc<Worker>,
@@ -129,41 +116,6 @@
         }
     }
 
-    /// Returns the tokens that the request may use.
-    pub(super) fn cost(&self) -> Cost {
-        match &self.request.completion {
-            Some(completion) => Cost {
-                prompt_tokens: completion.prompt_tokens(),
-                output_bound_tokens: completion.output_tokens(DEFAULT_OUTPUT_TOKENS),
-            },
-            None => {
-                let upload = self.request.upload.as_ref();
-                let upload_bytes = upload.and_then(|upload| upload.length_bytes());
-                let body_bytes = self.request.body.len() as u64 + upload_bytes.unwrap_or(0);
-                Cost {
-                    prompt_tokens: 1 + body_bytes / BYTES_PER_TOKEN,
-                    output_bound_tokens: 0,
-                }
-            }
-        }
-    }
-
-    fn cost_tokens(&self) -> u64 {
-        self.cost().total_tokens().get()
-    }
-
-    /// Returns the tokens that a request has used whose answer is complete.
-    ///
-    /// An answer that does not tell counts with its bound.
-    pub(super) fn used_tokens(&self, whole_answer: &[u8]) -> u64 {
-        let cost = self.cost();
-        let emitted_tokens = match &self.stream {
-            Some(stream) => Some(u64::from(stream.emitted_tokens())),
-            None => completion_tokens(whole_answer),
-        };
-        cost.prompt_tokens + emitted_tokens.unwrap_or(cost.output_bound_tokens)
-    }
-
     /// Sends attempts until one has a head.
     ///
     /// # Errors
@@ -387,159 +339,6 @@
             self.worker.note_answer(name, &self.prompt.blocks, seen);
         }
     }
-
-    async fn next_target(&mut self) -> Result<TargetKey> {
-        let version = match &self.version {
-            Some(version) => Some(version.clone()),
-            None => Some(self.choose_version()?),
-        };
-        let config = &self.request.config;
-        let route = config.route(self.request.route);
-        let service = route.map(|entry| entry.service);
-        let service = service.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
-        if let Some(version) = &version {
-            self.prompt = self.cut_prompt(version);
-        }
-        let placement = self
-            .worker
-            .place(config, service, version.as_deref(), &self.probe_request())
-            .await;
-        if let Some(keyed) = self.request.keyed {
-            let owners = self.worker.owners(config, service, keyed.key);
-            let mut live = owners
-                .into_iter()
-                .filter(|key| placement.ordered.contains(key));
-            self.version = version;
-            return live.next().ok_or_else(|| Report::new(ErrorKind::NoTarget));
-        }
-        let is_untried = |target: &&TargetKey| !self.tried.contains(target);
-        let untried = placement.ordered.iter().find(is_untried);
-        // A target whose link failed may work on a new connection.
-        let again = placement.ordered.first().filter(|_| self.may_reuse);
-        let target = untried.or(again).copied();
-        let target = target.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
-        // All attempts of a request use one version, so that a stream never
-        // mixes the output of two.
-        self.version = version;
-        Ok(target)
-    }
-
-    fn probe_request(&self) -> ProbeRequest {
-        let organisation = self.request.organisation;
-        let organisation = organisation.and_then(|key| self.request.config.organisation(key));
-        ProbeRequest {
-            organisation: self.request.organisation_name.clone(),
-            weight: organisation.map_or(1, |organisation| organisation.weight),
-            namespace: self.prompt.namespace,
-            blocks: self.prompt.blocks.clone(),
-        }
-    }
-
-    /// Chooses by the move of the service, or takes the configured version.
-    fn choose_version(&mut self) -> Result<Name> {
-        let lost = || Report::new(ErrorKind::NoTarget);
-        let config = &self.request.config;
-        let route = config.route(self.request.route).ok_or_else(lost)?;
-        let service = config.service(route.service).ok_or_else(lost)?;
-        let target = config.targets_of(route.service).first();
-        let target = target.and_then(|key| config.target(*key));
-        let version = target.and_then(|entry| config.version(entry.version));
-        let configured = version.ok_or_else(lost)?.name.clone();
-        let usage = VersionUse::choose(
-            &self.worker.context,
-            &service.name,
-            &route.route.name,
-            configured,
-        );
-        let version = usage.version().clone();
-        self.usage = Some(usage);
-        Ok(version)
-    }
-
-    /// Records an answer of the version as evidence.
-    fn note_answer_of_version(&mut self, is_failed: bool) {
-        if self.is_failed {
-            return;
-        }
-        let now_us = self.worker.context.clock.now_us();
-        let started_at_us = self.attempt.as_ref().map(|attempt| attempt.sent_at_us);
-        let sample = self.measure.take(is_failed, started_at_us, now_us);
-        if let Some(usage) = &self.usage {
-            usage.record(sample);
-        }
-    }
-
-    fn cut_prompt(&self, version: &str) -> Prompt {
-        let Some(completion) = &self.request.completion else {
-            return empty_prompt();
-        };
-        let config = &self.request.config;
-        let route = config.route(self.request.route);
-        let service = route.and_then(|entry| config.service(entry.service));
-        let size = BlockSize {
-            tokens: service.map_or(1_000, |service| service.block_tokens),
-            ..BlockSize::default()
-        };
-        let namespace = Namespace::derive(&self.request.organisation_name, version);
-        let mut prompt = cut(namespace, size, &[&completion.prompt]);
-        prompt.blocks.truncate(MAX_HEAD_BLOCKS);
-        prompt
-    }
-
-    fn attempt_head(&self, target: TargetKey) -> Result<(std::net::SocketAddr, AttemptHead)> {
-        let lost = || Report::new(ErrorKind::NoTarget);
-        let context = &self.worker.context;
-        let request = &self.request;
-        let entry = request.config.target(target).ok_or_else(lost)?;
-        let views = context.targets.load();
-        let view = views.get(&entry.target.name).ok_or_else(lost)?;
-        let now_us = context.clock.now_us();
-        let left_us = request.expires_at_us.saturating_sub(now_us);
-        if left_us < US_PER_MS {
-            return Err(Report::new(ErrorKind::DeadlineBeforeStart));
-        }
-        let organisation = request.organisation;
-        let weight = organisation.and_then(|key| request.config.organisation(key));
-        let head = AttemptHead {
-            id: context.next_attempt(),
-            agent: view.agent,
-            request_id: request.id.clone(),
-            organisation: request.organisation_name.clone(),
-            weight: weight.map_or(1, |organisation| organisation.weight),
-            cost_tokens: self.cost_tokens(),
-            version: self.version.clone().unwrap_or_else(|| "".into()),
-            namespace: self.prompt.namespace,
-            blocks: self.prompt.blocks.clone(),
-            budget_ms: left_us / US_PER_MS,
-            idempotent: self.retryable().idempotent,
-            idempotency: None,
-            method: request.method.clone(),
-            path: request.path.clone(),
-        };
-        Ok((entry.target.address, head))
-    }
-}
-
-/// Output tokens that a whole completion reports.
-fn completion_tokens(answer: &[u8]) -> Option<u64> {
-    #[derive(serde::Deserialize)]
-    struct Answer {
-        usage: Usage,
-    }
-    #[derive(serde::Deserialize)]
-    struct Usage {
-        completion_tokens: u64,
-    }
-    let answer: Answer = serde_json::from_slice(answer).ok()?;
-    Some(answer.usage.completion_tokens)
-}
-
-fn empty_prompt() -> Prompt {
-    Prompt {
-        namespace: Namespace(0),
-        blocks: Vec::new(),
-        tokens: 0,
-    }
 }
 
 /// A barred attempt shows to the caller as an overload, which is not run either.
--- /dev/null
+++ b/src/process/entry/forward/target.rs
@@ -0,0 +1,172 @@
+//! Version, target and head of the next attempt.
+
+use error_stack::Report;
+
+use super::Call;
+use crate::{
+    clock::US_PER_MS,
+    connection::attempt::{
+        AttemptHead,
+        MAX_HEAD_BLOCKS, //
+    },
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::Name,
+    process::{
+        entry::moves::VersionUse,
+        rpc::ProbeRequest, //
+    },
+    request::prompt::{
+        BlockSize,
+        Namespace,
+        Prompt,
+        cut, //
+    },
+    version::config::TargetKey,
+};
+
+impl Call {
+    pub(super) async fn next_target(&mut self) -> Result<TargetKey> {
+        let version = match &self.version {
+            Some(version) => Some(version.clone()),
+            None => Some(self.choose_version()?),
+        };
+        let config = &self.request.config;
+        let route = config.route(self.request.route);
+        let service = route.map(|entry| entry.service);
+        let service = service.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
+        if let Some(version) = &version {
+            self.prompt = self.cut_prompt(version);
+        }
+        let placement = self
+            .worker
+            .place(config, service, version.as_deref(), &self.probe_request())
+            .await;
+        if let Some(keyed) = self.request.keyed {
+            let owners = self.worker.owners(config, service, keyed.key);
+            let mut live = owners
+                .into_iter()
+                .filter(|key| placement.ordered.contains(key));
+            self.version = version;
+            return live.next().ok_or_else(|| Report::new(ErrorKind::NoTarget));
+        }
+        let is_untried = |target: &&TargetKey| !self.tried.contains(target);
+        let untried = placement.ordered.iter().find(is_untried);
+        // A target whose link failed may work on a new connection.
+        let again = placement.ordered.first().filter(|_| self.may_reuse);
+        let target = untried.or(again).copied();
+        let target = target.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
+        // All attempts of a request use one version, so that a stream never
+        // mixes the output of two.
+        self.version = version;
+        Ok(target)
+    }
+
+    fn probe_request(&self) -> ProbeRequest {
+        let organisation = self.request.organisation;
+        let organisation = organisation.and_then(|key| self.request.config.organisation(key));
+        ProbeRequest {
+            organisation: self.request.organisation_name.clone(),
+            weight: organisation.map_or(1, |organisation| organisation.weight),
+            namespace: self.prompt.namespace,
+            blocks: self.prompt.blocks.clone(),
+        }
+    }
+
+    /// Chooses by the move of the service, or takes the configured version.
+    fn choose_version(&mut self) -> Result<Name> {
+        let lost = || Report::new(ErrorKind::NoTarget);
+        let config = &self.request.config;
+        let route = config.route(self.request.route).ok_or_else(lost)?;
+        let service = config.service(route.service).ok_or_else(lost)?;
+        let target = config.targets_of(route.service).first();
+        let target = target.and_then(|key| config.target(*key));
+        let version = target.and_then(|entry| config.version(entry.version));
+        let configured = version.ok_or_else(lost)?.name.clone();
+        let usage = VersionUse::choose(
+            &self.worker.context,
+            &service.name,
+            &route.route.name,
+            configured,
+        );
+        let version = usage.version().clone();
+        self.usage = Some(usage);
+        Ok(version)
+    }
+
+    /// Records an answer of the version as evidence.
+    pub(super) fn note_answer_of_version(&mut self, is_failed: bool) {
+        if self.is_failed {
+            return;
+        }
+        let now_us = self.worker.context.clock.now_us();
+        let started_at_us = self.attempt.as_ref().map(|attempt| attempt.sent_at_us);
+        let sample = self.measure.take(is_failed, started_at_us, now_us);
+        if let Some(usage) = &self.usage {
+            usage.record(sample);
+        }
+    }
+
+    fn cut_prompt(&self, version: &str) -> Prompt {
+        let Some(completion) = &self.request.completion else {
+            return empty_prompt();
+        };
+        let config = &self.request.config;
+        let route = config.route(self.request.route);
+        let service = route.and_then(|entry| config.service(entry.service));
+        let size = BlockSize {
+            tokens: service.map_or(1_000, |service| service.block_tokens),
+            ..BlockSize::default()
+        };
+        let namespace = Namespace::derive(&self.request.organisation_name, version);
+        let mut prompt = cut(namespace, size, &[&completion.prompt]);
+        prompt.blocks.truncate(MAX_HEAD_BLOCKS);
+        prompt
+    }
+
+    pub(super) fn attempt_head(
+        &self,
+        target: TargetKey,
+    ) -> Result<(std::net::SocketAddr, AttemptHead)> {
+        let lost = || Report::new(ErrorKind::NoTarget);
+        let context = &self.worker.context;
+        let request = &self.request;
+        let entry = request.config.target(target).ok_or_else(lost)?;
+        let views = context.targets.load();
+        let view = views.get(&entry.target.name).ok_or_else(lost)?;
+        let now_us = context.clock.now_us();
+        let left_us = request.expires_at_us.saturating_sub(now_us);
+        if left_us < US_PER_MS {
+            return Err(Report::new(ErrorKind::DeadlineBeforeStart));
+        }
+        let organisation = request.organisation;
+        let weight = organisation.and_then(|key| request.config.organisation(key));
+        let head = AttemptHead {
+            id: context.next_attempt(),
+            agent: view.agent,
+            request_id: request.id.clone(),
+            organisation: request.organisation_name.clone(),
+            weight: weight.map_or(1, |organisation| organisation.weight),
+            cost_tokens: self.cost_tokens(),
+            version: self.version.clone().unwrap_or_else(|| "".into()),
+            namespace: self.prompt.namespace,
+            blocks: self.prompt.blocks.clone(),
+            budget_ms: left_us / US_PER_MS,
+            idempotent: self.retryable().idempotent,
+            idempotency: None,
+            method: request.method.clone(),
+            path: request.path.clone(),
+        };
+        Ok((entry.target.address, head))
+    }
+}
+
+pub(super) fn empty_prompt() -> Prompt {
+    Prompt {
+        namespace: Namespace(0),
+        blocks: Vec::new(),
+        tokens: 0,
+    }
+}
