Share the call from RPC methods to the control loop

Cause: entry and agent had the same code twice. Change: process::peer::ask. Conclusion: behaviour unchanged.

--- a/src/process/agent/control/api.rs
+++ b/src/process/agent/control/api.rs
@@ -20,6 +20,7 @@
     },
     process::{
         membership::digest::Digest,
+        peer,
         rpc::{
             AgentApiServer,
             ConfigPart,
@@ -64,10 +65,7 @@
     }
 
     async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> RpcResult<T> {
-        let (sender, receiver) = oneshot::channel();
-        let sent = self.commands.send(command(sender)).await;
-        sent.map_err(|_| rpc_error(ErrorKind::Stopping))?;
-        receiver.await.map_err(|_| rpc_error(ErrorKind::Stopping))
+        peer::ask(&self.commands, command).await
     }
 }
 
--- a/src/process/entry/control/api.rs
+++ b/src/process/entry/control/api.rs
@@ -26,6 +26,7 @@
     process::{
         limits::message::Directive,
         membership::digest::Digest,
+        peer,
         rpc::{
             AgentReport,
             ConfigPart,
@@ -37,8 +38,7 @@
             OperatorApiServer,
             Packed,
             PeerApiServer,
-            ReportAnswer,
-            rpc_error, //
+            ReportAnswer, //
         },
     },
     version::rollout::cut::Cut, //
@@ -77,10 +77,7 @@
     }
 
     async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> RpcResult<T> {
-        let (sender, receiver) = oneshot::channel();
-        let sent = self.commands.send(command(sender)).await;
-        sent.map_err(|_| rpc_error(ErrorKind::Stopping))?;
-        receiver.await.map_err(|_| rpc_error(ErrorKind::Stopping))
+        peer::ask(&self.commands, command).await
     }
 }
 
--- a/src/process/peer.rs
+++ b/src/process/peer.rs
@@ -11,7 +11,10 @@
 };
 
 use jsonrpsee::{
-    core::client::Error,
+    core::{
+        RpcResult,
+        client::Error, //
+    },
     server::{
         ServerBuilder,
         ServerConfig,
@@ -20,11 +23,17 @@
     ws_client::WsClient, //
 };
 
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
+
 use super::rpc::{
     self,
     MAX_MESSAGE_BYTES,
     PeerApiClient,
-    call_failed, //
+    call_failed,
+    rpc_error, //
 };
 use crate::{
     error::{
@@ -34,6 +43,37 @@
     version::config::Update, //
 };
 
+/// Passes the request of an RPC method to a control loop and waits for its
+/// answer.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Stopping`] when the control loop has ended.
+///
+/// ```
+/// use tokio::sync::{mpsc, oneshot};
+/// use yuccalatch::process::peer::ask;
+///
+/// ntex::rt::System::new("example", ntex::rt::DefaultRuntime).block_on(async {
+///     let (commands, mut inbox) = mpsc::channel::<oneshot::Sender<u32>>(1);
+///     ntex::rt::spawn(async move {
+///         if let Some(answer) = inbox.recv().await {
+///             let _ = answer.send(7);
+///         }
+///     });
+///     assert_eq!(ask(&commands, |answer| answer).await.unwrap(), 7);
+/// });
+/// ```
+pub async fn ask<C, T>(
+    commands: &mpsc::Sender<C>,
+    command: impl FnOnce(oneshot::Sender<T>) -> C,
+) -> RpcResult<T> {
+    let (sender, receiver) = oneshot::channel();
+    let sent = commands.send(command(sender)).await;
+    sent.map_err(|_| rpc_error(ErrorKind::Stopping))?;
+    receiver.await.map_err(|_| rpc_error(ErrorKind::Stopping))
+}
+
 /// Restarts of a transfer whose revision changes between two parts.
 const MAX_TRANSFERS: u32 = 3;
 
