--- a/src/bin/yuccalatch-agent/app.rs
+++ b/src/bin/yuccalatch-agent/app.rs
@@ -15,7 +15,7 @@
         agent,
         logging::logger, //
     },
-    settings::AgentSettings,
+    settings::AgentSettings, //
 };
 
 const PROGRAM: &str = "yuccalatch-agent";
--- a/src/bin/yuccalatch-entry/app.rs
+++ b/src/bin/yuccalatch-entry/app.rs
@@ -15,7 +15,7 @@
         entry,
         logging::logger, //
     },
-    settings::EntrySettings,
+    settings::EntrySettings, //
 };
 
 const PROGRAM: &str = "yuccalatch-entry";
--- a/src/bin/yuccalatch-replay/app.rs
+++ b/src/bin/yuccalatch-replay/app.rs
@@ -19,7 +19,7 @@
         Measurement,
         markdown, //
     },
-    slopes,
+    slopes, //
 };
 
 /// Help text.
--- a/src/bin/yuccalatch-replay/traffic.rs
+++ b/src/bin/yuccalatch-replay/traffic.rs
@@ -22,7 +22,7 @@
             run_load,
             summarise, //
         },
-        trace::Trace,
+        trace::Trace, //
     },
 };
 
--- a/src/bin/yuccalatchctl/main.rs
+++ b/src/bin/yuccalatchctl/main.rs
@@ -43,7 +43,7 @@
         status::ExplainRequest,
         table, //
     },
-    process::platform::Platform,
+    process::platform::Platform, //
 };
 
 const EXIT_FAILED: u8 = 1;
--- a/src/operator/command.rs
+++ b/src/operator/command.rs
@@ -18,9 +18,7 @@
     jsonc::Problem,
     names::Digest,
     process::platform::{
-        Platform,
-        PlatformError,
-        PlatformResult,
+        Platform, PlatformError, PlatformResult,
         configuration::{
             Accepted,
             SubmitError,
@@ -29,7 +27,7 @@
             read_head,
             read_ticket,
             submit, //
-        }, //
+        },
     },
     version::{
         config::Fold,
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -14,7 +14,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use error_stack::ResultExt;
@@ -51,7 +51,7 @@
         client,
         stop, //
     },
-    settings::AgentSettings,
+    settings::AgentSettings, //
 };
 
 pub use server::BarAnswer;
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -32,7 +32,7 @@
     },
     request::prompt::BlockHash,
     settings::AgentSettings,
-    version::config::ServiceKind,
+    version::config::ServiceKind, //
 };
 
 /// Requests without a first token that an engine holds. Two keep it busy while
--- a/src/process/agent/output.rs
+++ b/src/process/agent/output.rs
@@ -6,7 +6,7 @@
         RefCell, //
     },
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::BytesMut;
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -46,7 +46,7 @@
             Attempt,
             Queued, //
         },
-        upload::Upload,
+        upload::Upload, //
     },
     request::headers::{
         Direction,
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -36,7 +36,7 @@
         Runner,
         expires_at_us, //
     },
-    traffic::Traffic,
+    traffic::Traffic, //
 };
 use crate::{
     connection::{
@@ -45,7 +45,7 @@
             AttemptHead,
             UPLOAD_HEADER, //
         },
-        frame::Frame,
+        frame::Frame, //
     },
     error::{
         ErrorKind,
--- a/src/process/agent/traffic.rs
+++ b/src/process/agent/traffic.rs
@@ -8,7 +8,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use ntex::client::Client;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -19,7 +19,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use error_stack::ResultExt;
@@ -55,9 +55,9 @@
             self,
             Observed, //
         },
-        stop,
+        stop, //
     },
-    settings::EntrySettings,
+    settings::EntrySettings, //
 };
 
 /// Longest time until a header section is complete.
--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -18,7 +18,7 @@
         Payload,
         body::Body, //
     },
-    util::Bytes,
+    util::Bytes, //
 };
 use slog::info;
 
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -43,7 +43,7 @@
     },
     process::metrics::Metrics,
     settings::EntrySettings,
-    version::config::Config,
+    version::config::Config, //
 };
 
 /// Last known state of a target, published by the control thread.
--- a/src/process/entry/control/limits.rs
+++ b/src/process/entry/control/limits.rs
@@ -16,7 +16,7 @@
     },
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::Duration, //
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -42,7 +42,7 @@
             rendezvous::choose, //
         },
     },
-    version::config::Config,
+    version::config::Config, //
 };
 
 /// Groups of organisations, each with a ledger of its own.
--- a/src/process/entry/control/limits/epoch.rs
+++ b/src/process/entry/control/limits/epoch.rs
@@ -27,7 +27,13 @@
     process::{
         limits::ledger::Ledger,
         membership::Role,
-        platform::{Condition, ObjectVersion, Platform, PlatformError, PlatformResult},
+        platform::{
+            Condition,
+            ObjectVersion,
+            Platform,
+            PlatformError,
+            PlatformResult, //
+        },
     },
 };
 
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -38,7 +38,7 @@
             HEARTBEAT_US,
             MISSED_HEARTBEATS, //
         },
-        reassembly::Accepted,
+        reassembly::Accepted, //
     },
     error::{
         ErrorKind,
@@ -59,7 +59,7 @@
             recovery, //
         },
     },
-    version::config::TargetKey,
+    version::config::TargetKey, //
 };
 
 /// Attempts of one request at most.
--- a/src/process/entry/forward/keyed.rs
+++ b/src/process/entry/forward/keyed.rs
@@ -15,7 +15,7 @@
         context::RecordRequest,
         request::Keyed, //
     },
-    version::config::TargetKey,
+    version::config::TargetKey, //
 };
 
 impl Call {
--- a/src/process/entry/forward/settle.rs
+++ b/src/process/entry/forward/settle.rs
@@ -13,7 +13,7 @@
         Result, //
     },
     process::agent::BarAnswer,
-    request::retry::Phase,
+    request::retry::Phase, //
 };
 
 impl Call {
--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -24,7 +24,7 @@
         Prompt,
         cut, //
     },
-    version::config::TargetKey,
+    version::config::TargetKey, //
 };
 
 impl Call {
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -15,7 +15,7 @@
         Payload, //
     },
     util::Bytes,
-    web::HttpRequest,
+    web::HttpRequest, //
 };
 
 use super::{
@@ -38,7 +38,7 @@
             KeyId,
             request_digest, //
         },
-        upload::Upload,
+        upload::Upload, //
     },
     request::{
         headers::{
@@ -61,7 +61,7 @@
             RouteKey,
             RouteMiss, //
         },
-        keys,
+        keys, //
     },
 };
 
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -31,7 +31,7 @@
         authenticate,
         request_id, //
     },
-    worker::Worker,
+    worker::Worker, //
 };
 use crate::{
     connection::frame::Head,
@@ -46,7 +46,7 @@
         upload, //
     },
     request::admission::Reservation,
-    version::config::ServiceKind,
+    version::config::ServiceKind, //
 };
 
 type State = web::types::State<Rc<Worker>>;
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -57,7 +57,7 @@
             Observation, //
         },
         membership::rendezvous::choose,
-        rpc::ProbeRequest,
+        rpc::ProbeRequest, //
     },
     request::{
         placement::{
--- a/src/process/limits/holder.rs
+++ b/src/process/limits/holder.rs
@@ -5,7 +5,7 @@
         BTreeMap,
         BTreeSet, //
     },
-    sync::Arc,
+    sync::Arc, //
 };
 
 use super::{
@@ -18,7 +18,7 @@
         Report, //
     },
     meter::Meter,
-    position::Position,
+    position::Position, //
 };
 use crate::names::{
     Incarnation,
--- a/src/process/platform.rs
+++ b/src/process/platform.rs
@@ -37,7 +37,7 @@
     },
     http::Method,
     io::IoConfig,
-    time::Millis,
+    time::Millis, //
 };
 use serde::de::DeserializeOwned;
 use tokio::time::timeout_at;
--- a/src/process/platform/configuration.rs
+++ b/src/process/platform/configuration.rs
@@ -37,7 +37,7 @@
         join,
         ticket_key, //
     },
-    ticket::Ticket,
+    ticket::Ticket, //
 };
 
 /// Attempts to read a state while snapshots are being replaced.
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -5,7 +5,7 @@
         SocketAddr,
         TcpListener, //
     },
-    thread,
+    thread, //
 };
 
 use error_stack::ResultExt;
--- a/src/process/upload.rs
+++ b/src/process/upload.rs
@@ -24,7 +24,7 @@
             SizedStream, //
         },
     },
-    util::Bytes,
+    util::Bytes, //
 };
 
 /// Most of an unwanted body that is read.
--- a/src/replay/baseline.rs
+++ b/src/replay/baseline.rs
@@ -17,7 +17,7 @@
         Agent,
         Request, //
     },
-    request::placement::seed_of,
+    request::placement::seed_of, //
 };
 
 /// What a policy may look at.
--- a/src/replay/evaluate/fairness.rs
+++ b/src/replay/evaluate/fairness.rs
@@ -33,7 +33,7 @@
             Measurement, //
         },
     },
-    request::placement::Settings,
+    request::placement::Settings, //
 };
 
 /// Requests of all organisations at their normal rates, in full size.
--- a/src/replay/evaluate/limits/baseline.rs
+++ b/src/replay/evaluate/limits/baseline.rs
@@ -20,7 +20,7 @@
         Amount,
         Share, //
     },
-    meter::Meter,
+    meter::Meter, //
 };
 
 /// Calls that the object API sustains are several hundred a second.
--- a/src/replay/evaluate/limits/conserved.rs
+++ b/src/replay/evaluate/limits/conserved.rs
@@ -29,7 +29,7 @@
             Report, //
         },
         meter::Meter,
-        participant::Participant,
+        participant::Participant, //
     },
 };
 
--- a/src/replay/evaluate/moves/fleet.rs
+++ b/src/replay/evaluate/moves/fleet.rs
@@ -10,7 +10,7 @@
         Order,
         TargetView, //
     },
-    plan::LoadEstimate,
+    plan::LoadEstimate, //
 };
 
 /// One load, in milliseconds, as in the deployment es-norte.
--- a/src/replay/evaluate/placement.rs
+++ b/src/replay/evaluate/placement.rs
@@ -39,7 +39,7 @@
             Measurement, //
         },
     },
-    request::placement::Settings,
+    request::placement::Settings, //
 };
 
 /// Requests of a trace in full size.
--- a/src/replay/evaluate/router.rs
+++ b/src/replay/evaluate/router.rs
@@ -26,7 +26,7 @@
             View,
             target_name, //
         },
-        model::Request,
+        model::Request, //
     },
     request::placement::{
         Load,
--- a/src/replay/evaluate/simulation.rs
+++ b/src/replay/evaluate/simulation.rs
@@ -27,7 +27,7 @@
             Request, //
         },
     },
-    request::placement::TargetId,
+    request::placement::TargetId, //
 };
 
 /// Time between load reports.
--- a/src/replay/model.rs
+++ b/src/replay/model.rs
@@ -11,7 +11,7 @@
         VecDeque, //
     },
     num::NonZeroUsize,
-    sync::Arc,
+    sync::Arc, //
 };
 
 use lru::LruCache;
@@ -31,7 +31,7 @@
             CacheEvent,
             Change, //
         },
-        fair_queue::Priority,
+        fair_queue::Priority, //
     },
     request::prompt::{
         BlockHash,
--- a/src/replay/model/agent.rs
+++ b/src/replay/model/agent.rs
@@ -5,7 +5,7 @@
         HashMap,
         VecDeque, //
     },
-    num::NonZeroUsize,
+    num::NonZeroUsize, //
 };
 
 use crate::{
--- a/src/replay/player.rs
+++ b/src/replay/player.rs
@@ -12,7 +12,7 @@
     },
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use ntex::client::Client;
@@ -31,7 +31,7 @@
         US_PER_MS, //
     },
     error::Result,
-    process::client,
+    process::client, //
 };
 
 pub use load::{
--- a/src/replay/player/call.rs
+++ b/src/replay/player/call.rs
@@ -17,7 +17,7 @@
         outcome::Observed,
         trace::TraceRequest, //
     },
-    request::openai::sse::SseParser,
+    request::openai::sse::SseParser, //
 };
 
 /// Sends a request and reads its answer to the end.
--- a/src/replay/slopes/control.rs
+++ b/src/replay/slopes/control.rs
@@ -22,7 +22,7 @@
                 HolderId,
                 Report as LimitReport, //
             },
-            participant::Participant,
+            participant::Participant, //
         },
         membership::{
             Membership,
@@ -39,7 +39,7 @@
         },
         head::Head,
         keys::digest_of,
-        ticket::Ticket,
+        ticket::Ticket, //
     },
 };
 
--- a/src/replay/trace.rs
+++ b/src/replay/trace.rs
@@ -21,7 +21,7 @@
         Result, //
     },
     names::Name,
-    request::openai::BYTES_PER_TOKEN,
+    request::openai::BYTES_PER_TOKEN, //
 };
 
 /// Part of a prompt; parts with the same seed have the same text.
--- a/src/request/openai.rs
+++ b/src/request/openai.rs
@@ -20,7 +20,7 @@
         ErrorKind,
         Result, //
     },
-    names::Name,
+    names::Name, //
 };
 
 /// Default bound for a body; leaves room for several photographs in base64.
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -11,7 +11,7 @@
         ErrorKind,
         Execution, //
     },
-    process::fate::Fate,
+    process::fate::Fate, //
 };
 
 /// How far an attempt had come when it failed, as the entry sees it.
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -11,7 +11,7 @@
     },
     net::TcpListener,
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use error_stack::ResultExt;
@@ -65,7 +65,7 @@
         openai::Endpoint,
         prompt::Namespace, //
     },
-    settings::EngineSettings,
+    settings::EngineSettings, //
 };
 
 /// Requests remembered for tests.
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -11,7 +11,7 @@
     collections::BTreeMap,
     net::TcpListener,
     rc::Rc,
-    time::Duration,
+    time::Duration, //
 };
 
 use error_stack::ResultExt;
@@ -38,7 +38,7 @@
         ErrorKind,
         Result, //
     },
-    process::client,
+    process::client, //
 };
 
 /// Bytes of one part of a large answer.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -18,7 +18,7 @@
         Arc,
         mpsc, //
     },
-    thread,
+    thread, //
 };
 
 use error_stack::ResultExt;
--- a/src/standin/platform/handlers.rs
+++ b/src/standin/platform/handlers.rs
@@ -7,22 +7,19 @@
         MutexGuard,
         PoisonError, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use bytes::Bytes;
 use ntex::{
     http::StatusCode,
     web::{
-        self,
-        HttpRequest,
-        HttpResponse,
-        ServiceConfig,
+        self, HttpRequest, HttpResponse, ServiceConfig,
         types::{
             PayloadConfig,
             Query,
             State, //
-        }, //
+        },
     },
 };
 use serde::{
--- a/src/version/config/fold.rs
+++ b/src/version/config/fold.rs
@@ -20,7 +20,7 @@
         Object,
         ObjectId, //
     },
-    snapshot::Config,
+    snapshot::Config, //
 };
 use crate::{
     names::{
--- a/src/version/config/snapshot.rs
+++ b/src/version/config/snapshot.rs
@@ -34,7 +34,7 @@
         Digest,
         Name, //
     },
-    version::keys::KeyTable,
+    version::keys::KeyTable, //
 };
 
 slotmap::new_key_type! {
--- a/src/version/rollout/plan.rs
+++ b/src/version/rollout/plan.rs
@@ -10,7 +10,7 @@
         ErrorKind,
         Result, //
     },
-    names::Name,
+    names::Name, //
 };
 
 /// Shares of the steps. The first two are small enough that a version which is
--- a/src/version/ticket.rs
+++ b/src/version/ticket.rs
@@ -31,7 +31,7 @@
             Object,
             ObjectId, //
         },
-        keys::digest_of,
+        keys::digest_of, //
     },
 };
 
--- a/src/version/ticket/outlook.rs
+++ b/src/version/ticket/outlook.rs
@@ -7,7 +7,7 @@
         BTreeSet,
         HashMap, //
     },
-    net::SocketAddr,
+    net::SocketAddr, //
 };
 
 use super::Ticket;
--- a/tests/catalogue_pages.rs
+++ b/tests/catalogue_pages.rs
@@ -5,7 +5,7 @@
         ErrorKind,
         Execution, //
     },
-    event::Event,
+    event::Event, //
 };
 
 const EVENTS_PAGE: &str = include_str!("../docs/events.md");
--- a/tests/ctl_commands.rs
+++ b/tests/ctl_commands.rs
@@ -15,7 +15,7 @@
         Stdio, //
     },
     sync::mpsc,
-    thread,
+    thread, //
 };
 
 use jsonrpsee::{
@@ -31,7 +31,7 @@
         Explanation,
         FleetStatus, //
     },
-    standin::platform::start,
+    standin::platform::start, //
 };
 
 fn ctl(args: &[&str], input: &str) -> Output {
--- a/tests/fair_queue.rs
+++ b/tests/fair_queue.rs
@@ -20,7 +20,7 @@
             Size,
             fairness, //
         },
-        report::Measurement,
+        report::Measurement, //
     },
 };
 
--- a/tests/graceful_stop.rs
+++ b/tests/graceful_stop.rs
@@ -8,7 +8,7 @@
         AtomicUsize,
         Ordering, //
     },
-    thread,
+    thread, //
 };
 
 use serde_json::json;
--- a/tests/limit_world/mod.rs
+++ b/tests/limit_world/mod.rs
@@ -27,7 +27,7 @@
             Take,
             Ticket, //
         },
-        participant::Participant,
+        participant::Participant, //
     },
 };
 
--- a/tests/placement_policy.rs
+++ b/tests/placement_policy.rs
@@ -17,7 +17,7 @@
             Size,
             placement, //
         },
-        report::Measurement,
+        report::Measurement, //
     },
     request::{
         placement::{
--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -29,7 +29,7 @@
         },
     },
     error::ErrorKind,
-    names::Incarnation,
+    names::Incarnation, //
 };
 
 fn head() -> Head {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -19,12 +19,13 @@
         Stdio, //
     },
     sync::{
-        Arc, Mutex,
+        Arc,
+        Mutex,
         atomic::{
             AtomicU64,
             Ordering, //
         },
-        mpsc,
+        mpsc, //
     },
     thread,
     time::{
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -25,7 +25,7 @@
         platform::{
             RunningPlatform,
             start, //
-        }, //
+        },
     },
     version::{
         config::{
@@ -34,8 +34,8 @@
             ObjectId,
             Organisation, //
         },
-        ticket::Ticket,
-    }, //
+        ticket::Ticket, //
+    },
 };
 
 /// Long enough that only a hang reaches it.
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -21,7 +21,7 @@
         },
     },
     thread,
-    time::Duration,
+    time::Duration, //
 };
 
 const POLL: Duration = Duration::from_millis(5);
--- a/tests/ticket_checks.rs
+++ b/tests/ticket_checks.rs
@@ -16,7 +16,7 @@
             check,
             check_deadlines, //
         },
-    }, //
+    },
 };
 
 fn base() -> Fold {
--- a/tests/ticket_commit.rs
+++ b/tests/ticket_commit.rs
@@ -25,7 +25,7 @@
             compact,
             read_head,
             submit, //
-        }, //
+        },
     },
     standin::fault::PlatformFaults,
     version::{
@@ -34,7 +34,7 @@
             MAX_LOG_ENTRIES,
             SNAPSHOT_PREFIX, //
         },
-        ticket::Ticket,
+        ticket::Ticket, //
     },
 };
 
