Build both HTTP clients in one place, set limits in one pass

Cause: the entry's worker repeated the client builder for connections that are not reused; applying a configuration walked all organisations once for every group with a ledger and hashed each name again. Change: process::client::build_unpooled shares the builder; set_limits walks the organisations once and looks up the group.

--- a/src/process/client.rs
+++ b/src/process/client.rs
@@ -46,10 +46,30 @@
 /// });
 /// ```
 pub async fn build(name: &'static str) -> Result<Client> {
+    build_with(name, Connector::default().limit(MAX_CONNECTIONS)).await
+}
+
+/// Makes a client that opens a connection for each call, because a pooled one
+/// may have gone silent.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Internal`] when the client cannot be built.
+///
+/// ```
+/// ntex::rt::System::new("example", ntex::rt::DefaultRuntime).block_on(async {
+///     assert!(yuccalatch::process::client::build_unpooled("example").await.is_ok());
+/// });
+/// ```
+pub async fn build_unpooled(name: &'static str) -> Result<Client> {
+    build_with(name, Connector::default().keep_alive(Seconds(0))).await
+}
+
+async fn build_with(name: &'static str, connector: Connector) -> Result<Client> {
     let config =
         ntex::SharedCfg::new(name).add(IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT));
     Client::builder()
-        .connector::<&str>(Connector::default().limit(MAX_CONNECTIONS))
+        .connector::<&str>(connector)
         .disable_timeout()
         .disable_redirects()
         .no_default_headers()
--- a/src/process/entry/control/limits.rs
+++ b/src/process/entry/control/limits.rs
@@ -138,20 +138,16 @@
     /// Tells the ledgers of this entry what the configuration allows.
     fn set_limits(&self, config: &Config, now_us: u64) {
         let mut groups = self.groups.borrow_mut();
-        for (number, group) in groups.iter_mut() {
-            let Some(ledger) = group.participant.ledger() else {
+        for (_, organisation) in config.organisations() {
+            let group = groups.get_mut(&group_of(&organisation.name));
+            let Some(ledger) = group.and_then(|group| group.participant.ledger()) else {
                 continue;
             };
-            let revision = config.revision();
-            for (_, organisation) in config.organisations() {
-                if group_of(&organisation.name) == *number {
-                    let limits = Amount {
-                        rate_tokens_per_s: organisation.rate_tokens_per_s,
-                        burst_tokens: organisation.burst_tokens,
-                    };
-                    ledger.set_limits(&organisation.name, limits, revision, now_us);
-                }
-            }
+            let limits = Amount {
+                rate_tokens_per_s: organisation.rate_tokens_per_s,
+                burst_tokens: organisation.burst_tokens,
+            };
+            ledger.set_limits(&organisation.name, limits, config.revision(), now_us);
         }
     }
 }
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -15,17 +15,7 @@
     time::Duration, //
 };
 
-use ntex::{
-    client::{
-        Client,
-        Connector, //
-    },
-    io::IoConfig,
-    time::{
-        Millis,
-        Seconds, //
-    },
-};
+use ntex::client::Client;
 
 use tokio::sync::mpsc;
 
@@ -41,10 +31,7 @@
     },
 };
 use crate::{
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     names::{
         Digest,
         Incarnation,
@@ -141,7 +128,7 @@
             connections,
             stopping: RefCell::default(),
             client,
-            fresh_client: fresh_client().await?,
+            fresh_client: client::build_unpooled("fresh").await?,
             budget: RefCell::new(RetryBudget::new(RetryRate::default(), now_us)),
             placer: RefCell::new(Placer::new(Settings::default(), HEAT_BLOCKS)),
             hints: RefCell::new(Hints::new(HINT_BLOCKS)),
@@ -366,17 +353,3 @@
         });
     }
 }
-
-async fn fresh_client() -> Result<Client> {
-    let config =
-        ntex::SharedCfg::new("fresh").add(IoConfig::new().set_connect_timeout(Millis(1_000)));
-    let connector = Connector::default().keep_alive(Seconds(0));
-    Client::builder()
-        .connector::<&str>(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .build(config)
-        .await
-        .map_err(|error| error_stack::Report::new(ErrorKind::Internal).attach(error.to_string()))
-}
