Look for the whole last chunk in the keep-alive test

The test stopped reading at the bytes "0\r\n\r\n", which also end a header block whose last value is 0 (x-prompt-blocks: 0). When a read returned exactly the header block, the test took it for the whole answer.

Change: the test looks for the line end before the last chunk as well, which a header line cannot contain. Nothing else in it changed.

Conclusion: a fault of the test, not of the servers; the check is as strict.

--- a/tests/keep_alive.rs
+++ b/tests/keep_alive.rs
@@ -22,6 +22,10 @@
     completion, //
 };
 
+/// Last chunk of a chunked body, with the line end of the chunk before it. A
+/// header block may end in `0\r\n\r\n` as well, when its last value does.
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
 /// Sends two requests on one connection and returns the end of each answer.
 fn two_answers(address: SocketAddr) -> Vec<String> {
     let body = completion("spec sheet", 25, true).to_string();
@@ -36,7 +40,7 @@
         stream.write_all(request.as_bytes()).unwrap();
         let mut answer = Vec::new();
         let mut part = [0; 4096];
-        while !answer.ends_with(b"0\r\n\r\n") {
+        while !answer.ends_with(LAST_CHUNK) {
             match stream.read(&mut part) {
                 Ok(length) if length > 0 => answer.extend_from_slice(&part[..length]),
                 _ => break,
