Confine organisations far above their rate at the entries

Change: a meter counts what an organisation asks for against the share that it holds and returns its standing. Entries send the reduced weight with probes and attempts and place prompts of an organisation above three times its share on half of the targets that its part of all rates would give. Weights on the wire are 64ths of a ticket's weight, so that a weight of 1 can be reduced; the quantum of the agents' queue is divided by the same number.

--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -27,7 +27,10 @@
     },
     process::{
         cache_index::Answer,
-        fair_queue,
+        fair_queue::{
+            self,
+            WEIGHT_UNITS, //
+        },
         metrics::Metrics, //
     },
     request::prompt::BlockHash,
@@ -40,8 +43,8 @@
 const MAX_STARTING: usize = 2;
 
 /// Tokens per unit of weight and round. Weights in tickets are small numbers, so
-/// that a round is worth a typical prompt.
-const QUANTUM_TOKENS: u64 = 4_000;
+/// that a round is worth a typical prompt of 4,000 tokens.
+const QUANTUM_TOKENS: u64 = 4_000 / WEIGHT_UNITS as u64;
 
 /// Load of the traffic thread, for reports.
 #[derive(Debug, Default)]
--- a/src/process/entry/admission.rs
+++ b/src/process/entry/admission.rs
@@ -21,9 +21,12 @@
         Result, //
     },
     names::Name,
-    process::limits::{
-        message::Amount,
-        meter::Meter, //
+    process::{
+        fair_queue::Standing,
+        limits::{
+            message::Amount,
+            meter::Meter, //
+        },
     },
     request::admission::{
         Admission,
@@ -43,6 +46,14 @@
 
 const METER_RECHECK_US: u64 = 10 * US_PER_MS;
 
+/// A request that may run.
+#[derive(Debug, Default)]
+pub(super) struct Admitted {
+    /// Missing for requests without an organisation.
+    pub(super) reservation: Option<Reservation>,
+    pub(super) standing: Standing,
+}
+
 /// Waits until the organisation's share covers a request.
 ///
 /// Requests without an organisation are not limited here.
@@ -50,16 +61,12 @@
 /// # Errors
 ///
 /// Returns [`ErrorKind::RateLimited`] or [`ErrorKind::CostAboveBurst`].
-pub(super) async fn admit(
-    context: &Context,
-    request: &Request,
-    cost: Cost,
-) -> Result<Option<Reservation>> {
+pub(super) async fn admit(context: &Context, request: &Request, cost: Cost) -> Result<Admitted> {
     let organisation = request
         .organisation
         .and_then(|key| request.config.organisation(key));
     let Some(organisation) = organisation else {
-        return Ok(None);
+        return Ok(Admitted::default());
     };
     let meter = meter(context, &organisation.name).await?;
     let limits = Amount {
@@ -67,10 +74,15 @@
         burst_tokens: organisation.burst_tokens,
     };
     let now_us = context.clock.now_us();
-    match reserve(&meter, cost, limits, request.expires_at_us, now_us)? {
-        Admission::Admitted(reservation) => Ok(Some(reservation)),
-        Admission::Waiting(waiting) => wait(context, waiting).await.map(Some),
-    }
+    let standing = meter.standing(cost.total_tokens().get(), now_us);
+    let reservation = match reserve(&meter, cost, limits, request.expires_at_us, now_us)? {
+        Admission::Admitted(reservation) => reservation,
+        Admission::Waiting(waiting) => wait(context, waiting).await?,
+    };
+    Ok(Admitted {
+        reservation: Some(reservation),
+        standing,
+    })
 }
 
 /// Returns the meter of an organisation. The meters follow the configuration
--- a/src/process/entry/control/explain.rs
+++ b/src/process/entry/control/explain.rs
@@ -15,6 +15,7 @@
         Explanation, //
     },
     process::{
+        fair_queue::Standing,
         membership::Role,
         rpc::{
             AgentApiClient,
@@ -111,7 +112,7 @@
         let candidates = self.candidates(config, entry.service, version.as_deref(), explanation);
         let probe = ProbeRequest {
             organisation: organisation.into(),
-            weight: 1,
+            weight: Standing::default().weight(1),
             namespace,
             blocks: blocks.clone(),
         };
--- a/src/process/entry/forward.rs
+++ b/src/process/entry/forward.rs
@@ -47,6 +47,7 @@
     },
     event::Event,
     names::Name,
+    process::fair_queue::Standing,
     request::{
         openai::stream::CompletionStream,
         prompt::Prompt,
@@ -84,6 +85,10 @@
     stream: Option<CompletionStream>,
     /// Whether the last failure was one of a connection only.
     may_reuse: bool,
+    standing: Standing,
+    /// Whether the request uses only the targets of an organisation above its
+    /// rate.
+    is_confined: bool,
     /// Whether the end marker was passed in place of the target's own.
     is_over: bool,
 }
@@ -111,11 +116,18 @@
             loss: None,
             stream,
             may_reuse: false,
+            standing: Standing::default(),
+            is_confined: false,
             is_over: false,
             request,
         }
     }
 
+    pub(super) fn set_standing(&mut self, standing: Standing) {
+        self.standing = standing;
+        self.is_confined = standing.is_over_rate;
+    }
+
     /// Sends attempts until one has a head.
     ///
     /// # Errors
@@ -166,6 +178,9 @@
             };
             self.note_loss(kind, phase);
             self.recover(kind, phase)?;
+            // A failed target may leave no other to a confined request; a full
+            // queue is the effect of the flood itself.
+            self.is_confined &= kind == ErrorKind::Overloaded;
         }
     }
 
--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -24,7 +24,10 @@
         Prompt,
         cut, //
     },
-    version::config::TargetKey, //
+    version::config::{
+        OrganisationKey,
+        TargetKey, //
+    },
 };
 
 impl Call {
@@ -42,7 +45,13 @@
         }
         let placement = self
             .worker
-            .place(config, service, version.as_deref(), &self.probe_request())
+            .place(
+                config,
+                service,
+                version.as_deref(),
+                &self.probe_request(),
+                self.confined(),
+            )
             .await;
         if let Some(keyed) = self.request.keyed {
             let owners = self.worker.owners(config, service, keyed.key);
@@ -64,12 +73,22 @@
         Ok(target)
     }
 
-    fn probe_request(&self) -> ProbeRequest {
+    /// Returns the organisation if its requests use only a part of the targets.
+    fn confined(&self) -> Option<OrganisationKey> {
+        self.request.organisation.filter(|_| self.is_confined)
+    }
+
+    fn weight(&self) -> u32 {
         let organisation = self.request.organisation;
         let organisation = organisation.and_then(|key| self.request.config.organisation(key));
+        let ticket_weight = organisation.map_or(1, |organisation| organisation.weight);
+        self.standing.weight(ticket_weight)
+    }
+
+    fn probe_request(&self) -> ProbeRequest {
         ProbeRequest {
             organisation: self.request.organisation_name.clone(),
-            weight: organisation.map_or(1, |organisation| organisation.weight),
+            weight: self.weight(),
             namespace: self.prompt.namespace,
             blocks: self.prompt.blocks.clone(),
         }
@@ -141,14 +160,12 @@
         if left_us < US_PER_MS {
             return Err(Report::new(ErrorKind::DeadlineBeforeStart));
         }
-        let organisation = request.organisation;
-        let weight = organisation.and_then(|key| request.config.organisation(key));
         let head = AttemptHead {
             id: context.next_attempt(),
             agent: view.agent,
             request_id: request.id.clone(),
             organisation: request.organisation_name.clone(),
-            weight: weight.map_or(1, |organisation| organisation.weight),
+            weight: self.weight(),
             cost_tokens: self.cost_tokens(),
             version: self.version.clone().unwrap_or_else(|| "".into()),
             namespace: self.prompt.namespace,
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -104,10 +104,12 @@
     let organisation = request.organisation_name.clone();
     let metrics = worker.context.metrics.organisation(&organisation);
     let mut call = Call::new(&worker, request);
-    let reservation = match admit(&worker.context, &call.request, call.cost()).await {
-        Ok(reservation) => reservation,
+    let admitted = match admit(&worker.context, &call.request, call.cost()).await {
+        Ok(admitted) => admitted,
         Err(report) => return refuse(&worker, &id, &organisation, &report),
     };
+    let reservation = admitted.reservation;
+    call.set_standing(admitted.standing);
     match call.start().await {
         Ok(head) => {
             let relay = Relay {
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -54,6 +54,7 @@
             Settings,
             Target,
             TargetId,
+            confine,
             seed_of, //
         },
         prompt::BlockHash,
@@ -64,6 +65,7 @@
     },
     version::config::{
         Config,
+        OrganisationKey,
         ServiceKey,
         TargetKey, //
     },
@@ -106,6 +108,14 @@
     pub(super) connections: Rc<Connections>,
     /// Agents that have announced their stop since the last report.
     stopping: RefCell<HashSet<Incarnation>>,
+    rates: Cell<Rates>,
+}
+
+/// Sum of the rates of all organisations at a revision.
+#[derive(Clone, Copy, Default)]
+struct Rates {
+    revision: u64,
+    tokens_per_s: u64,
 }
 
 /// A target that was chosen, with the alternatives in order.
@@ -127,6 +137,7 @@
             prober: Rc::default(),
             connections,
             stopping: RefCell::default(),
+            rates: Cell::default(),
             client,
             fresh_client: client::build_unpooled("fresh").await?,
             budget: RefCell::new(RetryBudget::new(RetryRate::default(), now_us)),
@@ -138,12 +149,16 @@
     }
 
     /// Returns the targets of a service that may run a version, best first.
+    ///
+    /// A confined organisation gets only its part of them, so that a flood does
+    /// not evict the cached blocks of the others everywhere.
     pub(super) async fn place(
         &self,
         config: &Config,
         service: ServiceKey,
         version: Option<&str>,
         prompt: &ProbeRequest,
+        confined: Option<OrganisationKey>,
     ) -> Placement {
         let blocks = &prompt.blocks;
         let views = self.context.targets.load();
@@ -154,7 +169,12 @@
         if blocks.is_empty() {
             return self.place_evenly(usable);
         }
-        let targets: Vec<Target> = usable.iter().map(|(_, target)| *target).collect();
+        let mut targets: Vec<Target> = usable.iter().map(|(_, target)| *target).collect();
+        if let Some(organisation) = confined {
+            let share = self.share_of_rates(config, organisation);
+            targets = confine(&targets, &prompt.organisation, share);
+            self.context.metrics.confined.inc();
+        }
         let Some(decision) = self.decide(config, &usable, &targets, prompt).await else {
             return Placement {
                 ordered: Vec::new(),
@@ -195,6 +215,22 @@
         order.iter().filter_map(find).collect()
     }
 
+    /// Returns the rate of an organisation as a part of all rates.
+    fn share_of_rates(&self, config: &Config, organisation: OrganisationKey) -> f64 {
+        let mut rates = self.rates.get();
+        if rates.revision != config.revision() {
+            let all = config.organisations();
+            rates = Rates {
+                revision: config.revision(),
+                tokens_per_s: all.map(|(_, each)| each.rate_tokens_per_s).sum(),
+            };
+            self.rates.set(rates);
+        }
+        let own = config.organisation(organisation);
+        let own_tokens_per_s = own.map_or(0, |own| own.rate_tokens_per_s);
+        own_tokens_per_s as f64 / rates.tokens_per_s.max(1) as f64
+    }
+
     /// Without a cached prefix, targets with equal queues take turns.
     fn place_evenly(&self, mut usable: Vec<(TargetKey, Target)>) -> Placement {
         let turn = self.turn.get().wrapping_add(1);
--- a/src/process/fair_queue.rs
+++ b/src/process/fair_queue.rs
@@ -12,7 +12,11 @@
 
 mod demand;
 
-pub use demand::Demand;
+pub use demand::{
+    Demand,
+    Standing,
+    WEIGHT_UNITS, //
+};
 
 /// Usage against the share of the weights that is normal on a single target,
 /// because the prefixes of an organisation are not spread evenly.
--- a/src/process/fair_queue/demand.rs
+++ b/src/process/fair_queue/demand.rs
@@ -10,13 +10,52 @@
 const TOLERANCE: f64 = 3.0;
 /// Tokens per second for one unit of weight.
 const TOKENS_PER_WEIGHT: u64 = 100;
+/// Units on the wire for one unit of a ticket's weight. Weights in tickets start
+/// at 1; without the finer unit they could not be reduced.
+pub const WEIGHT_UNITS: u32 = 64;
+
+/// Standing of an organisation when one of its requests arrives.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// Factor on the weight, at most one.
+    pub weight_factor: f64,
+    /// Whether the organisation asks for several times its rate.
+    pub is_over_rate: bool,
+}
+
+impl Default for Standing {
+    fn default() -> Self {
+        Self {
+            weight_factor: 1.0,
+            is_over_rate: false,
+        }
+    }
+}
+
+impl Standing {
+    /// Returns the weight to send to an agent for a weight of a ticket.
+    ///
+    /// ```
+    /// use yuccalatch::process::fair_queue::{Standing, WEIGHT_UNITS};
+    ///
+    /// assert_eq!(Standing::default().weight(2), 2 * WEIGHT_UNITS);
+    /// let flood = Standing { weight_factor: 0.0, is_over_rate: true };
+    /// assert_eq!(flood.weight(2), 1);
+    /// ```
+    pub fn weight(self, ticket_weight: u32) -> u32 {
+        let units = f64::from(ticket_weight) * f64::from(WEIGHT_UNITS);
+        // The conversion saturates.
+        ((units * self.weight_factor) as u32).max(1)
+    }
+}
 
 /// Measures what an organisation asks of this entry.
 ///
 /// The weight is the rate, reduced by the fourth power of the excess when the
 /// organisation asks for several times as much; an excess of ten then puts a
-/// large organisation below a small one. An agent sees only its own part of the traffic and cannot tell a flood
-/// from an organisation whose prefixes happen to be cached there.
+/// large organisation below a small one. An agent sees only its own part of the
+/// traffic and cannot tell a flood from an organisation whose prefixes happen
+/// to be cached there.
 ///
 /// ```
 /// use yuccalatch::process::fair_queue::Demand;
@@ -43,6 +82,23 @@
     ///
     /// `rate_tokens_per_s` is this entry's part of the rate.
     pub fn weight(&mut self, cost_tokens: u64, rate_tokens_per_s: u64, now_us: u64) -> u32 {
+        let standing = self.count(cost_tokens, rate_tokens_per_s, now_us);
+        let weight = (rate_tokens_per_s as f64 * standing.weight_factor) as u64 / TOKENS_PER_WEIGHT;
+        u32::try_from(weight.max(1)).unwrap_or(u32::MAX)
+    }
+
+    /// Counts a request and returns the standing of the organisation.
+    ///
+    /// `rate_tokens_per_s` is this entry's part of the rate.
+    ///
+    /// ```
+    /// use yuccalatch::process::fair_queue::Demand;
+    ///
+    /// let mut demand = Demand::default();
+    /// assert!(!demand.count(1_000, 1_000, 0).is_over_rate);
+    /// assert!(demand.count(100_000, 1_000, 0).is_over_rate);
+    /// ```
+    pub fn count(&mut self, cost_tokens: u64, rate_tokens_per_s: u64, now_us: u64) -> Standing {
         let age_us = now_us.saturating_sub(self.updated_at_us);
         let kept = (-(age_us as f64) / HALF_LIFE_US as f64).exp2();
         self.tokens = self.tokens * kept + cost_tokens as f64;
@@ -51,9 +107,10 @@
         let window_s = HALF_LIFE_US as f64 / US_PER_S as f64 / std::f64::consts::LN_2;
         let normal = rate_tokens_per_s as f64 * window_s * TOLERANCE;
         self.is_over_rate = self.tokens > normal;
-        let factor = (normal / self.tokens.max(1.0)).min(1.0).powi(4);
-        let weight = (rate_tokens_per_s as f64 * factor) as u64 / TOKENS_PER_WEIGHT;
-        u32::try_from(weight.max(1)).unwrap_or(u32::MAX)
+        Standing {
+            weight_factor: (normal / self.tokens.max(1.0)).min(1.0).powi(4),
+            is_over_rate: self.is_over_rate,
+        }
     }
 
     /// Returns whether the organisation asked for more than its rate when it was
--- a/src/process/limits/meter.rs
+++ b/src/process/limits/meter.rs
@@ -16,6 +16,10 @@
         Share, //
     },
 };
+use crate::process::fair_queue::{
+    Demand,
+    Standing, //
+};
 
 /// Waiting requests of one organisation in one process; further ones are
 /// refused, which bounds the memory of the queue.
@@ -69,6 +73,7 @@
     waiters: VecDeque<Waiter>,
     waiting_tokens: u64,
     offered_tokens: u64,
+    demand: Demand,
     next_ticket: u64,
     /// No waiting request expires earlier, so that most calls need no search.
     next_expiry_us: u64,
@@ -113,6 +118,30 @@
         self.lock().bucket.amount()
     }
 
+    /// Counts a request against this process's share of the rate, whether it is
+    /// admitted or not, and returns the standing of the organisation.
+    ///
+    /// Without a share there is nothing to compare with; the ledger lends one
+    /// within a round to an organisation with steady traffic.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::{message::*, meter::Meter};
+    ///
+    /// let meter = Meter::new(0);
+    /// assert!(!meter.standing(100_000, 0).is_over_rate);
+    /// let amount = Amount { rate_tokens_per_s: 1_000, burst_tokens: 1_000 };
+    /// meter.merge(Share { amount, level_microtokens: 0 }, 0);
+    /// assert!(meter.standing(100_000, 0).is_over_rate);
+    /// ```
+    pub fn standing(&self, cost_tokens: u64, now_us: u64) -> Standing {
+        let mut state = self.lock();
+        let rate_tokens_per_s = state.bucket.amount().rate_tokens_per_s;
+        if rate_tokens_per_s == 0 {
+            return Standing::default();
+        }
+        state.demand.count(cost_tokens, rate_tokens_per_s, now_us)
+    }
+
     /// Takes tokens, or queues the request when the whole rate of the
     /// organisation could clear the queue before the deadline.
     ///
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -87,6 +87,8 @@
     pub retries: Counter,
     /// Streams resumed on a new connection.
     pub resumed_streams: Counter,
+    /// Placements of organisations far above their rate.
+    pub confined: Counter,
     /// Configuration revision in use.
     pub revision: Gauge,
     /// Requests that are running.
@@ -134,6 +136,7 @@
             prompt_blocks: Counter::default(),
             retries: Counter::default(),
             resumed_streams: Counter::default(),
+            confined: Counter::default(),
             revision: Gauge::default(),
             running: Gauge::default(),
             registry: Registry::default(),
@@ -183,6 +186,11 @@
                 "Streams resumed on a new connection",
                 &self.resumed_streams,
             ),
+            (
+                "confined",
+                "Placements of organisations far above their rate",
+                &self.confined,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
