Share start and drain of entry and agent

Cause: entry and agent each had their own copy of the control thread's start, the admin listener, the HTTP server and the drain loop, and three programs had the same argument handling.

Change: process/lifecycle runs control thread, admin listener and traffic and waits for the drain; process/http_server configures and starts every HTTP server of entry, agent and admin listener; daemon::run goes from arguments to exit code. What differs (listeners, the condition for an early end of the drain) stays in entry.rs and agent.rs. The admin server now has the shutdown timeout of the others; it is never stopped gracefully.

Conclusion: one start and one drain serve both processes.

--- a/src/bin/yuccalatch-entry/app.rs
+++ b/src/bin/yuccalatch-entry/app.rs
@@ -1,4 +1,4 @@
-//! Turns arguments into a configuration and runs the entry.
+//! Runs the entry.
 
 use std::{
     ffi::OsString,
@@ -6,10 +6,7 @@
 };
 
 use yuccalatch::{
-    daemon::{
-        self,
-        Config, //
-    },
+    daemon,
     error::Result,
     process::{
         entry,
@@ -23,10 +20,7 @@
 
 /// Runs the program and returns its exit code.
 pub(crate) fn run(args: impl Iterator<Item = OsString>) -> ExitCode {
-    match Config::from_args(args) {
-        Ok(config) => daemon::execute(PROGRAM, ABOUT, config, serve),
-        Err(report) => daemon::failed(PROGRAM, &report),
-    }
+    daemon::run(PROGRAM, ABOUT, args, serve)
 }
 
 fn serve(settings: EntrySettings) -> Result<()> {
--- a/src/bin/yuccalatch-standin/app.rs
+++ b/src/bin/yuccalatch-standin/app.rs
@@ -1,4 +1,4 @@
-//! Turns arguments into a configuration and runs a stand-in.
+//! Runs a stand-in.
 
 use std::{
     ffi::OsString,
@@ -10,10 +10,7 @@
     info, //
 };
 use yuccalatch::{
-    daemon::{
-        self,
-        Config, //
-    },
+    daemon,
     error::Result,
     event::Event,
     process::{
@@ -36,10 +33,7 @@
 
 /// Runs the program and returns its exit code.
 pub(crate) fn run(args: impl Iterator<Item = OsString>) -> ExitCode {
-    match Config::from_args(args) {
-        Ok(config) => daemon::execute(PROGRAM, ABOUT, config, serve),
-        Err(report) => daemon::failed(PROGRAM, &report),
-    }
+    daemon::run(PROGRAM, ABOUT, args, serve)
 }
 
 fn serve(settings: StandinSettings) -> Result<()> {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -93,6 +93,28 @@
     Report::new(ErrorKind::UsageInvalid).attach(message)
 }
 
+/// Runs a daemon from its arguments, without the program name, and returns its
+/// exit code.
+///
+/// ```
+/// use yuccalatch::{daemon, settings::EntrySettings};
+///
+/// let run = |_: EntrySettings| Ok(());
+/// let code = daemon::run("example", "explains settings", ["--version"], run);
+/// assert_eq!(format!("{code:?}"), format!("{:?}", std::process::ExitCode::SUCCESS));
+/// ```
+pub fn run<S, I>(program: &str, about: &str, args: I, run: impl FnOnce(S) -> Result<()>) -> ExitCode
+where
+    S: Settings,
+    I: IntoIterator,
+    I::Item: Into<OsString>,
+{
+    match Config::from_args(args) {
+        Ok(config) => execute(program, about, config, run),
+        Err(report) => failed(program, &report),
+    }
+}
+
 /// Runs a daemon from its configuration and returns its exit code.
 ///
 /// ```
--- a/src/process.rs
+++ b/src/process.rs
@@ -9,6 +9,8 @@
 pub mod fair_queue;
 pub mod fate;
 pub mod hints;
+pub mod http_server;
+mod lifecycle;
 pub mod limits;
 pub mod logging;
 pub mod membership;
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -5,10 +5,20 @@
     sync::Arc, //
 };
 
-use ntex::web::{
-    self,
-    App,
-    HttpResponse, //
+use error_stack::ResultExt;
+use ntex::{
+    SharedCfg,
+    web::{
+        self,
+        App,
+        HttpResponse, //
+    },
+};
+
+use super::http_server;
+use crate::error::{
+    ErrorKind,
+    Result, //
 };
 
 /// What the admin listener shows of a process.
@@ -24,20 +34,16 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the listener cannot be used.
-pub async fn serve<O: Observed>(listener: TcpListener, observed: Arc<O>) -> std::io::Result<()> {
-    web::HttpServer::new(async move || {
+/// Returns [`ErrorKind::Io`] when the listener cannot be used.
+pub async fn serve<O: Observed>(listener: TcpListener, observed: Arc<O>) -> Result<()> {
+    let server = http_server::start(listener, SharedCfg::default(), 1, async move || {
         App::new()
             .state(Arc::clone(&observed))
             .route("/healthz", web::get().to(healthy))
             .route("/readyz", web::get().to(ready::<O>))
             .route("/metrics", web::get().to(metrics::<O>))
-    })
-    .workers(1)
-    .disable_signals()
-    .listen(listener)?
-    .run()
-    .await
+    })?;
+    server.await.change_context(ErrorKind::Io)
 }
 
 async fn healthy() -> HttpResponse {
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -14,20 +14,11 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration, //
 };
 
-use error_stack::ResultExt;
-use ntex::{
-    time::Seconds,
-    web::{
-        self,
-        App, //
-    },
-};
+use ntex::web::App;
 use slog::{
     Logger,
-    error,
     info, //
 };
 use tokio::sync::mpsc;
@@ -38,17 +29,12 @@
 };
 use crate::{
     clock::US_PER_MS,
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     event::Event,
     process::{
-        admin::{
-            self,
-            Observed, //
-        },
-        client,
+        admin::Observed,
+        http_server,
+        lifecycle,
         stop, //
     },
     settings::AgentSettings, //
@@ -59,9 +45,6 @@
 /// Answers that wait for the control thread; more are dropped.
 const ANSWERED_CAPACITY: usize = 1_024;
 
-/// Interval between checks whether the last attempt has ended.
-const DRAIN_CHECK: Duration = Duration::from_millis(20);
-
 impl Observed for Context {
     fn is_ready(&self) -> bool {
         !self.is_leaving()
@@ -76,7 +59,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::Io`] when a listener cannot be opened.
+/// Returns [`ErrorKind::Io`](crate::error::ErrorKind::Io) when a listener cannot be opened.
 pub fn run(settings: AgentSettings, log: &Logger) -> Result<()> {
     let data = stop::bind(settings.data_address)?;
     let control = stop::bind(settings.control_address)?;
@@ -90,37 +73,24 @@
         "control_address" => %stop::local(&control)?,
         "admin_address" => %stop::local(&admin)?);
     let shared = Arc::clone(&context);
-    stop::spawn_system("control", move || async move {
-        let served = control::run(Arc::clone(&shared), control, answered).await;
-        if let Err(report) = served {
-            error!(shared.log, "control thread failed";
-                "event" => Event::Fatal, "error" => ?report);
-        }
-    })?;
-    let system = ntex::rt::System::new("agent", ntex::rt::DefaultRuntime);
-    system.block_on(serve(context, data, admin))
+    lifecycle::run(
+        "agent",
+        log,
+        (admin, Arc::clone(&context)),
+        move || control::run(shared, control, answered),
+        serve(context, data),
+    )
 }
 
-async fn serve(context: Arc<Context>, data: TcpListener, admin: TcpListener) -> Result<()> {
-    let observed = Arc::clone(&context);
-    ntex::rt::spawn(async move {
-        // A failure shows as a missing admin listener, not as lost traffic.
-        let _ = admin::serve(admin, observed).await;
-    });
+async fn serve(context: Arc<Context>, data: TcpListener) -> Result<()> {
     let shared = Arc::clone(&context);
-    let server = web::HttpServer::new(async move || {
+    let config = http_server::config("attempts");
+    let server = http_server::start(data, config, 1, async move || {
         let traffic = Traffic::new(Arc::clone(&shared)).await;
         // Without a client the agent cannot serve at all.
         let traffic = traffic.expect("the HTTP client is built");
         App::new().state(traffic).configure(server::configure)
-    })
-    .workers(1)
-    .disable_signals()
-    .shutdown_timeout(Seconds(1))
-    .config(client::server_config("attempts"))
-    .listen(data)
-    .change_context(ErrorKind::Io)?
-    .run();
+    })?;
     stop::requested().await?;
     drain(&context).await;
     server.stop(true).await;
@@ -130,23 +100,25 @@
 /// Refuses new work and waits for the attempts that are running.
 async fn drain(context: &Context) {
     context.leave();
+    let now_us = context.clock.now_us();
     let drain_us = context.settings.drain_ms * US_PER_MS;
-    let drain_until_us = context.clock.now_us() + drain_us;
-    info!(context.log, "agent stops";
-        "event" => Event::Stopping, "drain_until_us" => drain_until_us);
-    let linger_until_us = context.clock.now_us() + stop::LINGER_US.min(drain_us);
+    let linger_until_us = now_us + stop::LINGER_US.min(drain_us);
     let announce_until_us = linger_until_us + stop::LINGER_US;
-    while context.clock.now_us() < drain_until_us {
-        let now_us = context.clock.now_us();
+    let is_done = |now_us| {
         let is_told = context.is_announced() || now_us >= announce_until_us;
         let queued = context.load.queued.load(Ordering::Relaxed);
         let running = context.load.running.load(Ordering::Relaxed);
         let undelivered = context.load.undelivered.load(Ordering::Relaxed);
         let is_idle = queued + running + undelivered == 0;
-        if is_idle && is_told && now_us >= linger_until_us {
-            break;
-        }
-        tokio::time::sleep(DRAIN_CHECK).await;
-    }
-    info!(context.log, "agent has stopped"; "event" => Event::Stopped);
+        is_idle && is_told && now_us >= linger_until_us
+    };
+    let drain_until_us = now_us + drain_us;
+    lifecycle::drain(
+        "agent",
+        &context.log,
+        context.clock,
+        drain_until_us,
+        is_done,
+    )
+    .await;
 }
--- a/src/process/client.rs
+++ b/src/process/client.rs
@@ -14,7 +14,6 @@
             ConnectError, //
         },
     },
-    http::HttpServiceConfig,
     io::IoConfig,
     time::{
         Millis,
@@ -30,8 +29,6 @@
 /// Connections that one traffic thread opens to one peer at most.
 const MAX_CONNECTIONS: usize = 4_096;
 
-const SERVER_KEEP_ALIVE: Seconds = Seconds(75);
-
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
 /// Makes a client without timeouts of its own: every call has a deadline.
@@ -106,23 +103,6 @@
     serde_json::from_slice(&body).change_context(ErrorKind::PeerUnavailable)
 }
 
-/// Configures a server for clients made by [`build`].
-///
-/// A client drops an idle connection after 15 s. The server waits longer, because
-/// a connection that it closes while a request is on its way makes the outcome
-/// of that request uncertain.
-///
-/// ```
-/// let config = yuccalatch::process::client::server_config("example");
-/// assert_eq!(config.tag(), "example");
-/// ```
-pub fn server_config(name: &'static str) -> ntex::SharedCfg {
-    let http = HttpServiceConfig::new()
-        .set_headers_read_rate(Seconds(0), Seconds(0), 0)
-        .set_keepalive(SERVER_KEEP_ALIVE);
-    ntex::SharedCfg::new(name).add(http).into()
-}
-
 /// Returns whether a request certainly did not leave this process.
 ///
 /// `Disconnected` without a reason also stands for a connection that closes
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -19,24 +19,18 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration, //
 };
 
-use error_stack::ResultExt;
 use ntex::{
+    SharedCfg,
     http::HttpServiceConfig,
     time::Seconds,
-    web::{
-        self,
-        App, //
-    },
+    web::App, //
 };
 use slog::{
     Logger,
-    error,
     info, //
 };
-
 use tokio::sync::mpsc;
 
 use self::{
@@ -45,16 +39,12 @@
 };
 use crate::{
     clock::US_PER_MS,
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     event::Event,
     process::{
-        admin::{
-            self,
-            Observed, //
-        },
+        admin::Observed,
+        http_server,
+        lifecycle,
         stop, //
     },
     settings::EntrySettings, //
@@ -73,9 +63,6 @@
 /// Answers whose evidence waits for the control thread; more are not counted.
 const SAMPLE_CAPACITY: usize = 4_096;
 
-/// Interval between checks whether the last request has ended.
-const DRAIN_CHECK: Duration = Duration::from_millis(20);
-
 impl Observed for Context {
     fn is_ready(&self) -> bool {
         self.has_config() && !self.targets.load().is_empty() && !self.is_leaving()
@@ -90,7 +77,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::Io`] when a listener cannot be opened.
+/// Returns [`ErrorKind::Io`](crate::error::ErrorKind::Io) when a listener cannot be opened.
 pub fn run(settings: EntrySettings, log: &Logger) -> Result<()> {
     let caller = stop::bind(settings.caller_address)?;
     let control = stop::bind(settings.control_address)?;
@@ -105,42 +92,29 @@
         "control_address" => %stop::local(&control)?,
         "admin_address" => %stop::local(&admin)?);
     let shared = Arc::clone(&context);
-    stop::spawn_system("control", move || async move {
-        if let Err(report) =
-            control::run(Arc::clone(&shared), control, record_requests, sample_inbox).await
-        {
-            error!(shared.log, "control thread failed";
-                "event" => Event::Fatal, "error" => ?report);
-        }
-    })?;
-    let system = ntex::rt::System::new("entry", ntex::rt::DefaultRuntime);
-    system.block_on(serve(context, caller, admin))
+    lifecycle::run(
+        "entry",
+        log,
+        (admin, Arc::clone(&context)),
+        move || control::run(shared, control, record_requests, sample_inbox),
+        serve(context, caller),
+    )
 }
 
-async fn serve(context: Arc<Context>, caller: TcpListener, admin: TcpListener) -> Result<()> {
-    let observed = Arc::clone(&context);
-    ntex::rt::spawn(async move {
-        // A failure shows as a missing admin listener, not as lost traffic.
-        let _ = admin::serve(admin, observed).await;
-    });
+async fn serve(context: Arc<Context>, caller: TcpListener) -> Result<()> {
     let shared = Arc::clone(&context);
     let http = HttpServiceConfig::new()
         .set_client_timeout(HEADER_TIMEOUT)
         .set_max_buf_size(MAX_HEADER_BYTES)
         .set_keepalive(Seconds(60));
-    let server = web::HttpServer::new(async move || {
+    let config = SharedCfg::new("callers").add(http);
+    let threads = context.settings.traffic_threads;
+    let server = http_server::start(caller, config, threads, async move || {
         let worker = Worker::new(Arc::clone(&shared)).await;
         // Without a client the entry cannot serve at all.
         let worker = worker.expect("the HTTP clients are built");
         App::new().state(worker).configure(server::configure)
-    })
-    .workers(context.settings.traffic_threads)
-    .disable_signals()
-    .shutdown_timeout(Seconds(1))
-    .config(ntex::SharedCfg::new("callers").add(http))
-    .listen(caller)
-    .change_context(ErrorKind::Io)?
-    .run();
+    })?;
     stop::requested().await?;
     drain(&context).await;
     server.stop(true).await;
@@ -150,19 +124,20 @@
 /// Refuses new work and waits for the requests that are running.
 async fn drain(context: &Context) {
     context.leave();
-    let drain_us = context.settings.drain_ms * US_PER_MS;
-    let drain_until_us = context.clock.now_us() + drain_us;
-    info!(context.log, "entry stops";
-        "event" => Event::Stopping, "drain_until_us" => drain_until_us);
-    let linger_until_us = context.clock.now_us() + stop::LINGER_US;
-    while context.clock.now_us() < drain_until_us {
-        let is_lingering = context.clock.now_us() < linger_until_us;
+    let now_us = context.clock.now_us();
+    let linger_until_us = now_us + stop::LINGER_US;
+    let is_done = |now_us| {
         let is_told = context.is_announced() && context.are_shares_released();
-        let is_told = is_told || !is_lingering;
-        if context.running.load(Ordering::Relaxed) == 0 && is_told {
-            break;
-        }
-        tokio::time::sleep(DRAIN_CHECK).await;
-    }
-    info!(context.log, "entry has stopped"; "event" => Event::Stopped);
+        let is_told = is_told || now_us >= linger_until_us;
+        context.running.load(Ordering::Relaxed) == 0 && is_told
+    };
+    let drain_until_us = now_us + context.settings.drain_ms * US_PER_MS;
+    lifecycle::drain(
+        "entry",
+        &context.log,
+        context.clock,
+        drain_until_us,
+        is_done,
+    )
+    .await;
 }
--- /dev/null
+++ b/src/process/lifecycle.rs
@@ -0,0 +1,80 @@
+//! Start and graceful stop of entries and agents.
+
+use std::{
+    net::TcpListener,
+    sync::Arc,
+    time::Duration, //
+};
+
+use slog::{
+    Logger,
+    error,
+    info, //
+};
+
+use super::{
+    admin::{
+        self,
+        Observed, //
+    },
+    stop,
+};
+use crate::{
+    clock::Clock,
+    error::Result,
+    event::Event, //
+};
+
+/// Interval between checks whether the last request has ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+
+/// Runs the control thread, the admin listener and the traffic of a process
+/// until the traffic ends.
+pub(super) fn run<C>(
+    name: &str,
+    log: &Logger,
+    admin: (TcpListener, Arc<impl Observed>),
+    control: impl FnOnce() -> C + Send + 'static,
+    traffic: impl Future<Output = Result<()>> + 'static,
+) -> Result<()>
+where
+    C: Future<Output = Result<()>> + 'static,
+{
+    let control_log = log.clone();
+    stop::spawn_system("control", move || async move {
+        if let Err(report) = control().await {
+            error!(control_log, "control thread failed";
+                "event" => Event::Fatal, "error" => ?report);
+        }
+    })?;
+    let system = ntex::rt::System::new(name, ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        ntex::rt::spawn(async move {
+            let (listener, observed) = admin;
+            // A failure shows as a missing admin listener, not as lost traffic.
+            let _ = admin::serve(listener, observed).await;
+        });
+        traffic.await
+    })
+}
+
+/// Waits until a stopping process has finished its work, at most until the drain
+/// deadline. `is_done` is given the current time.
+pub(super) async fn drain(
+    name: &str,
+    log: &Logger,
+    clock: Clock,
+    drain_until_us: u64,
+    is_done: impl Fn(u64) -> bool,
+) {
+    info!(log, "{name} stops";
+        "event" => Event::Stopping, "drain_until_us" => drain_until_us);
+    loop {
+        let now_us = clock.now_us();
+        if now_us >= drain_until_us || is_done(now_us) {
+            break;
+        }
+        tokio::time::sleep(DRAIN_CHECK).await;
+    }
+    info!(log, "{name} has stopped"; "event" => Event::Stopped);
+}
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -60,7 +60,7 @@
         Result, //
     },
     names::Incarnation,
-    process::client,
+    process::http_server,
     request::{
         openai::Endpoint,
         prompt::Namespace, //
@@ -124,7 +124,7 @@
     let server = server
         .workers(1)
         .disable_signals()
-        .config(client::server_config("target"))
+        .config(http_server::config("target"))
         .listen(listener)
         .change_context(ErrorKind::Io)?;
     Ok(server.run())
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -38,7 +38,7 @@
         ErrorKind,
         Result, //
     },
-    process::client, //
+    process::http_server, //
 };
 
 /// Bytes of one part of a large answer.
@@ -94,7 +94,7 @@
     let server = server
         .workers(1)
         .disable_signals()
-        .config(client::server_config("target"))
+        .config(http_server::config("target"))
         .listen(listener)
         .change_context(ErrorKind::Io)?;
     Ok(server.run())
