Serve exchange and config_since by one implementation

Cause: entry and agent each implemented the peer methods, their commands and the call of exchange.

Change: peer::api::Api<C> implements the peer methods for every control loop whose commands can be made from a PeerCommand, and PeerCommand::execute answers them. peer::exchange is the client side. peer::ask becomes Api::ask, with its example. What a digest contains still differs and stays in both processes.

Conclusion: one implementation serves both processes.

--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -26,10 +26,7 @@
 use tokio::sync::mpsc;
 
 use self::{
-    api::{
-        Api,
-        Command, //
-    },
+    api::Command,
     report::Entries, //
 };
 use super::context::{
@@ -97,7 +94,7 @@
 ) -> Result<()> {
     let (commands, mut inbox) = mpsc::channel(COMMAND_CAPACITY);
     let address = stop::local(&listener)?;
-    let handle = peer::serve(listener, Api::methods(commands)?)?;
+    let handle = peer::serve(listener, api::methods(commands)?)?;
     let control = Rc::new(Control::new(context, address));
     if control.context.settings.target_kind == ServiceKind::Model {
         ntex::rt::spawn(Rc::clone(&control).poll_engine());
@@ -138,9 +135,8 @@
     fn execute(self: &Rc<Self>, command: Command) {
         // A caller that has gone away needs no answer.
         match command {
-            Command::Exchange(digest, sender) => drop(sender.send(self.take_exchange(&digest))),
-            Command::ConfigSince(revision, part, sender) => {
-                drop(sender.send(self.store.part(revision, part)));
+            Command::Peer(command) => {
+                command.execute(&self.store, |digest| self.take_exchange(digest));
             }
             Command::Probe(request, sender) => drop(sender.send(self.probe(&request))),
             Command::Order(request, sender) => {
--- a/src/process/agent/control/api.rs
+++ b/src/process/agent/control/api.rs
@@ -19,14 +19,14 @@
         Result, //
     },
     process::{
-        membership::digest::Digest,
-        peer,
+        peer::{
+            self,
+            api::PeerCommand, //
+        },
         rpc::{
             AgentApiServer,
-            ConfigPart,
             OrderAnswer,
             OrderRequest,
-            Packed,
             PeerApiServer,
             ProbeAnswer,
             ProbeRequest,
@@ -37,8 +37,7 @@
 
 /// Request of an RPC method to the control loop.
 pub(super) enum Command {
-    Exchange(Box<Digest>, oneshot::Sender<Digest>),
-    ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
+    Peer(PeerCommand),
     Probe(ProbeRequest, oneshot::Sender<ProbeAnswer>),
     Order(
         OrderRequest,
@@ -46,40 +45,24 @@
     ),
 }
 
-/// Server side of the RPC methods.
-#[derive(Clone)]
-pub(super) struct Api {
-    commands: mpsc::Sender<Command>,
-}
-
-impl Api {
-    /// Returns all methods of an agent.
-    pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<RpcModule<()>> {
-        let api = Self { commands };
-        let mut methods = RpcModule::new(());
-        let merged = methods
-            .merge(PeerApiServer::into_rpc(api.clone()))
-            .and_then(|()| methods.merge(AgentApiServer::into_rpc(api)));
-        merged.change_context(ErrorKind::Internal)?;
-        Ok(methods)
-    }
-
-    async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> RpcResult<T> {
-        peer::ask(&self.commands, command).await
+impl From<PeerCommand> for Command {
+    fn from(command: PeerCommand) -> Self {
+        Self::Peer(command)
     }
 }
 
-#[async_trait]
-impl PeerApiServer for Api {
-    async fn exchange(&self, digest: Packed<Digest>) -> RpcResult<Packed<Digest>> {
-        let answer = self.ask(|sender| Command::Exchange(Box::new(digest.0), sender));
-        Ok(Packed(answer.await?))
-    }
+/// Server side of the RPC methods.
+type Api = peer::api::Api<Command>;
 
-    async fn config_since(&self, revision: u64, part: u32) -> RpcResult<ConfigPart> {
-        self.ask(|sender| Command::ConfigSince(revision, part, sender))
-            .await
-    }
+/// Returns all methods of an agent.
+pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<RpcModule<()>> {
+    let api = Api::new(commands);
+    let mut methods = RpcModule::new(());
+    let merged = methods
+        .merge(PeerApiServer::into_rpc(api.clone()))
+        .and_then(|()| methods.merge(AgentApiServer::into_rpc(api)));
+    merged.change_context(ErrorKind::Internal)?;
+    Ok(methods)
 }
 
 #[async_trait]
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -34,6 +34,7 @@
                 choose, //
             },
         },
+        peer,
         platform::{
             InstanceRole,
             Platform, //
@@ -43,7 +44,6 @@
             Contact,
             EntryApiClient,
             Packed,
-            PeerApiClient,
             ReportAnswer, //
         },
     },
@@ -193,9 +193,7 @@
         let Some(_turn) = self.links.turn(address) else {
             return;
         };
-        let digest = self.own_digest();
-        let call = async |client: &WsClient| client.exchange(Packed(digest)).await;
-        if let Ok(Packed(answer)) = self.links.call(address, call).await {
+        if let Ok(answer) = peer::exchange(&self.links, address, self.own_digest()).await {
             self.absorb(&answer);
         }
     }
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -34,10 +34,7 @@
 };
 
 use self::{
-    api::{
-        Api,
-        Command, //
-    },
+    api::Command,
     contacts::Contacts,
     fleet::Fleet,
     limits::Limits,
@@ -94,7 +91,7 @@
 ) -> Result<()> {
     let (commands, mut inbox) = mpsc::channel(COMMAND_CAPACITY);
     let address = stop::local(&listener)?;
-    let handle = peer::serve(listener, Api::methods(commands)?)?;
+    let handle = peer::serve(listener, api::methods(commands)?)?;
     let control = Rc::new(Control::new(context, address));
     ntex::rt::spawn(Rc::clone(&control).follow_peers());
     ntex::rt::spawn(Rc::clone(&control).follow_platform());
@@ -139,11 +136,8 @@
     fn execute(self: &Rc<Self>, command: Command) {
         // A caller that has gone away needs no answer.
         match command {
-            Command::Exchange(digest, sender) => {
-                drop(sender.send(self.take_exchange(&digest)));
-            }
-            Command::ConfigSince(revision, part, sender) => {
-                drop(sender.send(self.store.part(revision, part)));
+            Command::Peer(command) => {
+                command.execute(&self.store, |digest| self.take_exchange(digest));
             }
             Command::Report(report, sender) => drop(sender.send(self.take_report(report))),
             Command::Limits(report, sender) => {
--- a/src/process/entry/control/api.rs
+++ b/src/process/entry/control/api.rs
@@ -25,11 +25,12 @@
     },
     process::{
         limits::message::Directive,
-        membership::digest::Digest,
-        peer,
+        peer::{
+            self,
+            api::PeerCommand, //
+        },
         rpc::{
             AgentReport,
-            ConfigPart,
             EntryApiServer,
             LimitAnswer,
             LimitReport,
@@ -46,8 +47,7 @@
 
 /// Request of an RPC method to the control loop.
 pub(super) enum Command {
-    Exchange(Box<Digest>, oneshot::Sender<Digest>),
-    ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
+    Peer(PeerCommand),
     Report(AgentReport, oneshot::Sender<ReportAnswer>),
     Status(oneshot::Sender<FleetStatus>),
     Explain(ExplainRequest, oneshot::Sender<Explanation>),
@@ -57,41 +57,25 @@
     Cut(Box<Cut>, oneshot::Sender<()>),
 }
 
-/// Server side of the RPC methods.
-#[derive(Clone)]
-pub(super) struct Api {
-    commands: mpsc::Sender<Command>,
-}
-
-impl Api {
-    /// Returns all methods of an entry.
-    pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<RpcModule<()>> {
-        let api = Self { commands };
-        let mut methods = RpcModule::new(());
-        let merged = methods
-            .merge(PeerApiServer::into_rpc(api.clone()))
-            .and_then(|()| methods.merge(EntryApiServer::into_rpc(api.clone())))
-            .and_then(|()| methods.merge(OperatorApiServer::into_rpc(api)));
-        merged.change_context(ErrorKind::Internal)?;
-        Ok(methods)
-    }
-
-    async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> RpcResult<T> {
-        peer::ask(&self.commands, command).await
+impl From<PeerCommand> for Command {
+    fn from(command: PeerCommand) -> Self {
+        Self::Peer(command)
     }
 }
 
-#[async_trait]
-impl PeerApiServer for Api {
-    async fn exchange(&self, digest: Packed<Digest>) -> RpcResult<Packed<Digest>> {
-        let answer = self.ask(|sender| Command::Exchange(Box::new(digest.0), sender));
-        Ok(Packed(answer.await?))
-    }
+/// Server side of the RPC methods.
+type Api = peer::api::Api<Command>;
 
-    async fn config_since(&self, revision: u64, part: u32) -> RpcResult<ConfigPart> {
-        self.ask(|sender| Command::ConfigSince(revision, part, sender))
-            .await
-    }
+/// Returns all methods of an entry.
+pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<RpcModule<()>> {
+    let api = Api::new(commands);
+    let mut methods = RpcModule::new(());
+    let merged = methods
+        .merge(PeerApiServer::into_rpc(api.clone()))
+        .and_then(|()| methods.merge(EntryApiServer::into_rpc(api.clone())))
+        .and_then(|()| methods.merge(OperatorApiServer::into_rpc(api)));
+    merged.change_context(ErrorKind::Internal)?;
+    Ok(methods)
 }
 
 #[async_trait]
--- a/src/process/entry/control/exchange.rs
+++ b/src/process/entry/control/exchange.rs
@@ -7,7 +7,6 @@
 };
 
 use futures_util::future::join_all;
-use jsonrpsee::ws_client::WsClient;
 use slog::{
     info,
     warn, //
@@ -29,10 +28,9 @@
             digest::Digest,
             rendezvous::choose, //
         },
+        peer,
         rpc::{
             AgentReport,
-            Packed,
-            PeerApiClient,
             ReportAnswer, //
         },
     },
@@ -180,8 +178,7 @@
     async fn call_once(&self, address: SocketAddr, peer: Option<&Report>) {
         let sent_at_us = self.context.clock.now_us();
         let digest = self.digest(peer);
-        let exchange = async |client: &WsClient| client.exchange(Packed(digest)).await;
-        let Ok(Packed(answer)) = self.links.call(address, exchange).await else {
+        let Ok(answer) = peer::exchange(&self.links, address, digest).await else {
             return;
         };
         if self.is_self(&answer.sender) {
--- a/src/process/peer.rs
+++ b/src/process/peer.rs
@@ -1,5 +1,7 @@
 //! Control connections to peers and what is read over them.
 
+pub mod api;
+
 use std::{
     cell::RefCell,
     collections::{
@@ -10,11 +12,12 @@
     rc::Rc, //
 };
 
+use error_stack::{
+    Report,
+    ResultExt, //
+};
 use jsonrpsee::{
-    core::{
-        RpcResult,
-        client::Error, //
-    },
+    core::client::Error,
     server::{
         ServerBuilder,
         ServerConfig,
@@ -23,17 +26,15 @@
     ws_client::WsClient, //
 };
 
-use tokio::sync::{
-    mpsc,
-    oneshot, //
-};
-
-use super::rpc::{
-    self,
-    MAX_MESSAGE_BYTES,
-    PeerApiClient,
-    call_failed,
-    rpc_error, //
+use super::{
+    membership::digest::Digest,
+    rpc::{
+        self,
+        MAX_MESSAGE_BYTES,
+        Packed,
+        PeerApiClient,
+        call_failed, //
+    },
 };
 use crate::{
     error::{
@@ -43,40 +44,13 @@
     version::config::Update, //
 };
 
-/// Passes the request of an RPC method to a control loop and waits for its
-/// answer.
-///
-/// # Errors
-///
-/// Returns [`ErrorKind::Stopping`] when the control loop has ended.
-///
-/// ```
-/// use tokio::sync::{mpsc, oneshot};
-/// use yuccalatch::process::peer::ask;
-///
-/// ntex::rt::System::new("example", ntex::rt::DefaultRuntime).block_on(async {
-///     let (commands, mut inbox) = mpsc::channel::<oneshot::Sender<u32>>(1);
-///     ntex::rt::spawn(async move {
-///         if let Some(answer) = inbox.recv().await {
-///             let _ = answer.send(7);
-///         }
-///     });
-///     assert_eq!(ask(&commands, |answer| answer).await.unwrap(), 7);
-/// });
-/// ```
-pub async fn ask<C, T>(
-    commands: &mpsc::Sender<C>,
-    command: impl FnOnce(oneshot::Sender<T>) -> C,
-) -> RpcResult<T> {
-    let (sender, receiver) = oneshot::channel();
-    let sent = commands.send(command(sender)).await;
-    sent.map_err(|_| rpc_error(ErrorKind::Stopping))?;
-    receiver.await.map_err(|_| rpc_error(ErrorKind::Stopping))
-}
-
 /// Restarts of a transfer whose revision changes between two parts.
 const MAX_TRANSFERS: u32 = 3;
 
+/// Connections to one control listener: the entries of a data centre, one of
+/// every other, the agents that report, and operators.
+const MAX_CONNECTIONS: u32 = 1_024;
+
 /// Open connections by control address, one for each peer.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -178,6 +152,17 @@
     }
 }
 
+/// Sends a digest to a peer and returns the peer's.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::PeerUnavailable`] when the peer does not answer.
+pub(super) async fn exchange(links: &Links, address: SocketAddr, digest: Digest) -> Result<Digest> {
+    let call = async |client: &WsClient| client.exchange(Packed(digest)).await;
+    let Packed(answer) = links.call(address, call).await?;
+    Ok(answer)
+}
+
 /// Fetches what a peer has after a revision.
 ///
 /// # Errors
@@ -187,12 +172,11 @@
 pub async fn fetch_config(links: &Links, address: SocketAddr, revision: u64) -> Result<Update> {
     for _ in 0..MAX_TRANSFERS {
         if let Some(bytes) = fetch_parts(links, address, revision).await? {
-            return serde_json::from_slice(&bytes).map_err(|error| {
-                error_stack::Report::new(ErrorKind::Internal).attach(error.to_string())
-            });
+            return serde_json::from_slice(&bytes)
+                .map_err(|error| Report::new(ErrorKind::Internal).attach(error.to_string()));
         }
     }
-    Err(error_stack::Report::new(ErrorKind::PeerUnavailable)
+    Err(Report::new(ErrorKind::PeerUnavailable)
         .attach("the revision changes faster than it can be read"))
 }
 
@@ -222,7 +206,6 @@
     listener: std::net::TcpListener,
     methods: impl Into<jsonrpsee::Methods>,
 ) -> Result<ServerHandle> {
-    use error_stack::ResultExt;
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
         .max_response_body_size(MAX_MESSAGE_BYTES)
@@ -233,7 +216,3 @@
         .change_context(ErrorKind::Io)?;
     Ok(server.start(methods))
 }
-
-/// Connections to one control listener: the entries of a data centre, one of
-/// every other, the agents that report, and operators.
-const MAX_CONNECTIONS: u32 = 1_024;
--- /dev/null
+++ b/src/process/peer/api.rs
@@ -0,0 +1,105 @@
+//! Server side of the RPC methods, passed to the control loop of a process.
+
+use jsonrpsee::core::{
+    RpcResult,
+    async_trait, //
+};
+use tokio::sync::{
+    mpsc,
+    oneshot, //
+};
+
+use crate::{
+    error::ErrorKind,
+    process::{
+        config_store::ConfigStore,
+        membership::digest::Digest,
+        rpc::{
+            ConfigPart,
+            Packed,
+            PeerApiServer,
+            rpc_error, //
+        },
+    },
+};
+
+/// Request of a method that every process has.
+#[derive(Debug)]
+pub enum PeerCommand {
+    /// Takes a digest and returns the own one.
+    Exchange(Box<Digest>, oneshot::Sender<Digest>),
+    /// Returns a part of the configuration after a revision.
+    ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
+}
+
+impl PeerCommand {
+    /// Answers the request; `exchange` takes a digest and returns the own one.
+    pub fn execute(self, store: &ConfigStore, exchange: impl FnOnce(&Digest) -> Digest) {
+        // A caller that has gone away needs no answer.
+        match self {
+            Self::Exchange(digest, sender) => drop(sender.send(exchange(&digest))),
+            Self::ConfigSince(revision, part, sender) => {
+                drop(sender.send(store.part(revision, part)));
+            }
+        }
+    }
+}
+
+/// RPC methods whose requests become commands `C` to a control loop.
+#[derive(Debug)]
+pub struct Api<C> {
+    commands: mpsc::Sender<C>,
+}
+
+impl<C> Clone for Api<C> {
+    fn clone(&self) -> Self {
+        Self::new(self.commands.clone())
+    }
+}
+
+impl<C> Api<C> {
+    /// Makes methods that send to a control loop.
+    pub const fn new(commands: mpsc::Sender<C>) -> Self {
+        Self { commands }
+    }
+
+    /// Passes a request to the control loop and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ErrorKind::Stopping`] when the control loop has ended.
+    ///
+    /// ```
+    /// use tokio::sync::{mpsc, oneshot};
+    /// use yuccalatch::process::peer::api::Api;
+    ///
+    /// ntex::rt::System::new("example", ntex::rt::DefaultRuntime).block_on(async {
+    ///     let (commands, mut inbox) = mpsc::channel::<oneshot::Sender<u32>>(1);
+    ///     ntex::rt::spawn(async move {
+    ///         if let Some(answer) = inbox.recv().await {
+    ///             let _ = answer.send(7);
+    ///         }
+    ///     });
+    ///     assert_eq!(Api::new(commands).ask(|answer| answer).await.unwrap(), 7);
+    /// });
+    /// ```
+    pub async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> C) -> RpcResult<T> {
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.commands.send(command(sender)).await;
+        sent.map_err(|_| rpc_error(ErrorKind::Stopping))?;
+        receiver.await.map_err(|_| rpc_error(ErrorKind::Stopping))
+    }
+}
+
+#[async_trait]
+impl<C: From<PeerCommand> + Send + 'static> PeerApiServer for Api<C> {
+    async fn exchange(&self, digest: Packed<Digest>) -> RpcResult<Packed<Digest>> {
+        let answer = self.ask(|sender| PeerCommand::Exchange(Box::new(digest.0), sender).into());
+        Ok(Packed(answer.await?))
+    }
+
+    async fn config_since(&self, revision: u64, part: u32) -> RpcResult<ConfigPart> {
+        self.ask(|sender| PeerCommand::ConfigSince(revision, part, sender).into())
+            .await
+    }
+}
