Define header names once

Cause: agent and entry each defined the request-id header, the names between agent and engine were string literals on both sides and in the stand-in, and the headers in which a key is presented were listed apart from those that are removed, so that a new one could have reached a target.

Change: request/headers defines the names. The filter removes KEY_HEADERS, the list that the entry reads keys from. tests/ keep their literals, which guard the names on the wire.

Conclusion: one definition serves all programs; the names are unchanged.

--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -49,14 +49,17 @@
         upload::Upload, //
     },
     request::headers::{
+        CACHE_NAMESPACE,
         Direction,
-        HeaderFilter, //
+        ENGINE_INCARNATION,
+        HeaderFilter,
+        MATCHED_BLOCKS,
+        MODEL_VERSION,
+        PRIORITY,
+        REQUEST_ID, //
     },
 };
 
-/// Header with the request id, towards targets and callers.
-pub(super) const REQUEST_ID: &str = "x-request-id";
-
 /// Time between two tokens after which an engine counts as hung. Tokens are
 /// expected within 50 ms; a pause of seconds only occurs in a hung engine.
 const STALL: Duration = Duration::from_secs(5);
@@ -243,9 +246,9 @@
         }
         request = request
             .set_header(REQUEST_ID, &*self.head.request_id)
-            .set_header("x-cache-namespace", self.head.namespace.to_string())
-            .set_header("x-model-version", &*self.head.version)
-            .set_header("x-priority", priority_value(priority).to_string());
+            .set_header(CACHE_NAMESPACE, self.head.namespace.to_string())
+            .set_header(MODEL_VERSION, &*self.head.version)
+            .set_header(PRIORITY, priority_value(priority).to_string());
         let body = match &self.body {
             AttemptBody::Kept(body) => body.clone().into(),
             AttemptBody::Upload(upload) => upload.body(),
@@ -256,8 +259,7 @@
 
     fn note_answer(&self, response: &ClientResponse, progress: &Progress) {
         let context = &self.traffic.context;
-        let Some(engine) = number_header(response, "x-engine-incarnation", 16).map(Incarnation)
-        else {
+        let Some(engine) = number_header(response, ENGINE_INCARNATION, 16).map(Incarnation) else {
             return;
         };
         context.set_engine(engine);
@@ -338,7 +340,7 @@
 }
 
 fn matched_blocks(response: &ClientResponse) -> u32 {
-    let blocks = number_header(response, "x-matched-blocks", 10).unwrap_or(0);
+    let blocks = number_header(response, MATCHED_BLOCKS, 10).unwrap_or(0);
     u32::try_from(blocks).unwrap_or(u32::MAX)
 }
 
--- a/src/process/entry/answer.rs
+++ b/src/process/entry/answer.rs
@@ -6,14 +6,14 @@
 };
 use serde::Serialize;
 
-use crate::error::{
-    ErrorKind,
-    Report, //
+use crate::{
+    error::{
+        ErrorKind,
+        Report, //
+    },
+    request::headers::REQUEST_ID, //
 };
 
-/// Header with the request id.
-pub(super) const REQUEST_ID: &str = "x-request-id";
-
 #[derive(Serialize)]
 struct ErrorBody<'a> {
     error: ErrorDetail<'a>,
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -18,10 +18,7 @@
     web::HttpRequest, //
 };
 
-use super::{
-    answer::REQUEST_ID,
-    context::Context, //
-};
+use super::context::Context;
 use crate::{
     clock::US_PER_MS,
     error::{
@@ -44,6 +41,8 @@
         headers::{
             Direction,
             HeaderFilter,
+            KEY_HEADERS,
+            REQUEST_ID,
             forwarded_path,
             is_normalised, //
         },
@@ -75,9 +74,6 @@
 /// Name under which requests without a key are accounted.
 pub(super) const PUBLIC: &str = "public";
 
-/// Headers in which callers present their key.
-const KEY_HEADERS: [&str; 2] = ["x-api-key", "api-key"];
-
 /// A checked request of a caller.
 pub(super) struct Request {
     pub(super) id: Name,
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -18,7 +18,6 @@
 use super::{
     admission::admit,
     answer::{
-        REQUEST_ID,
         error_event,
         error_response, //
     },
@@ -45,7 +44,10 @@
         metrics::OrganisationMetrics,
         upload, //
     },
-    request::admission::Reservation,
+    request::{
+        admission::Reservation,
+        headers::REQUEST_ID, //
+    },
     version::config::ServiceKind, //
 };
 
--- a/src/replay/player/call.rs
+++ b/src/replay/player/call.rs
@@ -17,7 +17,13 @@
         outcome::Observed,
         trace::TraceRequest, //
     },
-    request::openai::sse::SseParser, //
+    request::{
+        headers::{
+            MATCHED_BLOCKS,
+            PROMPT_BLOCKS, //
+        },
+        openai::sse::SseParser, //
+    },
 };
 
 /// Sends a request and reads its answer to the end.
@@ -56,8 +62,8 @@
         .await
         .ok()?;
     observed.status = response.status().as_u16();
-    observed.matched_blocks = number(&response, "x-matched-blocks");
-    observed.prompt_blocks = number(&response, "x-prompt-blocks");
+    observed.matched_blocks = number(&response, MATCHED_BLOCKS);
+    observed.prompt_blocks = number(&response, PROMPT_BLOCKS);
     let mut body = Body::default();
     let mut payload = response.take_payload();
     let mut last_us = None;
--- a/src/request/headers.rs
+++ b/src/request/headers.rs
@@ -1,9 +1,30 @@
-//! Headers and query parameters that are not forwarded.
+//! Names of headers, and the headers and query parameters that are not forwarded.
 //!
 //! Trailer sections are dropped in both directions: the fields that announce or
 //! request them are removed here, and the caller of this module must not copy
 //! the section itself.
 
+/// Identifies a request towards callers and targets.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Cache namespace of a request, towards an engine.
+pub const CACHE_NAMESPACE: &str = "x-cache-namespace";
+
+/// Version that a request is for, and that an engine answered with.
+pub const MODEL_VERSION: &str = "x-model-version";
+
+/// Priority of a request at an engine; lower values run first.
+pub const PRIORITY: &str = "x-priority";
+
+/// Blocks of the prompt that an engine found in its cache.
+pub const MATCHED_BLOCKS: &str = "x-matched-blocks";
+
+/// Blocks of the prompt.
+pub const PROMPT_BLOCKS: &str = "x-prompt-blocks";
+
+/// Incarnation of an engine's cache, in hexadecimal digits.
+pub const ENGINE_INCARNATION: &str = "x-engine-incarnation";
+
 /// Which way a message travels.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Direction {
@@ -13,14 +34,11 @@
     ToCaller,
 }
 
-/// Fields that carry a caller's credentials.
-const CREDENTIALS: &[&str] = &[
-    "api-key",
-    "authorization",
-    "cookie",
-    "proxy-authorization",
-    "x-api-key",
-];
+/// Fields in which callers may present their key besides `authorization`.
+pub const KEY_HEADERS: [&str; 2] = ["x-api-key", "api-key"];
+
+/// Fields besides [`KEY_HEADERS`] that carry a caller's credentials.
+const CREDENTIALS: &[&str] = &["authorization", "cookie", "proxy-authorization"];
 
 /// Fields of one connection only, RFC 9110 sections 7.6.1 and 6.5, together with
 /// the fields that frame the body, which the HTTP library writes itself.
@@ -84,7 +102,9 @@
     pub fn forwards(&self, name: &str) -> bool {
         let name = normalise(name);
         let removed = match self.direction {
-            Direction::ToTarget => CREDENTIALS.contains(&name.as_str()),
+            Direction::ToTarget => {
+                CREDENTIALS.contains(&name.as_str()) || KEY_HEADERS.contains(&name.as_str())
+            }
             // Cookies do not reach targets, so a target cannot use one.
             Direction::ToCaller => name == "set-cookie",
         };
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -62,6 +62,14 @@
     names::Incarnation,
     process::http_server,
     request::{
+        headers::{
+            CACHE_NAMESPACE,
+            ENGINE_INCARNATION,
+            MATCHED_BLOCKS,
+            MODEL_VERSION,
+            PRIORITY,
+            PROMPT_BLOCKS, //
+        },
         openai::Endpoint,
         prompt::Namespace, //
     },
@@ -226,7 +234,7 @@
         }
     };
     let version =
-        header(request, "x-model-version").unwrap_or_else(|| engine.settings.version.to_string());
+        header(request, MODEL_VERSION).unwrap_or_else(|| engine.settings.version.to_string());
     if !engine.versions.borrow().contains(&version) {
         return HttpResponse::NotFound()
             .json(&json!({"error": {"message": "version is not loaded"}}));
@@ -240,11 +248,11 @@
         return HttpResponse::InternalServerError()
             .json(&json!({"error": {"message": "injected failure"}}));
     }
-    let priority = header(request, "x-priority")
+    let priority = header(request, PRIORITY)
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
     let slot = engine.batch.enter(priority).await;
-    let namespace = header(request, "x-cache-namespace")
+    let namespace = header(request, CACHE_NAMESPACE)
         .and_then(|value| value.parse().ok())
         .unwrap_or_else(|| Namespace::derive("", &version));
     let blocks = block_hashes(namespace, endpoint, body, engine.settings.block_tokens);
@@ -270,10 +278,10 @@
 
     let mut response = HttpResponse::Ok();
     response
-        .set_header("x-matched-blocks", matched.to_string())
-        .set_header("x-prompt-blocks", blocks.len().to_string())
-        .set_header("x-engine-incarnation", engine.incarnation.to_string())
-        .set_header("x-model-version", version.as_str());
+        .set_header(MATCHED_BLOCKS, matched.to_string())
+        .set_header(PROMPT_BLOCKS, blocks.len().to_string())
+        .set_header(ENGINE_INCARNATION, engine.incarnation.to_string())
+        .set_header(MODEL_VERSION, version.as_str());
     let generation = Generation {
         text: completion.prompt.clone(),
         engine: Rc::clone(&engine),
