Keep the progress of a stop in one type

Cause: both contexts held the flags for leaving and announced with the same accessors.

Change: stop::Progress holds both flags. The contexts keep is_leaving, which many modules use, and leave, which also wakes the control thread.

Conclusion: the flags and their meaning are defined once.

--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -5,7 +5,6 @@
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{
-            AtomicBool,
             AtomicU64,
             AtomicUsize,
             Ordering, //
@@ -28,7 +27,8 @@
     process::{
         cache_index::Answer,
         fair_queue,
-        metrics::Metrics, //
+        metrics::Metrics,
+        stop, //
     },
     request::prompt::BlockHash,
     settings::AgentSettings,
@@ -81,8 +81,7 @@
     pub(super) answered: mpsc::Sender<Answered>,
     /// Told when the state that collectors should know of has changed.
     pub(super) changed: Notify,
-    leaving: AtomicBool,
-    announced: AtomicBool,
+    pub(super) stop: stop::Progress,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
     running_versions: Mutex<BTreeMap<Name, u64>>,
@@ -104,8 +103,7 @@
             load: Load::default(),
             answered,
             changed: Notify::new(),
-            leaving: AtomicBool::new(false),
-            announced: AtomicBool::new(false),
+            stop: stop::Progress::default(),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
             running_versions: Mutex::default(),
@@ -155,23 +153,14 @@
     }
 
     pub(super) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.stop.is_leaving()
     }
 
     pub(super) fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+        self.stop.leave();
         self.changed.notify_one();
     }
 
-    /// Whether the collectors have been told that the agent is leaving.
-    pub(super) fn is_announced(&self) -> bool {
-        self.announced.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn set_announced(&self) {
-        self.announced.store(true, Ordering::Relaxed);
-    }
-
     /// Incarnation of the engine's cache, as last seen.
     pub(super) fn engine(&self) -> Incarnation {
         Incarnation(self.engine.load(Ordering::Relaxed))
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -108,7 +108,7 @@
             let round = Rc::clone(&self).report_all();
             if is_last {
                 round.await;
-                self.context.set_announced();
+                self.context.stop.set_announced();
             } else {
                 ntex::rt::spawn(round);
             }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -127,7 +127,7 @@
     let now_us = context.clock.now_us();
     let linger_until_us = now_us + stop::LINGER_US;
     let is_done = |now_us| {
-        let is_told = context.is_announced() && context.are_shares_released();
+        let is_told = context.stop.is_announced() && context.are_shares_released();
         let is_told = is_told || now_us >= linger_until_us;
         context.running.load(Ordering::Relaxed) == 0 && is_told
     };
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -41,7 +41,10 @@
         Incarnation,
         Name, //
     },
-    process::metrics::Metrics,
+    process::{
+        metrics::Metrics,
+        stop, //
+    },
     settings::EntrySettings,
     version::config::Config, //
 };
@@ -83,12 +86,11 @@
     /// Requests that have not been answered completely.
     pub(super) running: AtomicUsize,
     next_sequence: AtomicU64,
-    leaving: AtomicBool,
+    pub(super) stop: stop::Progress,
     shares_released: AtomicBool,
     keys_stale_at_us: AtomicU64,
     /// Told when the state that peers should know of has changed.
     pub(super) changed: Notify,
-    announced: AtomicBool,
     /// Asks the control thread for records of idempotency keys.
     pub(super) records: mpsc::Sender<RecordRequest>,
     platform_heard_at_us: AtomicU64,
@@ -132,10 +134,9 @@
             shares_released: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             next_sequence: AtomicU64::new(0),
-            leaving: AtomicBool::new(false),
+            stop: stop::Progress::default(),
             keys_stale_at_us: AtomicU64::new(0),
             changed: Notify::new(),
-            announced: AtomicBool::new(false),
             records,
             platform_heard_at_us: AtomicU64::new(0),
             platform_failed_at_us: AtomicU64::new(0),
@@ -160,23 +161,14 @@
     }
 
     pub(super) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.stop.is_leaving()
     }
 
     pub(super) fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+        self.stop.leave();
         self.changed.notify_one();
     }
 
-    /// Whether the peers have been told that the entry is leaving.
-    pub(super) fn is_announced(&self) -> bool {
-        self.announced.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn set_announced(&self) {
-        self.announced.store(true, Ordering::Relaxed);
-    }
-
     /// Whether withdrawals of keys may have been missed.
     ///
     /// The time is compared for every request, because a process that resumes
--- a/src/process/entry/control/exchange.rs
+++ b/src/process/entry/control/exchange.rs
@@ -56,7 +56,7 @@
             let calls = self.call_all(round);
             if is_last && round == Round::Members {
                 calls.await;
-                self.context.set_announced();
+                self.context.stop.set_announced();
             } else {
                 ntex::rt::spawn(calls);
             }
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -1,10 +1,14 @@
-//! Graceful stops: signals and listeners.
+//! Graceful stops: signals and progress; listeners and threads.
 
 use std::{
     net::{
         SocketAddr,
         TcpListener, //
     },
+    sync::atomic::{
+        AtomicBool,
+        Ordering, //
+    },
     thread, //
 };
 
@@ -28,6 +32,44 @@
 /// at most until its peers have answered the announcement.
 pub const LINGER_US: u64 = US_PER_S;
 
+/// Progress of a graceful stop, shared by the threads of a process.
+///
+/// ```
+/// use yuccalatch::process::stop::Progress;
+///
+/// let progress = Progress::default();
+/// progress.leave();
+/// assert!(progress.is_leaving());
+/// assert!(!progress.is_announced());
+/// ```
+#[derive(Debug, Default)]
+pub struct Progress {
+    is_leaving: AtomicBool,
+    is_announced: AtomicBool,
+}
+
+impl Progress {
+    /// Begins the stop: the process takes no further work.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the stop has begun.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the processes to be told have been told of the stop.
+    pub fn set_announced(&self) {
+        self.is_announced.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the processes to be told have been told of the stop.
+    pub fn is_announced(&self) -> bool {
+        self.is_announced.load(Ordering::Relaxed)
+    }
+}
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
