Share defaults and checks of the settings of entry and agent

Cause: both files had the same default functions, the same checks of name, data centre and addresses, and conversions of counts.

Change: settings/shared has the defaults, Checker::instance and Checker::count.

Conclusion: defaults and checks are defined once; findings come in the same order as before.

--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -11,13 +11,13 @@
     Finding, Settings,
     shared::{
         Checker,
-        LogSettings, //
+        LogSettings,
+        default_drain_ms,
+        default_idempotency_window_ms, //
     },
 };
 use crate::{
-    clock::US_PER_MS,
     names::Name,
-    process::fate::idempotency::WINDOW_US,
     version::config::ServiceKind, //
 };
 
@@ -86,14 +86,6 @@
     pub log: LogSettings,
 }
 
-const fn default_idempotency_window_ms() -> u64 {
-    WINDOW_US / US_PER_MS
-}
-
-const fn default_drain_ms() -> u64 {
-    30_000
-}
-
 impl Settings for AgentSettings {
     const DEFAULT_TEXT: &'static str = r#"{
   // Name of the target in the configuration.
@@ -134,19 +126,17 @@
 
     fn check(&self) -> Vec<Finding> {
         let mut checker = Checker::default();
-        checker.name("name", &self.name);
-        checker.name("data_centre", &self.data_centre);
-        checker.listeners(&[
+        let addresses = [
             ("data_address", self.data_address),
             ("control_address", self.control_address),
             ("admin_address", self.admin_address),
             ("target_address", self.target_address),
             ("platform_address", self.platform_address),
-        ]);
-        let count = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
-        checker.range(
+        ];
+        checker.instance(&self.name, &self.data_centre, &addresses);
+        checker.count(
             &["queue", "max_requests"],
-            count(self.queue.max_requests),
+            self.queue.max_requests,
             (1, 1 << 20),
             "state a number of requests",
         );
@@ -156,9 +146,9 @@
             (1, 1 << 40),
             "state tokens",
         );
-        checker.range(
+        checker.count(
             &["queue", "max_running"],
-            count(self.queue.max_running),
+            self.queue.max_running,
             (1, 1 << 20),
             "state a number of requests",
         );
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -11,13 +11,13 @@
     Finding, Settings,
     shared::{
         Checker,
-        LogSettings, //
+        LogSettings,
+        default_drain_ms,
+        default_idempotency_window_ms, //
     },
 };
 use crate::{
-    clock::US_PER_MS,
     names::Name,
-    process::fate::idempotency::WINDOW_US,
     version::rollout::plan::Pace, //
 };
 
@@ -67,14 +67,6 @@
     2
 }
 
-const fn default_idempotency_window_ms() -> u64 {
-    WINDOW_US / US_PER_MS
-}
-
-const fn default_drain_ms() -> u64 {
-    30_000
-}
-
 const fn default_body_limit_bytes() -> usize {
     8 << 20
 }
@@ -121,26 +113,23 @@
 
     fn check(&self) -> Vec<Finding> {
         let mut checker = Checker::default();
-        checker.name("name", &self.name);
-        checker.name("data_centre", &self.data_centre);
-        checker.listeners(&[
+        let addresses = [
             ("caller_address", self.caller_address),
             ("control_address", self.control_address),
             ("admin_address", self.admin_address),
             ("platform_address", self.platform_address),
-        ]);
-        let threads = u64::try_from(self.traffic_threads).unwrap_or(u64::MAX);
-        checker.range(
+        ];
+        checker.instance(&self.name, &self.data_centre, &addresses);
+        checker.count(
             &["traffic_threads"],
-            threads,
+            self.traffic_threads,
             (1, 256),
             "use one thread for each core",
         );
         checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
-        let limit = u64::try_from(self.body_limit_bytes).unwrap_or(u64::MAX);
-        checker.range(
+        checker.count(
             &["body_limit_bytes"],
-            limit,
+            self.body_limit_bytes,
             (1 << 10, 1 << 30),
             "state bytes",
         );
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -8,11 +8,25 @@
 };
 
 use super::Finding;
-use crate::jsonc::Step;
+use crate::{
+    clock::US_PER_MS,
+    jsonc::Step,
+    process::fate::idempotency::WINDOW_US, //
+};
 
 /// A drain longer than an hour points to a wrong unit.
 const MAX_DURATION_MS: u64 = 3_600_000;
 
+/// Default of `drain_ms` of entry and agent.
+pub(super) const fn default_drain_ms() -> u64 {
+    30_000
+}
+
+/// Default of `idempotency_window_ms` of entry and agent.
+pub(super) const fn default_idempotency_window_ms() -> u64 {
+    WINDOW_US / US_PER_MS
+}
+
 /// Form of log lines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -107,6 +121,18 @@
         }
     }
 
+    /// Checks that a count lies in a range.
+    pub(super) fn count(
+        &mut self,
+        path: &[&'static str],
+        value: usize,
+        range: (u64, u64),
+        hint: &'static str,
+    ) {
+        let value = u64::try_from(value).unwrap_or(u64::MAX);
+        self.range(path, value, range, hint);
+    }
+
     /// Checks a duration in milliseconds.
     pub(super) fn duration_ms(&mut self, path: &[&'static str], value: u64, min: u64) {
         self.range(path, value, (min, MAX_DURATION_MS), "state milliseconds");
@@ -125,6 +151,18 @@
         }
     }
 
+    /// Checks what an entry and an agent have in common.
+    pub(super) fn instance(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        addresses: &[(&'static str, SocketAddr)],
+    ) {
+        self.name("name", name);
+        self.name("data_centre", data_centre);
+        self.listeners(addresses);
+    }
+
     /// Returns the findings.
     pub(super) fn finish(self) -> Vec<Finding> {
         self.findings
