--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,5 +2,6 @@
 
 pub mod engine;
 pub mod fault;
+mod http;
 pub mod plain;
 pub mod platform;
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -14,7 +14,6 @@
     time::Duration, //
 };
 
-use error_stack::ResultExt;
 use futures_util::stream;
 use ntex::{
     http::StatusCode,
@@ -55,10 +54,7 @@
         US_PER_MS,
         US_PER_S, //
     },
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     names::Incarnation,
     process::http_server,
     request::{
@@ -73,15 +69,17 @@
         openai::Endpoint,
         prompt::Namespace, //
     },
-    settings::EngineSettings, //
+    settings::EngineSettings,
+    standin::http::{
+        header_texts,
+        injected_break,
+        payload_config, //
+    },
 };
 
 /// Requests remembered for tests.
 const RECORD_CAPACITY: usize = 10_000;
 
-/// Largest request body.
-const MAX_BODY_BYTES: usize = 64 << 20;
-
 /// A request as the engine received it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Received {
@@ -113,14 +111,15 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::Io`] when the listener cannot be used.
+/// Returns [`ErrorKind::Io`](crate::error::ErrorKind::Io) when the listener cannot be used.
 pub fn serve(settings: EngineSettings, listener: TcpListener) -> Result<Server> {
     let incarnation = Incarnation::random();
-    let server = web::HttpServer::new(async move || {
+    let config = http_server::config("target");
+    http_server::start(listener, config, 1, async move || {
         let engine = Rc::new(Engine::new(settings.clone(), incarnation));
         App::new()
             .state(engine)
-            .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
+            .state(payload_config())
             .route("/v1/chat/completions", web::post().to(chat))
             .route("/v1/completions", web::post().to(text))
             .route("/events", web::get().to(events))
@@ -128,14 +127,7 @@
             .route("/orders", web::post().to(orders))
             .route("/faults", web::put().to(faults))
             .route("/received", web::get().to(received))
-    });
-    let server = server
-        .workers(1)
-        .disable_signals()
-        .config(http_server::config("target"))
-        .listen(listener)
-        .change_context(ErrorKind::Io)?;
-    Ok(server.run())
+    })
 }
 
 impl Engine {
@@ -259,14 +251,7 @@
     let matched = engine.cache.borrow_mut().lookup(&blocks);
     engine.record(Received {
         path: request.uri().to_string(),
-        headers: request
-            .headers()
-            .iter()
-            .map(|(name, value)| {
-                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
-                (name.to_string(), value)
-            })
-            .collect(),
+        headers: header_texts(request).collect(),
         body: String::from_utf8_lossy(body).into_owned(),
         version: version.clone(),
         matched_blocks: matched,
@@ -339,7 +324,7 @@
             (faults.break_after_tokens, faults.hang_after_tokens)
         };
         if break_after.is_some_and(|limit| self.emitted >= limit) {
-            return Some(Err(std::io::Error::other("injected break")));
+            return Some(Err(injected_break()));
         }
         if hang_after.is_some_and(|limit| self.emitted >= limit) {
             std::future::pending::<()>().await;
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -14,7 +14,6 @@
     time::Duration, //
 };
 
-use error_stack::ResultExt;
 use futures_util::stream;
 use ntex::{
     http::StatusCode,
@@ -33,20 +32,19 @@
 };
 use serde_json::json;
 
+use super::http::{
+    header_texts,
+    injected_break,
+    payload_config, //
+};
 use crate::{
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     process::http_server, //
 };
 
 /// Bytes of one part of a large answer.
 const PART_BYTES: usize = 16 << 10;
 
-/// Largest request body.
-const MAX_BODY_BYTES: usize = 64 << 20;
-
 /// Faults that a stand-in plain service injects, set with `PUT /faults`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -76,28 +74,22 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::Io`] when the listener cannot be used.
+/// Returns [`ErrorKind::Io`](crate::error::ErrorKind::Io) when the listener cannot be used.
 pub fn serve(work_ms: u64, listener: TcpListener) -> Result<Server> {
-    let server = web::HttpServer::new(async move || {
+    let config = http_server::config("target");
+    http_server::start(listener, config, 1, async move || {
         let service = Rc::new(Service {
             work_ms,
             ..Service::default()
         });
         App::new()
             .state(service)
-            .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
+            .state(payload_config())
             .route("/faults", web::put().to(faults))
             .route("/executions", web::get().to(executions))
             .route("/received", web::get().to(received))
             .default_service(web::route().to(execute))
-    });
-    let server = server
-        .workers(1)
-        .disable_signals()
-        .config(http_server::config("target"))
-        .listen(listener)
-        .change_context(ErrorKind::Io)?;
-    Ok(server.run())
+    })
 }
 
 #[derive(Default, Deserialize)]
@@ -124,7 +116,7 @@
         std::future::pending::<()>().await;
     }
     if faults.break_after_execution {
-        let broken = Err::<Bytes, _>(std::io::Error::other("injected break"));
+        let broken = Err::<Bytes, _>(injected_break());
         return HttpResponse::Ok().streaming(Box::pin(stream::once(async { broken })));
     }
     if let Some(length) = query.answer_bytes {
@@ -175,10 +167,7 @@
     fn note_headers(&self, request: &HttpRequest) {
         let mut seen = self.headers.borrow_mut();
         seen.push(request.uri().to_string());
-        for (name, value) in request.headers() {
-            let value = String::from_utf8_lossy(value.as_bytes());
-            seen.push(format!("{name}: {value}"));
-        }
+        seen.extend(header_texts(request).map(|(name, value)| format!("{name}: {value}")));
     }
 }
 
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -23,18 +23,22 @@
 
 use error_stack::ResultExt;
 use ntex::{
+    SharedCfg,
     rt::{
         DefaultRuntime,
         System, //
     },
     server::Server,
-    web, //
+    web::App, //
 };
 
 use self::handlers::Shared;
-use crate::error::{
-    ErrorKind,
-    Result, //
+use crate::{
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    process::http_server, //
 };
 
 /// Starts the server inside the running ntex `System`.
@@ -44,16 +48,10 @@
 /// Returns [`ErrorKind::Io`] when the listener cannot be used.
 pub fn serve(listener: TcpListener) -> Result<Server> {
     let shared = Arc::new(Shared::default());
-    let server = web::HttpServer::new(async move || {
+    http_server::start(listener, SharedCfg::default(), 1, async move || {
         let shared = Arc::clone(&shared);
-        web::App::new().configure(move |config| handlers::configure(config, &shared))
-    });
-    let server = server
-        .workers(1)
-        .disable_signals()
-        .listen(listener)
-        .change_context(ErrorKind::Io)?;
-    Ok(server.run())
+        App::new().configure(move |config| handlers::configure(config, &shared))
+    })
 }
 
 /// A stand-in that runs on threads of its own until it is dropped.
