--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -5,7 +5,6 @@
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{
-            AtomicBool,
             AtomicU64,
             AtomicUsize,
             Ordering, //
@@ -31,7 +30,8 @@
             self,
             WEIGHT_UNITS, //
         },
-        metrics::Metrics, //
+        metrics::Metrics,
+        stop, //
     },
     request::prompt::BlockHash,
     settings::AgentSettings,
@@ -84,8 +84,7 @@
     pub(super) answered: mpsc::Sender<Answered>,
     /// Told when the state that collectors should know of has changed.
     pub(super) changed: Notify,
-    leaving: AtomicBool,
-    announced: AtomicBool,
+    pub(super) stop: stop::Progress,
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
     running_versions: Mutex<BTreeMap<Name, u64>>,
@@ -107,8 +106,7 @@
             load: Load::default(),
             answered,
             changed: Notify::new(),
-            leaving: AtomicBool::new(false),
-            announced: AtomicBool::new(false),
+            stop: stop::Progress::default(),
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
             running_versions: Mutex::default(),
@@ -158,23 +156,14 @@
     }
 
     pub(super) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.stop.is_leaving()
     }
 
     pub(super) fn leave(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+        self.stop.leave();
         self.changed.notify_one();
     }
 
-    /// Whether the collectors have been told that the agent is leaving.
-    pub(super) fn is_announced(&self) -> bool {
-        self.announced.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn set_announced(&self) {
-        self.announced.store(true, Ordering::Relaxed);
-    }
-
     /// Incarnation of the engine's cache, as last seen.
     pub(super) fn engine(&self) -> Incarnation {
         Incarnation(self.engine.load(Ordering::Relaxed))
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -34,6 +34,7 @@
                 choose, //
             },
         },
+        peer,
         platform::{
             InstanceRole,
             Platform, //
@@ -43,7 +44,6 @@
             Contact,
             EntryApiClient,
             Packed,
-            PeerApiClient,
             ReportAnswer, //
         },
     },
@@ -108,7 +108,7 @@
             let round = Rc::clone(&self).report_all();
             if is_last {
                 round.await;
-                self.context.set_announced();
+                self.context.stop.set_announced();
             } else {
                 ntex::rt::spawn(round);
             }
@@ -193,9 +193,7 @@
         let Some(_turn) = self.links.turn(address) else {
             return;
         };
-        let digest = self.own_digest();
-        let call = async |client: &WsClient| client.exchange(Packed(digest)).await;
-        if let Ok(Packed(answer)) = self.links.call(address, call).await {
+        if let Ok(answer) = peer::exchange(&self.links, address, self.own_digest()).await {
             self.absorb(&answer);
         }
     }
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -14,7 +14,6 @@
     time::Duration, //
 };
 
-use error_stack::ResultExt;
 use futures_util::stream;
 use ntex::{
     http::StatusCode,
@@ -55,25 +54,32 @@
         US_PER_MS,
         US_PER_S, //
     },
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     names::Incarnation,
-    process::client,
+    process::http_server,
     request::{
+        headers::{
+            CACHE_NAMESPACE,
+            ENGINE_INCARNATION,
+            MATCHED_BLOCKS,
+            MODEL_VERSION,
+            PRIORITY,
+            PROMPT_BLOCKS, //
+        },
         openai::Endpoint,
         prompt::Namespace, //
     },
-    settings::EngineSettings, //
+    settings::EngineSettings,
+    standin::http::{
+        header_texts,
+        injected_break,
+        payload_config, //
+    },
 };
 
 /// Requests remembered for tests.
 const RECORD_CAPACITY: usize = 10_000;
 
-/// Largest request body.
-const MAX_BODY_BYTES: usize = 64 << 20;
-
 /// A request as the engine received it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct Received {
@@ -105,14 +111,15 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::Io`] when the listener cannot be used.
+/// Returns [`ErrorKind::Io`](crate::error::ErrorKind::Io) when the listener cannot be used.
 pub fn serve(settings: EngineSettings, listener: TcpListener) -> Result<Server> {
     let incarnation = Incarnation::random();
-    let server = web::HttpServer::new(async move || {
+    let config = http_server::config("target");
+    http_server::start(listener, config, 1, async move || {
         let engine = Rc::new(Engine::new(settings.clone(), incarnation));
         App::new()
             .state(engine)
-            .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
+            .state(payload_config())
             .route("/v1/chat/completions", web::post().to(chat))
             .route("/v1/completions", web::post().to(text))
             .route("/events", web::get().to(events))
@@ -120,14 +127,7 @@
             .route("/orders", web::post().to(orders))
             .route("/faults", web::put().to(faults))
             .route("/received", web::get().to(received))
-    });
-    let server = server
-        .workers(1)
-        .disable_signals()
-        .config(client::server_config("target"))
-        .listen(listener)
-        .change_context(ErrorKind::Io)?;
-    Ok(server.run())
+    })
 }
 
 impl Engine {
@@ -226,7 +226,7 @@
         }
     };
     let version =
-        header(request, "x-model-version").unwrap_or_else(|| engine.settings.version.to_string());
+        header(request, MODEL_VERSION).unwrap_or_else(|| engine.settings.version.to_string());
     if !engine.versions.borrow().contains(&version) {
         return HttpResponse::NotFound()
             .json(&json!({"error": {"message": "version is not loaded"}}));
@@ -240,25 +240,18 @@
         return HttpResponse::InternalServerError()
             .json(&json!({"error": {"message": "injected failure"}}));
     }
-    let priority = header(request, "x-priority")
+    let priority = header(request, PRIORITY)
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
     let slot = engine.batch.enter(priority).await;
-    let namespace = header(request, "x-cache-namespace")
+    let namespace = header(request, CACHE_NAMESPACE)
         .and_then(|value| value.parse().ok())
         .unwrap_or_else(|| Namespace::derive("", &version));
     let blocks = block_hashes(namespace, endpoint, body, engine.settings.block_tokens);
     let matched = engine.cache.borrow_mut().lookup(&blocks);
     engine.record(Received {
         path: request.uri().to_string(),
-        headers: request
-            .headers()
-            .iter()
-            .map(|(name, value)| {
-                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
-                (name.to_string(), value)
-            })
-            .collect(),
+        headers: header_texts(request).collect(),
         body: String::from_utf8_lossy(body).into_owned(),
         version: version.clone(),
         matched_blocks: matched,
@@ -270,10 +263,10 @@
 
     let mut response = HttpResponse::Ok();
     response
-        .set_header("x-matched-blocks", matched.to_string())
-        .set_header("x-prompt-blocks", blocks.len().to_string())
-        .set_header("x-engine-incarnation", engine.incarnation.to_string())
-        .set_header("x-model-version", version.as_str());
+        .set_header(MATCHED_BLOCKS, matched.to_string())
+        .set_header(PROMPT_BLOCKS, blocks.len().to_string())
+        .set_header(ENGINE_INCARNATION, engine.incarnation.to_string())
+        .set_header(MODEL_VERSION, version.as_str());
     let generation = Generation {
         text: completion.prompt.clone(),
         engine: Rc::clone(&engine),
@@ -331,7 +324,7 @@
             (faults.break_after_tokens, faults.hang_after_tokens)
         };
         if break_after.is_some_and(|limit| self.emitted >= limit) {
-            return Some(Err(std::io::Error::other("injected break")));
+            return Some(Err(injected_break()));
         }
         if hang_after.is_some_and(|limit| self.emitted >= limit) {
             std::future::pending::<()>().await;
