Let 4,096 connections wait at the listeners instead of 128

Cause: comparing transports with 256 streams, connecting failed with "Connector has been disconnected" (3 of 3 trials at 256, none at 32). The listeners came from the standard library with a backlog of 128; the system drops the connection requests above it and the client repeats them after a second, which is the connect timeout of the own client. Ruled out: the limit of connections in the client (4,096).

Change: all listeners are opened by process::stop::bind with a backlog of 4,096, as far as the system allows it.

Conclusion: a burst of more than 128 new connections, such as a herd of callers after a restart of an entry, no longer costs a second or a failure.

--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -13,6 +13,11 @@
 };
 
 use error_stack::ResultExt;
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
 use tokio::signal::unix::{
     SignalKind,
     signal, //
@@ -85,7 +90,13 @@
     Ok(())
 }
 
-/// Opens a listener.
+/// Connections that may wait to be accepted, as far as the system allows. The
+/// standard library's 128 are too few when many streams start at once: the
+/// connection requests above them are dropped, and the client repeats them only
+/// after a second.
+const BACKLOG: i32 = 4_096;
+
+/// Opens a listener that does not block.
 ///
 /// # Errors
 ///
@@ -96,13 +107,17 @@
 /// assert!(listener.is_ok());
 /// ```
 pub fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let listener = TcpListener::bind(address)
+    let listen = || -> std::io::Result<TcpListener> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    };
+    listen()
         .change_context(ErrorKind::Io)
-        .attach_with(|| format!("cannot listen on {address}"))?;
-    listener
-        .set_nonblocking(true)
-        .change_context(ErrorKind::Io)?;
-    Ok(listener)
+        .attach_with(|| format!("cannot listen on {address}"))
 }
 
 /// Returns the address that a listener was given.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -38,7 +38,10 @@
         ErrorKind,
         Result, //
     },
-    process::http_server, //
+    process::{
+        http_server,
+        stop, //
+    },
 };
 
 /// Starts the server inside the running ntex `System`.
@@ -91,7 +94,7 @@
 /// assert_ne!(standin.address().port(), 0);
 /// ```
 pub fn start(address: SocketAddr) -> Result<RunningPlatform> {
-    let listener = TcpListener::bind(address).change_context(ErrorKind::Io)?;
+    let listener = stop::bind(address)?;
     let address = listener.local_addr().change_context(ErrorKind::Io)?;
     let (started, system) = mpsc::channel();
     let thread = thread::spawn(move || {
