Compare HTTP bodies and RPC subscriptions as carriers of streams

Cause: the design says that streams between entries and agents use HTTP bodies; the comparison with RPC subscriptions had not been measured.

Change: yuccalatch-replay transport paces chunks of 150 bytes at 50 a second on loopback over both carriers at 1, 32 and 256 streams and prints the time on the way and the processor time of both ends.

--- a/src/bin/yuccalatch-replay/app.rs
+++ b/src/bin/yuccalatch-replay/app.rs
@@ -19,7 +19,8 @@
         Measurement,
         markdown, //
     },
-    slopes, //
+    slopes,
+    transport, //
 };
 
 /// Help text.
@@ -28,12 +29,14 @@
        yuccalatch-replay play [OPTIONS] TRACE
        yuccalatch-replay load [OPTIONS]
        yuccalatch-replay slopes
+       yuccalatch-replay transport
 
 evaluate compares policies in virtual time and prints a table. Without a name,
 all evaluations run: placement, fairness, limits, moves. play sends the requests of a trace to
 running entries and checks the outcomes that it states. load sends completions
 from a fixed number of streams. slopes measures how state, messages and processor
-time grow.
+time grow. transport compares HTTP bodies with RPC subscriptions as carriers of
+streams on loopback.
 
 Options of play:
       --entry ADDRESS    entry to send to; may be repeated, requests alternate
@@ -63,6 +66,9 @@
 /// Exit status for a wrong command line.
 pub(crate) const EXIT_USAGE: u8 = 2;
 
+/// Chunks of a stream in `transport`: 10 s at 50 chunks/s.
+const TRANSPORT_CHUNKS: usize = 500;
+
 /// One comparison.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Evaluation {
@@ -114,6 +120,7 @@
     Evaluate(EvaluateConfig),
     Traffic(TrafficConfig),
     Slopes,
+    Transport,
     Help,
     Version,
 }
@@ -125,10 +132,8 @@
             Some(Short('h') | Long("help")) => Ok(Self::Help),
             Some(Short('V') | Long("version")) => Ok(Self::Version),
             Some(Value(command)) if command == "evaluate" => parse_evaluate(parser),
-            Some(Value(command)) if command == "slopes" => match parser.next()? {
-                None => Ok(Self::Slopes),
-                Some(other) => Err(other.unexpected()),
-            },
+            Some(Value(command)) if command == "slopes" => alone(Self::Slopes, parser),
+            Some(Value(command)) if command == "transport" => alone(Self::Transport, parser),
             Some(Value(command)) if command == "play" => traffic::parse_play(parser),
             Some(Value(command)) if command == "load" => traffic::parse_load(parser),
             Some(Value(command)) => {
@@ -140,6 +145,14 @@
     }
 }
 
+/// Accepts a command without arguments.
+fn alone(config: Config, mut parser: lexopt::Parser) -> Result<Config, lexopt::Error> {
+    match parser.next()? {
+        None => Ok(config),
+        Some(other) => Err(other.unexpected()),
+    }
+}
+
 fn parse_evaluate(mut parser: lexopt::Parser) -> Result<Config, lexopt::Error> {
     let mut config = EvaluateConfig {
         seed: 1,
@@ -190,6 +203,18 @@
             "{}",
             slopes::markdown(&slopes::measure(crate::allocated_bytes))
         ),
+        Config::Transport => return compare_transports(),
+    }
+    ExitCode::SUCCESS
+}
+
+fn compare_transports() -> ExitCode {
+    match transport::compare(TRANSPORT_CHUNKS) {
+        Ok(figures) => print!("{}", markdown(&figures)),
+        Err(report) => {
+            eprintln!("yuccalatch-replay: {report:?}");
+            return ExitCode::FAILURE;
+        }
     }
     ExitCode::SUCCESS
 }
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -8,3 +8,4 @@
 pub mod report;
 pub mod slopes;
 pub mod trace;
+pub mod transport;
