Give requests that the parser refuses the usual error body

Cause: ntex answers oversized or slow headers (431, 408), malformed heads and malformed chunks (400) by itself, with an empty body: no kind, no request id and nothing about whether the request ran.

Change: the entry's server has a control service that answers protocol errors with the closed kinds. New kinds: headers_too_large, headers_timeout (both not run) and body_malformed. The parser reports a malformed chunk while the handler may already have forwarded a part of the body, so body_malformed says that the outcome is unknown.

Tests: bad_headers also checks kind, request id, not_run and the closing connection of every such answer; bad_chunks is new. The statuses were empty bodies before, which these checks refuse.

Conclusion: every answer of the entry now has an error body, except when a response has already begun.

--- a/src/error.rs
+++ b/src/error.rs
@@ -73,6 +73,12 @@
     BodyTooLarge => "body_too_large", 413, NotRun, None;
     /// The body did not arrive in time.
     BodyTimeout => "body_timeout", 408, NotRun, None;
+    /// The body is malformed, and a part of it may have been forwarded.
+    BodyMalformed => "body_malformed", 400, Unknown, None;
+    /// The headers are larger or more than the limits.
+    HeadersTooLarge => "headers_too_large", 431, NotRun, None;
+    /// The headers did not arrive in time.
+    HeadersTimeout => "headers_timeout", 408, NotRun, None;
     /// The key is missing, unknown or withdrawn.
     UnknownKey => "unknown_key", 401, NotRun, None;
     /// The organisation of the key may not use the route.
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -11,6 +11,7 @@
 mod probe;
 mod request;
 mod server;
+mod unreadable;
 mod worker;
 
 use std::{
@@ -109,12 +110,14 @@
         .set_keepalive(Seconds(60));
     let config = SharedCfg::new("callers").add(http);
     let threads = context.settings.traffic_threads;
-    let server = http_server::start(caller, config, threads, async move || {
+    let application = async move || {
         let worker = Worker::new(Arc::clone(&shared)).await;
         // Without a client the entry cannot serve at all.
         let worker = worker.expect("the HTTP clients are built");
         App::new().state(worker).configure(server::configure)
-    })?;
+    };
+    let server =
+        http_server::start_answering(caller, config, threads, application, unreadable::answer)?;
     stop::requested().await?;
     drain(&context).await;
     server.stop(true).await;
--- a/src/process/entry/answer.rs
+++ b/src/process/entry/answer.rs
@@ -76,3 +76,9 @@
     let body = error_json(kind, kind.name(), request_id);
     format!("event: error\ndata: {body}\n\n")
 }
+
+pub(super) fn close_connection(response: &mut HttpResponse) {
+    response
+        .head_mut()
+        .set_connection_type(ntex::http::ConnectionType::Close);
+}
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -131,10 +131,14 @@
     };
     match given.filter(is_acceptable) {
         Some(id) => id.into(),
-        None => format!("{}{}", Incarnation::random(), Incarnation::random()).into(),
+        None => new_request_id(),
     }
 }
 
+pub(super) fn new_request_id() -> Name {
+    format!("{}{}", Incarnation::random(), Incarnation::random()).into()
+}
+
 /// Returns the organisation whose key came with a request; `None` without a key.
 ///
 /// # Errors
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -18,6 +18,7 @@
 use super::{
     admission::admit,
     answer::{
+        close_connection,
         error_event,
         error_response, //
     },
@@ -165,12 +166,6 @@
     response
 }
 
-fn close_connection(response: &mut HttpResponse) {
-    response
-        .head_mut()
-        .set_connection_type(ntex::http::ConnectionType::Close);
-}
-
 /// Passes an answer to the caller.
 struct Relay {
     worker: Rc<Worker>,
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -9,19 +9,30 @@
 use ntex::{
     SharedCfg,
     http::{
+        HttpService,
         HttpServiceConfig,
         Request,
         Response,
         ResponseError,
-        body::MessageBody, //
+        body::MessageBody,
+        h1::{
+            Control,
+            ControlAck,
+            ProtocolError,
+            control::Reason, //
+        }, //
+    },
+    io::Filter,
+    server::{
+        Server,
+        ServerBuilder, //
     },
-    server::Server,
     service::{
         IntoServiceFactory,
-        ServiceFactory, //
+        ServiceFactory,
+        fn_service, //
     },
-    time::Seconds,
-    web::HttpServer, //
+    time::Seconds, //
 };
 
 use crate::error::{
@@ -52,45 +63,82 @@
     SharedCfg::new(name).add(http).into()
 }
 
+/// Makes the answer to a request that cannot be read; `None` leaves it to ntex,
+/// whose answers have no body.
+pub type AnswerUnreadable = fn(&ProtocolError) -> Option<Response>;
+
 /// Starts a server inside the running ntex `System`, with one application from
 /// `factory` for each worker thread. It leaves signals to its caller.
 ///
 /// # Errors
 ///
 /// Returns [`ErrorKind::Io`] when the listener cannot be used.
+pub fn start<F, I, S, B>(
+    listener: TcpListener,
+    config: impl Into<SharedCfg>,
+    workers: usize,
+    factory: F,
+) -> Result<Server>
+where
+    F: AsyncFn() -> I + Clone + Send + 'static,
+    I: IntoServiceFactory<S, Request, SharedCfg> + 'static,
+    S: ServiceFactory<Request, SharedCfg> + 'static,
+    S::Error: ResponseError,
+    S::InitError: fmt::Debug,
+    S::Response: Into<Response<B>>,
+    S::Service: 'static,
+    B: MessageBody + 'static,
+{
+    start_answering(listener, config, workers, factory, |_| None)
+}
+
+/// Starts a server as [`start`] does, with own answers to unreadable requests.
 ///
-/// ```
-/// use ntex::web::App;
-/// use yuccalatch::process::{http_server, stop};
+/// # Errors
 ///
-/// ntex::rt::System::new("example", ntex::rt::DefaultRuntime).block_on(async {
-///     let listener = stop::bind(([127, 0, 0, 1], 0).into()).unwrap();
-///     let config = http_server::config("example");
-///     let server = http_server::start(listener, config, 1, async || App::new()).unwrap();
-///     server.stop(true).await;
-/// });
-/// ```
-pub fn start<F, I, S, B>(
+/// Returns [`ErrorKind::Io`] when the listener cannot be used.
+pub fn start_answering<F, I, S, B>(
     listener: TcpListener,
     config: impl Into<SharedCfg>,
     workers: usize,
     factory: F,
+    answer: AnswerUnreadable,
 ) -> Result<Server>
 where
     F: AsyncFn() -> I + Clone + Send + 'static,
-    I: IntoServiceFactory<S, Request, SharedCfg>,
+    I: IntoServiceFactory<S, Request, SharedCfg> + 'static,
     S: ServiceFactory<Request, SharedCfg> + 'static,
     S::Error: ResponseError,
     S::InitError: fmt::Debug,
     S::Response: Into<Response<B>>,
+    S::Service: 'static,
     B: MessageBody + 'static,
 {
-    let server = HttpServer::new(factory)
+    let config = config.into();
+    let server = ServerBuilder::default()
         .workers(workers)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN_TIMEOUT)
-        .config(config)
-        .listen(listener)
+        .listen("http", listener, async move |each| {
+            each.config(config.clone());
+            let control = fn_service(async move |control| {
+                Ok::<_, std::convert::Infallible>(acknowledge(control, answer))
+            });
+            HttpService::new(factory().await).h1_control(control)
+        })
         .change_context(ErrorKind::Io)?;
     Ok(server.run())
 }
+
+fn acknowledge<F: Filter, E: ResponseError>(
+    control: Control<F, E>,
+    answer: AnswerUnreadable,
+) -> ControlAck<F> {
+    let Control::Disconnect(Reason::ProtocolError(error)) = control else {
+        return control.ack();
+    };
+    match answer(error.err()) {
+        Some(response) => error.fail_with(response),
+        None => error.ack(),
+    }
+}
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -9,6 +9,7 @@
 };
 use support::fleet::{
     ACME_KEY,
+    Answer,
     Exchange,
     Fleet,
     Plan,
@@ -112,16 +113,41 @@
         "x".repeat(200_000)
     );
     let answer = Exchange::start(fleet.caller(0), large.as_bytes()).finish();
-    assert_eq!(answer.status, 431);
+    assert_unread(&answer, 431, "headers_too_large", true);
     let many = format!("GET /files HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(10_000));
-    assert_eq!(exchange(fleet.caller(0), many.as_bytes()).status, 431);
+    let answer = exchange(fleet.caller(0), many.as_bytes());
+    assert_unread(&answer, 431, "headers_too_large", true);
     let smuggled = "POST /orders HTTP/1.1\r\nhost: t\r\ncontent-length: 2\r\n\
         content-length: 3\r\nconnection: close\r\n\r\n{}x";
-    assert_eq!(exchange(fleet.caller(0), smuggled.as_bytes()).status, 400);
-    assert_eq!(slow.finish().status, 408);
+    let answer = exchange(fleet.caller(0), smuggled.as_bytes());
+    assert_unread(&answer, 400, "bad_request", true);
+    assert_unread(&slow.finish(), 408, "headers_timeout", true);
     assert_serves(&fleet);
 }
 
+/// The body may have been forwarded in part, so that "not run" would be wrong.
+#[test]
+fn bad_chunks() {
+    let fleet = start();
+    let text = format!(
+        "POST /orders HTTP/1.1\r\nhost: t\r\nx-api-key: {ACME_KEY}\r\n\
+         transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\nnonsense\r\n"
+    );
+    let answer = Exchange::start(fleet.caller(0), text.as_bytes()).finish();
+    assert_unread(&answer, 400, "body_malformed", false);
+    assert_serves(&fleet);
+}
+
+/// Checks the answer to a request that the parser refused.
+fn assert_unread(answer: &Answer, status: u16, kind: &str, not_run: bool) {
+    assert_eq!(answer.status, status);
+    let error = &answer.json()["error"];
+    assert_eq!(error["kind"], kind);
+    assert_eq!(error["not_run"], not_run);
+    assert_eq!(answer.header("x-request-id"), error["request_id"].as_str());
+    assert_eq!(answer.header("connection"), Some("close"));
+}
+
 /// Without its body, the rest of a refused request would be read as the next one.
 #[test]
 fn refused_body_left() {
