Give limit policies default methods

Cause: the policies of the limit evaluation repeated the same empty methods. The other repeated lines in evaluate/limits and evaluate/moves are import lists and one struct literal.

Change: the trait Policy has defaults for a policy without events, without waiting and in force at once; three baselines and the conserved shares leave these methods out.

Conclusion: a policy states only what it does differently.

--- a/src/replay/evaluate/limits/baseline.rs
+++ b/src/replay/evaluate/limits/baseline.rs
@@ -77,24 +77,10 @@
         "equal_split"
     }
 
-    fn start(&mut self, _queue: &mut Queue<()>) {}
-
-    fn decides_at_us(&mut self, _request: &Request, now_us: u64) -> Option<u64> {
-        Some(now_us)
-    }
-
     fn meter(&mut self, entry: usize, organisation: usize, _now_us: u64) -> Arc<Meter> {
         Arc::clone(&self.meters[entry][organisation])
     }
 
-    fn on_waiting(&mut self, _request: &Request, _queue: &mut Queue<()>) {}
-
-    fn on_admitted(&mut self, _request: &Request) {}
-
-    fn on_event(&mut self, _event: (), _queue: &mut Queue<()>) -> Option<usize> {
-        None
-    }
-
     fn on_incident(&mut self, incident: Incident, queue: &mut Queue<()>) {
         if let Incident::SetLimits {
             organisation,
@@ -106,10 +92,6 @@
             }
         }
     }
-
-    fn is_in_force(&mut self, _organisation: usize) -> bool {
-        true
-    }
 }
 
 /// One counter in the object API, one call for each request.
@@ -136,8 +118,6 @@
         "central_counter"
     }
 
-    fn start(&mut self, _queue: &mut Queue<()>) {}
-
     fn decides_at_us(&mut self, request: &Request, now_us: u64) -> Option<u64> {
         let starts_at_us = self.free_at_us.max(now_us);
         // A call that could not be answered in time is not made.
@@ -152,14 +132,6 @@
         Arc::clone(&self.meters[organisation])
     }
 
-    fn on_waiting(&mut self, _request: &Request, _queue: &mut Queue<()>) {}
-
-    fn on_admitted(&mut self, _request: &Request) {}
-
-    fn on_event(&mut self, _event: (), _queue: &mut Queue<()>) -> Option<usize> {
-        None
-    }
-
     fn on_incident(&mut self, incident: Incident, queue: &mut Queue<()>) {
         match incident {
             Incident::PlatformDown => self.is_down = true,
@@ -171,10 +143,6 @@
             Incident::Restart { .. } | Incident::Pause { .. } => {}
         }
     }
-
-    fn is_in_force(&mut self, _organisation: usize) -> bool {
-        true
-    }
 }
 
 /// What one entry admitted since its last message.
@@ -216,16 +184,10 @@
         }
     }
 
-    fn decides_at_us(&mut self, _request: &Request, now_us: u64) -> Option<u64> {
-        Some(now_us)
-    }
-
     fn meter(&mut self, entry: usize, organisation: usize, _now_us: u64) -> Arc<Meter> {
         Arc::clone(&self.meters[entry][organisation])
     }
 
-    fn on_waiting(&mut self, _request: &Request, _queue: &mut Queue<GossipEvent>) {}
-
     fn on_admitted(&mut self, request: &Request) {
         let cost_tokens = request.cost.total_tokens().get();
         self.spent_tokens[request.entry][request.organisation] += cost_tokens;
@@ -271,8 +233,4 @@
             }
         }
     }
-
-    fn is_in_force(&mut self, _organisation: usize) -> bool {
-        true
-    }
 }
--- a/src/replay/evaluate/limits/conserved.rs
+++ b/src/replay/evaluate/limits/conserved.rs
@@ -180,10 +180,6 @@
         }
     }
 
-    fn decides_at_us(&mut self, _request: &Request, now_us: u64) -> Option<u64> {
-        Some(now_us)
-    }
-
     fn meter(&mut self, entry: usize, organisation: usize, now_us: u64) -> Arc<Meter> {
         let name = &self.names[organisation];
         self.participants[entry].holder().meter(name, now_us)
@@ -198,8 +194,6 @@
         }
     }
 
-    fn on_admitted(&mut self, _request: &Request) {}
-
     fn on_event(&mut self, event: Event, queue: &mut Queue<Event>) -> Option<usize> {
         let now_us = queue.now_us;
         let entry = event.entry();
--- a/src/replay/evaluate/limits/simulation.rs
+++ b/src/replay/evaluate/limits/simulation.rs
@@ -48,24 +48,31 @@
     fn name(&self) -> &'static str;
 
     /// Schedules the first events.
-    fn start(&mut self, queue: &mut Queue<Self::Event>);
+    fn start(&mut self, _queue: &mut Queue<Self::Event>) {}
 
     /// Time until the decision is made; `None` refuses.
-    fn decides_at_us(&mut self, request: &Request, now_us: u64) -> Option<u64>;
+    fn decides_at_us(&mut self, _request: &Request, now_us: u64) -> Option<u64> {
+        Some(now_us)
+    }
 
     fn meter(&mut self, entry: usize, organisation: usize, now_us: u64) -> Arc<Meter>;
 
     /// Called when a request waits.
-    fn on_waiting(&mut self, request: &Request, queue: &mut Queue<Self::Event>);
+    fn on_waiting(&mut self, _request: &Request, _queue: &mut Queue<Self::Event>) {}
 
-    fn on_admitted(&mut self, request: &Request);
+    fn on_admitted(&mut self, _request: &Request) {}
 
     /// Returns an entry whose waiting requests may now be admitted.
-    fn on_event(&mut self, event: Self::Event, queue: &mut Queue<Self::Event>) -> Option<usize>;
+    fn on_event(&mut self, _event: Self::Event, _queue: &mut Queue<Self::Event>) -> Option<usize> {
+        None
+    }
 
     fn on_incident(&mut self, incident: Incident, queue: &mut Queue<Self::Event>);
 
-    fn is_in_force(&mut self, organisation: usize) -> bool;
+    /// Returns whether changed limits of an organisation apply everywhere.
+    fn is_in_force(&mut self, _organisation: usize) -> bool {
+        true
+    }
 }
 
 /// Future events in the order of time.
