Split digests and RPC by subject

Cause: membership/digest.rs held the messages, the differences told to each receiver and the sums of other data centres; rpc.rs held the API with its messages, and connections, errors and the binary form of messages.

Change: digest/delta has Outbox and Inbox, digest/sums has the sums, rpc/transport has connections, errors and Packed. All names keep their paths by re-export. fair_queue.rs (476 lines) and membership.rs (453) stay whole: each is one state machine whose methods share their private state. Messages stay in rpc.rs.

Conclusion: each file has one subject.

--- a/src/process/membership/digest.rs
+++ b/src/process/membership/digest.rs
@@ -7,12 +7,11 @@
 //! something. Nobody vouches for what it learned from a digest, so that a
 //! silent member is not kept alive by entries that repeat each other.
 
+mod delta;
+mod sums;
+
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet,
-        HashMap, //
-    },
+    collections::BTreeMap,
     net::SocketAddr, //
 };
 
@@ -22,38 +21,26 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{
-    Change,
-    Membership,
-    Report,
-    Role, //
-};
+use super::Report;
 use crate::{
-    clock::{
-        US_PER_MS,
-        US_PER_S, //
-    },
+    clock::US_PER_MS,
     names::{
         Incarnation,
         Name, //
     },
 };
 
-/// Age at which the sum of another data centre is no longer used.
-pub const SUM_KEPT_US: u64 = 5 * US_PER_S;
-
-/// State of the targets of one service in one data centre.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Sum {
-    /// Live targets that take new work.
-    pub serving: u32,
-    /// Live targets that are leaving.
-    pub leaving: u32,
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub queued: u32,
-}
+pub use self::{
+    delta::{
+        Inbox,
+        Outbox, //
+    },
+    sums::{
+        SUM_KEPT_US,
+        Sum,
+        Sums, //
+    },
+};
 
 /// Load of a member that has not changed otherwise.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -184,239 +171,3 @@
     let each = entries.map(|entry| postcard::to_stdvec(&entry).unwrap_or_default());
     each.fold(0, |sum, bytes| sum ^ xxh3_64(&bytes))
 }
-
-/// Returns a checksum of what is told by repeating a report.
-fn checksum_of(report: &Report) -> u64 {
-    let identity = Report {
-        sequence: 0,
-        revision: 0,
-        running: 0,
-        queued: 0,
-        queue_us: 0,
-        ..report.clone()
-    };
-    // A report has no types that fail to serialise.
-    xxh3_64(&postcard::to_stdvec(&identity).unwrap_or_default())
-}
-
-/// What one receiver was told.
-#[derive(Clone, Debug, Default)]
-pub struct Outbox {
-    told: BTreeMap<Name, (u64, [u64; 3])>,
-    is_started: bool,
-}
-
-impl Outbox {
-    /// Makes the next batch from the members and whether their load is told; one
-    /// of the two collectors of a target is enough for that. At most `max_loads`
-    /// loads are told, those that changed most; the others follow later.
-    pub fn next<'a>(
-        &mut self,
-        members: impl Iterator<Item = (&'a Report, bool)>,
-        max_loads: usize,
-    ) -> Batch {
-        let mut batch = Batch {
-            is_complete: !self.is_started,
-            ..Batch::default()
-        };
-        let mut present = BTreeSet::new();
-        let mut moved = Vec::new();
-        let mut revisions = Vec::new();
-        for (report, tells_load) in members {
-            let checksum = checksum_of(report);
-            batch.checksum ^= checksum;
-            present.insert(report.name.clone());
-            revisions.push((name_hash(&report.name), report.revision));
-            let load = Load::of(report);
-            match self.told.get(&report.name) {
-                Some((told, steps)) if *told == checksum => {
-                    let change = load.distance(steps);
-                    if tells_load && change > 0 {
-                        moved.push((change, report.name.clone(), load));
-                    }
-                }
-                _ => {
-                    let now = (checksum, load.steps());
-                    self.told.insert(report.name.clone(), now);
-                    batch.changed.push(report.clone());
-                }
-            }
-        }
-        moved.sort_by_key(|(change, ..)| std::cmp::Reverse(*change));
-        for (_, name, load) in moved.into_iter().take(max_loads) {
-            if let Some((_, steps)) = self.told.get_mut(&name) {
-                *steps = load.steps();
-            }
-            batch.loads.push(load);
-        }
-        batch.set_revisions(&revisions);
-        self.told.retain(|name, _| {
-            let is_present = present.contains(name);
-            if !is_present {
-                batch.dropped.push(name.clone());
-            }
-            is_present
-        });
-        self.is_started = true;
-        batch
-    }
-
-    /// Makes the next batch complete, because the receiver missed one.
-    pub fn restart(&mut self) {
-        *self = Self::default();
-    }
-}
-
-/// What one sender vouches for.
-#[derive(Clone, Debug, Default)]
-pub struct Inbox {
-    held: BTreeMap<Name, (Incarnation, u64)>,
-    misses_some: bool,
-}
-
-impl Inbox {
-    /// Takes a batch and updates the members.
-    ///
-    /// ```
-    /// use yuccalatch::process::membership::{
-    ///     Membership,
-    ///     digest::{Inbox, Outbox},
-    /// };
-    ///
-    /// let batch = Outbox::default().next(std::iter::empty(), 0);
-    /// let mut inbox = Inbox::default();
-    /// inbox.take(&batch, &mut Membership::default(), 0, 3_000_000);
-    /// assert!(!inbox.misses_some());
-    /// ```
-    pub fn take(
-        &mut self,
-        batch: &Batch,
-        members: &mut Membership,
-        now_us: u64,
-        until_us: u64,
-    ) -> Vec<Change> {
-        if batch.is_complete {
-            self.held.clear();
-        }
-        for name in &batch.dropped {
-            self.held.remove(name);
-        }
-        let mut changes = Vec::new();
-        for report in &batch.changed {
-            let held = (report.incarnation, checksum_of(report));
-            self.held.insert(report.name.clone(), held);
-            changes.extend(members.report(report.clone(), now_us));
-        }
-        let checksum = self.held.values().fold(0, |sum, (_, own)| sum ^ own);
-        self.misses_some = checksum != batch.checksum;
-        if self.misses_some {
-            return changes;
-        }
-        for (name, (incarnation, _)) in &self.held {
-            changes.extend(members.vouch(name, *incarnation, now_us, until_us));
-        }
-        self.take_loads(&batch.loads, members);
-        self.take_revisions(batch, members);
-        changes
-    }
-
-    fn take_loads(&self, loads: &[Load], members: &mut Membership) {
-        if loads.is_empty() {
-            return;
-        }
-        let by_hash: HashMap<u32, &Name> = self
-            .held
-            .keys()
-            .map(|name| (name_hash(name), name))
-            .collect();
-        for load in loads {
-            let name = by_hash.get(&load.name_hash);
-            if let Some((name, (incarnation, _))) =
-                name.and_then(|name| self.held.get_key_value(*name))
-            {
-                members.set_load(name, *incarnation, load);
-            }
-        }
-    }
-
-    fn take_revisions(&self, batch: &Batch, members: &mut Membership) {
-        for (name, (incarnation, _)) in &self.held {
-            let hash = name_hash(name);
-            let mut behind = batch.behind.iter();
-            let older = behind.find(|member| member.name_hash == hash);
-            let revision = older.map_or(batch.revision, |member| member.revision);
-            members.raise_revision(name, *incarnation, revision);
-        }
-    }
-
-    /// Returns whether the sender vouches for a member.
-    pub fn holds(&self, name: &str) -> bool {
-        self.held.contains_key(name)
-    }
-
-    /// Returns whether a batch was lost.
-    pub const fn misses_some(&self) -> bool {
-        self.misses_some
-    }
-}
-
-impl Membership {
-    /// Returns the sums per service over the targets of a data centre.
-    ///
-    /// ```
-    /// use yuccalatch::process::membership::Membership;
-    ///
-    /// assert!(Membership::default().sums("a").is_empty());
-    /// ```
-    pub fn sums(&self, data_centre: &str) -> BTreeMap<Name, Sum> {
-        let mut sums: BTreeMap<Name, Sum> = BTreeMap::new();
-        for report in self.live(Role::Target) {
-            if &*report.data_centre != data_centre {
-                continue;
-            }
-            let sum = sums.entry(report.service.clone()).or_default();
-            sum.serving += u32::from(!report.is_leaving);
-            sum.leaving += u32::from(report.is_leaving);
-            sum.running += report.running;
-            sum.queued += report.queued;
-        }
-        sums
-    }
-}
-
-/// Sums of other data centres, the latest of any of their entries.
-#[derive(Clone, Debug, Default)]
-pub struct Sums {
-    data_centres: BTreeMap<Name, (BTreeMap<Name, Sum>, u64)>,
-}
-
-impl Sums {
-    /// Takes the sums of a digest. Every entry of a data centre knows all its
-    /// targets, so the sums of two entries are alternatives, not parts.
-    pub fn absorb(&mut self, digest: &Digest, now_us: u64) {
-        if digest.sums.is_empty() {
-            return;
-        }
-        let expires_at_us = now_us + SUM_KEPT_US;
-        self.data_centres.insert(
-            digest.sender.data_centre.clone(),
-            (digest.sums.clone(), expires_at_us),
-        );
-    }
-
-    /// Returns the sum of a service in another data centre, unless it is too
-    /// old.
-    ///
-    /// ```
-    /// use yuccalatch::process::membership::digest::Sums;
-    ///
-    /// assert_eq!(Sums::default().get("b", "chat", 0), None);
-    /// ```
-    pub fn get(&self, data_centre: &str, service: &str, now_us: u64) -> Option<Sum> {
-        let (sums, expires_at_us) = self.data_centres.get(data_centre)?;
-        if now_us >= *expires_at_us {
-            return None;
-        }
-        sums.get(service).copied()
-    }
-}
