Remove records of idempotency keys that entries left behind

Cause: an entry removes the records that it created; after its restart nobody did, so that they stayed in the object API for good.

Change: one entry of each data centre lists a sixteenth of the records, waits a whole window and removes those that are still there unchanged. A version condition keeps a record that was renewed. status shows the expected wait of a queue in place of queued_tokens, which was always 0.

--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -53,8 +53,8 @@
     pub running_requests: u32,
     /// Requests that wait in the agent's queue.
     pub queued_requests: u32,
-    /// Tokens of the requests that wait.
-    pub queued_tokens: u64,
+    /// Expected wait in the queue, in milliseconds.
+    pub queue_wait_ms: u64,
     /// Age of the last report, in milliseconds.
     pub report_age_ms: u64,
     /// Whether it takes no further work.
--- a/src/operator/table.rs
+++ b/src/operator/table.rs
@@ -131,7 +131,7 @@
         "VERSIONS",
         "RUNNING",
         "QUEUED",
-        "QUEUED TOKENS",
+        "QUEUE WAIT MS",
         "REPORT AGE MS",
         "STATE",
     ]);
@@ -143,7 +143,7 @@
             join(&target.versions),
             target.running_requests.to_string(),
             target.queued_requests.to_string(),
-            target.queued_tokens.to_string(),
+            target.queue_wait_ms.to_string(),
             target.report_age_ms.to_string(),
             state(target.leaving),
         ]);
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -100,6 +100,7 @@
     ntex::rt::spawn(Rc::clone(&control).publish_targets());
     ntex::rt::spawn(Rc::clone(&control).share_limits());
     ntex::rt::spawn(Rc::clone(&control).follow_moves());
+    ntex::rt::spawn(Rc::clone(&control).sweep_records());
     ntex::rt::spawn(records::run(Arc::clone(&control.context), record_requests));
     loop {
         tokio::select! {
--- a/src/process/entry/control/records.rs
+++ b/src/process/entry/control/records.rs
@@ -3,6 +3,8 @@
 //! A request with a key costs two writes: one creates the record, one removes it
 //! after the window. A repetition costs a refused write and a read.
 
+mod sweep;
+
 use std::{
     cell::RefCell,
     collections::VecDeque,
@@ -39,6 +41,9 @@
     },
 };
 
+/// Start of the names of records in the object API.
+const PREFIX: &str = "idempotency/";
+
 /// Bound for one call. A caller waits for it, and the object API answers in
 /// milliseconds.
 const CALL_WITHIN_US: u64 = US_PER_S;
@@ -93,7 +98,7 @@
 
 impl Records {
     async fn claim(&self, key: Digest, agent: Incarnation) -> Option<bool> {
-        let path = format!("idempotency/{key}");
+        let path = format!("{PREFIX}{key}");
         let value = Bytes::from(agent.to_string());
         let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
         let created = self
--- a/src/process/entry/control/status.rs
+++ b/src/process/entry/control/status.rs
@@ -75,7 +75,7 @@
         versions: report.versions.clone(),
         running_requests: report.running,
         queued_requests: report.queued,
-        queued_tokens: 0,
+        queue_wait_ms: report.queue_us / US_PER_MS,
         report_age_ms: age_us / US_PER_MS,
         leaving: report.is_leaving,
     }
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -324,3 +324,22 @@
     let counters = get(fleet.platform_address(), "/counters").text();
     println!("calls of the object API: {counters}");
 }
+
+/// Guards against records that stay in the object API because the entry that
+/// created them has restarted.
+#[test]
+fn left_records_removed() {
+    let fleet = start_keyed();
+    for digit in ["0", "7", "f"] {
+        let path = format!("/objects/idempotency/{}", digit.repeat(64));
+        let request = request("PUT", &path, &[("if-none-match", "*")], "left");
+        assert_eq!(exchange(fleet.platform_address(), &request).status, 200);
+    }
+    eventually("the records are removed", || {
+        let listing = get(
+            fleet.platform_address(),
+            "/objects?prefix=idempotency/&after=",
+        );
+        listing.json()["objects"] == json!([])
+    });
+}
