Forward headers in one place

Cause: the entry's requests and the agent's requests and answers filtered and copied header fields in three copies, and two places read content-length in the same way. The entry's copy also tested for content-length, which the filter removes already.

Change: process/header_map has both functions; the names Report, Incarnation and VecDeque are imported where they stood with their full paths.

Conclusion: one filter serves all directions.

--- a/src/process.rs
+++ b/src/process.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod fair_queue;
 pub mod fate;
+mod header_map;
 pub mod hints;
 pub mod http_server;
 mod lifecycle;
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -46,13 +46,13 @@
             Attempt,
             Queued, //
         },
+        header_map,
         upload::Upload, //
     },
     request::headers::{
         CACHE_NAMESPACE,
         Direction,
         ENGINE_INCARNATION,
-        HeaderFilter,
         MATCHED_BLOCKS,
         MODEL_VERSION,
         PRIORITY,
@@ -259,7 +259,7 @@
 
     fn note_answer(&self, response: &ClientResponse, progress: &Progress) {
         let context = &self.traffic.context;
-        let Some(engine) = number_header(response, ENGINE_INCARNATION, 16).map(Incarnation) else {
+        let Some(engine) = engine_incarnation(response) else {
             return;
         };
         context.set_engine(engine);
@@ -275,23 +275,9 @@
     }
 
     fn response_head(&self, response: &ClientResponse, progress: &Progress) -> Head {
-        let connection = response.headers().get_all("connection");
-        let filter = HeaderFilter::new(
-            Direction::ToCaller,
-            connection.map(|value| value.as_bytes()),
-        );
-        let headers = response
-            .headers()
-            .iter()
-            .filter(|(name, _)| filter.forwards(name.as_str()))
-            .filter_map(|(name, value)| {
-                let value = value.to_str().ok()?;
-                Some((name.as_str().to_owned(), value.to_owned()))
-            })
-            .collect();
         Head {
             status: response.status().as_u16(),
-            headers,
+            headers: header_map::forwarded(response.headers(), Direction::ToCaller),
             matched_blocks: matched_blocks(response),
             prompt_blocks: u32::try_from(self.head.blocks.len()).unwrap_or(u32::MAX),
             engine_incarnation: self.traffic.context.engine(),
@@ -334,13 +320,13 @@
     Priority::HIGHEST.0.saturating_sub(priority.0)
 }
 
-fn number_header(response: &ClientResponse, name: &str, radix: u32) -> Option<u64> {
-    let value = response.headers().get(name)?.to_str().ok()?;
-    u64::from_str_radix(value, radix).ok()
+fn engine_incarnation(response: &ClientResponse) -> Option<Incarnation> {
+    let value = response.headers().get(ENGINE_INCARNATION)?.to_str().ok()?;
+    u64::from_str_radix(value, 16).ok().map(Incarnation)
 }
 
 fn matched_blocks(response: &ClientResponse) -> u32 {
-    let blocks = number_header(response, MATCHED_BLOCKS, 10).unwrap_or(0);
+    let blocks = header_map::parsed::<u64>(response.headers(), MATCHED_BLOCKS).unwrap_or(0);
     u32::try_from(blocks).unwrap_or(u32::MAX)
 }
 
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -57,12 +57,10 @@
     },
     process::{
         fate::Fate,
+        header_map,
         upload::Upload, //
     },
-    request::headers::{
-        Direction,
-        HeaderFilter, //
-    },
+    request::headers::Direction,
 };
 
 type State = web::types::State<Rc<Traffic>>;
@@ -100,8 +98,7 @@
 
 async fn read_body(request: &HttpRequest, mut payload: Payload) -> Result<AttemptBody> {
     if request.headers().contains_key(UPLOAD_HEADER) {
-        let length = request.headers().get("content-length");
-        let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+        let length = header_map::parsed(request.headers(), "content-length");
         let upload = Upload::new(Bytes::new(), payload, length, BODY_TIMEOUT);
         return Ok(AttemptBody::Upload(upload));
     }
@@ -141,7 +138,9 @@
     let runner = Runner {
         traffic: Rc::clone(traffic),
         output: Rc::clone(&output),
-        headers: forwarded_headers(request),
+        // The entry has already filtered; the agent does so again, because it is
+        // the last process before the target.
+        headers: header_map::forwarded(request.headers(), Direction::ToTarget),
         body,
         expires_at_us: expires_at_us(context.clock.now_us(), head.budget_ms),
         _version: context.use_version(&head.version),
@@ -152,25 +151,6 @@
     Ok(output)
 }
 
-/// The entry has already filtered; the agent does so again, because it is the
-/// last process before the target.
-fn forwarded_headers(request: &HttpRequest) -> Vec<(String, String)> {
-    let connection = request.headers().get_all("connection");
-    let filter = HeaderFilter::new(
-        Direction::ToTarget,
-        connection.map(|value| value.as_bytes()),
-    );
-    request
-        .headers()
-        .iter()
-        .filter(|(name, _)| filter.forwards(name.as_str()))
-        .filter_map(|(name, value)| {
-            let value = value.to_str().ok()?;
-            Some((name.as_str().to_owned(), value.to_owned()))
-        })
-        .collect()
-}
-
 fn frame_response(
     frames: impl stream::Stream<Item = std::result::Result<Bytes, std::io::Error>> + Unpin + 'static,
 ) -> HttpResponse {
--- a/src/process/agent/traffic.rs
+++ b/src/process/agent/traffic.rs
@@ -2,7 +2,10 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
     rc::Rc,
     sync::{
         Arc,
@@ -75,7 +78,7 @@
     /// Notified when a request with an idempotency key has ended.
     pub(super) keys_changed: Notify,
     outputs: RefCell<HashMap<AttemptId, Rc<Output>>>,
-    finished: RefCell<std::collections::VecDeque<Finished>>,
+    finished: RefCell<VecDeque<Finished>>,
     queue: RefCell<FairQueue<oneshot::Sender<Turn>>>,
     queue_changed: Notify,
 }
--- a/src/process/entry/attempt.rs
+++ b/src/process/entry/attempt.rs
@@ -8,6 +8,7 @@
 };
 
 use bytes::BytesMut;
+use error_stack::Report;
 use futures_util::StreamExt;
 use ntex::{
     client::{
@@ -132,7 +133,7 @@
             request = request.header(name.as_str(), value.as_str());
         }
         request = request.set_header(ATTEMPT_HEADER, self.head.encode()?);
-        let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
+        let lost = || Report::new(ErrorKind::PeerUnavailable);
         let (body, limit) = match body {
             Outgoing::Kept(body) => (body.into(), SILENCE),
             Outgoing::Upload(upload) => {
@@ -152,7 +153,7 @@
 
     fn use_response(&mut self, response: &ClientResponse) -> Result<()> {
         if !response.status().is_success() {
-            return Err(error_stack::Report::new(ErrorKind::PeerUnavailable));
+            return Err(Report::new(ErrorKind::PeerUnavailable));
         }
         self.payload = Some(response.take_payload());
         self.buffer.clear();
@@ -206,7 +207,7 @@
             if let Some(frame) = frame::decode(&mut self.buffer)? {
                 return self.reassembly.accept(frame);
             }
-            let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
+            let lost = || Report::new(ErrorKind::PeerUnavailable);
             let payload = self.payload.as_mut().ok_or_else(lost)?;
             let part = tokio::time::timeout(SILENCE, payload.next()).await;
             let part = part.ok().flatten().ok_or_else(lost)?;
@@ -232,7 +233,7 @@
                 Err(_) => tokio::time::sleep(Duration::from_micros(HEARTBEAT_US)).await,
             }
         }
-        Err(error_stack::Report::new(ErrorKind::OutcomeUnknown))
+        Err(Report::new(ErrorKind::OutcomeUnknown))
     }
 
     /// Asks the agent to make sure that the attempt does not start.
@@ -251,7 +252,7 @@
             }
             tokio::time::sleep(Duration::from_micros(HEARTBEAT_US)).await;
         }
-        Err(error_stack::Report::new(ErrorKind::OutcomeUnknown))
+        Err(Report::new(ErrorKind::OutcomeUnknown))
     }
 
     fn fresh(&self, method: &str, path: &str) -> ClientRequest {
@@ -304,6 +305,6 @@
     call: impl Future<Output = std::result::Result<T, E>>,
 ) -> Result<T> {
     let answer = tokio::time::timeout(limit, call).await;
-    let lost = || error_stack::Report::new(ErrorKind::PeerUnavailable);
+    let lost = || Report::new(ErrorKind::PeerUnavailable);
     answer.map_err(|_| lost())?.map_err(|_| lost())
 }
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -35,12 +35,12 @@
             KeyId,
             request_digest, //
         },
+        header_map,
         upload::Upload, //
     },
     request::{
         headers::{
             Direction,
-            HeaderFilter,
             KEY_HEADERS,
             REQUEST_ID,
             forwarded_path,
@@ -246,7 +246,7 @@
             organisation_name,
             method,
             path: forwarded_path(uri_text(request)),
-            headers: forwarded_headers(request.headers()),
+            headers: header_map::forwarded(request.headers(), Direction::ToTarget),
             body,
             upload,
             completion,
@@ -329,8 +329,7 @@
 }
 
 fn announced_bytes(request: &HttpRequest) -> Option<u64> {
-    let value = request.headers().get("content-length")?;
-    value.to_str().ok()?.parse().ok()
+    header_map::parsed(request.headers(), "content-length")
 }
 
 async fn read_within(context: &Context, payload: &mut Payload, limit_bytes: usize) -> Result<Read> {
@@ -351,19 +350,3 @@
         .await
         .unwrap_or_else(|_| Err(Report::new(ErrorKind::BodyTimeout)))
 }
-
-fn forwarded_headers(headers: &HeaderMap) -> Vec<(String, String)> {
-    let connection = headers.get_all("connection");
-    let filter = HeaderFilter::new(
-        Direction::ToTarget,
-        connection.map(|value| value.as_bytes()),
-    );
-    headers
-        .iter()
-        .filter(|(name, _)| filter.forwards(name.as_str()) && *name != "content-length")
-        .filter_map(|(name, value)| {
-            let value = value.to_str().ok()?;
-            Some((name.as_str().to_owned(), value.to_owned()))
-        })
-        .collect()
-}
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -16,7 +16,6 @@
 };
 
 use ntex::client::Client;
-
 use tokio::sync::mpsc;
 
 use super::{
@@ -340,7 +339,7 @@
 /// What the head of an answer told.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Answered {
-    pub(super) engine: crate::names::Incarnation,
+    pub(super) engine: Incarnation,
     pub(super) matched_blocks: u32,
     pub(super) sent_at_us: u64,
 }
