Name constants and flags for newcomers, share rules of the explanation

Cause: several constants had no comment, some flags were named "told", the explanation had its own copies of the assumed block time, of the versions that a target serves and of the configured version, and a comment in it said that moves do not share out traffic yet.

Change: constants are documented, the flags of the drain say what has happened, entry::worker::serves and entry::moves::configured_version are used by traffic and explanation, imports stand in one list.

Conclusion: no change of behaviour; the explanation follows the same rules as the traffic by construction.

--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -105,12 +105,12 @@
     let linger_until_us = now_us + stop::LINGER_US.min(drain_us);
     let announce_until_us = linger_until_us + stop::LINGER_US;
     let is_done = |now_us| {
-        let is_told = context.stop.is_announced() || now_us >= announce_until_us;
+        let is_announced = context.stop.is_announced() || now_us >= announce_until_us;
         let queued = context.load.queued.load(Ordering::Relaxed);
         let running = context.load.running.load(Ordering::Relaxed);
         let undelivered = context.load.undelivered.load(Ordering::Relaxed);
         let is_idle = queued + running + undelivered == 0;
-        is_idle && is_told && now_us >= linger_until_us
+        is_idle && is_announced && now_us >= linger_until_us
     };
     let drain_until_us = now_us + drain_us;
     lifecycle::drain(
--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -66,6 +66,7 @@
 /// Blocks that the cache index remembers, about 100 bytes each.
 const INDEX_BLOCKS: NonZeroUsize = NonZeroUsize::new(65_536).unwrap();
 
+/// Requests of RPC methods that wait for the control loop.
 const COMMAND_CAPACITY: usize = 256;
 
 /// State of the control thread, shared by its tasks.
--- a/src/process/agent/control/engine.rs
+++ b/src/process/agent/control/engine.rs
@@ -5,8 +5,12 @@
     time::Duration, //
 };
 
+use error_stack::Report;
 use ntex::client::Client;
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    de::DeserializeOwned, //
+};
 
 use super::Control;
 use crate::{
@@ -113,12 +117,11 @@
         Ok(next)
     }
 
-    async fn get<T: serde::de::DeserializeOwned>(&self, client: &Client, path: &str) -> Result<T> {
+    async fn get<T: DeserializeOwned>(&self, client: &Client, path: &str) -> Result<T> {
         let url = client::url(self.context.settings.target_address, path);
         let response = client.get(url).send().await;
-        let response = response.map_err(|error| {
-            error_stack::Report::new(ErrorKind::PeerUnavailable).attach(error.to_string())
-        })?;
+        let response = response
+            .map_err(|error| Report::new(ErrorKind::PeerUnavailable).attach(error.to_string()))?;
         client::read_json(&response).await
     }
 }
--- a/src/process/client.rs
+++ b/src/process/client.rs
@@ -29,6 +29,7 @@
 /// Connections that one traffic thread opens to one peer at most.
 const MAX_CONNECTIONS: usize = 4_096;
 
+/// Bound for opening a connection.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
 /// Makes a client without timeouts of its own: every call has a deadline.
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -127,9 +127,9 @@
     let now_us = context.clock.now_us();
     let linger_until_us = now_us + stop::LINGER_US;
     let is_done = |now_us| {
-        let is_told = context.stop.is_announced() && context.are_shares_released();
-        let is_told = is_told || now_us >= linger_until_us;
-        context.running.load(Ordering::Relaxed) == 0 && is_told
+        let is_handed_over = context.stop.is_announced() && context.are_shares_released();
+        let may_exit = is_handed_over || now_us >= linger_until_us;
+        context.running.load(Ordering::Relaxed) == 0 && may_exit
     };
     let drain_until_us = now_us + context.settings.drain_ms * US_PER_MS;
     lifecycle::drain(
--- a/src/process/entry/admission.rs
+++ b/src/process/entry/admission.rs
@@ -41,6 +41,7 @@
 /// Bound for the first meter of a new organisation.
 const METER_WITHIN_US: u64 = US_PER_S;
 
+/// Interval between checks for the first meter of a new organisation.
 const METER_RECHECK_US: u64 = 10 * US_PER_MS;
 
 /// Waits until the organisation's share covers a request.
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -40,11 +40,13 @@
     limits::Limits,
     moves::Moves, //
 };
-use super::context::{
-    Context,
-    RecordRequest, //
+use super::{
+    context::{
+        Context,
+        RecordRequest, //
+    },
+    moves::MoveSample, //
 };
-use super::moves::MoveSample;
 use crate::{
     error::Result,
     names::Incarnation,
@@ -64,6 +66,7 @@
 };
 pub(super) use limits::Meters;
 
+/// Requests of RPC methods that wait for the control loop.
 const COMMAND_CAPACITY: usize = 1_024;
 
 /// State of the control thread, shared by its tasks.
--- a/src/process/entry/control/explain.rs
+++ b/src/process/entry/control/explain.rs
@@ -1,6 +1,9 @@
 //! How a request would be treated, without running it.
 
-use std::num::NonZeroUsize;
+use std::{
+    net::SocketAddr,
+    num::NonZeroUsize, //
+};
 
 use futures_util::future::join_all;
 use jsonrpsee::ws_client::WsClient;
@@ -15,6 +18,13 @@
         Explanation, //
     },
     process::{
+        entry::{
+            moves::configured_version,
+            worker::{
+                BLOCK_US,
+                serves, //
+            },
+        },
         membership::Role,
         rpc::{
             AgentApiClient,
@@ -50,9 +60,6 @@
     },
 };
 
-/// Assumed time to compute a block until an engine reports its own.
-const BLOCK_US: u64 = 50_000;
-
 /// Leading blocks that a probe asks for.
 const MAX_PROBE_BLOCKS: usize = 256;
 
@@ -62,7 +69,7 @@
 /// A candidate with the address to probe.
 struct Candidate {
     name: Name,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     target: Target,
 }
 
@@ -102,7 +109,8 @@
         explanation.route = Some(entry.route.name.clone());
         explanation.service = Some(entry.route.service.clone());
         let organisation = permit(config, entry, request)?;
-        let version = version_of(config, entry.service);
+        // During a move, a part of the requests runs on another version.
+        let version = configured_version(config, entry.service);
         explanation.version.clone_from(&version);
         let organisation = organisation.map_or("public", |organisation| &*organisation.name);
         let namespace = Namespace::derive(organisation, version.as_deref().unwrap_or(""));
@@ -225,13 +233,6 @@
     Ok(key.and_then(|key| config.organisation(key)))
 }
 
-/// Version of the first target, until moves share out the traffic.
-fn version_of(config: &Config, service: ServiceKey) -> Option<Name> {
-    let target = config.targets_of(service).first()?;
-    let version = config.target(*target)?.version;
-    config.version(version).map(|version| version.name.clone())
-}
-
 fn blocks_of(
     config: &Config,
     service: ServiceKey,
@@ -253,11 +254,6 @@
     prompt.blocks
 }
 
-fn serves(versions: &[Name], version: Option<&str>) -> bool {
-    let is_wanted = |version: &str| versions.iter().any(|own| **own == *version);
-    versions.is_empty() || version.is_none_or(is_wanted)
-}
-
 fn passed_over(name: &Name, reason: &str) -> CandidateExplanation {
     CandidateExplanation {
         target: name.clone(),
--- a/src/process/entry/control/records.rs
+++ b/src/process/entry/control/records.rs
@@ -17,10 +17,6 @@
     mpsc, //
 };
 
-use super::super::context::{
-    Context,
-    RecordRequest, //
-};
 use crate::{
     clock::{
         US_PER_MS,
@@ -31,11 +27,17 @@
         Incarnation,
         Name, //
     },
-    process::platform::{
-        Condition,
-        ObjectVersion,
-        Platform,
-        PlatformError, //
+    process::{
+        entry::context::{
+            Context,
+            RecordRequest, //
+        },
+        platform::{
+            Condition,
+            ObjectVersion,
+            Platform,
+            PlatformError, //
+        },
     },
 };
 
@@ -50,6 +52,7 @@
 /// the object API.
 const MAX_EXPIRING: usize = 65_536;
 
+/// Interval between removals of expired records.
 const REMOVE_INTERVAL: Duration = Duration::from_secs(1);
 
 struct Expiring {
--- a/src/process/entry/control/targets.rs
+++ b/src/process/entry/control/targets.rs
@@ -8,16 +8,16 @@
 
 use slog::warn;
 
-use super::{
-    super::context::{
-        TargetView,
-        TargetViews, //
-    },
-    Control, //
-};
+use super::Control;
 use crate::{
     event::Event,
-    process::membership::Role, //
+    process::{
+        entry::context::{
+            TargetView,
+            TargetViews, //
+        },
+        membership::Role, //
+    },
 };
 
 /// Time between checks of deadlines.
--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -15,7 +15,10 @@
     },
     names::Name,
     process::{
-        entry::moves::VersionUse,
+        entry::moves::{
+            VersionUse,
+            configured_version, //
+        },
         rpc::ProbeRequest, //
     },
     request::prompt::{
@@ -81,10 +84,7 @@
         let config = &self.request.config;
         let route = config.route(self.request.route).ok_or_else(lost)?;
         let service = config.service(route.service).ok_or_else(lost)?;
-        let target = config.targets_of(route.service).first();
-        let target = target.and_then(|key| config.target(*key));
-        let version = target.and_then(|entry| config.version(entry.version));
-        let configured = version.ok_or_else(lost)?.name.clone();
+        let configured = configured_version(config, route.service).ok_or_else(lost)?;
         let usage = VersionUse::choose(
             &self.worker.context,
             &service.name,
--- a/src/process/entry/moves.rs
+++ b/src/process/entry/moves.rs
@@ -17,6 +17,10 @@
 use crate::{
     names::Name,
     version::{
+        config::{
+            Config,
+            ServiceKey, //
+        },
         evidence::{
             Side,
             counts::Sample, //
@@ -73,6 +77,13 @@
     pub(super) sample: Sample,
 }
 
+/// Returns the configured version of a service, that of its first target.
+pub(super) fn configured_version(config: &Config, service: ServiceKey) -> Option<Name> {
+    let target = config.targets_of(service).first()?;
+    let version = config.target(*target)?.version;
+    config.version(version).map(|version| version.name.clone())
+}
+
 /// Version of a request, counted as running until it is dropped.
 pub(super) struct VersionUse {
     context: Arc<Context>,
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -182,9 +182,8 @@
 }
 
 impl Relay {
-    async fn answer(mut self, head: Head) -> HttpResponse {
+    async fn answer(mut self, mut head: Head) -> HttpResponse {
         let id = self.call.request.id.clone();
-        let mut head = head;
         let mut is_event_stream = self.call.request.is_stream() && head.status == 200;
         let mut collected: Vec<u8> = Vec::new();
         let mut is_whole = false;
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -74,8 +74,8 @@
 /// Blocks whose holders are remembered, about 200 bytes each.
 const HINT_BLOCKS: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
 
-/// Assumed time to compute a block until an engine reports its own.
-const BLOCK_US: u64 = 50_000;
+/// Assumed time to compute a block; engines do not report theirs.
+pub(super) const BLOCK_US: u64 = 50_000;
 
 /// Attempts that wait to be cancelled; more are left to their agents.
 const MAX_CANCELLATIONS: usize = 1_024;
@@ -309,10 +309,10 @@
     ) -> Option<Target> {
         let entry = config.target(key)?;
         let view = views.get(&entry.target.name)?;
-        let serves = version.is_none_or(|version| {
-            view.versions.is_empty() || view.versions.iter().any(|own| **own == *version)
-        });
-        if view.leaving || !serves || self.stopping.borrow().contains(&view.agent) {
+        if view.leaving
+            || !serves(&view.versions, version)
+            || self.stopping.borrow().contains(&view.agent)
+        {
             return None;
         }
         Some(Target {
@@ -336,6 +336,13 @@
     }
 }
 
+/// Returns whether a target with these versions may run a version. Targets that
+/// state none run any.
+pub(super) fn serves(versions: &[Name], version: Option<&str>) -> bool {
+    let is_wanted = |version: &str| versions.iter().any(|own| **own == *version);
+    versions.is_empty() || version.is_none_or(is_wanted)
+}
+
 /// What the head of an answer told.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Answered {
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -29,6 +29,7 @@
     Result, //
 };
 
+/// Time without a request after which the server closes a connection.
 const KEEP_ALIVE: Seconds = Seconds(75);
 
 /// Longest time that a graceful stop waits for open connections. The drain before
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -37,6 +37,7 @@
 /// Label of organisations beyond [`MAX_ORGANISATION_LABELS`].
 pub const OTHER_ORGANISATIONS: &str = "other";
 
+/// Upper bounds of the buckets of all latency histograms, in seconds.
 const LATENCY_BUCKETS_S: [f64; 15] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
--- a/src/process/platform.rs
+++ b/src/process/platform.rs
@@ -51,8 +51,9 @@
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 /// Longest key, in bytes.
 pub const MAX_KEY_BYTES: usize = 512;
-// A listing holds up to 4 MB of values in base64.
+/// Largest answer that is read: a listing holds up to 4 MB of values in base64.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Connections to the object API at once.
 const MAX_CONNECTIONS: usize = 8;
 
 /// Result of a call to the object API.
--- a/src/process/rpc/transport.rs
+++ b/src/process/rpc/transport.rs
@@ -50,6 +50,7 @@
 /// connections without calls.
 const PING_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Pings without an answer after which a connection is closed.
 const MISSED_PINGS: usize = 3;
 
 /// Message that travels in binary form: base64 of postcard, about a third of the
--- a/src/request/openai/canonical.rs
+++ b/src/request/openai/canonical.rs
@@ -39,6 +39,7 @@
 /// measured.
 pub const PART_TOKENS: usize = 1_024;
 
+/// Markers of the canonical form.
 const MESSAGE: u8 = 0xff;
 const CONTENT: u8 = 0xfe;
 const PART: u8 = 0xfd;
--- a/src/request/prompt.rs
+++ b/src/request/prompt.rs
@@ -13,6 +13,8 @@
 
 use crate::names::ParseIdError;
 
+/// Contexts of the key derivation. Other texts would change all namespaces and
+/// block hashes, which instances of one fleet have to compute alike.
 const NAMESPACE_CONTEXT: &str = "yuccalatch 2026 cache namespace";
 const BLOCK_CONTEXT: &str = "yuccalatch 2026 prompt block";
 
