--- a/src/process/entry/control/records.rs
+++ b/src/process/entry/control/records.rs
@@ -19,10 +19,6 @@
     mpsc, //
 };
 
-use super::super::context::{
-    Context,
-    RecordRequest, //
-};
 use crate::{
     clock::{
         US_PER_MS,
@@ -33,11 +29,17 @@
         Incarnation,
         Name, //
     },
-    process::platform::{
-        Condition,
-        ObjectVersion,
-        Platform,
-        PlatformError, //
+    process::{
+        entry::context::{
+            Context,
+            RecordRequest, //
+        },
+        platform::{
+            Condition,
+            ObjectVersion,
+            Platform,
+            PlatformError, //
+        },
     },
 };
 
@@ -55,6 +57,7 @@
 /// the object API.
 const MAX_EXPIRING: usize = 65_536;
 
+/// Interval between removals of expired records.
 const REMOVE_INTERVAL: Duration = Duration::from_secs(1);
 
 struct Expiring {
