Plan moves at submission, find withdrawals in the configuration

Cause: the submission of a ticket compared the requested time with the load time only. The holder of the move computed the whole plan after acceptance and reported an impossible time as "infeasible". Whether a move is withdrawn was known only to entries that had seen its ticket in the configuration.

Change: the move object states quietest_requests_per_min (default 1, so that every step is planned at its longest time) and pace, with checked ranges; the entry setting "moves" is gone. ticket::plan_request computes what the plan depends on, for yuccalatchctl and for the holder. Submission plans for 8 s later (PICKUP_MS), the latest time at which the holder plans. The holder plans every accepted move; after a longer outage it keeps the lengths of the steps and is late. The move of a plain service needs a target of the new version. An unchanged move in a later ticket is a new move and is checked like one. The stored move carries its name; it is withdrawn when the configuration knows a later ticket for that name.

Changed test: ticket_checks::moves compared with the load time of 500 ms; it now compares with the whole plan at the exact millisecond.

--- a/src/process/entry/control/moves.rs
+++ b/src/process/entry/control/moves.rs
@@ -12,10 +12,7 @@
         Cell,
         RefCell, //
     },
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeMap,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -89,10 +86,6 @@
     states: RefCell<BTreeMap<Name, State>>,
     /// Told when an answer speaks against a new version.
     urgent: Notify,
-    /// Moves that were configured at some time, by ticket.
-    configured: RefCell<BTreeSet<u64>>,
-    /// Moves that cannot finish by the requested time, by ticket.
-    infeasible: RefCell<BTreeMap<u64, String>>,
     read_at_us: Cell<u64>,
     /// Moves of the configuration, with its revision.
     wanted: RefCell<(u64, WantedMoves)>,
@@ -327,26 +320,20 @@
     /// Returns the moves for operators.
     pub(super) fn move_statuses(&self) -> Vec<MoveStatus> {
         let states = self.moves.states.borrow();
-        let infeasible = self.moves.infeasible.borrow();
         let wanted = self.wanted_moves();
         let mut statuses = Vec::new();
         for (ticket, row) in wanted.iter() {
             let state = states.get(&row.service);
             let state = state.filter(|state| state.live.lock().current().ticket == *ticket);
-            let reason = infeasible.get(ticket).cloned();
             let status = MoveStatus {
                 name: row.name.clone(),
                 service: row.service.clone(),
                 from: row.from.clone(),
                 to: row.to.clone(),
-                state: String::from(if reason.is_some() {
-                    "infeasible"
-                } else {
-                    "accepted"
-                }),
+                state: "accepted".to_owned(),
                 share_permille: 0,
                 finish_by_unix_ms: row.finish_by_unix_ms,
-                reason: reason.unwrap_or_default(),
+                reason: String::new(),
             };
             statuses.push(match state {
                 Some(state) => stored_status(status, &state.live.lock()),
--- a/src/process/entry/control/moves/holder.rs
+++ b/src/process/entry/control/moves/holder.rs
@@ -31,7 +31,8 @@
         config::{
             self,
             Kind,
-            Object, //
+            Object,
+            ObjectId, //
         },
         lease::{
             Claimed,
@@ -44,17 +45,14 @@
         rollout::{
             Move, Reason, object_key,
             order::TargetView,
-            plan::{
-                self,
-                LoadEstimate,
-                PlanRequest, //
-            },
+            plan,
             step::{
                 EntryView,
                 Observation,
                 RouteView, //
             },
         },
+        ticket::plan_request, //
     },
 };
 
@@ -96,7 +94,6 @@
         };
         for (ticket, row) in self.wanted_moves().iter() {
             let ticket = *ticket;
-            self.moves.configured.borrow_mut().insert(ticket);
             let present = stored
                 .iter()
                 .find(|known| known.value.service == row.service);
@@ -173,23 +170,19 @@
         row: &config::Move,
         former: Option<&Stored>,
     ) -> PlatformResult<()> {
-        let Some(request) = self.plan_request(row) else {
+        let now_unix_ms = self.context.clock.unix_ms();
+        let Some(request) = plan_request(&self.store.fold(), row, now_unix_ms) else {
             return Ok(());
         };
-        let plan = match plan::accept(&request) {
-            Ok(plan) => plan,
-            Err(report) => {
-                let mut infeasible = self.moves.infeasible.borrow_mut();
-                if infeasible.insert(ticket, format!("{report:?}")).is_none() {
-                    warn!(self.context.log, "move cannot finish in time";
-                        "event" => Event::MoveChanged, "move" => %row.name);
-                }
-                return Ok(());
-            }
-        };
+        if plan::accept(&request).is_err() {
+            warn!(self.context.log, "move cannot finish in time any more";
+                "event" => Event::MoveChanged, "move" => %row.name,
+                "earliest_unix_ms" => plan::earliest_unix_ms(&request));
+        }
+        let plan = plan::schedule(&request);
         let fencing = former.map_or(0, |former| former.value.lease.fencing);
         let versions = (&*row.from, &*row.to);
-        let planned = Move::planned(ticket, &row.service, versions, plan, fencing);
+        let planned = Move::planned((ticket, &row.name), &row.service, versions, plan, fencing);
         let condition = former.map_or(Condition::Absent, |former| {
             Condition::Version(former.version)
         });
@@ -198,37 +191,6 @@
         Ok(())
     }
 
-    fn plan_request(&self, row: &config::Move) -> Option<PlanRequest> {
-        let config = self.context.config.load();
-        let key = config.service_by_name(&row.service)?;
-        let service = config.service(key)?;
-        let mut loads: Vec<LoadEstimate> = Vec::new();
-        let targets = config.targets_of(key).iter();
-        for entry in targets.filter_map(|key| config.target(*key)) {
-            let centre = &entry.target.data_centre;
-            match loads.iter_mut().find(|load| load.data_centre == *centre) {
-                Some(load) => load.targets += 1,
-                None => loads.push(LoadEstimate {
-                    data_centre: centre.clone(),
-                    targets: 1,
-                    parallel_loads: service.parallel_loads.max(1),
-                    load_ms: service.load_ms,
-                }),
-            }
-        }
-        let routes = config.routes().filter(|(_, entry)| entry.service == key);
-        let longest_request_ms = routes.map(|(_, entry)| entry.route.timeout_ms).max();
-        Some(PlanRequest {
-            now_unix_ms: self.context.clock.unix_ms(),
-            finish_at_unix_ms: row.finish_by_unix_ms,
-            loads,
-            // The rate of a route is not known before its traffic.
-            routes: Vec::new(),
-            pace: self.context.settings.moves,
-            longest_request_ms: longest_request_ms.unwrap_or(0),
-        })
-    }
-
     async fn put_move(
         &self,
         platform: &Platform,
@@ -408,11 +370,10 @@
         }
     }
 
-    /// A move counts as withdrawn only when this entry has seen it configured,
-    /// because its configuration may be older than the move.
+    /// A move is withdrawn when a later ticket has removed or replaced it. A
+    /// configuration that does not contain its ticket yet says nothing about it.
     fn is_withdrawn(&self, current: &Move) -> bool {
-        let was_configured = self.moves.configured.borrow().contains(&current.ticket);
-        let wanted = self.wanted_moves();
-        was_configured && !wanted.iter().any(|(ticket, _)| *ticket == current.ticket)
+        let id = ObjectId::new(Kind::Move, current.name.clone());
+        self.store.fold().last_ticket(&id) > current.ticket
     }
 }
--- a/src/replay/evaluate/moves/run.rs
+++ b/src/replay/evaluate/moves/run.rs
@@ -464,5 +464,5 @@
     let needed_ms = plan::needed_ms(&request);
     request.finish_at_unix_ms = needed_ms + rng.random_range(0..=needed_ms / 2);
     let plan = plan::accept(&request).expect("the time is feasible");
-    Move::planned(1, "drafting", ("v1", "v2"), plan, 0)
+    Move::planned((1, "m"), "drafting", ("v1", "v2"), plan, 0)
 }
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -17,8 +17,7 @@
 use crate::{
     clock::US_PER_MS,
     names::Name,
-    process::fate::idempotency::WINDOW_US,
-    version::rollout::plan::Pace, //
+    process::fate::idempotency::WINDOW_US, //
 };
 
 /// Settings of `yuccalatch-entry`.
@@ -55,9 +54,6 @@
     /// Time for which an idempotency key is remembered, equal on all instances.
     #[serde(default = "default_idempotency_window_ms")]
     pub idempotency_window_ms: u64,
-    /// Shortest times of version moves, equal on all entries.
-    #[serde(default)]
-    pub moves: Pace,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -111,8 +107,6 @@
   // Time for which an idempotency key is remembered, in milliseconds; equal on
   // all instances.
   "idempotency_window_ms": 600000,
-  // Shortest times of version moves, in milliseconds; equal on all entries.
-  "moves": {"shortest_step_ms": 20000, "step_overhead_ms": 3000, "settle_ms": 60000},
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "terminal", "level": "info"}
--- a/src/version/config/object.rs
+++ b/src/version/config/object.rs
@@ -10,9 +10,12 @@
     Serialize, //
 };
 
-use crate::names::{
-    Digest,
-    Name, //
+use crate::{
+    names::{
+        Digest,
+        Name, //
+    },
+    version::rollout::plan::Pace, //
 };
 
 /// Kind of an object.
@@ -238,6 +241,20 @@
     pub to: Name,
     /// Requested time of completion, in Unix milliseconds.
     pub finish_by_unix_ms: u64,
+    /// Requests per minute of the route with the least traffic that the
+    /// evidence has to cover.
+    #[serde(default = "default_quietest_requests_per_min")]
+    pub quietest_requests_per_min: u64,
+    /// Shortest times of the steps.
+    #[serde(default)]
+    pub pace: Pace,
+}
+
+/// With one request per minute every step is planned at its longest time. A move
+/// with more traffic makes its steps earlier, so that the default costs time in
+/// the plan but no evidence.
+const fn default_quietest_requests_per_min() -> u64 {
+    1
 }
 
 /// Complete state of one object.
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -121,6 +121,8 @@
 pub struct Move {
     /// Number of the ticket that created the move.
     pub ticket: u64,
+    /// Name in the configuration, by which a withdrawal is found.
+    pub name: Name,
     /// Service whose traffic moves.
     pub service: Name,
     /// Version that is replaced.
@@ -160,11 +162,11 @@
     ///
     /// let request = plan::PlanRequest::example();
     /// let plan = plan::accept(&request).unwrap();
-    /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// assert_eq!(planned.share_permille(), 0);
     /// ```
     pub fn planned(
-        ticket: u64,
+        (ticket, name): (u64, &str),
         service: &str,
         (from, to): (&str, &str),
         plan: Plan,
@@ -172,6 +174,7 @@
     ) -> Self {
         Self {
             ticket,
+            name: name.into(),
             service: service.into(),
             from: from.into(),
             to: to.into(),
@@ -202,7 +205,7 @@
     /// use yuccalatch::version::rollout::{plan, Move, WriteOutcome};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    /// let stored = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let stored = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// let mut proposed = stored.clone();
     /// proposed.step += 1;
     /// assert_eq!(proposed.outcome(&stored, &stored), WriteOutcome::Pending);
--- a/src/version/rollout/cut.rs
+++ b/src/version/rollout/cut.rs
@@ -60,7 +60,7 @@
     /// use yuccalatch::version::rollout::{cut::LocalMove, plan, Move};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// assert_eq!(LocalMove::new(planned, 0, 4).share_permille(), 0);
     /// ```
     pub fn new(current: Move, rank: usize, live_entries: usize) -> Self {
--- a/src/version/rollout/order.rs
+++ b/src/version/rollout/order.rs
@@ -73,7 +73,7 @@
     /// use yuccalatch::version::rollout::{plan, Move};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// assert!(planned.orders(&[]).is_empty());
     /// ```
     pub fn orders(&self, targets: &[TargetView]) -> Vec<Order> {
--- a/src/version/rollout/plan.rs
+++ b/src/version/rollout/plan.rs
@@ -37,6 +37,11 @@
 /// Traffic may be this much below the stated rate: three quarters.
 const RATE_MARGIN: f64 = 0.75;
 
+/// Longest time from the acceptance of a ticket until the holder of the move has
+/// planned it: 5 s until the configuration is in force, and the rounds in which
+/// the holder reads the move objects and stores the new one.
+pub const PICKUP_MS: u64 = 8_000;
+
 /// Shortest times of a move. The defaults carry the guarantees of the steps;
 /// shorter ones are for tests.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -193,13 +198,45 @@
         let report = error_stack::Report::new(ErrorKind::TicketInvalid);
         return Err(report.attach("parallel_loads is zero"));
     }
-    let needed_ms = needed_ms(request);
-    let earliest = request.now_unix_ms.saturating_add(needed_ms);
+    let earliest = earliest_unix_ms(request);
     if request.finish_at_unix_ms < earliest {
         let report = error_stack::Report::new(ErrorKind::MoveInfeasible);
         return Err(report.attach(format!("earliest finish is {earliest} (Unix ms)")));
     }
-    Ok(backwards(request, needed_ms))
+    Ok(schedule(request))
+}
+
+/// Computes the plan of a move that was accepted before.
+///
+/// When too much time has passed since, for example in an outage of the object
+/// API, the steps are planned for the earliest feasible time. They keep their
+/// lengths, because a share that grows without evidence does more harm than a
+/// late move.
+///
+/// ```
+/// use yuccalatch::version::rollout::plan::{earliest_unix_ms, schedule, PlanRequest};
+///
+/// let mut request = PlanRequest::example();
+/// request.finish_at_unix_ms = 1;
+/// let plan = schedule(&request);
+/// assert!(plan.full_by_unix_ms < earliest_unix_ms(&request));
+/// assert_eq!(plan.finish_at_unix_ms, 1);
+/// ```
+pub fn schedule(request: &PlanRequest) -> Plan {
+    let end_unix_ms = request.finish_at_unix_ms.max(earliest_unix_ms(request));
+    backwards(request, end_unix_ms)
+}
+
+/// Returns the earliest time by which a move can be done, in Unix milliseconds.
+///
+/// ```
+/// use yuccalatch::version::rollout::plan::{earliest_unix_ms, needed_ms, PlanRequest};
+///
+/// let request = PlanRequest::example();
+/// assert_eq!(earliest_unix_ms(&request), request.now_unix_ms + needed_ms(&request));
+/// ```
+pub fn earliest_unix_ms(request: &PlanRequest) -> u64 {
+    request.now_unix_ms.saturating_add(needed_ms(request))
 }
 
 /// Returns the shortest time from acceptance to the end of a move, in
@@ -222,8 +259,8 @@
         .saturating_add(finishing_ms(request))
 }
 
-fn backwards(request: &PlanRequest, needed_ms: u64) -> Plan {
-    let full_by_unix_ms = request.finish_at_unix_ms - finishing_ms(request);
+fn backwards(request: &PlanRequest, end_unix_ms: u64) -> Plan {
+    let full_by_unix_ms = end_unix_ms - finishing_ms(request);
     let settle_by_unix_ms =
         full_by_unix_ms - request.pace.settle_ms - request.pace.step_overhead_ms;
     let mut start_by_unix_ms = settle_by_unix_ms;
@@ -240,7 +277,7 @@
     // requested time allows it.
     let latest = start_by_unix_ms - loading_ms(request);
     let load_at_unix_ms = latest
-        .saturating_sub(needed_ms / 2)
+        .saturating_sub(needed_ms(request) / 2)
         .max(request.now_unix_ms);
     Plan {
         load_at_unix_ms,
@@ -257,7 +294,7 @@
     let slowest = request
         .loads
         .iter()
-        .map(|load| u64::from(load.targets.div_ceil(load.parallel_loads)) * load.load_ms)
+        .map(|load| u64::from(load.targets.div_ceil(load.parallel_loads.max(1))) * load.load_ms)
         .max()
         .unwrap_or(0);
     // A slot stays empty between the end of a load and its report.
--- a/src/version/rollout/status.rs
+++ b/src/version/rollout/status.rs
@@ -59,7 +59,7 @@
     /// use yuccalatch::version::rollout::{plan, status::State, step::Observation, Move};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// assert_eq!(planned.status(&Observation::default()).state, State::Planned);
     /// ```
     pub fn status(&self, seen: &Observation) -> Status {
--- a/src/version/rollout/step.rs
+++ b/src/version/rollout/step.rs
@@ -109,7 +109,7 @@
     /// use yuccalatch::version::rollout::{plan, Move};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 4);
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 4);
     /// let claimed = planned.with_lease(LeaseRecord { fencing: 5, ..planned.lease });
     /// assert_eq!((claimed.lease.fencing, claimed.step), (5, planned.step));
     /// ```
--- a/src/version/ticket.rs
+++ b/src/version/ticket.rs
@@ -13,7 +13,10 @@
     check, //
 };
 
-pub use deadline::check_deadlines;
+pub use deadline::{
+    check_deadlines,
+    plan_request, //
+};
 pub use file::TicketFile;
 
 use serde::{
--- a/src/version/ticket/objects.rs
+++ b/src/version/ticket/objects.rs
@@ -6,19 +6,22 @@
 };
 use crate::{
     names::Name,
-    version::config::{
-        Access,
-        Key,
-        Kind,
-        Move,
-        Object,
-        ObjectId,
-        Organisation,
-        Route,
-        Service,
-        ServiceKind,
-        Target,
-        Version, //
+    version::{
+        config::{
+            Access,
+            Key,
+            Kind,
+            Move,
+            Object,
+            ObjectId,
+            Organisation,
+            Route,
+            Service,
+            ServiceKind,
+            Target,
+            Version, //
+        },
+        rollout::plan::LONGEST_STEP_MS, //
     },
 };
 
@@ -31,6 +34,10 @@
 const MAX_WEIGHT: u32 = 1_000;
 const MAX_BLOCK_TOKENS: u32 = 1 << 20;
 const MAX_LOAD_MS: u64 = 3_600_000;
+const MAX_SETTLE_MS: u64 = 86_400_000;
+// The design scale has 6,800 requests per second; larger rates point to a wrong
+// unit.
+const MAX_REQUESTS_PER_MIN: u64 = 60_000_000;
 // No request finishes within less than 10 ms; smaller values are most likely
 // seconds.
 const MIN_TIMEOUT_MS: u64 = 10;
@@ -286,8 +293,42 @@
         "state milliseconds since 1970, not seconds",
         findings,
     );
+    check_range(
+        row.quietest_requests_per_min,
+        (1, MAX_REQUESTS_PER_MIN),
+        "quietest_requests_per_min",
+        "state requests per minute of the quietest route",
+        findings,
+    );
+    for (value, max) in [
+        (row.pace.shortest_step_ms, LONGEST_STEP_MS),
+        (row.pace.step_overhead_ms, LONGEST_STEP_MS),
+        (row.pace.settle_ms, MAX_SETTLE_MS),
+    ] {
+        check_range(value, (1, max), "pace", "state milliseconds", findings);
+    }
+    check_has_new_target(outlook, row, findings);
     if let Some(rival) = outlook.rival_move(row) {
         let message = format!("move `{rival}` already moves service `{}`", row.service);
         findings.add("service", message, "remove that move first");
     }
 }
+
+/// A plain server cannot load another release, so that each release has targets
+/// of its own.
+fn check_has_new_target(outlook: &Outlook<'_>, row: &Move, findings: &mut Findings) {
+    let id = ObjectId::new(Kind::Service, row.service.clone());
+    let is_plain = matches!(outlook.get(&id),
+        Some(Object::Service(service)) if service.kind == ServiceKind::Plain);
+    let is_new = |object: &Object| {
+        matches!(object,
+            Object::Target(target) if target.service == row.service && target.version == row.to)
+    };
+    if is_plain && !outlook.of_kind(Kind::Target).any(is_new) {
+        let message = format!(
+            "plain service `{}` has no target of the version",
+            row.service
+        );
+        findings.add("to", message, "create its targets in the same ticket");
+    }
+}
--- a/src/version/ticket/outlook.rs
+++ b/src/version/ticket/outlook.rs
@@ -157,7 +157,8 @@
         rivals.into_iter().find(|name| **name != row.name)
     }
 
-    fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &'a Object> {
+    /// Iterates over the objects of a kind as they will be.
+    pub(super) fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &'a Object> {
         let kept = self.fold.of_kind(kind).map(|entry| &entry.object);
         let kept = kept.filter(|object| {
             let id = object.id();
--- a/tests/move_lease.rs
+++ b/tests/move_lease.rs
@@ -51,7 +51,7 @@
 
 fn store() -> Store {
     let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    let value = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    let value = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     Store { value, version: 0 }
 }
 
--- a/tests/move_processes.rs
+++ b/tests/move_processes.rs
@@ -18,7 +18,10 @@
     DefaultRuntime,
     System, //
 };
-use serde_json::json;
+use serde_json::{
+    Value,
+    json, //
+};
 use support::fleet::{
     ACME_KEY,
     Fleet,
@@ -65,7 +68,7 @@
 /// Stores the move object of the service with a fencing number.
 fn store_move(address: SocketAddr, fencing: u64) {
     let accepted = plan::accept(&plan::PlanRequest::example()).unwrap();
-    let stored = Move::planned(2, "draft", ("v1", "v2"), accepted, fencing);
+    let stored = Move::planned((2, "m"), "draft", ("v1", "v2"), accepted, fencing);
     let value = serde_json::to_vec(&stored).unwrap();
     System::new("store", DefaultRuntime).block_on(async move {
         let platform = Platform::new(address, Clock::start()).await.unwrap();
@@ -80,6 +83,18 @@
     });
 }
 
+/// Reads the move object of the service.
+fn stored_move(fleet: &Fleet) -> Value {
+    let address = fleet.platform_address();
+    System::new("read", DefaultRuntime).block_on(async move {
+        let platform = Platform::new(address, Clock::start()).await.unwrap();
+        let deadline_us = platform.clock().now_us() + 30 * US_PER_S;
+        let key = object_key("draft");
+        let stored = platform.get(&key, deadline_us).await.unwrap().unwrap();
+        serde_json::from_slice(&stored.value).unwrap()
+    })
+}
+
 /// Sends an order to the agent of the first target.
 fn order(fleet: &Fleet, fencing: u64, action: OrderAction) -> Result<OrderAnswer> {
     let address = fleet.targets[0].agent.address("control_address");
@@ -209,8 +224,6 @@
     Fleet::start(&Plan {
         entries,
         engines: 2,
-        entry: json!({"moves": {"shortest_step_ms": 300, "step_overhead_ms": 300,
-            "settle_ms": 1_000}}),
         agent: json!({"checks_fencing": false}),
         engine: json!({"checks_fencing": false, "load_weights_ms": 50,
             "decode_tokens_per_s": 2_000, "prefill_tokens_per_s": 100_000}),
@@ -218,14 +231,15 @@
     })
 }
 
-/// Submits a move to `v2`. The requested time leaves room for the longest
-/// request of the routes.
+/// Submits a move to `v2` with short times. The requested time leaves room for
+/// the longest request of the routes and the time until the move is planned.
 fn submit_move(fleet: &Fleet) {
-    let finish_by_unix_ms = Clock::start().unix_ms() + 72_000;
+    let finish_by_unix_ms = Clock::start().unix_ms() + 80_000;
     let set = json!([
         {"version": {"name": "v2", "service": "draft", "weights": "oak/2"}},
         {"move": {"name": "to-v2", "service": "draft", "from": "v1", "to": "v2",
-            "finish_by_unix_ms": finish_by_unix_ms}},
+            "finish_by_unix_ms": finish_by_unix_ms, "quietest_requests_per_min": 1_000_000,
+            "pace": {"shortest_step_ms": 300, "step_overhead_ms": 300, "settle_ms": 1_000}}},
     ]);
     fleet.submit(&ticket(2, &set, &json!([])));
 }
@@ -363,3 +377,24 @@
     }
     traffic.stop();
 }
+
+/// Guards against a withdrawal that only entries notice which saw the move
+/// configured: all entries start after the ticket that removes it.
+#[test]
+fn a_withdrawn_move_is_taken_back_by_new_entries() {
+    let mut fleet = moving_fleet(2);
+    submit_move(&fleet);
+    eventually("the version has a share", || state(&fleet, 0).1 > 0);
+    fleet.entries.clear();
+    let withdrawal = json!([{"kind": "move", "name": "to-v2"}]);
+    fleet.submit(&ticket(3, &json!([]), &withdrawal));
+    for entry in 0..2 {
+        fleet.add_entry(&format!("late-{entry}"));
+    }
+    eventually("the new version is unloaded", || versions(&fleet) == ["v1"]);
+    let stored = stored_move(&fleet);
+    assert_eq!(
+        stored["phase"],
+        json!({"taken_back": {"reason": "withdrawn"}})
+    );
+}
--- a/tests/ticket_checks.rs
+++ b/tests/ticket_checks.rs
@@ -2,19 +2,30 @@
 
 mod support;
 
+use quickcheck::{
+    Gen,
+    QuickCheck, //
+};
 use support::base_text;
 use yuccalatch::{
     error::ErrorKind,
     version::{
         config::{
             Applied,
-            Fold, //
+            Fold,
+            Object, //
+        },
+        rollout::plan::{
+            self,
+            PICKUP_MS, //
         },
         ticket::{
+            Ticket,
             TicketFile,
             Violation,
             check,
-            check_deadlines, //
+            check_deadlines,
+            plan_request, //
         },
     },
 };
@@ -181,9 +192,113 @@
     assert!(first_message(&two, "").contains("already moves service `draft`"));
     assert!(first_message(&text("m", "oak-1"), "").contains("in use"));
     assert!(first_message(&text("m", "files-1"), "").contains("belongs to service `files`"));
-    // One target needs one load of 500 ms.
     let file = file(&text("m", "oak-2"), "");
     let at = |now| check_deadlines(&base(), file.ticket(), now);
-    assert!(at(1_899_999_999_500).is_empty());
-    assert_eq!(at(1_899_999_999_501)[0].kind, ErrorKind::MoveInfeasible);
+    // Loading takes 4 s, each of five steps without a stated rate 603 s, the
+    // settling period 63 s, the longest request 33 s, planning 8 s.
+    let latest = 1_900_000_000_000 - 4_000 - 5 * 603_000 - 63_000 - 33_000 - 8_000;
+    assert!(at(latest).is_empty());
+    let refused = &at(latest + 1)[0];
+    assert_eq!(refused.kind, ErrorKind::MoveInfeasible);
+    assert!(refused.message.contains("before 1900000000001"));
+}
+
+/// Returns a ticket with a move, and with more targets and another timeout.
+fn move_ticket(targets: u64, rate: u64, pace: &str, finish_by_unix_ms: u64) -> Ticket {
+    let mut set: Vec<String> = (0..targets)
+        .map(|number| {
+            let port = 9_000 + 2 * number;
+            format!(
+                "{{\"target\": {{\"name\": \"more-{number}\", \"service\": \"draft\", \
+                 \"data_centre\": \"b\", \"address\": \"127.0.0.1:{port}\", \
+                 \"control_address\": \"127.0.0.1:{}\", \"version\": \"oak-1\"}}}}",
+                port + 1
+            )
+        })
+        .collect();
+    set.push(format!(
+        "{{\"move\": {{\"name\": \"m\", \"service\": \"draft\", \"from\": \"oak-1\", \
+         \"to\": \"oak-2\", \"finish_by_unix_ms\": {finish_by_unix_ms}, \
+         \"quietest_requests_per_min\": {rate}, \"pace\": {pace}}}}}"
+    ));
+    file(&set.join(",\n"), "").ticket().clone()
+}
+
+/// Guards against a time that is accepted although the holder of the move cannot
+/// meet it, and against a refusal that names a time which is refused as well.
+#[test]
+fn accepted_times_are_planned() {
+    fn property(targets: u8, rate: u16, settle_ms: u16, delay_ms: u16, slack_ms: u16) -> bool {
+        let now_unix_ms = 1_800_000_000_000;
+        let pace = format!("{{\"settle_ms\": {}}}", u64::from(settle_ms) + 1);
+        let ticket = |finish_by_unix_ms| {
+            let targets = u64::from(targets % 16);
+            move_ticket(targets, u64::from(rate) + 1, &pace, finish_by_unix_ms)
+        };
+        let too_early = check_deadlines(&base(), &ticket(now_unix_ms), now_unix_ms);
+        let words = too_early[0].message.rsplit(' ').next().unwrap();
+        let earliest_unix_ms: u64 = words.parse().unwrap();
+        let just_before = ticket(earliest_unix_ms - 1);
+        let finish_by_unix_ms = earliest_unix_ms + u64::from(slack_ms);
+        let accepted = ticket(finish_by_unix_ms);
+        let mut fold = base();
+        fold.apply(2, &accepted);
+        let Some(Object::Move(row)) = accepted.set.last() else {
+            return false;
+        };
+        let planned_unix_ms = now_unix_ms + u64::from(delay_ms) % (PICKUP_MS + 1);
+        let request = plan_request(&fold, row, planned_unix_ms).unwrap();
+        check(&base(), &accepted).is_empty()
+            && !check_deadlines(&base(), &just_before, now_unix_ms).is_empty()
+            && check_deadlines(&base(), &accepted, now_unix_ms).is_empty()
+            && plan::accept(&request).is_ok_and(|plan| {
+                plan == plan::schedule(&request) && plan.load_at_unix_ms >= planned_unix_ms
+            })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 11))
+        .tests(300)
+        .quickcheck(property as fn(u8, u16, u16, u16, u16) -> bool);
+}
+
+/// Guards against a plan of a move without bounds for what its ticket states.
+#[test]
+fn move_ranges() {
+    let message = |rate, pace| {
+        let ticket = move_ticket(0, rate, pace, 1_900_000_000_000);
+        check(&base(), &ticket).first().map(ToString::to_string)
+    };
+    assert_eq!(message(1, "{}"), None);
+    assert!(
+        message(0, "{}")
+            .unwrap()
+            .contains("`quietest_requests_per_min` is 0")
+    );
+    let step = message(1, "{\"shortest_step_ms\": 600001}");
+    assert!(step.unwrap().contains("`pace` is 600001"));
+    assert!(
+        message(1, "{\"settle_ms\": 0}")
+            .unwrap()
+            .contains("`pace` is 0")
+    );
+}
+
+/// Guards against the move of a plain service to a release that no target runs:
+/// nothing could be loaded.
+#[test]
+fn plain_moves() {
+    let release = "{\"version\": {\"name\": \"files-2\", \"service\": \"files\", \
+                   \"weights\": \"release-2\"}}";
+    let target = "{\"target\": {\"name\": \"f2\", \"service\": \"files\", \
+                  \"data_centre\": \"a\", \"address\": \"127.0.0.1:7011\", \
+                  \"control_address\": \"127.0.0.1:7012\", \"version\": \"files-2\"}}";
+    let moved = "{\"move\": {\"name\": \"m\", \"service\": \"files\", \
+                 \"from\": \"files-1\", \"to\": \"files-2\", \
+                 \"finish_by_unix_ms\": 1900000000000}}";
+    let without = first_message(&format!("{release},\n{moved}"), "");
+    assert!(
+        without.contains("has no target of the version"),
+        "{without}"
+    );
+    assert!(violations(&format!("{release},\n{target},\n{moved}"), "").is_empty());
 }
--- a/tests/version_moves.rs
+++ b/tests/version_moves.rs
@@ -55,7 +55,7 @@
 
 fn held_move() -> (Move, Lease<Held>) {
     let plan = plan::accept(&PlanRequest::example()).unwrap();
-    let planned = Move::planned(7, "chat", ("v1", "v2"), plan, 3);
+    let planned = Move::planned((7, "m"), "chat", ("v1", "v2"), plan, 3);
     let Watch::Lapsed(lapsed) = Lease::watch(planned.lease, 0) else {
         panic!("no holder yet");
     };
