Move plain services between targets of their versions

Cause: a move waited for every target of the service to load the new version. A plain server cannot, so a move of a plain service stayed in the loading phase. Requests of a plain service went to any target, whatever its release.

Change: a target of the new version of a plain service is its own target. Its agent reports the configured version while the server accepts connections. Loading is over when every target of the new version reports it and every agent knows the fencing number; a server that is not up when the first share is overdue is a failed load. With a move, requests of a plain service go to the targets configured with the chosen version; without one, to all of them, as before. Before the move object applies, the version that the move replaces is used instead of that of the first target.

--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -3,6 +3,7 @@
 mod api;
 mod engine;
 mod order;
+mod plain;
 mod report;
 
 use std::{
@@ -99,8 +100,9 @@
     let address = stop::local(&listener)?;
     let handle = peer::serve(listener, Api::methods(commands)?)?;
     let control = Rc::new(Control::new(context, address));
-    if control.context.settings.target_kind == ServiceKind::Model {
-        ntex::rt::spawn(Rc::clone(&control).poll_engine());
+    match control.context.settings.target_kind {
+        ServiceKind::Model => drop(ntex::rt::spawn(Rc::clone(&control).poll_engine())),
+        ServiceKind::Plain => drop(ntex::rt::spawn(Rc::clone(&control).watch_plain())),
     }
     ntex::rt::spawn(Rc::clone(&control).report());
     ntex::rt::spawn(Rc::clone(&control).find_entries());
--- a/src/process/agent/server.rs
+++ b/src/process/agent/server.rs
@@ -63,6 +63,7 @@
         Direction,
         HeaderFilter, //
     },
+    version::config::ServiceKind, //
 };
 
 type State = web::types::State<Rc<Traffic>>;
@@ -133,7 +134,12 @@
         return Err(Report::new(ErrorKind::Stopping));
     }
     let versions = context.versions();
-    if !versions.is_empty() && !versions.iter().any(|version| **version == *head.version) {
+    // The entry knows the release of a plain target from the configuration.
+    let is_engine = context.settings.target_kind == ServiceKind::Model;
+    if is_engine
+        && !versions.is_empty()
+        && !versions.iter().any(|version| **version == *head.version)
+    {
         return Err(Report::new(ErrorKind::WrongVersion));
     }
     let attempt = traffic.fates.borrow_mut().admit(head.agent, head.id)?;
--- a/src/process/entry/control/moves/targets.rs
+++ b/src/process/entry/control/moves/targets.rs
@@ -20,12 +20,16 @@
             OrderRequest, //
         },
     },
-    version::rollout::{
-        Move, Phase,
-        order::{
-            Action,
-            LoadState,
-            TargetView, //
+    version::{
+        config::ServiceKind,
+        rollout::{
+            Move, Phase,
+            order::{
+                Action,
+                LoadState,
+                Part,
+                TargetView, //
+            },
         },
     },
 };
@@ -36,13 +40,14 @@
     data_centre: Name,
     address: SocketAddr,
     is_leaving: bool,
+    part: Part,
 }
 
 impl Control {
     /// Sends the outstanding orders. Returns the state of the targets, and
     /// whether the version that is not in use any more is unloaded.
     pub(super) async fn order_targets(self: &Rc<Self>, current: &Move) -> (Vec<TargetView>, bool) {
-        let targets = self.ordered(&current.service);
+        let targets = self.ordered(current);
         // Raising the number changes nothing else and yields the state.
         let fence = |target| self.order(current, target, OrderAction::Fence);
         let answers = join_all(targets.iter().map(fence)).await;
@@ -62,7 +67,11 @@
                 unused.is_some_and(|unused| !answer.versions.contains(unused))
             })
         };
-        let is_settled = answers.iter().all(is_unloaded);
+        let is_settled = current.phase.is_final()
+            && targets
+                .iter()
+                .zip(&answers)
+                .all(|(target, answer)| target.part != Part::Both || is_unloaded(answer));
         if !is_settled {
             self.send_orders(current, &targets, &views).await;
         }
@@ -91,12 +100,13 @@
         join_all(calls).await;
     }
 
-    fn ordered(&self, service: &Name) -> Vec<Ordered> {
+    fn ordered(&self, current: &Move) -> Vec<Ordered> {
         let config = self.context.config.load();
         let fleet = self.fleet.borrow();
-        let Some(key) = config.service_by_name(service) else {
+        let Some(key) = config.service_by_name(&current.service) else {
             return Vec::new();
         };
+        let kind = config.service(key).map(|service| service.kind);
         let targets = config.targets_of(key).iter();
         let targets = targets.filter_map(|key| config.target(*key));
         targets
@@ -111,6 +121,11 @@
                     data_centre: entry.target.data_centre.clone(),
                     address: entry.target.control_address,
                     is_leaving: report.is_some_and(|report| report.is_leaving),
+                    part: match kind {
+                        Some(ServiceKind::Plain) if entry.target.version == current.to => Part::New,
+                        Some(ServiceKind::Plain) => Part::Old,
+                        _ => Part::Both,
+                    },
                 }
             })
             .collect()
@@ -137,6 +152,7 @@
         name: target.name.clone(),
         data_centre: target.data_centre.clone(),
         is_leaving: target.is_leaving,
+        part: target.part,
         load: LoadState::Absent,
         fencing: None,
         // A target that does not answer may still run requests of both.
--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -15,7 +15,10 @@
     },
     names::Name,
     process::{
-        entry::moves::VersionUse,
+        entry::moves::{
+            Configured,
+            VersionUse, //
+        },
         rpc::ProbeRequest, //
     },
     request::prompt::{
@@ -24,7 +27,12 @@
         Prompt,
         cut, //
     },
-    version::config::TargetKey, //
+    version::config::{
+        Config,
+        ServiceKey,
+        ServiceKind,
+        TargetKey, //
+    },
 };
 
 impl Call {
@@ -40,16 +48,23 @@
         if let Some(version) = &version {
             self.prompt = self.cut_prompt(version);
         }
+        // All attempts of a request use one version, so that a stream never
+        // mixes the output of two.
+        self.version = version;
         let placement = self
             .worker
-            .place(config, service, version.as_deref(), &self.probe_request())
+            .place(
+                config,
+                service,
+                self.placed_version(),
+                &self.probe_request(),
+            )
             .await;
         if let Some(keyed) = self.request.keyed {
             let owners = self.worker.owners(config, service, keyed.key);
             let mut live = owners
                 .into_iter()
                 .filter(|key| placement.ordered.contains(key));
-            self.version = version;
             return live.next().ok_or_else(|| Report::new(ErrorKind::NoTarget));
         }
         let is_untried = |target: &&TargetKey| !self.tried.contains(target);
@@ -58,12 +73,22 @@
         let again = placement.ordered.first().filter(|_| self.may_reuse);
         let target = untried.or(again).copied();
         let target = target.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
-        // All attempts of a request use one version, so that a stream never
-        // mixes the output of two.
-        self.version = version;
         Ok(target)
     }
 
+    /// Returns the version that a target has to serve. Without a move, the
+    /// targets of a plain service are interchangeable while tickets change their
+    /// releases one by one.
+    fn placed_version(&self) -> Option<&str> {
+        let config = &self.request.config;
+        let route = config.route(self.request.route)?;
+        let service = config.service(route.service)?;
+        let is_moved = config.move_of(route.service).is_some()
+            || self.usage.as_ref().is_some_and(VersionUse::is_moved);
+        let is_bound = service.kind == ServiceKind::Model || is_moved;
+        self.version.as_deref().filter(|_| is_bound)
+    }
+
     fn probe_request(&self) -> ProbeRequest {
         let organisation = self.request.organisation;
         let organisation = organisation.and_then(|key| self.request.config.organisation(key));
@@ -81,15 +106,11 @@
         let config = &self.request.config;
         let route = config.route(self.request.route).ok_or_else(lost)?;
         let service = config.service(route.service).ok_or_else(lost)?;
-        let target = config.targets_of(route.service).first();
-        let target = target.and_then(|key| config.target(*key));
-        let version = target.and_then(|entry| config.version(entry.version));
-        let configured = version.ok_or_else(lost)?.name.clone();
         let usage = VersionUse::choose(
             &self.worker.context,
             &service.name,
             &route.route.name,
-            configured,
+            configured(config, route.service).ok_or_else(lost)?,
         );
         let version = usage.version().clone();
         self.usage = Some(usage);
@@ -170,3 +191,18 @@
         tokens: 0,
     }
 }
+
+/// Returns the version of a service as far as the configuration tells: that which
+/// a move replaces, or that of the first target.
+fn configured(config: &Config, service: ServiceKey) -> Option<Configured> {
+    let targets = config.targets_of(service).iter();
+    let entries: Vec<_> = targets.filter_map(|key| config.target(*key)).collect();
+    let first = &entries.first()?.target.version;
+    let replaced = config.move_of(service).map(|row| &row.from);
+    let kind = config.service(service)?.kind;
+    let versions = entries.iter().map(|entry| entry.target.version.clone());
+    Some(Configured {
+        version: replaced.unwrap_or(first).clone(),
+        served: (kind == ServiceKind::Plain).then(|| versions.collect()),
+    })
+}
--- a/src/process/entry/moves.rs
+++ b/src/process/entry/moves.rs
@@ -83,21 +83,39 @@
     compared: Option<(u64, Side)>,
 }
 
+/// Version of a service without a move object that applies.
+pub(super) struct Configured {
+    pub(super) version: Name,
+    /// Versions that targets of a plain service are configured with; `None` for
+    /// engines, which can load any.
+    pub(super) served: Option<Vec<Name>>,
+}
+
 impl VersionUse {
     /// Chooses the version of a request.
     pub(super) fn choose(
         context: &Arc<Context>,
         service: &Name,
         route: &Name,
-        configured: Name,
+        configured: Configured,
     ) -> Self {
         let moves = context.moves.load();
         // The request is counted before the lock is released, so that an
         // entry never acknowledges a step while it starts a request by the
         // former one.
         let mut local = moves.get(service).map(|live| live.lock());
-        let (version, compared) = match &mut local {
-            None => (configured, None),
+        // The release of plain targets may have been changed by tickets alone
+        // since the move.
+        let is_served = |version: &Name| {
+            let served = configured.served.as_ref();
+            served.is_none_or(|served| served.contains(version))
+        };
+        let moved = local.as_mut().filter(|local| {
+            let current = local.current();
+            is_served(&current.from) || is_served(&current.to)
+        });
+        let (version, compared) = match moved {
+            None => (configured.version, None),
             Some(local) => {
                 let side = local.choose(route);
                 let current = local.current();
@@ -124,6 +142,11 @@
         &self.version
     }
 
+    /// Whether a move decided on the version.
+    pub(super) fn is_moved(&self) -> bool {
+        self.compared.is_some()
+    }
+
     /// Passes evidence to the control thread; it is not counted when that is
     /// too busy.
     pub(super) fn record(&self, sample: Sample) {
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -65,6 +65,7 @@
     version::config::{
         Config,
         ServiceKey,
+        ServiceKind,
         TargetKey, //
     },
 };
@@ -310,8 +311,12 @@
     ) -> Option<Target> {
         let entry = config.target(key)?;
         let view = views.get(&entry.target.name)?;
-        let serves = version.is_none_or(|version| {
-            view.versions.is_empty() || view.versions.iter().any(|own| **own == *version)
+        let service = config.service(entry.service)?;
+        let serves = version.is_none_or(|version| match service.kind {
+            ServiceKind::Plain => *entry.target.version == *version,
+            ServiceKind::Model => {
+                view.versions.is_empty() || view.versions.iter().any(|own| **own == *version)
+            }
         });
         if view.leaving || !serves || self.stopping.borrow().contains(&view.agent) {
             return None;
--- a/src/replay/evaluate/moves/fleet.rs
+++ b/src/replay/evaluate/moves/fleet.rs
@@ -8,6 +8,7 @@
         Action,
         LoadState,
         Order,
+        Part,
         TargetView, //
     },
     plan::LoadEstimate, //
@@ -47,6 +48,7 @@
                     name: format!("{}-{number}", load.data_centre).into(),
                     data_centre: load.data_centre.clone(),
                     is_leaving: false,
+                    part: Part::Both,
                     load: LoadState::Absent,
                     fencing: None,
                     running_from: 0,
--- a/src/version/rollout/order.rs
+++ b/src/version/rollout/order.rs
@@ -19,6 +19,17 @@
     Failed,
 }
 
+/// Versions that a target can serve during a move.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Part {
+    /// An engine, which loads and unloads versions on order.
+    Both,
+    /// A plain server of the old version, which takes no orders.
+    Old,
+    /// A plain server of the new version, started beside the old ones.
+    New,
+}
+
 /// What the holder knows of one target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetView {
@@ -28,6 +39,8 @@
     pub data_centre: Name,
     /// Whether it is leaving; it gets no orders any more.
     pub is_leaving: bool,
+    /// Versions that it can serve.
+    pub part: Part,
     /// State of the new version.
     pub load: LoadState,
     /// Highest fencing number that its agent knows.
@@ -86,10 +99,10 @@
                 .collect(),
             Phase::TakenBack { .. } => staying
                 .filter(|target| self.is_fence_missing(target) || target.load != LoadState::Absent)
-                .map(|target| self.order(target, Action::UnloadNew))
+                .filter_map(|target| self.unload_order(target, Action::UnloadNew))
                 .collect(),
             Phase::Done => staying
-                .map(|target| self.order(target, Action::UnloadOld))
+                .filter_map(|target| self.unload_order(target, Action::UnloadOld))
                 .collect(),
             Phase::Loading | Phase::Shifting { .. } | Phase::Settling { .. } | Phase::Finishing => {
                 self.load_orders(staying.collect())
@@ -97,11 +110,22 @@
         }
     }
 
+    /// A plain server is only told the fencing number.
+    fn unload_order(&self, target: &TargetView, action: Action) -> Option<Order> {
+        match target.part {
+            Part::Both => Some(self.order(target, action)),
+            Part::Old | Part::New => self
+                .is_fence_missing(target)
+                .then(|| self.order(target, Action::Fence)),
+        }
+    }
+
     fn load_orders(&self, mut targets: Vec<&TargetView>) -> Vec<Order> {
         targets.sort_by_key(|target| (target.load, target.name.clone()));
         let mut orders: Vec<Order> = targets
             .iter()
-            .filter(|target| target.load == LoadState::Loaded && self.is_fence_missing(target))
+            .filter(|target| target.part != Part::Both || target.load == LoadState::Loaded)
+            .filter(|target| self.is_fence_missing(target))
             .map(|target| self.order(target, Action::Fence))
             .collect();
         for limit in &self.plan.loads {
@@ -109,7 +133,7 @@
             let next = targets
                 .iter()
                 .filter(|target| target.data_centre == limit.data_centre)
-                .filter(|target| target.load != LoadState::Loaded)
+                .filter(|target| target.part == Part::Both && target.load != LoadState::Loaded)
                 .take(parallel);
             orders.extend(next.map(|target| self.order(target, Action::LoadNew)));
         }
--- a/src/version/rollout/step.rs
+++ b/src/version/rollout/step.rs
@@ -6,6 +6,7 @@
     Reason,
     order::{
         LoadState,
+        Part,
         TargetView, //
     },
     plan, //
@@ -151,23 +152,32 @@
     fn loaded(&self, seen: &Observation) -> Option<Phase> {
         let serving = || seen.targets.iter().filter(|target| !target.is_leaving);
         serving().next()?;
+        let takes_new = |target: &&TargetView| target.part != Part::Old;
         // Targets that never report the present fencing number could still
         // execute an order of an earlier holder.
         let is_ready = |target: &TargetView| {
-            target.load == LoadState::Loaded && target.fencing == Some(self.lease.fencing)
+            let is_loaded = target.part == Part::Old || target.load == LoadState::Loaded;
+            is_loaded && target.fencing == Some(self.lease.fencing)
         };
-        if serving().all(is_ready) {
+        let has_new = serving().any(|target| takes_new(&target));
+        if has_new && serving().all(is_ready) {
             return Some(Phase::Shifting {
                 step: 0,
                 since_unix_ms: seen.now_unix_ms,
             });
         }
+        // Nobody reports why a plain server does not start.
+        let has_failed = |target: &&TargetView| match target.part {
+            Part::Both => target.load == LoadState::Failed,
+            Part::Old => false,
+            Part::New => target.load != LoadState::Loaded,
+        };
         let failed: Vec<Name> = serving()
-            .filter(|target| target.load == LoadState::Failed)
+            .filter(has_failed)
             .map(|target| target.name.clone())
             .collect();
         let is_late = seen.now_unix_ms > self.plan.steps[0].start_by_unix_ms;
-        if is_late && !failed.is_empty() {
+        if is_late && (!has_new || !failed.is_empty()) {
             let reason = Reason::LoadFailed { targets: failed };
             return Some(Phase::TakingBack { reason });
         }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -283,7 +283,7 @@
         self.platform.address("address")
     }
 
-    fn add_target(&mut self, service: &'static str, name: &str, engine: &Value) {
+    pub(crate) fn add_target(&mut self, service: &'static str, name: &str, engine: &Value) {
         let kind = if service == "draft" {
             "engine"
         } else {
--- a/tests/version_moves.rs
+++ b/tests/version_moves.rs
@@ -31,6 +31,7 @@
             order::{
                 Action,
                 LoadState,
+                Part,
                 TargetView, //
             },
             plan::{
@@ -68,6 +69,7 @@
         name: name.into(),
         data_centre: "a".into(),
         is_leaving: false,
+        part: Part::Both,
         load,
         fencing: Some(4),
         running_from: 0,
