Restore the versions of engines that restart after a move

Cause: the holder of a finished move hands its lease back, and nobody gave orders from then on. An engine that restarted came back with the version that it starts with and served nothing.

Change: the first entry of each data centre compares the versions that engines report with the version that the last move led to. It orders the difference with the fencing number of that move, within the limit of parallel loads, so that agents refuse it once the next move has a holder. It works from the state that is applied, also while the object API is down. While the holder is still unloading, an engine without the new version loads it before it unloads.

--- a/src/event.rs
+++ b/src/event.rs
@@ -83,6 +83,8 @@
     VersionCut = 7002;
     /// An order with an old fencing number was refused.
     OrderFenced = 7003;
+    /// The versions of an engine are restored after the end of a move.
+    VersionsRestored = 7004;
     /// The object API stopped answering.
     PlatformDown = 8001;
     /// The object API answers again.
--- a/src/process/entry/control/moves.rs
+++ b/src/process/entry/control/moves.rs
@@ -5,6 +5,7 @@
 //! their acknowledgements and evidence.
 
 mod holder;
+mod restore;
 mod targets;
 
 use std::{
@@ -12,7 +13,10 @@
         Cell,
         RefCell, //
     },
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -86,6 +90,8 @@
     states: RefCell<BTreeMap<Name, State>>,
     /// Told when an answer speaks against a new version.
     urgent: Notify,
+    /// Targets whose last load after a move failed.
+    failed_loads: RefCell<BTreeSet<Name>>,
     read_at_us: Cell<u64>,
     /// Moves of the configuration, with its revision.
     wanted: RefCell<(u64, WantedMoves)>,
@@ -99,6 +105,7 @@
         };
         loop {
             self.hold_moves(&platform).await;
+            self.restore_versions().await;
             let deadline = tokio::time::Instant::now() + ROUND;
             self.report_moves().await;
             loop {
--- a/src/process/entry/control/moves/targets.rs
+++ b/src/process/entry/control/moves/targets.rs
@@ -35,12 +35,12 @@
 };
 
 /// A target that the holder gives orders to.
-struct Ordered {
-    name: Name,
-    data_centre: Name,
-    address: SocketAddr,
-    is_leaving: bool,
-    part: Part,
+pub(super) struct Ordered {
+    pub(super) name: Name,
+    pub(super) data_centre: Name,
+    pub(super) address: SocketAddr,
+    pub(super) is_leaving: bool,
+    pub(super) part: Part,
 }
 
 impl Control {
@@ -131,7 +131,7 @@
             .collect()
     }
 
-    async fn order(
+    pub(super) async fn order(
         &self,
         current: &Move,
         target: &Ordered,
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -7,6 +7,7 @@
 pub mod cut;
 pub mod order;
 pub mod plan;
+pub mod restore;
 pub mod status;
 pub mod step;
 
--- a/src/version/rollout/order.rs
+++ b/src/version/rollout/order.rs
@@ -101,9 +101,16 @@
                 .filter(|target| self.is_fence_missing(target) || target.load != LoadState::Absent)
                 .filter_map(|target| self.unload_order(target, Action::UnloadNew))
                 .collect(),
-            Phase::Done => staying
-                .filter_map(|target| self.unload_order(target, Action::UnloadOld))
-                .collect(),
+            // An engine that has restarted may serve the old version only.
+            Phase::Done => {
+                let (loaded, missing): (Vec<_>, Vec<_>) = staying.partition(|target| {
+                    target.part != Part::Both || target.load == LoadState::Loaded
+                });
+                let unload = |target: &TargetView| self.unload_order(target, Action::UnloadOld);
+                let mut orders: Vec<Order> = loaded.into_iter().filter_map(unload).collect();
+                orders.extend(self.load_orders(missing));
+                orders
+            }
             Phase::Loading | Phase::Shifting { .. } | Phase::Settling { .. } | Phase::Finishing => {
                 self.load_orders(staying.collect())
             }
--- a/tests/move_processes.rs
+++ b/tests/move_processes.rs
@@ -2,36 +2,33 @@
 
 mod support;
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-    },
-    thread, //
-};
+use std::net::SocketAddr;
 
 use ntex::rt::{
     DefaultRuntime,
     System, //
 };
-use serde_json::{
-    Value,
-    json, //
-};
-use support::fleet::{
-    ACME_KEY,
-    Fleet,
-    Plan,
-    completion,
-    eventually,
-    get,
-    post,
-    reference,
-    ticket, //
+use serde_json::json;
+use support::{
+    fleet::{
+        ACME_KEY,
+        Fleet,
+        Plan,
+        completion,
+        eventually,
+        post,
+        reference,
+        ticket, //
+    },
+    moves::{
+        Traffic,
+        break_new_version,
+        moving_fleet,
+        state,
+        stored_move,
+        submit_move,
+        versions, //
+    },
 };
 use yuccalatch::{
     clock::{
@@ -62,9 +59,6 @@
     },
 };
 
-/// Callers that send requests all the time.
-const CALLERS: usize = 8;
-
 /// Stores the move object of the service with a fencing number.
 fn store_move(address: SocketAddr, fencing: u64) {
     let accepted = plan::accept(&plan::PlanRequest::example()).unwrap();
@@ -83,18 +77,6 @@
     });
 }
 
-/// Reads the move object of the service.
-fn stored_move(fleet: &Fleet) -> Value {
-    let address = fleet.platform_address();
-    System::new("read", DefaultRuntime).block_on(async move {
-        let platform = Platform::new(address, Clock::start()).await.unwrap();
-        let deadline_us = platform.clock().now_us() + 30 * US_PER_S;
-        let key = object_key("draft");
-        let stored = platform.get(&key, deadline_us).await.unwrap().unwrap();
-        serde_json::from_slice(&stored.value).unwrap()
-    })
-}
-
 /// Sends an order to the agent of the first target.
 fn order(fleet: &Fleet, fencing: u64, action: OrderAction) -> Result<OrderAnswer> {
     let address = fleet.targets[0].agent.address("control_address");
@@ -125,12 +107,6 @@
     }
 }
 
-/// Returns the versions that the engine itself reports.
-fn versions(fleet: &Fleet) -> Vec<String> {
-    let address = fleet.targets[0].standin.address("address");
-    serde_json::from_value(get(address, "/load").json()["versions"].clone()).unwrap()
-}
-
 /// A fleet whose engines execute every order, whatever its number.
 fn unfenced_fleet() -> Fleet {
     Fleet::start(&Plan {
@@ -219,79 +195,6 @@
     assert_eq!(received, json!([]));
 }
 
-/// A fleet with short times of moves, so that a move takes seconds.
-fn moving_fleet(entries: usize) -> Fleet {
-    Fleet::start(&Plan {
-        entries,
-        engines: 2,
-        agent: json!({"checks_fencing": false}),
-        engine: json!({"checks_fencing": false, "load_weights_ms": 50,
-            "decode_tokens_per_s": 2_000, "prefill_tokens_per_s": 100_000}),
-        ..Plan::default()
-    })
-}
-
-/// Submits a move to `v2` with short times. The requested time leaves room for
-/// the longest request of the routes and the time until the move is planned.
-fn submit_move(fleet: &Fleet) {
-    let finish_by_unix_ms = Clock::start().unix_ms() + 80_000;
-    let set = json!([
-        {"version": {"name": "v2", "service": "draft", "weights": "oak/2"}},
-        {"move": {"name": "to-v2", "service": "draft", "from": "v1", "to": "v2",
-            "finish_by_unix_ms": finish_by_unix_ms, "quietest_requests_per_min": 1_000_000,
-            "pace": {"shortest_step_ms": 300, "step_overhead_ms": 300, "settle_ms": 1_000}}},
-    ]);
-    fleet.submit(&ticket(2, &set, &json!([])));
-}
-
-/// Returns the state and share of the move at an entry.
-fn state(fleet: &Fleet, entry: usize) -> (String, u32) {
-    let moves = fleet.status(entry).moves;
-    let status = moves.first();
-    status.map_or_else(Default::default, |status| {
-        (status.state.clone(), status.share_permille)
-    })
-}
-
-/// Sends requests from several callers until told to stop. Every answer of a
-/// good version has status 200.
-struct Traffic {
-    is_over: Arc<AtomicBool>,
-    callers: Vec<thread::JoinHandle<u64>>,
-}
-
-impl Traffic {
-    fn start(fleet: &Fleet) -> Self {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let callers = (0..CALLERS)
-            .map(|number| {
-                let is_over = Arc::clone(&is_over);
-                let caller = fleet.caller(number % fleet.entries.len());
-                thread::spawn(move || {
-                    let body = completion(&format!("order {number}"), 2, false);
-                    let mut failed = 0;
-                    while !is_over.load(Ordering::Relaxed) {
-                        let answer = post(caller, "/v1/completions", ACME_KEY, &body);
-                        failed += u64::from(answer.status != 200);
-                    }
-                    failed
-                })
-            })
-            .collect();
-        Self { is_over, callers }
-    }
-
-    /// Stops and returns the number of failed requests.
-    fn stop(self) -> u64 {
-        self.is_over.store(true, Ordering::Relaxed);
-        let failed = self
-            .callers
-            .into_iter()
-            .map(|caller| caller.join().unwrap());
-        failed.sum()
-    }
-}
-
 /// Guards against a move that never ends, ends without its traffic, breaks
 /// requests, or unloads the old version before late faults could show.
 #[test]
@@ -326,12 +229,6 @@
     assert_eq!(traffic.stop(), 0);
 }
 
-fn break_new_version(fleet: &Fleet) {
-    for target in &fleet.targets {
-        target.set_faults(&json!({"error_percent": 100, "error_versions": ["v2"]}));
-    }
-}
-
 /// Guards against a bad version that keeps its traffic, and against a status
 /// that says "taken back" too early or never.
 #[test]
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -342,6 +342,19 @@
         self.targets[target].agent = agent;
     }
 
+    /// Kills an engine and starts it again on the same address with a version.
+    pub(crate) fn restart_engine(&mut self, target: usize, version: &str) {
+        let old = &mut self.targets[target].standin;
+        let text = fs::read_to_string(&old.settings).unwrap();
+        let mut settings: Value = serde_json::from_str(&text).unwrap();
+        settings["address"] = json!(old.address("address"));
+        settings["engine"]["version"] = json!(version);
+        old.signal("KILL");
+        old.wait();
+        let program = env!("CARGO_BIN_EXE_yuccalatch-standin");
+        self.targets[target].standin = Process::start(program, &settings);
+    }
+
     pub(crate) fn add_entry(&mut self, name: &str) {
         let settings = self.entry_settings(name);
         let entry = Process::start(env!("CARGO_BIN_EXE_yuccalatch-entry"), &settings);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "every test file uses a part")]
 
 pub(crate) mod fleet;
+pub(crate) mod moves;
 pub(crate) mod relay;
 
 use std::{
