Learn moves from entries and agents at the start of an entry

Cause: an entry that started while the object API was down knew no move and used the configured version, which is the version that a move replaces. After the end of the move nothing serves it any more.

Change: collectors tell agents of the moves with their cuts when the checksum in an agent's report differs; a move is passed on by its ticket, step and fencing number, and an older value is ignored. An entry that starts asks the peers of its settings, four entries and four agents until one knows the moves or it has read them itself, takes the newest values and serves from then on. When nobody knows them for 5 s, it serves the configured versions.

Conclusion: restarted entries keep the shares without the object API.

--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -63,7 +63,8 @@
             ServiceKind, //
         },
         fence::FenceTable,
-        freshness::Freshness, //
+        freshness::Freshness,
+        rollout::known::KnownMoves, //
     },
 };
 
@@ -84,6 +85,8 @@
     freshness: RefCell<Freshness>,
     sequence: Cell<u64>,
     fences: RefCell<FenceTable>,
+    /// Moves, held for entries that start while the object API is down.
+    moves: RefCell<KnownMoves>,
     /// Version that the target loads now.
     ordered: RefCell<Option<Name>>,
     /// Version whose last load failed.
@@ -130,6 +133,7 @@
             freshness: RefCell::default(),
             sequence: Cell::new(0),
             fences: RefCell::default(),
+            moves: RefCell::default(),
             ordered: RefCell::default(),
             failed: RefCell::default(),
             address,
@@ -144,6 +148,7 @@
             Command::ConfigSince(revision, part, sender) => {
                 drop(sender.send(self.store.part(revision, part)));
             }
+            Command::Moves(sender) => drop(sender.send(self.moves.borrow().moves())),
             Command::Probe(request, sender) => drop(sender.send(self.probe(&request))),
             Command::Order(request, sender) => {
                 let control = Rc::clone(self);
--- a/src/process/agent/control/api.rs
+++ b/src/process/agent/control/api.rs
@@ -33,12 +33,14 @@
             rpc_error, //
         },
     },
+    version::rollout::known::KnownMove, //
 };
 
 /// Request of an RPC method to the control loop.
 pub(super) enum Command {
     Exchange(Box<Digest>, oneshot::Sender<Digest>),
     ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
+    Moves(oneshot::Sender<Option<Vec<KnownMove>>>),
     Probe(ProbeRequest, oneshot::Sender<ProbeAnswer>),
     Order(
         OrderRequest,
@@ -80,6 +82,10 @@
         self.ask(|sender| Command::ConfigSince(revision, part, sender))
             .await
     }
+
+    async fn moves(&self) -> RpcResult<Packed<Option<Vec<KnownMove>>>> {
+        Ok(Packed(self.ask(Command::Moves).await?))
+    }
 }
 
 #[async_trait]
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -13,10 +13,12 @@
 
 use futures_util::future::join_all;
 use jsonrpsee::ws_client::WsClient;
+use slog::info;
 
 use super::Control;
 use crate::{
     clock::US_PER_S,
+    event::Event,
     names::{
         Incarnation,
         Name, //
@@ -155,6 +157,7 @@
             is_first,
             entries_checksum: self.entries.borrow().checksum(),
             news_age_ms: self.freshness.borrow().news_age_ms(sent_at_us),
+            moves_checksum: self.moves.borrow().checksum(),
         };
         let call = async |client: &WsClient| client.report(Packed(message)).await;
         let Ok(Packed(answer)) = self.links.call(address, call).await else {
@@ -183,6 +186,16 @@
         {
             self.entries.borrow_mut().replace(contacts);
         }
+        let changed = answer
+            .moves
+            .map(|moves| self.moves.borrow_mut().absorb(moves))
+            .unwrap_or_default();
+        for known in changed {
+            let current = known.current;
+            info!(self.context.log, "move learned"; "event" => Event::MoveChanged,
+                "service" => %current.service, "ticket" => current.ticket,
+                "step" => current.step);
+        }
     }
 
     /// Tells a process of this agent and asks it for entries.
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -78,7 +78,7 @@
 
 impl Observed for Context {
     fn is_ready(&self) -> bool {
-        self.has_config() && !self.targets.load().is_empty() && !self.is_leaving()
+        self.can_serve() && !self.targets.load().is_empty() && !self.is_leaving()
     }
 
     fn metrics(&self) -> String {
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -84,6 +84,7 @@
     pub(super) running: AtomicUsize,
     next_sequence: AtomicU64,
     leaving: AtomicBool,
+    knows_moves: AtomicBool,
     shares_released: AtomicBool,
     keys_stale_at_us: AtomicU64,
     /// Told when the state that peers should know of has changed.
@@ -133,6 +134,7 @@
             running: AtomicUsize::new(0),
             next_sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            knows_moves: AtomicBool::new(false),
             keys_stale_at_us: AtomicU64::new(0),
             changed: Notify::new(),
             announced: AtomicBool::new(false),
@@ -218,6 +220,21 @@
         self.config.load().revision() > 0
     }
 
+    /// Whether the versions of requests can be chosen. An entry that starts
+    /// during a move would otherwise use the version that the move replaces.
+    pub(super) fn knows_moves(&self) -> bool {
+        self.knows_moves.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_knows_moves(&self) {
+        self.knows_moves.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether requests can be served.
+    pub(super) fn can_serve(&self) -> bool {
+        self.has_config() && self.knows_moves()
+    }
+
     /// Publishes a new configuration to the traffic threads.
     pub(super) fn publish(&self, config: Arc<Config>) {
         let revision = i64::try_from(config.revision()).unwrap_or(i64::MAX);
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -103,6 +103,7 @@
     ntex::rt::spawn(Rc::clone(&control).publish_targets());
     ntex::rt::spawn(Rc::clone(&control).share_limits());
     ntex::rt::spawn(Rc::clone(&control).follow_moves());
+    ntex::rt::spawn(Rc::clone(&control).learn_moves());
     ntex::rt::spawn(records::run(Arc::clone(&control.context), record_requests));
     loop {
         tokio::select! {
@@ -145,6 +146,7 @@
             Command::ConfigSince(revision, part, sender) => {
                 drop(sender.send(self.store.part(revision, part)));
             }
+            Command::Moves(sender) => drop(sender.send(self.known_moves())),
             Command::Report(report, sender) => drop(sender.send(self.take_report(report))),
             Command::Limits(report, sender) => {
                 drop(sender.send(self.take_limit_report(&report)));
--- a/src/process/entry/control/api.rs
+++ b/src/process/entry/control/api.rs
@@ -41,13 +41,17 @@
             ReportAnswer, //
         },
     },
-    version::rollout::cut::Cut, //
+    version::rollout::{
+        cut::Cut,
+        known::KnownMove, //
+    },
 };
 
 /// Request of an RPC method to the control loop.
 pub(super) enum Command {
     Exchange(Box<Digest>, oneshot::Sender<Digest>),
     ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
+    Moves(oneshot::Sender<Option<Vec<KnownMove>>>),
     Report(AgentReport, oneshot::Sender<ReportAnswer>),
     Status(oneshot::Sender<FleetStatus>),
     Explain(ExplainRequest, oneshot::Sender<Explanation>),
@@ -92,6 +96,10 @@
         self.ask(|sender| Command::ConfigSince(revision, part, sender))
             .await
     }
+
+    async fn moves(&self) -> RpcResult<Packed<Option<Vec<KnownMove>>>> {
+        Ok(Packed(self.ask(Command::Moves).await?))
+    }
 }
 
 #[async_trait]
--- a/src/process/entry/control/exchange.rs
+++ b/src/process/entry/control/exchange.rs
@@ -252,6 +252,7 @@
             revision: self.store.revision(),
             news_age_ms: self.freshness.borrow().news_age_ms(now_us),
             entries: knows_others.then(|| fleet.contacts().collect()),
+            moves: self.moves_unknown_to(message.moves_checksum),
         }
     }
 
--- a/src/process/entry/control/moves.rs
+++ b/src/process/entry/control/moves.rs
@@ -5,6 +5,7 @@
 //! their acknowledgements and evidence.
 
 mod holder;
+mod learn;
 mod restore;
 mod targets;
 
@@ -90,6 +91,8 @@
     states: RefCell<BTreeMap<Name, State>>,
     /// Told when an answer speaks against a new version.
     urgent: Notify,
+    /// Whether the moves were read, or learned from a peer.
+    is_known: Cell<bool>,
     /// Targets whose last load after a move failed.
     failed_loads: RefCell<BTreeSet<Name>>,
     read_at_us: Cell<u64>,
--- a/src/process/entry/control/moves/holder.rs
+++ b/src/process/entry/control/moves/holder.rs
@@ -92,6 +92,7 @@
         let Ok(stored) = self.read_moves(platform).await else {
             return;
         };
+        self.note_moves_known();
         for (ticket, row) in self.wanted_moves().iter() {
             let ticket = *ticket;
             let present = stored
--- a/src/process/entry/request.rs
+++ b/src/process/entry/request.rs
@@ -203,7 +203,7 @@
         if context.is_leaving() {
             return Err(Report::new(ErrorKind::Stopping));
         }
-        if !context.has_config() {
+        if !context.can_serve() {
             return Err(Report::new(ErrorKind::NotReady));
         }
         if !is_normalised(request.uri().path()) {
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -65,7 +65,8 @@
         evidence::pool::BlockCounts,
         rollout::{
             Move,
-            cut::Cut, //
+            cut::Cut,
+            known::KnownMove, //
         },
     },
 };
@@ -245,6 +246,8 @@
     pub entries_checksum: u64,
     /// Age of the agent's news from the object API; `None` without any.
     pub news_age_ms: Option<u64>,
+    /// Checksum of the moves that the agent holds; `None` before it was told.
+    pub moves_checksum: Option<u64>,
 }
 
 /// An entry that agents may report to.
@@ -267,6 +270,8 @@
     pub news_age_ms: Option<u64>,
     /// Entries of the agent's data centre, when the agent knows others.
     pub entries: Option<Vec<Contact>>,
+    /// Moves, when the agent holds others.
+    pub moves: Option<Vec<KnownMove>>,
 }
 
 /// Methods of every process.
@@ -279,6 +284,10 @@
     /// Returns a part of the configuration after a revision.
     #[method(name = "config_since")]
     async fn config_since(&self, revision: u64, part: u32) -> RpcResult<ConfigPart>;
+
+    /// Returns the moves that the process knows; `None` when it has not been told.
+    #[method(name = "moves")]
+    async fn moves(&self) -> RpcResult<Packed<Option<Vec<KnownMove>>>>;
 }
 
 /// Methods of an agent.
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -5,6 +5,7 @@
 //! version that was read. Traffic shares are read from the object only.
 
 pub mod cut;
+pub mod known;
 pub mod order;
 pub mod plan;
 pub mod restore;
@@ -200,6 +201,24 @@
         }
     }
 
+    /// Returns whether this value was stored after another one of the service.
+    ///
+    /// ```
+    /// use yuccalatch::version::rollout::{plan, Move};
+    ///
+    /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
+    /// let next = Move { step: 1, ..planned.clone() };
+    /// assert!(next.is_newer_than(&planned) && !planned.is_newer_than(&next));
+    /// ```
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        let key = |value: &Self| {
+            let lease = value.lease;
+            (value.ticket, value.step, lease.fencing, lease.renewal)
+        };
+        key(self) > key(other)
+    }
+
     /// Resolves a write by comparing what was proposed with what is stored.
     ///
     /// ```
--- a/src/version/rollout/cut.rs
+++ b/src/version/rollout/cut.rs
@@ -77,8 +77,7 @@
 
     /// Applies a newer value of the object; an older one is ignored.
     pub fn apply(&mut self, newer: Move) {
-        let key = |value: &Move| (value.ticket, value.step, value.lease.renewal);
-        if key(&newer) < key(&self.current) {
+        if self.current.is_newer_than(&newer) {
             return;
         }
         if newer.ticket != self.current.ticket {
--- a/tests/message_cost.rs
+++ b/tests/message_cost.rs
@@ -110,11 +110,13 @@
         is_first: true,
         entries_checksum: u64::MAX,
         news_age_ms: Some(1_000),
+        moves_checksum: Some(u64::MAX),
     }));
     let answer = bytes_of(&Packed(ReportAnswer {
         revision: 1_000_000,
         news_age_ms: Some(1_000),
         entries: None,
+        moves: None,
     }));
     println!("digest: complete {complete}, steady {steady}, changed {changed} bytes");
     println!("report {agent}, answer {answer} bytes");
--- a/tests/move_restarts.rs
+++ b/tests/move_restarts.rs
@@ -1,7 +1,8 @@
-//! Restarts of engines after the end of a move.
+//! Restarts of engines and entries during and after moves.
 
 mod support;
 
+use serde_json::json;
 use support::{
     fleet::{
         ACME_KEY,
@@ -76,3 +77,51 @@
     fleet.restart_engine(0, "v2");
     eventually("the version is restored", || versions(&fleet) == ["v1"]);
 }
+
+/// The share that decides about requests, in thousandths.
+fn share(fleet: &Fleet, entry: usize) -> u32 {
+    state(fleet, entry).1
+}
+
+/// Guards against an entry that starts during an outage of the object API and
+/// uses the version that the move replaces, although its peers know the share.
+#[test]
+fn a_restarted_entry_gets_the_share_of_its_peers() {
+    let mut fleet = moving_fleet(3);
+    submit_move(&fleet);
+    eventually("the version has a share", || {
+        (0..2).all(|entry| share(&fleet, entry) >= 60)
+    });
+    fleet.set_platform_faults(&json!({"down": true}));
+    let present = share(&fleet, 1);
+    fleet.entries.remove(0);
+    let peers = [fleet.entries[0].address("control_address")];
+    fleet.add_entry_with_peers("entry-0", &peers);
+    fleet.wait_ready();
+    let learned = share(&fleet, 2);
+    assert!(learned >= present, "{learned} after {present}");
+}
+
+/// Guards against entries that forget a finished move when all of them start
+/// during an outage of the object API: they would use the version that is not
+/// loaded any more. Only the agents know the move then.
+#[test]
+fn restarted_entries_get_the_move_of_the_agents() {
+    let mut fleet = moving_fleet(2);
+    submit_move(&fleet);
+    wait_for(&fleet, "done", "v2");
+    let step = format!("\"step\":{}", stored_move(&fleet)["step"]);
+    for target in &fleet.targets {
+        eventually("the agent holds the move", || {
+            let log = target.agent.log.lock().unwrap();
+            log.iter()
+                .any(|line| line.contains("YL7001") && line.contains(&step))
+        });
+    }
+    fleet.set_platform_faults(&json!({"down": true}));
+    fleet.replace_all_entries();
+    fleet.wait_ready();
+    for entry in 0..2 {
+        assert_eq!(state(&fleet, entry), ("done".to_owned(), 1_000));
+    }
+}
