--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -3,6 +3,7 @@
 mod api;
 mod engine;
 mod order;
+mod plain;
 mod report;
 
 use std::{
@@ -59,7 +60,8 @@
             ServiceKind, //
         },
         fence::FenceTable,
-        freshness::Freshness, //
+        freshness::Freshness,
+        rollout::known::KnownMoves, //
     },
 };
 
@@ -81,6 +83,8 @@
     freshness: RefCell<Freshness>,
     sequence: Cell<u64>,
     fences: RefCell<FenceTable>,
+    /// Moves, held for entries that start while the object API is down.
+    moves: RefCell<KnownMoves>,
     /// Version that the target loads now.
     ordered: RefCell<Option<Name>>,
     /// Version whose last load failed.
@@ -97,8 +101,9 @@
     let address = stop::local(&listener)?;
     let handle = peer::serve(listener, api::methods(commands)?)?;
     let control = Rc::new(Control::new(context, address));
-    if control.context.settings.target_kind == ServiceKind::Model {
-        ntex::rt::spawn(Rc::clone(&control).poll_engine());
+    match control.context.settings.target_kind {
+        ServiceKind::Model => drop(ntex::rt::spawn(Rc::clone(&control).poll_engine())),
+        ServiceKind::Plain => drop(ntex::rt::spawn(Rc::clone(&control).watch_plain())),
     }
     ntex::rt::spawn(Rc::clone(&control).report());
     ntex::rt::spawn(Rc::clone(&control).find_entries());
@@ -126,6 +131,7 @@
             freshness: RefCell::default(),
             sequence: Cell::new(0),
             fences: RefCell::default(),
+            moves: RefCell::default(),
             ordered: RefCell::default(),
             failed: RefCell::default(),
             address,
@@ -137,7 +143,8 @@
         // A caller that has gone away needs no answer.
         match command {
             Command::Peer(command) => {
-                command.execute(&self.store, |digest| self.take_exchange(digest));
+                let exchange = |digest: &_| self.take_exchange(digest);
+                command.execute(&self.store, exchange, || self.moves.borrow().moves());
             }
             Command::Probe(request, sender) => drop(sender.send(self.probe(&request))),
             Command::Order(request, sender) => {
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -66,7 +66,7 @@
 
 impl Observed for Context {
     fn is_ready(&self) -> bool {
-        self.has_config() && !self.targets.load().is_empty() && !self.is_leaving()
+        self.can_serve() && !self.targets.load().is_empty() && !self.is_leaving()
     }
 
     fn metrics(&self) -> String {
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -104,6 +104,7 @@
     ntex::rt::spawn(Rc::clone(&control).share_limits());
     ntex::rt::spawn(Rc::clone(&control).follow_moves());
     ntex::rt::spawn(Rc::clone(&control).sweep_records());
+    ntex::rt::spawn(Rc::clone(&control).learn_moves());
     ntex::rt::spawn(records::run(Arc::clone(&control.context), record_requests));
     loop {
         tokio::select! {
@@ -141,7 +142,8 @@
         // A caller that has gone away needs no answer.
         match command {
             Command::Peer(command) => {
-                command.execute(&self.store, |digest| self.take_exchange(digest));
+                let exchange = |digest: &_| self.take_exchange(digest);
+                command.execute(&self.store, exchange, || self.known_moves());
             }
             Command::Report(report, sender) => drop(sender.send(self.take_report(report))),
             Command::Limits(report, sender) => {
--- a/src/process/entry/control/explain.rs
+++ b/src/process/entry/control/explain.rs
@@ -19,7 +19,7 @@
     },
     process::{
         entry::{
-            moves::configured_version,
+            moves::configured,
             worker::{
                 BLOCK_US,
                 serves, //
@@ -57,7 +57,8 @@
         Config,
         Organisation,
         RouteEntry,
-        ServiceKey, //
+        ServiceKey,
+        ServiceKind, //
     },
 };
 
@@ -111,13 +112,17 @@
         explanation.service = Some(entry.route.service.clone());
         let organisation = permit(config, entry, request)?;
         // During a move, a part of the requests runs on another version.
-        let version = configured_version(config, entry.service);
+        let version = configured(config, entry.service).map(|configured| configured.version);
         explanation.version.clone_from(&version);
         let organisation = organisation.map_or("public", |organisation| &*organisation.name);
         let namespace = Namespace::derive(organisation, version.as_deref().unwrap_or(""));
         let blocks = blocks_of(config, entry.service, namespace, &request.prompt);
         explanation.prompt_blocks = u32::try_from(blocks.len()).unwrap_or(u32::MAX);
-        let candidates = self.candidates(config, entry.service, version.as_deref(), explanation);
+        let kind = config.service(entry.service).map(|service| service.kind);
+        // Without a move, the targets of a plain service are interchangeable.
+        let is_bound = kind == Some(ServiceKind::Model) || config.move_of(entry.service).is_some();
+        let bound = version.as_deref().filter(|_| is_bound);
+        let candidates = self.candidates(config, entry.service, bound, explanation);
         let probe = ProbeRequest {
             organisation: organisation.into(),
             weight: Standing::default().weight(1),
@@ -139,6 +144,9 @@
         explanation: &mut Explanation,
     ) -> Vec<Candidate> {
         let fleet = self.fleet.borrow();
+        let kind = config
+            .service(service)
+            .map_or(ServiceKind::Model, |row| row.kind);
         let mut candidates = Vec::new();
         let targets = config.targets_of(service).iter();
         for entry in targets.filter_map(|key| config.target(*key)) {
@@ -148,7 +156,7 @@
             let reason = match report {
                 None => Some("it does not report"),
                 Some(report) if report.is_leaving => Some("it is leaving"),
-                Some(report) if !serves(&report.versions, version) => {
+                Some(report) if !serves(kind, &entry.target, &report.versions, version) => {
                     Some("it has another version loaded")
                 }
                 Some(_) => None,
--- a/src/process/entry/control/moves.rs
+++ b/src/process/entry/control/moves.rs
@@ -5,6 +5,8 @@
 //! their acknowledgements and evidence.
 
 mod holder;
+mod learn;
+mod restore;
 mod targets;
 
 use std::{
@@ -89,10 +91,10 @@
     states: RefCell<BTreeMap<Name, State>>,
     /// Told when an answer speaks against a new version.
     urgent: Notify,
-    /// Moves that were configured at some time, by ticket.
-    configured: RefCell<BTreeSet<u64>>,
-    /// Moves that cannot finish by the requested time, by ticket.
-    infeasible: RefCell<BTreeMap<u64, String>>,
+    /// Whether the moves were read, or learned from a peer.
+    is_known: Cell<bool>,
+    /// Targets whose last load after a move failed.
+    failed_loads: RefCell<BTreeSet<Name>>,
     read_at_us: Cell<u64>,
     /// Moves of the configuration, with its revision.
     wanted: RefCell<(u64, WantedMoves)>,
@@ -106,6 +108,7 @@
         };
         loop {
             self.hold_moves(&platform).await;
+            self.restore_versions().await;
             let deadline = tokio::time::Instant::now() + ROUND;
             self.report_moves().await;
             loop {
@@ -327,26 +330,20 @@
     /// Returns the moves for operators.
     pub(super) fn move_statuses(&self) -> Vec<MoveStatus> {
         let states = self.moves.states.borrow();
-        let infeasible = self.moves.infeasible.borrow();
         let wanted = self.wanted_moves();
         let mut statuses = Vec::new();
         for (ticket, row) in wanted.iter() {
             let state = states.get(&row.service);
             let state = state.filter(|state| state.live.lock().current().ticket == *ticket);
-            let reason = infeasible.get(ticket).cloned();
             let status = MoveStatus {
                 name: row.name.clone(),
                 service: row.service.clone(),
                 from: row.from.clone(),
                 to: row.to.clone(),
-                state: String::from(if reason.is_some() {
-                    "infeasible"
-                } else {
-                    "accepted"
-                }),
+                state: "accepted".to_owned(),
                 share_permille: 0,
                 finish_by_unix_ms: row.finish_by_unix_ms,
-                reason: reason.unwrap_or_default(),
+                reason: String::new(),
             };
             statuses.push(match state {
                 Some(state) => stored_status(status, &state.live.lock()),
--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -17,7 +17,7 @@
     process::{
         entry::moves::{
             VersionUse,
-            configured_version, //
+            configured, //
         },
         rpc::ProbeRequest, //
     },
@@ -29,6 +29,7 @@
     },
     version::config::{
         OrganisationKey,
+        ServiceKind,
         TargetKey, //
     },
 };
@@ -46,12 +47,15 @@
         if let Some(version) = &version {
             self.prompt = self.cut_prompt(version);
         }
+        // All attempts of a request use one version, so that a stream never
+        // mixes the output of two.
+        self.version = version;
         let placement = self
             .worker
             .place(
                 config,
                 service,
-                version.as_deref(),
+                self.placed_version(),
                 &self.probe_request(),
                 self.confined(),
             )
@@ -61,7 +65,6 @@
             let mut live = owners
                 .into_iter()
                 .filter(|key| placement.ordered.contains(key));
-            self.version = version;
             return live.next().ok_or_else(|| Report::new(ErrorKind::NoTarget));
         }
         let is_untried = |target: &&TargetKey| !self.tried.contains(target);
@@ -70,12 +73,22 @@
         let again = placement.ordered.first().filter(|_| self.may_reuse);
         let target = untried.or(again).copied();
         let target = target.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
-        // All attempts of a request use one version, so that a stream never
-        // mixes the output of two.
-        self.version = version;
         Ok(target)
     }
 
+    /// Returns the version that a target has to serve. Without a move, the
+    /// targets of a plain service are interchangeable while tickets change their
+    /// releases one by one.
+    fn placed_version(&self) -> Option<&str> {
+        let config = &self.request.config;
+        let route = config.route(self.request.route)?;
+        let service = config.service(route.service)?;
+        let is_moved = config.move_of(route.service).is_some()
+            || self.usage.as_ref().is_some_and(VersionUse::is_moved);
+        let is_bound = service.kind == ServiceKind::Model || is_moved;
+        self.version.as_deref().filter(|_| is_bound)
+    }
+
     /// Returns the organisation if its requests use only a part of the targets.
     fn confined(&self) -> Option<OrganisationKey> {
         self.request.organisation.filter(|_| self.is_confined)
@@ -103,12 +116,11 @@
         let config = &self.request.config;
         let route = config.route(self.request.route).ok_or_else(lost)?;
         let service = config.service(route.service).ok_or_else(lost)?;
-        let configured = configured_version(config, route.service).ok_or_else(lost)?;
         let usage = VersionUse::choose(
             &self.worker.context,
             &service.name,
             &route.route.name,
-            configured,
+            configured(config, route.service).ok_or_else(lost)?,
         );
         let version = usage.version().clone();
         self.usage = Some(usage);
--- a/src/process/entry/moves.rs
+++ b/src/process/entry/moves.rs
@@ -19,7 +19,8 @@
     version::{
         config::{
             Config,
-            ServiceKey, //
+            ServiceKey,
+            ServiceKind, //
         },
         evidence::{
             Side,
@@ -77,13 +78,6 @@
     pub(super) sample: Sample,
 }
 
-/// Returns the configured version of a service, that of its first target.
-pub(super) fn configured_version(config: &Config, service: ServiceKey) -> Option<Name> {
-    let target = config.targets_of(service).first()?;
-    let version = config.target(*target)?.version;
-    config.version(version).map(|version| version.name.clone())
-}
-
 /// Version of a request, counted as running until it is dropped.
 pub(super) struct VersionUse {
     context: Arc<Context>,
@@ -94,21 +88,54 @@
     compared: Option<(u64, Side)>,
 }
 
+/// Version of a service without a move object that applies.
+pub(super) struct Configured {
+    pub(super) version: Name,
+    /// Versions that targets of a plain service are configured with; `None` for
+    /// engines, which can load any.
+    pub(super) served: Option<Vec<Name>>,
+}
+
+/// Returns the version of a service as far as the configuration tells: that which
+/// a move replaces, or that of the first target.
+pub(super) fn configured(config: &Config, service: ServiceKey) -> Option<Configured> {
+    let targets = config.targets_of(service).iter();
+    let entries: Vec<_> = targets.filter_map(|key| config.target(*key)).collect();
+    let first = &entries.first()?.target.version;
+    let replaced = config.move_of(service).map(|row| &row.from);
+    let kind = config.service(service)?.kind;
+    let versions = entries.iter().map(|entry| entry.target.version.clone());
+    Some(Configured {
+        version: replaced.unwrap_or(first).clone(),
+        served: (kind == ServiceKind::Plain).then(|| versions.collect()),
+    })
+}
+
 impl VersionUse {
     /// Chooses the version of a request.
     pub(super) fn choose(
         context: &Arc<Context>,
         service: &Name,
         route: &Name,
-        configured: Name,
+        configured: Configured,
     ) -> Self {
         let moves = context.moves.load();
         // The request is counted before the lock is released, so that an
         // entry never acknowledges a step while it starts a request by the
         // former one.
         let mut local = moves.get(service).map(|live| live.lock());
-        let (version, compared) = match &mut local {
-            None => (configured, None),
+        // The release of plain targets may have been changed by tickets alone
+        // since the move.
+        let is_served = |version: &Name| {
+            let served = configured.served.as_ref();
+            served.is_none_or(|served| served.contains(version))
+        };
+        let moved = local.as_mut().filter(|local| {
+            let current = local.current();
+            is_served(&current.from) || is_served(&current.to)
+        });
+        let (version, compared) = match moved {
+            None => (configured.version, None),
             Some(local) => {
                 let side = local.choose(route);
                 let current = local.current();
@@ -135,6 +162,11 @@
         &self.version
     }
 
+    /// Whether a move decided on the version.
+    pub(super) fn is_moved(&self) -> bool {
+        self.compared.is_some()
+    }
+
     /// Passes evidence to the control thread; it is not counted when that is
     /// too busy.
     pub(super) fn record(&self, sample: Sample) {
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -63,9 +63,11 @@
         },
     },
     version::config::{
+        self,
         Config,
         OrganisationKey,
         ServiceKey,
+        ServiceKind,
         TargetKey, //
     },
 };
@@ -345,8 +347,9 @@
     ) -> Option<Target> {
         let entry = config.target(key)?;
         let view = views.get(&entry.target.name)?;
+        let service = config.service(entry.service)?;
         if view.leaving
-            || !serves(&view.versions, version)
+            || !serves(service.kind, &entry.target, &view.versions, version)
             || self.stopping.borrow().contains(&view.agent)
         {
             return None;
@@ -372,11 +375,19 @@
     }
 }
 
-/// Returns whether a target with these versions may run a version. Targets that
-/// state none run any.
-pub(super) fn serves(versions: &[Name], version: Option<&str>) -> bool {
-    let is_wanted = |version: &str| versions.iter().any(|own| **own == *version);
-    versions.is_empty() || version.is_none_or(is_wanted)
+/// Returns whether a target may run a version. A plain target runs the release
+/// that it is configured with, and an engine what it has loaded; one that states
+/// nothing runs any.
+pub(super) fn serves(
+    kind: ServiceKind,
+    target: &config::Target,
+    loaded: &[Name],
+    version: Option<&str>,
+) -> bool {
+    version.is_none_or(|version| match kind {
+        ServiceKind::Plain => *target.version == *version,
+        ServiceKind::Model => loaded.is_empty() || loaded.iter().any(|own| **own == *version),
+    })
 }
 
 /// What the head of an answer told.
--- a/src/process/peer/api.rs
+++ b/src/process/peer/api.rs
@@ -21,6 +21,7 @@
             rpc_error, //
         },
     },
+    version::rollout::known::KnownMove, //
 };
 
 /// Request of a method that every process has.
@@ -30,17 +31,26 @@
     Exchange(Box<Digest>, oneshot::Sender<Digest>),
     /// Returns a part of the configuration after a revision.
     ConfigSince(u64, u32, oneshot::Sender<ConfigPart>),
+    /// Returns the moves that the process knows; `None` before it was told.
+    Moves(oneshot::Sender<Option<Vec<KnownMove>>>),
 }
 
 impl PeerCommand {
-    /// Answers the request; `exchange` takes a digest and returns the own one.
-    pub fn execute(self, store: &ConfigStore, exchange: impl FnOnce(&Digest) -> Digest) {
+    /// Answers the request; `exchange` takes a digest and returns the own one,
+    /// `moves` returns the moves that the process knows.
+    pub fn execute(
+        self,
+        store: &ConfigStore,
+        exchange: impl FnOnce(&Digest) -> Digest,
+        moves: impl FnOnce() -> Option<Vec<KnownMove>>,
+    ) {
         // A caller that has gone away needs no answer.
         match self {
             Self::Exchange(digest, sender) => drop(sender.send(exchange(&digest))),
             Self::ConfigSince(revision, part, sender) => {
                 drop(sender.send(store.part(revision, part)));
             }
+            Self::Moves(sender) => drop(sender.send(moves())),
         }
     }
 }
@@ -102,4 +112,9 @@
         self.ask(|sender| PeerCommand::ConfigSince(revision, part, sender).into())
             .await
     }
+
+    async fn moves(&self) -> RpcResult<Packed<Option<Vec<KnownMove>>>> {
+        let answer = self.ask(|sender| PeerCommand::Moves(sender).into());
+        Ok(Packed(answer.await?))
+    }
 }
--- a/src/version/rollout.rs
+++ b/src/version/rollout.rs
@@ -5,8 +5,10 @@
 //! version that was read. Traffic shares are read from the object only.
 
 pub mod cut;
+pub mod known;
 pub mod order;
 pub mod plan;
+pub mod restore;
 pub mod status;
 pub mod step;
 
@@ -121,6 +123,8 @@
 pub struct Move {
     /// Number of the ticket that created the move.
     pub ticket: u64,
+    /// Name in the configuration, by which a withdrawal is found.
+    pub name: Name,
     /// Service whose traffic moves.
     pub service: Name,
     /// Version that is replaced.
@@ -160,11 +164,11 @@
     ///
     /// let request = plan::PlanRequest::example();
     /// let plan = plan::accept(&request).unwrap();
-    /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// assert_eq!(planned.share_permille(), 0);
     /// ```
     pub fn planned(
-        ticket: u64,
+        (ticket, name): (u64, &str),
         service: &str,
         (from, to): (&str, &str),
         plan: Plan,
@@ -172,6 +176,7 @@
     ) -> Self {
         Self {
             ticket,
+            name: name.into(),
             service: service.into(),
             from: from.into(),
             to: to.into(),
@@ -196,13 +201,31 @@
         }
     }
 
+    /// Returns whether this value was stored after another one of the service.
+    ///
+    /// ```
+    /// use yuccalatch::version::rollout::{plan, Move};
+    ///
+    /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
+    /// let next = Move { step: 1, ..planned.clone() };
+    /// assert!(next.is_newer_than(&planned) && !planned.is_newer_than(&next));
+    /// ```
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        let key = |value: &Self| {
+            let lease = value.lease;
+            (value.ticket, value.step, lease.fencing, lease.renewal)
+        };
+        key(self) > key(other)
+    }
+
     /// Resolves a write by comparing what was proposed with what is stored.
     ///
     /// ```
     /// use yuccalatch::version::rollout::{plan, Move, WriteOutcome};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    /// let stored = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let stored = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// let mut proposed = stored.clone();
     /// proposed.step += 1;
     /// assert_eq!(proposed.outcome(&stored, &stored), WriteOutcome::Pending);
--- a/src/version/rollout/cut.rs
+++ b/src/version/rollout/cut.rs
@@ -60,7 +60,7 @@
     /// use yuccalatch::version::rollout::{cut::LocalMove, plan, Move};
     ///
     /// let plan = plan::accept(&plan::PlanRequest::example()).unwrap();
-    /// let planned = Move::planned(1, "chat", ("v1", "v2"), plan, 0);
+    /// let planned = Move::planned((1, "m"), "chat", ("v1", "v2"), plan, 0);
     /// assert_eq!(LocalMove::new(planned, 0, 4).share_permille(), 0);
     /// ```
     pub fn new(current: Move, rank: usize, live_entries: usize) -> Self {
@@ -77,8 +77,7 @@
 
     /// Applies a newer value of the object; an older one is ignored.
     pub fn apply(&mut self, newer: Move) {
-        let key = |value: &Move| (value.ticket, value.step, value.lease.renewal);
-        if key(&newer) < key(&self.current) {
+        if self.current.is_newer_than(&newer) {
             return;
         }
         if newer.ticket != self.current.ticket {
--- a/tests/move_processes.rs
+++ b/tests/move_processes.rs
@@ -2,33 +2,33 @@
 
 mod support;
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{
-            AtomicBool,
-            Ordering, //
-        },
-    },
-    thread, //
-};
+use std::net::SocketAddr;
 
 use ntex::rt::{
     DefaultRuntime,
     System, //
 };
 use serde_json::json;
-use support::fleet::{
-    ACME_KEY,
-    Fleet,
-    Plan,
-    completion,
-    eventually,
-    get,
-    post,
-    reference,
-    ticket, //
+use support::{
+    fleet::{
+        ACME_KEY,
+        Fleet,
+        Plan,
+        completion,
+        eventually,
+        post,
+        reference,
+        ticket, //
+    },
+    moves::{
+        Traffic,
+        break_new_version,
+        moving_fleet,
+        state,
+        stored_move,
+        submit_move,
+        versions, //
+    },
 };
 use yuccalatch::{
     clock::{
@@ -59,13 +59,10 @@
     },
 };
 
-/// Callers that send requests all the time.
-const CALLERS: usize = 8;
-
 /// Stores the move object of the service with a fencing number.
 fn store_move(address: SocketAddr, fencing: u64) {
     let accepted = plan::accept(&plan::PlanRequest::example()).unwrap();
-    let stored = Move::planned(2, "draft", ("v1", "v2"), accepted, fencing);
+    let stored = Move::planned((2, "m"), "draft", ("v1", "v2"), accepted, fencing);
     let value = serde_json::to_vec(&stored).unwrap();
     System::new("store", DefaultRuntime).block_on(async move {
         let platform = Platform::new(address, Clock::start()).await.unwrap();
@@ -110,12 +107,6 @@
     }
 }
 
-/// Returns the versions that the engine itself reports.
-fn versions(fleet: &Fleet) -> Vec<String> {
-    let address = fleet.targets[0].standin.address("address");
-    serde_json::from_value(get(address, "/load").json()["versions"].clone()).unwrap()
-}
-
 /// A fleet whose engines execute every order, whatever its number.
 fn unfenced_fleet() -> Fleet {
     Fleet::start(&Plan {
@@ -204,80 +195,6 @@
     assert_eq!(received, json!([]));
 }
 
-/// A fleet with short times of moves, so that a move takes seconds.
-fn moving_fleet(entries: usize) -> Fleet {
-    Fleet::start(&Plan {
-        entries,
-        engines: 2,
-        entry: json!({"moves": {"shortest_step_ms": 300, "step_overhead_ms": 300,
-            "settle_ms": 1_000}}),
-        agent: json!({"checks_fencing": false}),
-        engine: json!({"checks_fencing": false, "load_weights_ms": 50,
-            "decode_tokens_per_s": 2_000, "prefill_tokens_per_s": 100_000}),
-        ..Plan::default()
-    })
-}
-
-/// Submits a move to `v2`. The requested time leaves room for the longest
-/// request of the routes.
-fn submit_move(fleet: &Fleet) {
-    let finish_by_unix_ms = Clock::start().unix_ms() + 72_000;
-    let set = json!([
-        {"version": {"name": "v2", "service": "draft", "weights": "oak/2"}},
-        {"move": {"name": "to-v2", "service": "draft", "from": "v1", "to": "v2",
-            "finish_by_unix_ms": finish_by_unix_ms}},
-    ]);
-    fleet.submit(&ticket(2, &set, &json!([])));
-}
-
-/// Returns the state and share of the move at an entry.
-fn state(fleet: &Fleet, entry: usize) -> (String, u32) {
-    let moves = fleet.status(entry).moves;
-    let status = moves.first();
-    status.map_or_else(Default::default, |status| {
-        (status.state.clone(), status.share_permille)
-    })
-}
-
-/// Sends requests from several callers until told to stop. Every answer of a
-/// good version has status 200.
-struct Traffic {
-    is_over: Arc<AtomicBool>,
-    callers: Vec<thread::JoinHandle<u64>>,
-}
-
-impl Traffic {
-    fn start(fleet: &Fleet) -> Self {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let callers = (0..CALLERS)
-            .map(|number| {
-                let is_over = Arc::clone(&is_over);
-                let caller = fleet.caller(number % fleet.entries.len());
-                thread::spawn(move || {
-                    let body = completion(&format!("order {number}"), 2, false);
-                    let mut failed = 0;
-                    while !is_over.load(Ordering::Relaxed) {
-                        let answer = post(caller, "/v1/completions", ACME_KEY, &body);
-                        failed += u64::from(answer.status != 200);
-                    }
-                    failed
-                })
-            })
-            .collect();
-        Self { is_over, callers }
-    }
-
-    /// Stops and returns the number of failed requests.
-    fn stop(self) -> u64 {
-        self.is_over.store(true, Ordering::Relaxed);
-        let failed = self
-            .callers
-            .into_iter()
-            .map(|caller| caller.join().unwrap());
-        failed.sum()
-    }
-}
-
 /// Guards against a move that never ends, ends without its traffic, breaks
 /// requests, or unloads the old version before late faults could show.
 #[test]
@@ -312,12 +229,6 @@
     assert_eq!(traffic.stop(), 0);
 }
 
-fn break_new_version(fleet: &Fleet) {
-    for target in &fleet.targets {
-        target.set_faults(&json!({"error_percent": 100, "error_versions": ["v2"]}));
-    }
-}
-
 /// Guards against a bad version that keeps its traffic, and against a status
 /// that says "taken back" too early or never.
 #[test]
@@ -363,3 +274,24 @@
     }
     traffic.stop();
 }
+
+/// Guards against a withdrawal that only entries notice which saw the move
+/// configured: all entries start after the ticket that removes it.
+#[test]
+fn a_withdrawn_move_is_taken_back_by_new_entries() {
+    let mut fleet = moving_fleet(2);
+    submit_move(&fleet);
+    eventually("the version has a share", || state(&fleet, 0).1 > 0);
+    fleet.entries.clear();
+    let withdrawal = json!([{"kind": "move", "name": "to-v2"}]);
+    fleet.submit(&ticket(3, &json!([]), &withdrawal));
+    for entry in 0..2 {
+        fleet.add_entry(&format!("late-{entry}"));
+    }
+    eventually("the new version is unloaded", || versions(&fleet) == ["v1"]);
+    let stored = stored_move(&fleet);
+    assert_eq!(
+        stored["phase"],
+        json!({"taken_back": {"reason": "withdrawn"}})
+    );
+}
--- a/tests/version_moves.rs
+++ b/tests/version_moves.rs
@@ -31,6 +31,7 @@
             order::{
                 Action,
                 LoadState,
+                Part,
                 TargetView, //
             },
             plan::{
@@ -55,7 +56,7 @@
 
 fn held_move() -> (Move, Lease<Held>) {
     let plan = plan::accept(&PlanRequest::example()).unwrap();
-    let planned = Move::planned(7, "chat", ("v1", "v2"), plan, 3);
+    let planned = Move::planned((7, "m"), "chat", ("v1", "v2"), plan, 3);
     let Watch::Lapsed(lapsed) = Lease::watch(planned.lease, 0) else {
         panic!("no holder yet");
     };
@@ -68,6 +69,7 @@
         name: name.into(),
         data_centre: "a".into(),
         is_leaving: false,
+        part: Part::Both,
         load,
         fencing: Some(4),
         running_from: 0,
