Decide which blocks to import from the KV store and to export

Cause: a prefix that one engine has evicted is computed again although the deployments have a KV cache store; nothing decided what to move. Change: process/kv_import, free of I/O: imports only blocks that the store holds without a gap, only when the transfer is faster than computing them, with bounded concurrency and a bounded wait, and pauses after a failure; exports blocks used at least twice, in prompt order, at a bounded rate. Names are (namespace, block hash). The engine model of the evaluation gets a shared store, links and transfers; placement and fairness run with and without import.

--- a/src/process.rs
+++ b/src/process.rs
@@ -9,6 +9,7 @@
 pub mod fair_queue;
 pub mod fate;
 pub mod hints;
+pub mod kv_import;
 pub mod limits;
 pub mod logging;
 pub mod membership;
--- /dev/null
+++ b/src/process/kv_import.rs
@@ -0,0 +1,251 @@
+//! Which blocks an agent moves between its engine and the KV cache store.
+//!
+//! The module decides only; the agent looks blocks up in the store and has the
+//! engine transfer them. Blocks are named by cache namespace (organisation and
+//! version) and chained hash, so a lookup cannot find a block of another
+//! organisation or of other weights. A block in the store does not depend on
+//! the engine incarnation that exported it: the store shows only whole blocks.
+
+use std::num::NonZeroUsize;
+
+use lru::LruCache;
+
+use crate::{
+    clock::US_PER_S,
+    request::prompt::{
+        BlockHash,
+        Namespace, //
+    },
+};
+
+/// Parameters of the policy.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Expected time to import one block when nothing else is transferred.
+    pub import_block_us: u64,
+    /// Expected time to look blocks up and to start a transfer.
+    pub setup_us: u64,
+    /// Time in which the engine computes one block.
+    pub recompute_block_us: u64,
+    /// Imports at a time. Each waits at most until its deadline, so a silent
+    /// store delays no more prompts than this at once.
+    pub max_imports: usize,
+    /// Longest time that a prompt waits for its import.
+    pub max_wait_us: u64,
+    /// Time without imports after a failed one.
+    pub pause_us: u64,
+    /// Uses of a block at this engine from which on it is exported.
+    pub export_after_uses: u32,
+    /// Time after which a block counts as no longer exported, because the store
+    /// evicts blocks without notice.
+    pub export_again_after_us: u64,
+    /// Blocks exported in a second on average.
+    pub export_blocks_per_s: u32,
+    /// Blocks exported at once after a pause.
+    pub export_burst_blocks: u32,
+    /// Blocks whose uses are counted.
+    pub counted_blocks: NonZeroUsize,
+}
+
+impl Default for Settings {
+    /// Times are assumptions for blocks of 1,000 tokens: 33,000 prompt tokens/s,
+    /// and an import ten times faster.
+    fn default() -> Self {
+        Self {
+            import_block_us: 3_000,
+            setup_us: 2_000,
+            recompute_block_us: 30_000,
+            max_imports: 4,
+            max_wait_us: US_PER_S / 2,
+            pause_us: US_PER_S,
+            export_after_uses: 2,
+            export_again_after_us: 60 * US_PER_S,
+            export_blocks_per_s: 50,
+            export_burst_blocks: 100,
+            counted_blocks: NonZeroUsize::new(16_384).unwrap_or(NonZeroUsize::MIN),
+        }
+    }
+}
+
+/// An import that has begun. [`KvImport::end`] has to be called for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Import {
+    /// Position of the first imported block in the prompt.
+    pub first: usize,
+    /// Position after the last imported block.
+    pub end: usize,
+    /// When the prompt is computed without the import.
+    pub expires_at_us: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    uses: u32,
+    exported_at_us: Option<u64>,
+}
+
+/// State of the policy at one agent.
+///
+/// ```
+/// use yuccalatch::process::kv_import::{KvImport, Settings};
+/// use yuccalatch::request::prompt::{BlockHash, Namespace};
+///
+/// let mut policy = KvImport::new(Settings::default());
+/// let namespace = Namespace::derive("mill-a", "draft-7");
+/// let blocks = [BlockHash(1), BlockHash(2), BlockHash(3)];
+/// assert!(policy.exports(namespace, &blocks, 0).is_empty());
+/// assert_eq!(policy.exports(namespace, &blocks[..2], 1), blocks[..2]);
+/// assert!(policy.may_import(1, 3, 2));
+/// let import = policy.begin(1, 2, 2).unwrap();
+/// assert_eq!((import.first, import.end), (1, 3));
+/// policy.end(true, 3);
+/// ```
+#[derive(Debug)]
+pub struct KvImport {
+    settings: Settings,
+    usage: LruCache<(Namespace, BlockHash), Usage>,
+    importing: usize,
+    paused_until_us: u64,
+    export_budget_blocks: f64,
+    budget_at_us: u64,
+}
+
+impl KvImport {
+    /// Creates the policy of an agent that has just started.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            usage: LruCache::new(settings.counted_blocks),
+            importing: 0,
+            paused_until_us: 0,
+            export_budget_blocks: f64::from(settings.export_burst_blocks),
+            budget_at_us: 0,
+            settings,
+        }
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns whether a lookup in the store can lead to an import: `cached` of
+    /// `blocks` blocks are at the engine.
+    pub fn may_import(&self, cached: usize, blocks: usize, now_us: u64) -> bool {
+        self.is_worthwhile(blocks.saturating_sub(cached), now_us)
+    }
+
+    /// Begins the import of the blocks that follow the cached ones, as far as
+    /// the store holds them without a gap. Returns `None` when computing them is
+    /// faster, too many imports run, or one has failed recently.
+    pub fn begin(&mut self, cached: usize, stored: usize, now_us: u64) -> Option<Import> {
+        if !self.is_worthwhile(stored, now_us) {
+            return None;
+        }
+        self.importing += 1;
+        Some(Import {
+            first: cached,
+            end: cached + stored,
+            expires_at_us: now_us + self.wait_us(stored),
+        })
+    }
+
+    /// Returns the longest time that a prompt waits for a number of blocks:
+    /// recomputing them takes no longer.
+    pub fn wait_us(&self, blocks: usize) -> u64 {
+        let recompute_us = count(blocks).saturating_mul(self.settings.recompute_block_us);
+        recompute_us.min(self.settings.max_wait_us)
+    }
+
+    /// Ends an import.
+    pub fn end(&mut self, is_imported: bool, now_us: u64) {
+        self.importing = self.importing.saturating_sub(1);
+        if !is_imported {
+            self.store_failed(now_us);
+        }
+    }
+
+    /// Stops imports for a while, because the store did not answer.
+    pub fn store_failed(&mut self, now_us: u64) {
+        self.paused_until_us = now_us + self.settings.pause_us;
+    }
+
+    /// Counts one use of the blocks of a prompt that the engine now holds and
+    /// returns the blocks to export, from the start of the prompt.
+    ///
+    /// A block is of no use in the store without those before it, so the first
+    /// one that must not be exported yet ends the list.
+    pub fn exports(
+        &mut self,
+        namespace: Namespace,
+        blocks: &[BlockHash],
+        now_us: u64,
+    ) -> Vec<BlockHash> {
+        self.refill(now_us);
+        let mut exports = Vec::new();
+        let mut is_open = true;
+        for &block in blocks {
+            let again_after_us = self.settings.export_again_after_us;
+            let key = (namespace, block);
+            let usage = self.usage.get_or_insert_mut(key, Usage::default);
+            usage.uses = usage.uses.saturating_add(1);
+            let is_exported = usage
+                .exported_at_us
+                .is_some_and(|at_us| now_us < at_us.saturating_add(again_after_us));
+            is_open &= usage.uses >= self.settings.export_after_uses;
+            if !is_open || is_exported {
+                continue;
+            }
+            if self.export_budget_blocks < 1.0 {
+                is_open = false;
+                continue;
+            }
+            self.export_budget_blocks -= 1.0;
+            usage.exported_at_us = Some(now_us);
+            exports.push(block);
+        }
+        exports
+    }
+
+    /// Notes that blocks did not reach the store, so that the next use exports
+    /// them.
+    pub fn export_failed(&mut self, namespace: Namespace, blocks: &[BlockHash]) {
+        for &block in blocks {
+            if let Some(usage) = self.usage.peek_mut(&(namespace, block)) {
+                usage.exported_at_us = None;
+            }
+        }
+    }
+
+    /// Notes that the store holds blocks, so that they are not exported again.
+    pub fn note_stored(&mut self, namespace: Namespace, blocks: &[BlockHash], now_us: u64) {
+        for &block in blocks {
+            let key = (namespace, block);
+            let usage = self.usage.get_or_insert_mut(key, Usage::default);
+            usage.exported_at_us = Some(now_us);
+        }
+    }
+
+    /// Imports that run at the same time share the link of the target.
+    fn is_worthwhile(&self, blocks: usize, now_us: u64) -> bool {
+        let settings = &self.settings;
+        let blocks = count(blocks);
+        let sharing = count(self.importing + 1);
+        let transfer_us = settings.setup_us + blocks * settings.import_block_us * sharing;
+        self.importing < settings.max_imports
+            && now_us >= self.paused_until_us
+            && transfer_us < blocks * settings.recompute_block_us
+    }
+
+    fn refill(&mut self, now_us: u64) {
+        let elapsed_us = now_us.saturating_sub(self.budget_at_us);
+        let rate = f64::from(self.settings.export_blocks_per_s);
+        let refill_blocks = elapsed_us as f64 / US_PER_S as f64 * rate;
+        let burst_blocks = f64::from(self.settings.export_burst_blocks);
+        self.export_budget_blocks = (self.export_budget_blocks + refill_blocks).min(burst_blocks);
+        self.budget_at_us = self.budget_at_us.max(now_us);
+    }
+}
+
+fn count(blocks: usize) -> u64 {
+    u64::try_from(blocks).unwrap_or(u64::MAX)
+}
--- a/src/replay/evaluate/fairness.rs
+++ b/src/replay/evaluate/fairness.rs
@@ -19,6 +19,7 @@
                 Deployment,
                 ENGINE,
                 ES_NORTE,
+                KV_STORE,
                 ORGANISATION_SHARES,
                 TX_CENTRAL,
                 TraceSettings, //
@@ -60,7 +61,8 @@
     refused_share: f64,
 }
 
-/// Figures of every organisation without a flood.
+/// Figures of every organisation without a flood. Treatments with import are
+/// compared with runs that import as well.
 #[derive(Debug)]
 struct Calm {
     alone: Vec<Figures>,
@@ -73,26 +75,37 @@
 pub fn run(seed: u64, size: Size) -> Vec<Measurement> {
     let mut out = Vec::new();
     for deployment in [ES_NORTE, TX_CENTRAL] {
-        let calm = calm(&deployment, seed, size);
-        out.extend(calm_measurements(&deployment, &calm));
+        let recomputing = calm(&deployment, RECOMPUTING, seed, size);
+        let importing = calm(&deployment, IMPORTING, seed, size);
+        out.extend(calm_measurements(&deployment, RECOMPUTING, &recomputing));
+        out.extend(calm_measurements(&deployment, IMPORTING, &importing));
         let pairs = SENDERS.map(|sender| TREATMENTS.map(|treatment| (sender, treatment)));
         let results = in_parallel(&pairs.concat(), |(sender, treatment)| {
             let mut factors = NORMAL_RATES;
             factors[*sender] = FLOOD_FACTOR;
             let flooded = play(&deployment, factors, *treatment, seed, size);
-            flood_measurements(&deployment, &calm, *sender, *treatment, &flooded)
+            let calm = if treatment.is_importing {
+                &importing
+            } else {
+                &recomputing
+            };
+            flood_measurements(&deployment, calm, *sender, *treatment, &flooded)
         });
         out.extend(results.concat());
     }
     out
 }
 
-fn calm(deployment: &Deployment, seed: u64, size: Size) -> Calm {
-    let mut runs = vec![(NORMAL_RATES, BASELINE), (NORMAL_RATES, OWN)];
+/// First come, first served and the own treatment, both with or both without
+/// import.
+type CalmTreatments = [Treatment; 2];
+
+fn calm(deployment: &Deployment, [baseline, own]: CalmTreatments, seed: u64, size: Size) -> Calm {
+    let mut runs = vec![(NORMAL_RATES, baseline), (NORMAL_RATES, own)];
     for organisation in 0..ORGANISATIONS {
         let mut factors = [0.0; ORGANISATIONS];
         factors[organisation] = 1.0;
-        runs.push((factors, BASELINE));
+        runs.push((factors, baseline));
     }
     let mut results = in_parallel(&runs, |(factors, treatment)| {
         play(deployment, *factors, *treatment, seed, size)
@@ -105,9 +118,13 @@
     }
 }
 
-fn calm_measurements(deployment: &Deployment, calm: &Calm) -> Vec<Measurement> {
+fn calm_measurements(
+    deployment: &Deployment,
+    [baseline, own]: CalmTreatments,
+    calm: &Calm,
+) -> Vec<Measurement> {
     let mut out = Vec::new();
-    for (treatment, figures) in [(BASELINE, &calm.normal), (OWN, &calm.own)] {
+    for (treatment, figures) in [(baseline, &calm.normal), (own, &calm.own)] {
         for (organisation, present) in figures.iter().enumerate() {
             let mut push = |measure: &str, value: f64| {
                 out.push(Measurement {
@@ -120,6 +137,7 @@
             };
             let p99_ms = present.p99_ms;
             push("first_token_p99_ms", p99_ms);
+            push("alone_p99_ms", calm.alone[organisation].p99_ms);
             let ratio = p99_ms / calm.alone[organisation].p99_ms;
             push("p99_to_alone_ratio", ratio);
             let ratio = p99_ms / calm.normal[organisation].p99_ms;
@@ -137,13 +155,23 @@
     name: &'static str,
     queue_kind: QueueKind,
     is_confining: bool,
+    is_importing: bool,
 }
 
-/// The treatment that the targets apply to.
+/// What the running system does when it has a KV store, as both deployments
+/// have; the targets apply to it.
 const OWN: Treatment = Treatment {
+    name: "fair queue, confined, import",
+    is_importing: true,
+    ..OWN_RECOMPUTING
+};
+
+/// What the running system does without a KV store.
+const OWN_RECOMPUTING: Treatment = Treatment {
     name: "fair queue, confined",
     queue_kind: QueueKind::Fair,
     is_confining: true,
+    is_importing: false,
 };
 
 /// The treatment that knows no organisations.
@@ -151,20 +179,32 @@
     name: "first come, first served",
     queue_kind: QueueKind::Arrival,
     is_confining: false,
+    is_importing: false,
 };
 
-const TREATMENTS: [Treatment; 4] = [
+const BASELINE_IMPORTING: Treatment = Treatment {
+    name: "first come, first served, import",
+    is_importing: true,
+    ..BASELINE
+};
+
+const RECOMPUTING: CalmTreatments = [BASELINE, OWN_RECOMPUTING];
+const IMPORTING: CalmTreatments = [BASELINE_IMPORTING, OWN];
+
+const TREATMENTS: [Treatment; 6] = [
     BASELINE,
     Treatment {
         name: "fair queue",
         queue_kind: QueueKind::Fair,
-        is_confining: false,
+        ..BASELINE
     },
     Treatment {
         name: "first come, confined",
-        queue_kind: QueueKind::Arrival,
         is_confining: true,
+        ..BASELINE
     },
+    OWN_RECOMPUTING,
+    BASELINE_IMPORTING,
     OWN,
 ];
 
@@ -194,8 +234,11 @@
         push("p99_to_alone_ratio", ratio, Some(Bound::AtMost(MAX_RATIO)));
         let ratio = figures.p99_ms / calm.normal[organisation].p99_ms;
         push("p99_to_normal_ratio", ratio, Some(Bound::AtMost(MAX_RATIO)));
-        let refused = figures.refused_share;
-        push("refused_share", refused, Some(Bound::AtMost(MAX_REFUSED)));
+        push(
+            "refused_share",
+            figures.refused_share,
+            Some(Bound::AtMost(MAX_REFUSED)),
+        );
     }
     out
 }
@@ -225,6 +268,7 @@
         engine: ENGINE,
         queue_kind: treatment.queue_kind,
         queue: QueueSettings::default(),
+        kv_store: treatment.is_importing.then_some(KV_STORE),
         crash_at_us: None,
         restart_at_us: None,
         seed,
--- a/src/replay/evaluate/placement.rs
+++ b/src/replay/evaluate/placement.rs
@@ -25,12 +25,14 @@
                 Deployment,
                 ENGINE,
                 ES_NORTE,
+                KV_STORE,
                 ORGANISATION_SHARES,
                 TX_CENTRAL,
                 TraceSettings, //
             },
         },
         model::{
+            BLOCK_TOKENS,
             QueueKind,
             Request, //
         },
@@ -83,6 +85,7 @@
     p99_ms: f64,
     worst_p99_ms: f64,
     recomputed_tokens: f64,
+    imported_tokens: f64,
 }
 
 /// Compares placement with the baselines on both deployments.
@@ -106,16 +109,24 @@
         flood_from_us: 0,
     };
     let trace = traffic::generate(&trace_settings, seed);
-    let settings = run_settings(deployment, scenario, &trace, seed);
-    let summaries: Vec<(&str, Summary)> = policies(deployment, seed)
-        .into_iter()
-        .map(|(name, mut policy)| {
-            let outcomes = simulation::run(&settings, &trace, policy.as_mut());
+    let recomputing = run_settings(deployment, scenario, &trace, seed);
+    let importing = RunSettings {
+        kv_store: Some(KV_STORE),
+        ..recomputing
+    };
+    let play = |settings: &RunSettings| -> Vec<(&str, Summary)> {
+        let play_policy = |(name, mut policy): (&'static str, Box<dyn Policy>)| {
+            let outcomes = simulation::run(settings, &trace, policy.as_mut());
             (name, summarise(&trace, &outcomes))
-        })
-        .collect();
+        };
+        let policies = policies(deployment, seed).into_iter();
+        policies.map(play_policy).collect()
+    };
     let label = format!("{} {}", deployment.name, scenario.name());
-    measurements(&label, &summaries)
+    let mut out = measurements(&label, &play(&recomputing));
+    let label = format!("{label}, import");
+    out.extend(measurements(&label, &play(&importing)));
+    out
 }
 
 fn run_settings(
@@ -141,6 +152,7 @@
             max_queued: usize::MAX,
             ..QueueSettings::default()
         },
+        kv_store: None,
         crash_at_us: (scenario == Scenario::Crash).then_some(middle_us),
         restart_at_us: (scenario == Scenario::Restart).then_some(middle_us),
         seed,
@@ -236,6 +248,7 @@
         .fold(0.0, f64::max);
     let matched: u64 = outcomes.iter().map(|o| u64::from(o.matched_blocks)).sum();
     let prompt: u64 = outcomes.iter().map(|o| u64::from(o.prompt_blocks)).sum();
+    let imported: u64 = outcomes.iter().map(|o| u64::from(o.imported_blocks)).sum();
     let recomputed: u64 = outcomes.iter().map(Outcome::recomputed_tokens).sum();
     Summary {
         hit_rate: matched as f64 / prompt.max(1) as f64,
@@ -243,6 +256,7 @@
         p99_ms: ms(times(&|_| true), 0.99),
         worst_p99_ms,
         recomputed_tokens: recomputed as f64,
+        imported_tokens: (imported * u64::from(BLOCK_TOKENS)) as f64,
     }
 }
 
@@ -289,6 +303,7 @@
             summary.recomputed_tokens,
             Some(Bound::AtMost(half)),
         );
+        push("imported_tokens", summary.imported_tokens, None);
     }
     out
 }
--- a/src/replay/evaluate/simulation.rs
+++ b/src/replay/evaluate/simulation.rs
@@ -4,6 +4,7 @@
     cmp::Reverse,
     collections::{
         BinaryHeap,
+        HashMap,
         HashSet, //
     },
 };
@@ -22,6 +23,9 @@
             Agent,
             BLOCK_TOKENS,
             EngineSettings,
+            Importing,
+            KvStore,
+            KvStoreSettings,
             Output,
             QueueKind,
             Request, //
@@ -48,6 +52,8 @@
     pub queue_kind: QueueKind,
     /// Bounds of the queue at the agents.
     pub queue: Settings,
+    /// The store that the engines import from and export to.
+    pub kv_store: Option<KvStoreSettings>,
     /// When the first engine crashes.
     pub crash_at_us: Option<u64>,
     /// When all entries restart.
@@ -65,6 +71,8 @@
     pub prompt_blocks: u32,
     /// Blocks found in the cache.
     pub matched_blocks: u32,
+    /// Blocks imported from the KV store; they count as found in the cache.
+    pub imported_blocks: u32,
     /// Blocks computed although an engine had computed them before.
     pub recomputed_blocks: u32,
 }
@@ -86,6 +94,11 @@
         target: usize,
         weight: u32,
     },
+    Imported {
+        request: usize,
+        target: usize,
+        weight: u32,
+    },
     Arrive {
         request: usize,
     },
@@ -112,6 +125,8 @@
     sent_at_us: Vec<u64>,
     outcomes: Vec<Outcome>,
     computed: HashSet<crate::request::prompt::BlockHash>,
+    kv_store: Option<KvStore>,
+    importing: HashMap<usize, Importing>,
 }
 
 /// Runs a trace and returns the outcome of each request.
@@ -133,6 +148,10 @@
         sent_at_us: vec![0; trace.len()],
         outcomes: vec![Outcome::default(); trace.len()],
         computed: HashSet::new(),
+        kv_store: settings
+            .kv_store
+            .map(|store| KvStore::new(store, settings.targets)),
+        importing: HashMap::new(),
     };
     simulation.begin();
     simulation.finish();
@@ -161,7 +180,12 @@
                     request,
                     target,
                     weight,
-                } => self.submit(request, target, weight, now_us),
+                } => self.import(request, target, weight, now_us),
+                Step::Imported {
+                    request,
+                    target,
+                    weight,
+                } => self.imported(request, target, weight, now_us),
                 Step::Arrive { request } => self.arrive(request, now_us),
                 Step::Sample => self.sample(now_us),
                 Step::Report {
@@ -203,6 +227,35 @@
         );
     }
 
+    fn import(&mut self, id: usize, target: usize, weight: u32, now_us: u64) {
+        let request = &self.trace[id];
+        let importing = self.kv_store.as_mut().and_then(|store| {
+            let agent = &mut self.agents[target];
+            agent.begin_import(request, store, now_us)
+        });
+        let Some(importing) = importing else {
+            self.submit(id, target, weight, now_us);
+            return;
+        };
+        self.importing.insert(id, importing);
+        let step = Step::Imported {
+            request: id,
+            target,
+            weight,
+        };
+        self.push(importing.ends_at_us, step);
+    }
+
+    fn imported(&mut self, id: usize, target: usize, weight: u32, now_us: u64) {
+        if let Some(importing) = self.importing.remove(&id) {
+            let request = &self.trace[id];
+            let blocks = self.agents[target].end_import(request, importing, now_us);
+            let imported_blocks = &mut self.outcomes[id].imported_blocks;
+            *imported_blocks += u32::try_from(blocks).unwrap_or(u32::MAX);
+        }
+        self.submit(id, target, weight, now_us);
+    }
+
     fn submit(&mut self, request: usize, target: usize, weight: u32, now_us: u64) {
         let refused = self.agents[target].submit(request, weight, self.trace, now_us);
         for id in refused {
@@ -248,6 +301,9 @@
             sent_at_us: self.sent_at_us[id],
         };
         self.policy.answered(request, answer, now_us);
+        if let Some(store) = &mut self.kv_store {
+            self.agents[target].export(request, store, now_us);
+        }
         let matched = usize::try_from(matched_blocks).unwrap_or(usize::MAX);
         let computed = &request.blocks[matched..];
         let recomputed = computed
@@ -285,6 +341,9 @@
     fn crash(&mut self, target: usize, now_us: u64) {
         let incarnation = Incarnation(self.settings.seed ^ now_us);
         let lost = self.agents[target].crash(incarnation, self.trace);
+        if let Some(store) = &mut self.kv_store {
+            store.crash(target, now_us);
+        }
         self.work_at_us[target] = u64::MAX;
         for id in lost {
             self.policy.ended(&self.trace[id], target);
--- a/src/replay/evaluate/traffic.rs
+++ b/src/replay/evaluate/traffic.rs
@@ -17,6 +17,7 @@
     replay::model::{
         BLOCK_TOKENS,
         EngineSettings,
+        KvStoreSettings,
         Request, //
     },
     request::prompt::{
@@ -94,6 +95,17 @@
     event_loss: 0.01,
 };
 
+/// KV cache store of both deployments. Assumptions: a block of 1,000 tokens takes
+/// a tenth of the time to compute it on the link of an engine, the store serves
+/// four engines at full rate at a time, and holds 20 times the cache of an
+/// engine.
+pub const KV_STORE: KvStoreSettings = KvStoreSettings {
+    capacity_blocks: NonZeroUsize::new(20 * 400).unwrap(),
+    link_block_us: 3_000,
+    store_block_us: 750,
+    setup_us: 2_000,
+};
+
 /// Skew of templates and documents; the most popular ones are very hot.
 const ZIPF_EXPONENT: f64 = 1.1;
 
--- a/src/replay/model.rs
+++ b/src/replay/model.rs
@@ -3,6 +3,8 @@
 //! The engine computes prompts in chunks of one block, one chunk at a time, the
 //! highest priority first, and decodes up to `slots` requests together. Its
 //! cache is an LRU over blocks. It publishes cache events late and with gaps.
+//! Imported blocks take the place of others like computed ones; transfers do
+//! not slow the computation.
 
 use std::{
     cmp::Reverse,
@@ -40,11 +42,17 @@
 };
 
 mod agent;
+mod kv_store;
 
 pub use agent::{
     Agent,
+    Importing,
     QueueKind, //
 };
+pub use kv_store::{
+    KvStore,
+    KvStoreSettings, //
+};
 
 /// Rates and sizes of an engine.
 #[derive(Clone, Copy, Debug)]
@@ -309,11 +317,12 @@
     fn finish_chunk(&mut self, mut prefill: Prefill, now_us: u64, outputs: &mut Vec<Output>) {
         if prefill.computed_blocks < prefill.blocks.len() {
             prefill.computed_blocks += 1;
-            self.store(&prefill, now_us);
+            let computed = &prefill.blocks[..prefill.computed_blocks];
+            self.store(prefill.namespace, computed, now_us);
             self.waiting.push(prefill);
             return;
         }
-        self.store(&prefill, now_us);
+        self.store(prefill.namespace, &prefill.blocks, now_us);
         outputs.push(Output::FirstToken {
             request: prefill.request,
             matched_blocks: prefill.matched_blocks.unwrap_or(0),
@@ -324,15 +333,21 @@
             .push(Reverse((now_us + decode_us, prefill.request)));
     }
 
-    /// Touches the computed blocks, leaves first, so that leaves are evicted
-    /// before the blocks they depend on.
-    fn store(&mut self, prefill: &Prefill, now_us: u64) {
-        for &block in prefill.blocks[..prefill.computed_blocks].iter().rev() {
+    /// Adds imported blocks to the cache, given all blocks of the prompt up to
+    /// the last imported one.
+    pub fn import(&mut self, namespace: Namespace, blocks: &[BlockHash], now_us: u64) {
+        self.store(namespace, blocks, now_us);
+    }
+
+    /// Touches blocks, leaves first, so that leaves are evicted before the
+    /// blocks they depend on.
+    fn store(&mut self, namespace: Namespace, blocks: &[BlockHash], now_us: u64) {
+        for &block in blocks.iter().rev() {
             if self.cache.get(&block).is_some() {
                 continue;
             }
-            let evicted = self.cache.push(block, prefill.namespace);
-            self.publish(prefill.namespace, Change::Stored(vec![block]), now_us);
+            let evicted = self.cache.push(block, namespace);
+            self.publish(namespace, Change::Stored(vec![block]), now_us);
             if let Some((block, namespace)) = evicted {
                 self.publish(namespace, Change::Evicted(vec![block]), now_us);
             }
--- a/src/replay/model/agent.rs
+++ b/src/replay/model/agent.rs
@@ -22,10 +22,16 @@
             Rejected,
             Settings, //
         },
+        kv_import::{
+            self,
+            Import,
+            KvImport, //
+        },
     },
     replay::model::{
         Engine,
         EngineSettings,
+        KvStore,
         Output,
         Request, //
     },
@@ -73,6 +79,20 @@
     pending: HashMap<usize, Pending>,
     /// When the engine last delivered a first token or left its idle state.
     progress_at_us: u64,
+    kv_import: KvImport,
+}
+
+/// Import that was begun for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Importing {
+    /// Blocks of the prompt.
+    pub import: Import,
+    /// When the blocks arrive, or the request goes on without them.
+    pub ends_at_us: u64,
+    /// Whether the blocks arrive before the request goes on.
+    pub is_in_time: bool,
+    /// Incarnation of the engine that they are for.
+    pub engine: Incarnation,
 }
 
 /// Factor between the blocks of the engine and those that the index remembers;
@@ -104,9 +124,74 @@
             running: 0,
             pending: HashMap::new(),
             progress_at_us: 0,
+            kv_import: KvImport::new(kv_import::Settings {
+                recompute_block_us: settings.block_us,
+                ..kv_import::Settings::default()
+            }),
         }
     }
 
+    /// Begins the import of missing blocks before a request is submitted.
+    pub fn begin_import(
+        &mut self,
+        request: &Request,
+        store: &mut KvStore,
+        now_us: u64,
+    ) -> Option<Importing> {
+        self.read_events(now_us);
+        let found = self.index.lookup(request.namespace, &request.blocks);
+        let cached = usize::try_from(found.likely_blocks).unwrap_or(usize::MAX);
+        let is_possible = self
+            .kv_import
+            .may_import(cached, request.blocks.len(), now_us);
+        if !is_possible {
+            return None;
+        }
+        let stored = store.leading(request.namespace, &request.blocks[cached..], now_us);
+        let import = self.kv_import.begin(cached, stored, now_us)?;
+        let whole_at_us = store.import(self.target(), stored, now_us);
+        Some(Importing {
+            import,
+            ends_at_us: whole_at_us.min(import.expires_at_us),
+            is_in_time: whole_at_us <= import.expires_at_us,
+            engine: self.engine.incarnation(),
+        })
+    }
+
+    /// Ends an import and returns the number of imported blocks.
+    pub fn end_import(&mut self, request: &Request, importing: Importing, now_us: u64) -> usize {
+        let Import { first, end, .. } = importing.import;
+        let is_same_engine = importing.engine == self.engine.incarnation();
+        let is_imported = importing.is_in_time && is_same_engine;
+        self.kv_import.end(importing.is_in_time, now_us);
+        if !is_imported {
+            return 0;
+        }
+        let blocks = &request.blocks[..end];
+        self.engine.import(request.namespace, blocks, now_us);
+        let answer = Answer {
+            engine: importing.engine,
+            namespace: request.namespace,
+            matched_blocks: u32::try_from(end).unwrap_or(u32::MAX),
+            sent_at_us: now_us,
+        };
+        self.index.answered(answer, blocks, now_us);
+        self.kv_import
+            .note_stored(request.namespace, &blocks[first..], now_us);
+        end - first
+    }
+
+    /// Exports blocks of a prompt that the engine has computed.
+    pub fn export(&mut self, request: &Request, store: &mut KvStore, now_us: u64) {
+        let namespace = request.namespace;
+        let blocks = self.kv_import.exports(namespace, &request.blocks, now_us);
+        store.export(self.target(), namespace, &blocks, now_us);
+    }
+
+    fn target(&self) -> usize {
+        self.id.0 as usize
+    }
+
     /// Returns the engine.
     pub fn engine(&self) -> &Engine {
         &self.engine
--- /dev/null
+++ b/tests/kv_import.rs
@@ -0,0 +1,130 @@
+//! Decisions about imports from the KV cache store and exports to it.
+
+use quickcheck::{
+    Gen,
+    QuickCheck, //
+};
+use yuccalatch::{
+    process::kv_import::{
+        KvImport,
+        Settings, //
+    },
+    request::prompt::{
+        BlockHash,
+        Namespace, //
+    },
+};
+
+const SETTINGS: fn() -> Settings = Settings::default;
+
+fn hashes(count: u64) -> Vec<BlockHash> {
+    (0..count).map(BlockHash).collect()
+}
+
+fn mill_a() -> Namespace {
+    Namespace::derive("mill-a", "v1")
+}
+
+/// Guards against imports that take longer than computing the blocks.
+#[test]
+fn slow_transfer() {
+    let slow = Settings {
+        import_block_us: SETTINGS().recompute_block_us,
+        ..SETTINGS()
+    };
+    assert_eq!(KvImport::new(slow).begin(0, 5, 0), None);
+    let far = Settings {
+        setup_us: 3 * SETTINGS().recompute_block_us,
+        ..SETTINGS()
+    };
+    let mut policy = KvImport::new(far);
+    assert_eq!(policy.begin(0, 3, 0), None);
+    assert!(policy.begin(0, 30, 0).is_some());
+    assert_eq!(KvImport::new(SETTINGS()).begin(4, 0, 0), None);
+}
+
+/// Guards against more imports at a target than its link and a silent store
+/// allow.
+#[test]
+fn bounded_imports() {
+    let mut policy = KvImport::new(SETTINGS());
+    for _ in 0..SETTINGS().max_imports {
+        assert!(policy.begin(0, 10, 0).is_some());
+    }
+    assert!(!policy.may_import(0, 10, 0));
+    assert_eq!(policy.begin(0, 10, 0), None);
+    policy.end(true, 1);
+    assert!(policy.begin(0, 10, 1).is_some());
+}
+
+/// Guards against prompts that wait for a store that has just failed, and
+/// against waits longer than computing the blocks.
+#[test]
+fn failed_store() {
+    let mut policy = KvImport::new(SETTINGS());
+    let import = policy.begin(2, 4, 10).unwrap();
+    let recompute_us = 4 * SETTINGS().recompute_block_us;
+    assert_eq!(import.expires_at_us, 10 + recompute_us);
+    policy.end(false, 20);
+    assert!(!policy.may_import(0, 10, 20 + SETTINGS().pause_us - 1));
+    assert!(policy.may_import(0, 10, 20 + SETTINGS().pause_us));
+    assert_eq!(policy.wait_us(1_000), SETTINGS().max_wait_us);
+}
+
+/// Guards against the export of blocks that nobody used again, and against
+/// repeated exports.
+#[test]
+fn used_again() {
+    let mut policy = KvImport::new(SETTINGS());
+    let long = hashes(6);
+    assert!(policy.exports(mill_a(), &long, 0).is_empty());
+    assert_eq!(policy.exports(mill_a(), &long[..3], 1), long[..3]);
+    assert!(policy.exports(mill_a(), &long[..3], 2).is_empty());
+    policy.export_failed(mill_a(), &long[1..2]);
+    assert_eq!(policy.exports(mill_a(), &long[..3], 3), long[1..2]);
+    let later_us = 4 + SETTINGS().export_again_after_us;
+    assert_eq!(policy.exports(mill_a(), &long[..3], later_us), long[..3]);
+}
+
+/// Guards against uses by one organisation, or with one version, that export
+/// the blocks of another.
+#[test]
+fn counted_apart() {
+    let mut policy = KvImport::new(SETTINGS());
+    let blocks = hashes(3);
+    let others = [("mill-b", "v1"), ("mill-a", "v2")];
+    assert!(policy.exports(mill_a(), &blocks, 0).is_empty());
+    for (organisation, version) in others {
+        let other = Namespace::derive(organisation, version);
+        assert!(policy.exports(other, &blocks, 1).is_empty());
+    }
+    assert_eq!(policy.exports(mill_a(), &blocks, 2), blocks);
+}
+
+/// Guards against exports above the bounded rate, and against blocks whose
+/// predecessors stay behind.
+#[test]
+fn export_rate() {
+    fn property(gaps_ms: Vec<u8>) -> bool {
+        let settings = Settings {
+            export_after_uses: 1,
+            export_blocks_per_s: 10,
+            export_burst_blocks: 5,
+            ..SETTINGS()
+        };
+        let mut policy = KvImport::new(settings);
+        let mut now_us = 0;
+        let mut exported = 0;
+        for (round, gap_ms) in (0_u64..).zip(gaps_ms) {
+            now_us += u64::from(gap_ms) * 1_000;
+            let blocks: Vec<_> = (0..4).map(|i| BlockHash(round << 8 | i)).collect();
+            let exports = policy.exports(mill_a(), &blocks, now_us);
+            assert!(blocks.starts_with(&exports));
+            exported += exports.len();
+        }
+        exported as f64 <= 5.0 + now_us as f64 / 1e6 * 10.0 + 1e-6
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 11))
+        .quickcheck(property as fn(Vec<u8>) -> bool);
+}
