--- a/src/bin/yuccalatch-standin/app.rs
+++ b/src/bin/yuccalatch-standin/app.rs
@@ -26,13 +26,14 @@
     },
     standin::{
         engine,
+        kv_store,
         plain,
         platform, //
     },
 };
 
 const PROGRAM: &str = "yuccalatch-standin";
-const ABOUT: &str = "Stands in for the object API, a model engine or a plain service.";
+const ABOUT: &str = "Stands in for the object API, a model engine, a plain service or a KV store.";
 
 /// Runs the program and returns its exit code.
 pub(crate) fn run(args: impl Iterator<Item = OsString>) -> ExitCode {
@@ -56,6 +57,7 @@
         StandinKind::Platform => platform::serve(listener)?,
         StandinKind::Engine => engine::serve(settings.engine, listener)?,
         StandinKind::Plain => plain::serve(settings.work_ms, listener)?,
+        StandinKind::KvStore => kv_store::serve(settings.kv_store_blocks, listener)?,
     };
     stop::requested().await?;
     server.stop(false).await;
--- a/src/event.rs
+++ b/src/event.rs
@@ -87,6 +87,8 @@
     PlatformDown = 8001;
     /// The object API answers again.
     PlatformUp = 8002;
+    /// An import from the KV store or an export to it failed.
+    KvStoreFailed = 8003;
     /// A stand-in injects a fault.
     FaultInjected = 9001;
 }
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -3,6 +3,7 @@
 mod context;
 mod control;
 mod keyed;
+mod kv_store;
 mod output;
 mod runner;
 mod server;
@@ -59,6 +60,10 @@
 /// Answers that wait for the control thread; more are dropped.
 const ANSWERED_CAPACITY: usize = 1_024;
 
+/// Questions about cached blocks that wait for the control thread; more prompts
+/// are computed without an import.
+const QUESTIONS_CAPACITY: usize = 256;
+
 /// Interval between checks whether the last attempt has ended.
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
 
@@ -82,7 +87,8 @@
     let control = stop::bind(settings.control_address)?;
     let admin = stop::bind(settings.admin_address)?;
     let (sender, answered) = mpsc::channel(ANSWERED_CAPACITY);
-    let context = Arc::new(Context::new(settings, log.clone(), sender));
+    let (asker, questions) = mpsc::channel(QUESTIONS_CAPACITY);
+    let context = Arc::new(Context::new(settings, log.clone(), sender, asker));
     info!(log, "agent listens";
         "event" => Event::Started,
         "incarnation" => %context.incarnation,
@@ -91,7 +97,7 @@
         "admin_address" => %stop::local(&admin)?);
     let shared = Arc::clone(&context);
     stop::spawn_system("control", move || async move {
-        let served = control::run(Arc::clone(&shared), control, answered).await;
+        let served = control::run(Arc::clone(&shared), control, answered, questions).await;
         if let Err(report) = served {
             error!(shared.log, "control thread failed";
                 "event" => Event::Fatal, "error" => ?report);
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -16,7 +16,8 @@
 use slog::Logger;
 use tokio::sync::{
     Notify,
-    mpsc, //
+    mpsc,
+    oneshot, //
 };
 
 use crate::{
@@ -30,7 +31,10 @@
         fair_queue,
         metrics::Metrics, //
     },
-    request::prompt::BlockHash,
+    request::prompt::{
+        BlockHash,
+        Namespace, //
+    },
     settings::AgentSettings,
     version::config::ServiceKind, //
 };
@@ -70,6 +74,16 @@
     pub(super) blocks: Vec<BlockHash>,
 }
 
+/// Question of the traffic thread to the control thread, which keeps the cache
+/// index.
+#[derive(Debug)]
+pub(super) struct CacheQuestion {
+    pub(super) namespace: Namespace,
+    pub(super) blocks: Vec<BlockHash>,
+    /// Receives the number of leading blocks that the engine probably holds.
+    pub(super) reply: oneshot::Sender<usize>,
+}
+
 /// State of an agent that both threads share.
 pub(super) struct Context {
     pub(super) settings: AgentSettings,
@@ -79,6 +93,7 @@
     pub(super) metrics: Metrics,
     pub(super) load: Load,
     pub(super) answered: mpsc::Sender<Answered>,
+    pub(super) questions: mpsc::Sender<CacheQuestion>,
     /// Told when the state that collectors should know of has changed.
     pub(super) changed: Notify,
     leaving: AtomicBool,
@@ -94,6 +109,7 @@
         settings: AgentSettings,
         log: Logger,
         answered: mpsc::Sender<Answered>,
+        questions: mpsc::Sender<CacheQuestion>,
     ) -> Self {
         Self {
             settings,
@@ -103,6 +119,7 @@
             metrics: Metrics::new(),
             load: Load::default(),
             answered,
+            questions,
             changed: Notify::new(),
             leaving: AtomicBool::new(false),
             announced: AtomicBool::new(false),
--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -34,6 +34,7 @@
 };
 use super::context::{
     Answered,
+    CacheQuestion,
     Context, //
 };
 use crate::{
@@ -94,6 +95,7 @@
     context: Arc<Context>,
     listener: TcpListener,
     mut answered: mpsc::Receiver<Answered>,
+    mut questions: mpsc::Receiver<CacheQuestion>,
 ) -> Result<()> {
     let (commands, mut inbox) = mpsc::channel(COMMAND_CAPACITY);
     let address = stop::local(&listener)?;
@@ -109,6 +111,7 @@
         tokio::select! {
             Some(command) = inbox.recv() => control.execute(command),
             Some(answered) = answered.recv() => control.note_answer(&answered),
+            Some(question) = questions.recv() => control.answer_question(question),
             () = handle.clone().stopped() => return Ok(()),
         }
     }
@@ -172,6 +175,14 @@
         }
     }
 
+    fn answer_question(&self, question: CacheQuestion) {
+        let index = self.index.borrow();
+        let found = index.lookup(question.namespace, &question.blocks);
+        let blocks = usize::try_from(found.likely_blocks).unwrap_or(usize::MAX);
+        // An attempt that has not waited is computed without an import.
+        let _ = question.reply.send(blocks);
+    }
+
     fn note_answer(&self, answered: &Answered) {
         let now_us = self.context.clock.now_us();
         self.see_engine(answered.answer.engine);
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -138,6 +138,7 @@
                 return;
             }
         }
+        self.import().await;
         let turn = traffic
             .wait_turn(
                 self.head.organisation.clone(),
@@ -216,6 +217,9 @@
         let response = self.call_target(starting.priority).await?;
         starting.first_token();
         self.note_answer(&response, progress);
+        if response.status().is_success() {
+            self.export();
+        }
         let head = self.response_head(&response, progress);
         if self.head.idempotency.is_some() {
             self.recording.start(&head);
--- a/src/process/agent/traffic.rs
+++ b/src/process/agent/traffic.rs
@@ -19,6 +19,7 @@
 
 use super::{
     context::Context,
+    kv_store::KvStore,
     output::Output, //
 };
 use crate::{
@@ -70,6 +71,8 @@
 pub(super) struct Traffic {
     pub(super) context: Arc<Context>,
     pub(super) client: Client,
+    /// Absent without a KV store in the settings.
+    pub(super) kv_store: Option<KvStore>,
     pub(super) fates: RefCell<FateTable>,
     pub(super) keys: RefCell<KeyTable>,
     /// Notified when a request with an idempotency key has ended.
@@ -90,9 +93,11 @@
         };
         let keys = KeyTable::new(key_limits, context.clock.now_us());
         let queue = FairQueue::new(context.queue_settings());
+        let kv_store = context.settings.kv_store_address.map(KvStore::new);
         let traffic = Rc::new(Self {
             context,
             client,
+            kv_store,
             fates: RefCell::new(fates),
             keys: RefCell::new(keys),
             keys_changed: Notify::new(),
--- a/src/process/kv_import.rs
+++ b/src/process/kv_import.rs
@@ -32,8 +32,10 @@
     pub max_imports: usize,
     /// Longest time that a prompt waits for its import.
     pub max_wait_us: u64,
-    /// Time without imports after a failed one.
+    /// Time without imports after a failed one; doubles with each further one.
     pub pause_us: u64,
+    /// Longest time without imports.
+    pub max_pause_us: u64,
     /// Uses of a block at this engine from which on it is exported.
     pub export_after_uses: u32,
     /// Time after which a block counts as no longer exported, because the store
@@ -58,6 +60,7 @@
             max_imports: 4,
             max_wait_us: US_PER_S / 2,
             pause_us: US_PER_S,
+            max_pause_us: 30 * US_PER_S,
             export_after_uses: 2,
             export_again_after_us: 60 * US_PER_S,
             export_blocks_per_s: 50,
@@ -67,7 +70,8 @@
     }
 }
 
-/// An import that has begun. [`KvImport::end`] has to be called for it.
+/// Blocks of a prompt that an import covers. Each one from [`KvImport::reserve`]
+/// ends with [`KvImport::end`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Import {
     /// Position of the first imported block in the prompt.
@@ -78,6 +82,31 @@
     pub expires_at_us: u64,
 }
 
+impl Import {
+    /// Returns the number of blocks.
+    ///
+    /// ```
+    /// use yuccalatch::process::kv_import::Import;
+    ///
+    /// let import = Import { first: 2, end: 5, expires_at_us: 0 };
+    /// assert_eq!(import.blocks(), 3);
+    /// ```
+    pub const fn blocks(&self) -> usize {
+        self.end - self.first
+    }
+}
+
+/// How an import ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// The engine has the blocks.
+    Imported,
+    /// The store holds nothing that is worth an import.
+    NotStored,
+    /// Store or engine refused, or did not answer in time.
+    Failed,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
     uses: u32,
@@ -87,7 +116,7 @@
 /// State of the policy at one agent.
 ///
 /// ```
-/// use yuccalatch::process::kv_import::{KvImport, Settings};
+/// use yuccalatch::process::kv_import::{Ended, KvImport, Settings};
 /// use yuccalatch::request::prompt::{BlockHash, Namespace};
 ///
 /// let mut policy = KvImport::new(Settings::default());
@@ -95,16 +124,19 @@
 /// let blocks = [BlockHash(1), BlockHash(2), BlockHash(3)];
 /// assert!(policy.exports(namespace, &blocks, 0).is_empty());
 /// assert_eq!(policy.exports(namespace, &blocks[..2], 1), blocks[..2]);
-/// assert!(policy.may_import(1, 3, 2));
-/// let import = policy.begin(1, 2, 2).unwrap();
-/// assert_eq!((import.first, import.end), (1, 3));
-/// policy.end(true, 3);
+/// // One of three blocks is cached; the store holds one of the others.
+/// let reserved = policy.reserve(1, 3, 2).unwrap();
+/// let import = policy.narrow(reserved, 1).unwrap();
+/// assert_eq!((import.first, import.end), (1, 2));
+/// policy.end(Ended::Imported, 3);
 /// ```
 #[derive(Debug)]
 pub struct KvImport {
     settings: Settings,
     usage: LruCache<(Namespace, BlockHash), Usage>,
     importing: usize,
+    /// Failed imports since the last successful one.
+    failures: u32,
     paused_until_us: u64,
     export_budget_blocks: f64,
     budget_at_us: u64,
@@ -116,6 +148,7 @@
         Self {
             usage: LruCache::new(settings.counted_blocks),
             importing: 0,
+            failures: 0,
             paused_until_us: 0,
             export_budget_blocks: f64::from(settings.export_burst_blocks),
             budget_at_us: 0,
@@ -128,45 +161,61 @@
         &self.settings
     }
 
-    /// Returns whether a lookup in the store can lead to an import: `cached` of
-    /// `blocks` blocks are at the engine.
-    pub fn may_import(&self, cached: usize, blocks: usize, now_us: u64) -> bool {
-        self.is_worthwhile(blocks.saturating_sub(cached), now_us)
-    }
-
-    /// Begins the import of the blocks that follow the cached ones, as far as
-    /// the store holds them without a gap. Returns `None` when computing them is
-    /// faster, too many imports run, or one has failed recently.
-    pub fn begin(&mut self, cached: usize, stored: usize, now_us: u64) -> Option<Import> {
-        if !self.is_worthwhile(stored, now_us) {
+    /// Reserves an import of the blocks after the cached ones, before they are
+    /// looked up in the store. Returns `None` when computing them is faster, too
+    /// many imports run, or one has failed recently. After a failure one import
+    /// at a time tries the store again.
+    pub fn reserve(&mut self, cached: usize, blocks: usize, now_us: u64) -> Option<Import> {
+        let missing = blocks.saturating_sub(cached);
+        let max_imports = match self.failures {
+            0 => self.settings.max_imports,
+            _ => 1,
+        };
+        let is_paused = now_us < self.paused_until_us;
+        let sharing = self.importing + 1;
+        if sharing > max_imports || is_paused || !self.is_faster(missing, sharing) {
             return None;
         }
-        self.importing += 1;
+        self.importing = sharing;
         Some(Import {
             first: cached,
-            end: cached + stored,
-            expires_at_us: now_us + self.wait_us(stored),
+            end: blocks,
+            expires_at_us: now_us + self.wait_us(missing),
         })
     }
 
-    /// Returns the longest time that a prompt waits for a number of blocks:
-    /// recomputing them takes no longer.
-    pub fn wait_us(&self, blocks: usize) -> u64 {
-        let recompute_us = count(blocks).saturating_mul(self.settings.recompute_block_us);
-        recompute_us.min(self.settings.max_wait_us)
+    /// Narrows an import to the leading blocks that the store holds without a
+    /// gap. Returns `None` when computing these is faster.
+    pub fn narrow(&self, import: Import, stored: usize) -> Option<Import> {
+        let stored = stored.min(import.blocks());
+        if !self.is_faster(stored, self.importing) {
+            return None;
+        }
+        Some(Import {
+            end: import.first + stored,
+            ..import
+        })
     }
 
     /// Ends an import.
-    pub fn end(&mut self, is_imported: bool, now_us: u64) {
+    pub fn end(&mut self, ended: Ended, now_us: u64) {
         self.importing = self.importing.saturating_sub(1);
-        if !is_imported {
-            self.store_failed(now_us);
+        if ended != Ended::Failed {
+            self.failures = 0;
+            return;
         }
+        let settings = &self.settings;
+        let factor = 1_u64.checked_shl(self.failures).unwrap_or(u64::MAX);
+        let pause_us = settings.pause_us.saturating_mul(factor);
+        self.failures = self.failures.saturating_add(1);
+        self.paused_until_us = now_us + pause_us.min(settings.max_pause_us);
     }
 
-    /// Stops imports for a while, because the store did not answer.
-    pub fn store_failed(&mut self, now_us: u64) {
-        self.paused_until_us = now_us + self.settings.pause_us;
+    /// Returns the longest time that a prompt waits for a number of blocks:
+    /// recomputing them takes no longer.
+    fn wait_us(&self, blocks: usize) -> u64 {
+        let recompute_us = count(blocks).saturating_mul(self.settings.recompute_block_us);
+        recompute_us.min(self.settings.max_wait_us)
     }
 
     /// Counts one use of the blocks of a prompt that the engine now holds and
@@ -226,14 +275,11 @@
     }
 
     /// Imports that run at the same time share the link of the target.
-    fn is_worthwhile(&self, blocks: usize, now_us: u64) -> bool {
+    fn is_faster(&self, blocks: usize, sharing: usize) -> bool {
         let settings = &self.settings;
         let blocks = count(blocks);
-        let sharing = count(self.importing + 1);
-        let transfer_us = settings.setup_us + blocks * settings.import_block_us * sharing;
-        self.importing < settings.max_imports
-            && now_us >= self.paused_until_us
-            && transfer_us < blocks * settings.recompute_block_us
+        let transfer_us = settings.setup_us + blocks * settings.import_block_us * count(sharing);
+        transfer_us < blocks * settings.recompute_block_us
     }
 
     fn refill(&mut self, now_us: u64) {
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -83,6 +83,14 @@
     pub matched_blocks: Counter,
     /// Prompt blocks sent to targets.
     pub prompt_blocks: Counter,
+    /// Prompt blocks imported from the KV store.
+    pub imported_blocks: Counter,
+    /// Imports that failed or did not end in time.
+    pub failed_imports: Counter,
+    /// Blocks exported to the KV store.
+    pub exported_blocks: Counter,
+    /// Exports that failed.
+    pub failed_exports: Counter,
     /// Attempts beyond the first one of a request.
     pub retries: Counter,
     /// Streams resumed on a new connection.
@@ -132,6 +140,10 @@
             admitted_tokens: Family::default(),
             matched_blocks: Counter::default(),
             prompt_blocks: Counter::default(),
+            imported_blocks: Counter::default(),
+            failed_imports: Counter::default(),
+            exported_blocks: Counter::default(),
+            failed_exports: Counter::default(),
             retries: Counter::default(),
             resumed_streams: Counter::default(),
             revision: Gauge::default(),
@@ -177,6 +189,22 @@
                 "Prompt blocks sent to targets",
                 &self.prompt_blocks,
             ),
+            (
+                "imported_blocks",
+                "Prompt blocks imported from the KV store",
+                &self.imported_blocks,
+            ),
+            (
+                "failed_imports",
+                "Imports that failed or did not end in time",
+                &self.failed_imports,
+            ),
+            (
+                "exported_blocks",
+                "Blocks exported to the KV store",
+                &self.exported_blocks,
+            ),
+            ("failed_exports", "Exports that failed", &self.failed_exports),
             ("retries", "Attempts beyond the first one", &self.retries),
             (
                 "resumed_streams",
--- a/src/replay/model/agent.rs
+++ b/src/replay/model/agent.rs
@@ -24,6 +24,7 @@
         },
         kv_import::{
             self,
+            Ended,
             Import,
             KvImport, //
         },
@@ -141,15 +142,15 @@
         self.read_events(now_us);
         let found = self.index.lookup(request.namespace, &request.blocks);
         let cached = usize::try_from(found.likely_blocks).unwrap_or(usize::MAX);
-        let is_possible = self
+        let reserved = self
             .kv_import
-            .may_import(cached, request.blocks.len(), now_us);
-        if !is_possible {
-            return None;
-        }
+            .reserve(cached, request.blocks.len(), now_us)?;
         let stored = store.leading(request.namespace, &request.blocks[cached..], now_us);
-        let import = self.kv_import.begin(cached, stored, now_us)?;
-        let whole_at_us = store.import(self.target(), stored, now_us);
+        let Some(import) = self.kv_import.narrow(reserved, stored) else {
+            self.kv_import.end(Ended::NotStored, now_us);
+            return None;
+        };
+        let whole_at_us = store.import(self.target(), import.blocks(), now_us);
         Some(Importing {
             import,
             ends_at_us: whole_at_us.min(import.expires_at_us),
@@ -163,7 +164,12 @@
         let Import { first, end, .. } = importing.import;
         let is_same_engine = importing.engine == self.engine.incarnation();
         let is_imported = importing.is_in_time && is_same_engine;
-        self.kv_import.end(importing.is_in_time, now_us);
+        let ended = if importing.is_in_time {
+            Ended::Imported
+        } else {
+            Ended::Failed
+        };
+        self.kv_import.end(ended, now_us);
         if !is_imported {
             return 0;
         }
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -69,6 +69,9 @@
     pub checks_fencing: bool,
     /// The object API.
     pub platform_address: SocketAddr,
+    /// The KV cache store; without it nothing is imported or exported.
+    #[serde(default)]
+    pub kv_store_address: Option<SocketAddr>,
     /// Control addresses of entries and agents to ask for the configuration.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
@@ -115,6 +118,9 @@
   "checks_fencing": false,
   // The object API.
   "platform_address": "127.0.0.1:7400",
+  // The KV cache store that the engine imports from and exports to, such as
+  // "127.0.0.1:7500"; null for none.
+  "kv_store_address": null,
   // Control addresses of entries and agents that can supply the configuration
   // while the object API is down.
   "peers": [],
@@ -136,13 +142,18 @@
         let mut checker = Checker::default();
         checker.name("name", &self.name);
         checker.name("data_centre", &self.data_centre);
-        checker.listeners(&[
+        let mut listeners = vec![
             ("data_address", self.data_address),
             ("control_address", self.control_address),
             ("admin_address", self.admin_address),
             ("target_address", self.target_address),
             ("platform_address", self.platform_address),
-        ]);
+        ];
+        listeners.extend(
+            self.kv_store_address
+                .map(|address| ("kv_store_address", address)),
+        );
+        checker.listeners(&listeners);
         let count = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
         checker.range(
             &["queue", "max_requests"],
--- a/src/settings/standin.rs
+++ b/src/settings/standin.rs
@@ -26,6 +26,8 @@
     Engine,
     /// A plain server.
     Plain,
+    /// A KV cache store.
+    KvStore,
 }
 
 /// Behaviour of a stand-in engine.
@@ -97,15 +99,23 @@
     /// Time of one execution of a plain server; other kinds ignore it.
     #[serde(default)]
     pub work_ms: u64,
+    /// Blocks that a KV store holds; other kinds ignore it.
+    #[serde(default = "default_kv_store_blocks")]
+    pub kv_store_blocks: u32,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// 20 times the default cache of an engine.
+const fn default_kv_store_blocks() -> u32 {
+    40_000
+}
+
 impl Settings for StandinSettings {
     const DEFAULT_TEXT: &'static str = r#"{
   // "platform" for the object API, "engine" for a model engine, "plain" for a
-  // plain server.
+  // plain server, "kv_store" for a KV cache store.
   "kind": "platform",
   // Listener.
   "address": "127.0.0.1:7400",
@@ -137,6 +147,8 @@
   },
   // Time of one execution of a plain server in milliseconds; other kinds ignore it.
   "work_ms": 5,
+  // Blocks that a KV store holds; other kinds ignore it.
+  "kv_store_blocks": 40000,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "terminal", "level": "info"}
@@ -157,6 +169,9 @@
             let range = (1, u32::MAX.into());
             checker.range(&["engine", field], value.into(), range, "use 1 or more");
         }
+        let range = (1, u32::MAX.into());
+        let blocks = self.kv_store_blocks.into();
+        checker.range(&["kv_store_blocks"], blocks, range, "use 1 or more");
         let durations = [
             ("event_lag_ms", self.engine.event_lag_ms),
             ("load_lag_ms", self.engine.load_lag_ms),
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,5 +2,6 @@
 
 pub mod engine;
 pub mod fault;
+pub mod kv_store;
 pub mod plain;
 pub mod platform;
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a model engine.
 //!
 //! It batches requests, keeps prompt prefixes in a bounded block cache,
-//! publishes cache events late and with gaps, reports its load with a lag and
-//! takes orders. Generated text depends only on the version and the text so
+//! publishes cache events late and with gaps, reports its load with a lag,
+//! moves blocks to and from a KV store and takes orders. Generated text depends only on the version and the text so
 //! far, so a continued generation yields the same tokens as an uninterrupted
 //! one.
 
@@ -10,6 +10,7 @@
 mod cache;
 mod generation;
 mod server;
+mod transfer;
 
 use serde::{
     Deserialize,
@@ -26,6 +27,7 @@
     next_token, //
 };
 pub use server::serve;
+pub use transfer::TransferOrder;
 
 /// Faults that a stand-in engine injects, set with `PUT /faults`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -17,6 +17,7 @@
 use error_stack::ResultExt;
 use futures_util::stream;
 use ntex::{
+    client::Client,
     http::StatusCode,
     server::Server,
     util::Bytes,
@@ -48,6 +49,10 @@
         Completion,
         next_token, //
     },
+    transfer::{
+        self,
+        TransferOrder, //
+    },
 };
 use crate::{
     clock::{
@@ -97,6 +102,8 @@
     requests: Cell<u64>,
     received: RefCell<VecDeque<Received>>,
     load: RefCell<VecDeque<(u64, EngineLoad)>>,
+    /// For transfers to and from a KV store.
+    client: Client,
 }
 
 type State = web::types::State<Rc<Engine>>;
@@ -109,7 +116,9 @@
 pub fn serve(settings: EngineSettings, listener: TcpListener) -> Result<Server> {
     let incarnation = Incarnation::random();
     let server = web::HttpServer::new(async move || {
-        let engine = Rc::new(Engine::new(settings.clone(), incarnation));
+        // Without a client the engine cannot move blocks.
+        let client = client::build("transfer").await.expect("the client is built");
+        let engine = Rc::new(Engine::new(settings.clone(), incarnation, client));
         App::new()
             .state(engine)
             .state(web::types::PayloadConfig::new(MAX_BODY_BYTES))
@@ -118,6 +127,8 @@
             .route("/events", web::get().to(events))
             .route("/load", web::get().to(load))
             .route("/orders", web::post().to(orders))
+            .route("/kv/import", web::post().to(import))
+            .route("/kv/export", web::post().to(export))
             .route("/faults", web::put().to(faults))
             .route("/received", web::get().to(received))
     });
@@ -131,7 +142,7 @@
 }
 
 impl Engine {
-    fn new(settings: EngineSettings, incarnation: Incarnation) -> Self {
+    fn new(settings: EngineSettings, incarnation: Incarnation, client: Client) -> Self {
         let cache = BlockCache::new(
             to_usize(settings.cache_blocks),
             settings.event_lag_ms * US_PER_MS,
@@ -148,6 +159,7 @@
             requests: Cell::new(0),
             received: RefCell::default(),
             load: RefCell::default(),
+            client,
             settings,
         }
     }
@@ -399,6 +411,36 @@
     HttpResponse::Ok().json(&json!({"versions": *engine.versions.borrow()}))
 }
 
+/// Adds blocks of a store to the cache, all or none.
+async fn import(engine: State, order: web::types::Json<TransferOrder>) -> HttpResponse {
+    if let Err(report) = transfer::fetch(&engine.client, &order).await {
+        return HttpResponse::BadGateway().json(&json!({"error": format!("{report:?}")}));
+    }
+    let now_us = engine.clock.now_us();
+    let mut cache = engine.cache.borrow_mut();
+    cache.store(&order.blocks, order.namespace, now_us);
+    HttpResponse::Ok().json(&json!({
+        "blocks": order.blocks.len(),
+        "incarnation": engine.incarnation,
+    }))
+}
+
+/// Sends the leading blocks of an order that are cached.
+async fn export(engine: State, order: web::types::Json<TransferOrder>) -> HttpResponse {
+    let mut order = order.into_inner();
+    let cached = engine.cache.borrow_mut().lookup(&order.blocks);
+    order.blocks.truncate(cached);
+    match transfer::send(&engine.client, &order).await {
+        Ok(sent) => HttpResponse::Ok().json(&json!({
+            "blocks": sent,
+            "incarnation": engine.incarnation,
+        })),
+        Err(report) => {
+            HttpResponse::BadGateway().json(&json!({"error": format!("{report:?}")}))
+        }
+    }
+}
+
 async fn faults(engine: State, faults: web::types::Json<EngineFaults>) -> HttpResponse {
     *engine.faults.borrow_mut() = faults.into_inner();
     HttpResponse::build(StatusCode::NO_CONTENT).finish()
--- a/tests/kv_import.rs
+++ b/tests/kv_import.rs
@@ -6,6 +6,7 @@
 };
 use yuccalatch::{
     process::kv_import::{
+        Ended,
         KvImport,
         Settings, //
     },
@@ -32,15 +33,28 @@
         import_block_us: SETTINGS().recompute_block_us,
         ..SETTINGS()
     };
-    assert_eq!(KvImport::new(slow).begin(0, 5, 0), None);
+    assert_eq!(KvImport::new(slow).reserve(0, 5, 0), None);
     let far = Settings {
         setup_us: 3 * SETTINGS().recompute_block_us,
         ..SETTINGS()
     };
     let mut policy = KvImport::new(far);
-    assert_eq!(policy.begin(0, 3, 0), None);
-    assert!(policy.begin(0, 30, 0).is_some());
-    assert_eq!(KvImport::new(SETTINGS()).begin(4, 0, 0), None);
+    assert_eq!(policy.reserve(0, 3, 0), None);
+    let reserved = policy.reserve(0, 30, 0).unwrap();
+    assert_eq!(policy.narrow(reserved, 3), None);
+    assert!(policy.narrow(reserved, 20).is_some());
+    assert_eq!(KvImport::new(SETTINGS()).reserve(4, 4, 0), None);
+}
+
+/// Guards against imports beyond what the store holds or the prompt has.
+#[test]
+fn stored_blocks() {
+    let mut policy = KvImport::new(SETTINGS());
+    let reserved = policy.reserve(2, 9, 0).unwrap();
+    let narrowed = policy.narrow(reserved, 3).unwrap();
+    assert_eq!((narrowed.first, narrowed.end), (2, 5));
+    assert_eq!(policy.narrow(reserved, 100), Some(reserved));
+    assert_eq!(policy.narrow(reserved, 0), None);
 }
 
 /// Guards against more imports at a target than its link and a silent store
@@ -49,12 +63,11 @@
 fn bounded_imports() {
     let mut policy = KvImport::new(SETTINGS());
     for _ in 0..SETTINGS().max_imports {
-        assert!(policy.begin(0, 10, 0).is_some());
+        assert!(policy.reserve(0, 10, 0).is_some());
     }
-    assert!(!policy.may_import(0, 10, 0));
-    assert_eq!(policy.begin(0, 10, 0), None);
-    policy.end(true, 1);
-    assert!(policy.begin(0, 10, 1).is_some());
+    assert_eq!(policy.reserve(0, 10, 0), None);
+    policy.end(Ended::Imported, 1);
+    assert!(policy.reserve(0, 10, 1).is_some());
 }
 
 /// Guards against prompts that wait for a store that has just failed, and
@@ -62,13 +75,36 @@
 #[test]
 fn failed_store() {
     let mut policy = KvImport::new(SETTINGS());
-    let import = policy.begin(2, 4, 10).unwrap();
+    let import = policy.reserve(2, 6, 10).unwrap();
     let recompute_us = 4 * SETTINGS().recompute_block_us;
     assert_eq!(import.expires_at_us, 10 + recompute_us);
-    policy.end(false, 20);
-    assert!(!policy.may_import(0, 10, 20 + SETTINGS().pause_us - 1));
-    assert!(policy.may_import(0, 10, 20 + SETTINGS().pause_us));
-    assert_eq!(policy.wait_us(1_000), SETTINGS().max_wait_us);
+    policy.end(Ended::Failed, 20);
+    let mut now_us = 20 + SETTINGS().pause_us;
+    assert_eq!(policy.reserve(0, 10, now_us - 1), None);
+    // One import tries the store; the others do not wait for it.
+    assert!(policy.reserve(0, 10, now_us).is_some());
+    assert_eq!(policy.reserve(0, 10, now_us), None);
+    policy.end(Ended::Failed, now_us);
+    now_us += 2 * SETTINGS().pause_us;
+    assert_eq!(policy.reserve(0, 10, now_us - 1), None);
+    let long = policy.reserve(0, 1_000, now_us).unwrap();
+    assert_eq!(long.expires_at_us, now_us + SETTINGS().max_wait_us);
+    policy.end(Ended::Imported, now_us);
+    for _ in 0..SETTINGS().max_imports {
+        assert!(policy.reserve(0, 10, now_us).is_some());
+    }
+}
+
+/// Guards against a pause that grows without bound.
+#[test]
+fn longest_pause() {
+    let mut policy = KvImport::new(SETTINGS());
+    let mut now_us = 0;
+    for _ in 0..100 {
+        assert!(policy.reserve(0, 10, now_us).is_some());
+        policy.end(Ended::Failed, now_us);
+        now_us += SETTINGS().max_pause_us;
+    }
 }
 
 /// Guards against the export of blocks that nobody used again, and against
