--- a/src/process/agent/kv_store.rs
+++ b/src/process/agent/kv_store.rs
@@ -123,9 +123,8 @@
     question: &impl Serialize,
 ) -> Result<T> {
     let response = client.post(url).send_json(question).await;
-    let response = response.map_err(|error| {
-        Report::new(ErrorKind::PeerUnavailable).attach(error.to_string())
-    })?;
+    let response = response
+        .map_err(|error| Report::new(ErrorKind::PeerUnavailable).attach(error.to_string()))?;
     if !response.status().is_success() {
         let status = response.status().to_string();
         return Err(Report::new(ErrorKind::PeerUnavailable).attach(status));
@@ -243,7 +242,11 @@
             return;
         }
         let last = exports.last().copied();
-        let end = self.head.blocks.iter().position(|block| Some(*block) == last);
+        let end = self
+            .head
+            .blocks
+            .iter()
+            .position(|block| Some(*block) == last);
         let export = Export {
             traffic: Rc::clone(&self.traffic),
             namespace,
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -204,7 +204,11 @@
                 "Blocks exported to the KV store",
                 &self.exported_blocks,
             ),
-            ("failed_exports", "Exports that failed", &self.failed_exports),
+            (
+                "failed_exports",
+                "Exports that failed",
+                &self.failed_exports,
+            ),
             ("retries", "Attempts beyond the first one", &self.retries),
             (
                 "resumed_streams",
--- a/src/standin/engine/server.rs
+++ b/src/standin/engine/server.rs
@@ -117,7 +117,9 @@
     let incarnation = Incarnation::random();
     let server = web::HttpServer::new(async move || {
         // Without a client the engine cannot move blocks.
-        let client = client::build("transfer").await.expect("the client is built");
+        let client = client::build("transfer")
+            .await
+            .expect("the client is built");
         let engine = Rc::new(Engine::new(settings.clone(), incarnation, client));
         App::new()
             .state(engine)
@@ -435,9 +437,7 @@
             "blocks": sent,
             "incarnation": engine.incarnation,
         })),
-        Err(report) => {
-            HttpResponse::BadGateway().json(&json!({"error": format!("{report:?}")}))
-        }
+        Err(report) => HttpResponse::BadGateway().json(&json!({"error": format!("{report:?}")})),
     }
 }
 
