--- a/tests/kv_transfer.rs
+++ b/tests/kv_transfer.rs
@@ -247,3 +247,25 @@
     assert_eq!(deployment.counter(1 - dead, "imported_blocks"), 0);
     assert!(deployment.counter(1 - dead, "failed_imports") > 0);
 }
+
+/// Guards against blocks of an export that the death of the engine has cut short.
+#[test]
+fn cut_export() {
+    let mut deployment = Deployment::start(2);
+    let prompt = prompt(4);
+    deployment.set_store_faults(&json!({"slow_ms": 200}));
+    eventually("the export has begun", || {
+        deployment.answered(ACME_KEY, &prompt, "v1");
+        deployment.stored_of("acme", "v1") > 0
+    });
+    let dead = usize::from(deployment.matched(0, &prompt).is_empty());
+    let standin = &mut deployment.fleet.targets[dead].standin;
+    standin.signal("KILL");
+    standin.wait();
+    deployment.set_store_faults(&json!({}));
+    deployment.answered(ACME_KEY, &prompt, "v1");
+    let imported = deployment.counter(1 - dead, "imported_blocks");
+    assert!(imported > 0);
+    assert!(imported <= deployment.stored_of("acme", "v1") as u64);
+    assert_eq!(deployment.matched(1 - dead, &prompt), [imported]);
+}
