--- a/src/process.rs
+++ b/src/process.rs
@@ -11,6 +11,7 @@
 mod header_map;
 pub mod hints;
 pub mod http_server;
+pub mod kv_import;
 mod lifecycle;
 pub mod limits;
 pub mod logging;
--- a/src/process/agent.rs
+++ b/src/process/agent.rs
@@ -3,6 +3,7 @@
 mod context;
 mod control;
 mod keyed;
+mod kv_store;
 mod output;
 mod runner;
 mod server;
@@ -45,6 +46,10 @@
 /// Answers that wait for the control thread; more are dropped.
 const ANSWERED_CAPACITY: usize = 1_024;
 
+/// Questions about cached blocks that wait for the control thread; more prompts
+/// are computed without an import.
+const QUESTIONS_CAPACITY: usize = 256;
+
 impl Observed for Context {
     fn is_ready(&self) -> bool {
         !self.is_leaving()
@@ -65,7 +70,8 @@
     let control = stop::bind(settings.control_address)?;
     let admin = stop::bind(settings.admin_address)?;
     let (sender, answered) = mpsc::channel(ANSWERED_CAPACITY);
-    let context = Arc::new(Context::new(settings, log.clone(), sender));
+    let (asker, questions) = mpsc::channel(QUESTIONS_CAPACITY);
+    let context = Arc::new(Context::new(settings, log.clone(), sender, asker));
     info!(log, "agent listens";
         "event" => Event::Started,
         "incarnation" => %context.incarnation,
@@ -77,7 +83,7 @@
         "agent",
         log,
         (admin, Arc::clone(&context)),
-        move || control::run(shared, control, answered),
+        move || control::run(shared, control, answered, questions),
         serve(context, data),
     )
 }
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -15,7 +15,8 @@
 use slog::Logger;
 use tokio::sync::{
     Notify,
-    mpsc, //
+    mpsc,
+    oneshot, //
 };
 
 use crate::{
@@ -33,7 +34,10 @@
         metrics::Metrics,
         stop, //
     },
-    request::prompt::BlockHash,
+    request::prompt::{
+        BlockHash,
+        Namespace, //
+    },
     settings::AgentSettings,
     version::config::ServiceKind, //
 };
@@ -73,6 +77,16 @@
     pub(super) blocks: Vec<BlockHash>,
 }
 
+/// Question of the traffic thread to the control thread, which keeps the cache
+/// index.
+#[derive(Debug)]
+pub(super) struct CacheQuestion {
+    pub(super) namespace: Namespace,
+    pub(super) blocks: Vec<BlockHash>,
+    /// Receives the number of leading blocks that the engine probably holds.
+    pub(super) reply: oneshot::Sender<usize>,
+}
+
 /// State of an agent that both threads share.
 pub(super) struct Context {
     pub(super) settings: AgentSettings,
@@ -82,6 +96,7 @@
     pub(super) metrics: Metrics,
     pub(super) load: Load,
     pub(super) answered: mpsc::Sender<Answered>,
+    pub(super) questions: mpsc::Sender<CacheQuestion>,
     /// Told when the state that collectors should know of has changed.
     pub(super) changed: Notify,
     pub(super) stop: stop::Progress,
@@ -96,6 +111,7 @@
         settings: AgentSettings,
         log: Logger,
         answered: mpsc::Sender<Answered>,
+        questions: mpsc::Sender<CacheQuestion>,
     ) -> Self {
         Self {
             settings,
@@ -105,6 +121,7 @@
             metrics: Metrics::new(),
             load: Load::default(),
             answered,
+            questions,
             changed: Notify::new(),
             stop: stop::Progress::default(),
             engine: AtomicU64::new(0),
--- a/src/settings/agent.rs
+++ b/src/settings/agent.rs
@@ -69,6 +69,9 @@
     pub checks_fencing: bool,
     /// The object API.
     pub platform_address: SocketAddr,
+    /// The KV cache store; without it nothing is imported or exported.
+    #[serde(default)]
+    pub kv_store_address: Option<SocketAddr>,
     /// Control addresses of entries and agents to ask for the configuration.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
@@ -107,6 +110,9 @@
   "checks_fencing": false,
   // The object API.
   "platform_address": "127.0.0.1:7400",
+  // The KV cache store that the engine imports from and exports to, such as
+  // "127.0.0.1:7500"; null for none.
+  "kv_store_address": null,
   // Control addresses of entries and agents that can supply the configuration
   // while the object API is down.
   "peers": [],
@@ -126,13 +132,17 @@
 
     fn check(&self) -> Vec<Finding> {
         let mut checker = Checker::default();
-        let addresses = [
+        let mut addresses = vec![
             ("data_address", self.data_address),
             ("control_address", self.control_address),
             ("admin_address", self.admin_address),
             ("target_address", self.target_address),
             ("platform_address", self.platform_address),
         ];
+        let kv_store = self
+            .kv_store_address
+            .map(|address| ("kv_store_address", address));
+        addresses.extend(kv_store);
         checker.instance(&self.name, &self.data_centre, &addresses);
         checker.count(
             &["queue", "max_requests"],
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -3,5 +3,6 @@
 pub mod engine;
 pub mod fault;
 mod http;
+pub mod kv_store;
 pub mod plain;
 pub mod platform;
