Separate the platform's list from the members

Cause: Membership held both what reports say and what the platform's list and its removals prove, and compared the grace period in two places.

Change: membership/listing has the list, its removals and the grace period; Membership asks it.

Conclusion: the rule for proof by removal stands in one place.

--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -6,6 +6,7 @@
 //! (the process in it).
 
 pub mod digest;
+mod listing;
 pub mod rendezvous;
 
 use std::{
@@ -22,7 +23,10 @@
     Serialize, //
 };
 
-use self::digest::Load;
+use self::{
+    digest::Load,
+    listing::Listing, //
+};
 use crate::{
     clock::{
         US_PER_MS,
@@ -172,8 +176,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
     members: BTreeMap<Name, Member>,
-    listed: BTreeSet<Name>,
-    proven_at_us: BTreeMap<Name, u64>,
+    listing: Listing,
 }
 
 impl Membership {
@@ -337,15 +340,7 @@
     /// Takes the platform's list. Names on it become candidates; names that
     /// were on it before and are missing are proven gone after [`GRACE_US`].
     pub fn platform_list(&mut self, names: BTreeSet<Name>, now_us: u64) {
-        for removed in self.listed.difference(&names) {
-            self.proven_at_us
-                .entry(removed.clone())
-                .or_insert(now_us + GRACE_US);
-        }
-        for name in &names {
-            self.proven_at_us.remove(name);
-        }
-        self.listed = names;
+        self.listing.replace(names, now_us);
     }
 
     /// Returns listed names that were never heard of, to be contacted.
@@ -359,8 +354,8 @@
     /// assert_eq!(membership.candidates().count(), 1);
     /// ```
     pub fn candidates(&self) -> impl Iterator<Item = &Name> {
-        self.listed
-            .iter()
+        self.listing
+            .names()
             .filter(|name| !self.members.contains_key(*name))
     }
 
@@ -385,7 +380,7 @@
         if let Some(member) = self.members.get(name) {
             return Some(member.liveness);
         }
-        self.listed.contains(name).then_some(Liveness::Candidate)
+        self.listing.contains(name).then_some(Liveness::Candidate)
     }
 
     /// Returns whether an incarnation certainly runs no more: its slot started
@@ -395,11 +390,7 @@
         let is_replaced = self.members.get(name).is_some_and(|member| {
             member.report.incarnation != incarnation && member.former.contains(&incarnation)
         });
-        let is_removed = self
-            .proven_at_us
-            .get(name)
-            .is_some_and(|proven_at_us| now_us >= *proven_at_us);
-        is_replaced || is_removed
+        is_replaced || self.listing.is_gone(name, now_us)
     }
 
     /// Returns from when on an instance that the platform's list has dropped
@@ -414,7 +405,7 @@
     /// assert_eq!(membership.removed_gone_at_us("e9"), Some(5 + GRACE_US));
     /// ```
     pub fn removed_gone_at_us(&self, name: &str) -> Option<u64> {
-        self.proven_at_us.get(name).copied()
+        self.listing.gone_at_us(name)
     }
 
     /// Returns the last reports of all members that are not gone.
@@ -442,12 +433,9 @@
 
     /// Forgets gone members that are proven gone and not listed any more.
     pub fn forget(&mut self, now_us: u64) {
-        let proven_at_us = &self.proven_at_us;
+        let listing = &self.listing;
         self.members.retain(|name, member| {
-            let is_proven = proven_at_us
-                .get(name)
-                .is_some_and(|proven_at_us| now_us >= *proven_at_us);
-            member.liveness != Liveness::Gone || !is_proven
+            member.liveness != Liveness::Gone || !listing.is_gone(name, now_us)
         });
     }
 }
