Merge RPC methods in one place

Cause: entry and agent merged the methods of their API traits in the same way.

Change: peer::api::merge does it for both.

Conclusion: one function serves both.

--- a/src/process/agent/control/api.rs
+++ b/src/process/agent/control/api.rs
@@ -1,8 +1,7 @@
 //! RPC methods of an agent, passed to the control loop.
 
-use error_stack::ResultExt;
 use jsonrpsee::{
-    RpcModule,
+    Methods,
     core::{
         RpcResult,
         async_trait, //
@@ -55,14 +54,12 @@
 type Api = peer::api::Api<Command>;
 
 /// Returns all methods of an agent.
-pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<RpcModule<()>> {
+pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<Methods> {
     let api = Api::new(commands);
-    let mut methods = RpcModule::new(());
-    let merged = methods
-        .merge(PeerApiServer::into_rpc(api.clone()))
-        .and_then(|()| methods.merge(AgentApiServer::into_rpc(api)));
-    merged.change_context(ErrorKind::Internal)?;
-    Ok(methods)
+    peer::api::merge([
+        PeerApiServer::into_rpc(api.clone()).into(),
+        AgentApiServer::into_rpc(api).into(),
+    ])
 }
 
 #[async_trait]
--- a/src/process/entry/control/api.rs
+++ b/src/process/entry/control/api.rs
@@ -1,8 +1,7 @@
 //! RPC methods of an entry, passed to the control loop.
 
-use error_stack::ResultExt;
 use jsonrpsee::{
-    RpcModule,
+    Methods,
     core::{
         RpcResult,
         async_trait, //
@@ -14,10 +13,7 @@
 };
 
 use crate::{
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     operator::status::{
         ExplainRequest,
         Explanation,
@@ -67,15 +63,13 @@
 type Api = peer::api::Api<Command>;
 
 /// Returns all methods of an entry.
-pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<RpcModule<()>> {
+pub(super) fn methods(commands: mpsc::Sender<Command>) -> Result<Methods> {
     let api = Api::new(commands);
-    let mut methods = RpcModule::new(());
-    let merged = methods
-        .merge(PeerApiServer::into_rpc(api.clone()))
-        .and_then(|()| methods.merge(EntryApiServer::into_rpc(api.clone())))
-        .and_then(|()| methods.merge(OperatorApiServer::into_rpc(api)));
-    merged.change_context(ErrorKind::Internal)?;
-    Ok(methods)
+    peer::api::merge([
+        PeerApiServer::into_rpc(api.clone()).into(),
+        EntryApiServer::into_rpc(api.clone()).into(),
+        OperatorApiServer::into_rpc(api).into(),
+    ])
 }
 
 #[async_trait]
--- a/src/process/peer/api.rs
+++ b/src/process/peer/api.rs
@@ -1,8 +1,12 @@
 //! Server side of the RPC methods, passed to the control loop of a process.
 
-use jsonrpsee::core::{
-    RpcResult,
-    async_trait, //
+use error_stack::ResultExt;
+use jsonrpsee::{
+    Methods,
+    core::{
+        RpcResult,
+        async_trait, //
+    },
 };
 use tokio::sync::{
     mpsc,
@@ -10,7 +14,10 @@
 };
 
 use crate::{
-    error::ErrorKind,
+    error::{
+        ErrorKind,
+        Result, //
+    },
     process::{
         config_store::ConfigStore,
         membership::digest::Digest,
@@ -91,6 +98,27 @@
     }
 }
 
+/// Merges the methods of several API traits.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Internal`] when two methods have the same name.
+///
+/// ```
+/// use jsonrpsee::Methods;
+/// use yuccalatch::process::peer::api::merge;
+///
+/// let methods = merge([Methods::new(), Methods::new()]).unwrap();
+/// assert_eq!(methods.method_names().count(), 0);
+/// ```
+pub fn merge(each: impl IntoIterator<Item = Methods>) -> Result<Methods> {
+    let mut merged = Methods::new();
+    for methods in each {
+        merged.merge(methods).change_context(ErrorKind::Internal)?;
+    }
+    Ok(merged)
+}
+
 #[async_trait]
 impl<C: From<PeerCommand> + Send + 'static> PeerApiServer for Api<C> {
     async fn exchange(&self, digest: Packed<Digest>) -> RpcResult<Packed<Digest>> {
