Use plain terms for notifications and digests

Cause: comments and names in src/process spoke of processes that are "told" things, and an outbox kept an unnamed pair for each member.

Change: messages are sent, waiters are notified; digest/delta has a struct Sent with the checksum and the steps of the load.

Conclusion: no change of behaviour.

--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -63,7 +63,7 @@
     }
 }
 
-/// What the traffic thread tells the control thread.
+/// Message of the traffic thread to the control thread about an answer.
 #[derive(Debug)]
 pub(super) struct Answered {
     pub(super) answer: Answer,
@@ -79,7 +79,7 @@
     pub(super) metrics: Metrics,
     pub(super) load: Load,
     pub(super) answered: mpsc::Sender<Answered>,
-    /// Told when the state that collectors should know of has changed.
+    /// Notified when the state that collectors should know of has changed.
     pub(super) changed: Notify,
     pub(super) stop: stop::Progress,
     engine: AtomicU64,
--- a/src/process/agent/control/order.rs
+++ b/src/process/agent/control/order.rs
@@ -93,7 +93,8 @@
         Ok(self.order_answer())
     }
 
-    /// Returns the order for the target; `None` when only the agent is told.
+    /// Returns the order for the target; `None` when the order is only for
+    /// the agent.
     fn target_order(&self, request: &OrderRequest) -> Result<Option<TargetOrder>> {
         let fence = request.fencing;
         let order = match &request.action {
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -162,7 +162,7 @@
             let silent = &mut self.entries.borrow_mut().silent_until_us;
             let is_first = silent.insert(contact.name.clone(), until_us).is_none();
             if is_first {
-                // The next collector is told at once.
+                // The next collector gets a report at once.
                 self.context.changed.notify_one();
             }
             return;
--- a/src/process/agent/runner.rs
+++ b/src/process/agent/runner.rs
@@ -91,12 +91,12 @@
     sent_at_us: u64,
 }
 
-/// An attempt whose target has not begun to answer. The fair queue is told once
-/// when that changes, also on a failure.
+/// An attempt whose target has not begun to answer. The fair queue is
+/// notified once when that changes, also on a failure.
 struct Starting {
     traffic: Rc<Traffic>,
     priority: Priority,
-    is_told: Cell<bool>,
+    is_notified: Cell<bool>,
 }
 
 impl Starting {
@@ -104,12 +104,12 @@
         Self {
             traffic: Rc::clone(traffic),
             priority,
-            is_told: Cell::new(false),
+            is_notified: Cell::new(false),
         }
     }
 
     fn first_token(&self) {
-        if !self.is_told.replace(true) {
+        if !self.is_notified.replace(true) {
             self.traffic.first_token(self.priority);
         }
     }
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -81,7 +81,7 @@
     pub(super) running_versions: RunningVersions,
     /// Takes evidence to the control thread.
     pub(super) samples: mpsc::Sender<MoveSample>,
-    /// Told when a share of any organisation has grown.
+    /// Notified when a share of any organisation has grown.
     pub(super) shares_changed: Notify,
     /// Requests that have not been answered completely.
     pub(super) running: AtomicUsize,
@@ -89,7 +89,7 @@
     pub(super) stop: stop::Progress,
     shares_released: AtomicBool,
     keys_stale_at_us: AtomicU64,
-    /// Told when the state that peers should know of has changed.
+    /// Notified when the state that peers should know of has changed.
     pub(super) changed: Notify,
     /// Asks the control thread for records of idempotency keys.
     pub(super) records: mpsc::Sender<RecordRequest>,
--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -79,7 +79,7 @@
     contacts: RefCell<Contacts>,
     freshness: RefCell<Freshness>,
     sequence: Cell<u64>,
-    /// Told when another revision was applied.
+    /// Notified when another revision was applied.
     revised: Notify,
     limits: Limits,
     moves: Moves,
--- a/src/process/entry/control/exchange.rs
+++ b/src/process/entry/control/exchange.rs
@@ -1,4 +1,4 @@
-//! Digests and reports: what this entry tells its peers and learns from them.
+//! Digests and reports: what this entry sends to its peers and receives.
 
 use std::{
     net::SocketAddr,
--- a/src/process/entry/control/fleet.rs
+++ b/src/process/entry/control/fleet.rs
@@ -1,4 +1,4 @@
-//! Members, and what they were told and told us.
+//! Members, and the digests exchanged with each of them.
 
 use std::{
     collections::{
@@ -44,14 +44,14 @@
 
 /// Entries of a data centre for each second between two digests of a pair. In a
 /// large data centre every pair exchanges digests less often, so that the bytes
-/// sent do not grow with the number of entries; changes are told at once.
+/// sent do not grow with the number of entries; changes are sent at once.
 const ENTRIES_PER_ROUND: usize = 6;
 
 /// Digests that an entry of a large data centre sends in a second: to its parents
 /// and children in the tree and to the pairs that are due.
 const DIGESTS_PER_S: usize = 16;
 
-/// Loads of targets that an entry tells in a second, in all digests together.
+/// Loads of targets that an entry sends in a second, in all digests together.
 /// With 12 bytes each they take a fifth of the budget of a node.
 const LOADS_PER_S: usize = 96;
 
--- a/src/process/entry/forward/cost.rs
+++ b/src/process/entry/forward/cost.rs
@@ -35,7 +35,7 @@
 
     /// Returns the tokens that a request has used whose answer is complete.
     ///
-    /// An answer that does not tell counts with its bound.
+    /// An answer that does not state them counts with its bound.
     pub(in crate::process::entry) fn used_tokens(&self, whole_answer: &[u8]) -> u64 {
         let cost = self.cost();
         let emitted_tokens = match &self.stream {
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -223,7 +223,7 @@
         stopping.insert(agent);
     }
 
-    /// Records what an answer told about the cache of a target.
+    /// Records what an answer says about the cache of a target.
     pub(super) fn note_answer(&self, target: &Name, blocks: &[BlockHash], seen: Answered) {
         let now_us = self.context.clock.now_us();
         let observation = Observation {
@@ -343,7 +343,7 @@
     versions.is_empty() || version.is_none_or(is_wanted)
 }
 
-/// What the head of an answer told.
+/// What the head of an answer says about the cache of a target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Answered {
     pub(super) engine: Incarnation,
--- a/src/process/hints.rs
+++ b/src/process/hints.rs
@@ -19,7 +19,7 @@
 /// that any of its rendezvous candidates has it.
 const MAX_HOLDERS: usize = 8;
 
-/// What a target told in an answer.
+/// What the answer of a target says about its cache.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Observation {
     /// Target that answered.
--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -43,7 +43,8 @@
 /// Silence after which a member gets no new work: three missed reports.
 pub const SUSPECT_US: u64 = 3 * US_PER_S;
 /// Time for which a collector vouches for a target after its last report: one
-/// report may be lost. The collector tells at once when the time has passed.
+/// report may be lost. The collector sends a digest at once when the time has
+/// passed.
 pub const VOUCHED_US: u64 = 2 * US_PER_S;
 /// Silence after which a member is no longer listed.
 pub const GONE_US: u64 = 10 * US_PER_S;
--- a/src/process/membership/digest.rs
+++ b/src/process/membership/digest.rs
@@ -65,14 +65,14 @@
         }
     }
 
-    /// A change within a step is not told.
+    /// A change within a step is not sent.
     fn steps(self) -> [u64; 3] {
         [self.queue_ms, self.running, self.queued].map(|load| load_step(u64::from(load)))
     }
 
-    fn distance(self, told: &[u64; 3]) -> u64 {
-        let each = self.steps().into_iter().zip(told);
-        each.map(|(now, told)| now.abs_diff(*told)).sum()
+    fn distance(self, sent: &[u64; 3]) -> u64 {
+        let each = self.steps().into_iter().zip(sent);
+        each.map(|(now, sent)| now.abs_diff(*sent)).sum()
     }
 }
 
@@ -146,7 +146,7 @@
     pub introduced: Vec<SocketAddr>,
 }
 
-/// Returns a load in steps of a quarter. Only a change of the step is told,
+/// Returns a load in steps of a quarter. Only a change of the step is sent,
 /// because the load itself changes with every request.
 ///
 /// ```
--- a/src/process/membership/digest/delta.rs
+++ b/src/process/membership/digest/delta.rs
@@ -1,4 +1,5 @@
-//! What one process has told another of its members, and what it was told.
+//! Differences between the members that one process vouches for and those that it
+//! has sent to another, and what a receiver makes of them.
 
 use std::{
     cmp::Reverse,
@@ -28,7 +29,7 @@
     },
 };
 
-/// Returns a checksum of what is told by repeating a report.
+/// Returns a checksum of the fields for which a report is sent again.
 fn checksum_of(report: &Report) -> u64 {
     let identity = Report {
         sequence: 0,
@@ -42,17 +43,24 @@
     xxh3_64(&postcard::to_stdvec(&identity).unwrap_or_default())
 }
 
-/// What one receiver was told.
+/// What a receiver has of one member.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    checksum: u64,
+    load_steps: [u64; 3],
+}
+
+/// What was sent to one receiver.
 #[derive(Clone, Debug, Default)]
 pub struct Outbox {
-    told: BTreeMap<Name, (u64, [u64; 3])>,
+    sent: BTreeMap<Name, Sent>,
     is_started: bool,
 }
 
 impl Outbox {
-    /// Makes the next batch from the members and whether their load is told; one
+    /// Makes the next batch from the members and whether their load is sent; one
     /// of the two collectors of a target is enough for that. At most `max_loads`
-    /// loads are told, those that changed most; the others follow later.
+    /// loads are sent, those that changed most; the others follow later.
     pub fn next<'a>(
         &mut self,
         members: impl Iterator<Item = (&'a Report, bool)>,
@@ -65,35 +73,38 @@
         let mut present = BTreeSet::new();
         let mut moved = Vec::new();
         let mut revisions = Vec::new();
-        for (report, tells_load) in members {
+        for (report, sends_load) in members {
             let checksum = checksum_of(report);
             batch.checksum ^= checksum;
             present.insert(report.name.clone());
             revisions.push((name_hash(&report.name), report.revision));
             let load = Load::of(report);
-            match self.told.get(&report.name) {
-                Some((told, steps)) if *told == checksum => {
-                    let change = load.distance(steps);
-                    if tells_load && change > 0 {
+            match self.sent.get(&report.name) {
+                Some(sent) if sent.checksum == checksum => {
+                    let change = load.distance(&sent.load_steps);
+                    if sends_load && change > 0 {
                         moved.push((change, report.name.clone(), load));
                     }
                 }
                 _ => {
-                    let now = (checksum, load.steps());
-                    self.told.insert(report.name.clone(), now);
+                    let sent = Sent {
+                        checksum,
+                        load_steps: load.steps(),
+                    };
+                    self.sent.insert(report.name.clone(), sent);
                     batch.changed.push(report.clone());
                 }
             }
         }
         moved.sort_by_key(|(change, ..)| Reverse(*change));
         for (_, name, load) in moved.into_iter().take(max_loads) {
-            if let Some((_, steps)) = self.told.get_mut(&name) {
-                *steps = load.steps();
+            if let Some(sent) = self.sent.get_mut(&name) {
+                sent.load_steps = load.steps();
             }
             batch.loads.push(load);
         }
         batch.set_revisions(&revisions);
-        self.told.retain(|name, _| {
+        self.sent.retain(|name, _| {
             let is_present = present.contains(name);
             if !is_present {
                 batch.dropped.push(name.clone());
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -136,7 +136,7 @@
     pub running: BTreeMap<Name, u64>,
 }
 
-/// What an entry tells the holder of a move.
+/// Report of an entry to the holder of a move.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct MoveReport {
     /// Service of the move.
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -59,12 +59,12 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
-    /// Notes that the processes to be told have been told of the stop.
+    /// Notes that the other processes have been notified of the stop.
     pub fn set_announced(&self) {
         self.is_announced.store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether the processes to be told have been told of the stop.
+    /// Returns whether the other processes have been notified of the stop.
     pub fn is_announced(&self) -> bool {
         self.is_announced.load(Ordering::Relaxed)
     }
