--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -70,7 +70,7 @@
     }
 }
 
-/// What the traffic thread tells the control thread.
+/// Message of the traffic thread to the control thread about an answer.
 #[derive(Debug)]
 pub(super) struct Answered {
     pub(super) answer: Answer,
@@ -97,7 +97,7 @@
     pub(super) load: Load,
     pub(super) answered: mpsc::Sender<Answered>,
     pub(super) questions: mpsc::Sender<CacheQuestion>,
-    /// Told when the state that collectors should know of has changed.
+    /// Notified when the state that collectors should know of has changed.
     pub(super) changed: Notify,
     pub(super) stop: stop::Progress,
     engine: AtomicU64,
