--- a/src/process/entry/control.rs
+++ b/src/process/entry/control.rs
@@ -127,7 +127,7 @@
             freshness: RefCell::default(),
             sequence: Cell::new(0),
             revised: Notify::new(),
-            limits: Limits::new(settings.name.clone(), context.incarnation),
+            limits: Limits::new(settings, context.incarnation),
             moves: Moves::default(),
             address,
             context,
@@ -150,9 +150,7 @@
                 drop(sender.send(self.take_limit_report(&report)));
             }
             Command::LimitDirective(directive, sender) => {
-                let now_us = self.context.clock.now_us();
-                self.apply_directives(&[*directive], now_us);
-                let _ = sender.send(());
+                drop(sender.send(self.take_directive(&directive)));
             }
             Command::MoveReport(report, sender) => {
                 drop(sender.send(self.take_move_report(&report)));
--- a/src/process/entry/control/api.rs
+++ b/src/process/entry/control/api.rs
@@ -24,7 +24,10 @@
         FleetStatus, //
     },
     process::{
-        limits::message::Directive,
+        limits::message::{
+            Directive,
+            Epoch, //
+        },
         membership::digest::Digest,
         peer,
         rpc::{
@@ -52,7 +55,7 @@
     Status(oneshot::Sender<FleetStatus>),
     Explain(ExplainRequest, oneshot::Sender<Explanation>),
     Limits(Box<LimitReport>, oneshot::Sender<LimitAnswer>),
-    LimitDirective(Box<Directive>, oneshot::Sender<()>),
+    LimitDirective(Box<Directive>, oneshot::Sender<Epoch>),
     MoveReport(Box<MoveReport>, oneshot::Sender<MoveAnswer>),
     Cut(Box<Cut>, oneshot::Sender<()>),
 }
@@ -106,9 +109,9 @@
         Ok(Packed(answer.await?))
     }
 
-    async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<()> {
-        self.ask(|sender| Command::LimitDirective(Box::new(directive.0), sender))
-            .await
+    async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<Packed<Epoch>> {
+        let epoch = self.ask(|sender| Command::LimitDirective(Box::new(directive.0), sender));
+        Ok(Packed(epoch.await?))
     }
 
     async fn move_report(&self, report: MoveReport) -> RpcResult<MoveAnswer> {
--- a/src/process/entry/control/limits.rs
+++ b/src/process/entry/control/limits.rs
@@ -3,6 +3,8 @@
 
 mod epoch;
 mod messages;
+mod provisional;
+mod slots;
 
 use std::{
     cell::{
@@ -32,6 +34,7 @@
         limits::{
             message::{
                 Amount,
+                Epoch,
                 HolderId, //
             },
             meter::Meter,
@@ -42,6 +45,7 @@
             rendezvous::choose, //
         },
     },
+    settings::EntrySettings,
     version::config::Config, //
 };
 
@@ -63,11 +67,19 @@
     u16::try_from(xxh3_64(organisation.as_bytes()) % u64::from(GROUPS)).unwrap_or(0)
 }
 
+/// Returns a digest of the slots that the settings name; zero without any.
+fn digest_of_slots(slots: &BTreeSet<Name>) -> u64 {
+    if slots.is_empty() {
+        return 0;
+    }
+    let names: Vec<&str> = slots.iter().map(|slot| &**slot).collect();
+    // A name has no line break.
+    xxh3_64(names.join("\n").as_bytes()).max(1)
+}
+
 /// One group as this entry sees it.
 struct Group {
     participant: Participant,
-    /// Slot that answered as the ledger last.
-    ledger: Option<Name>,
     ledger_silent_at_us: u64,
 }
 
@@ -77,6 +89,9 @@
     groups: RefCell<BTreeMap<u16, Group>>,
     /// Slots that may hold shares, as registered in the object API.
     slots: RefCell<BTreeSet<Name>>,
+    /// Slots of the fleet as the settings name them; may be empty.
+    entry_slots: BTreeSet<Name>,
+    slots_digest: u64,
     is_registered: Cell<bool>,
     /// Whether the present epochs were read, or cannot be read now.
     takes_part: Cell<bool>,
@@ -88,11 +103,15 @@
 pub(in crate::process::entry) type Meters = HashMap<Name, Arc<Meter>>;
 
 impl Limits {
-    pub(super) fn new(slot: Name, incarnation: Incarnation) -> Self {
+    pub(super) fn new(settings: &EntrySettings, incarnation: Incarnation) -> Self {
+        let slot = settings.name.clone();
+        let entry_slots: BTreeSet<Name> = settings.entry_slots.iter().cloned().collect();
         Self {
             id: HolderId { slot, incarnation },
             groups: RefCell::default(),
             slots: RefCell::default(),
+            slots_digest: digest_of_slots(&entry_slots),
+            entry_slots,
             is_registered: Cell::new(false),
             takes_part: Cell::new(false),
             revision: Cell::new(0),
@@ -116,17 +135,21 @@
             .all(|group| group.participant.holder().is_empty())
     }
 
+    /// Returns whether this entry is the ledger of a group.
+    fn has_ledger(&self) -> bool {
+        let groups = self.groups.borrow();
+        groups.values().any(|group| group.participant.has_ledger())
+    }
+
     /// Applies the limits of a configuration and returns the meters.
     fn configure(&self, config: &Config, now_us: u64) -> Meters {
         let mut meters = Meters::new();
         let mut groups = self.groups.borrow_mut();
         for (_, organisation) in config.organisations() {
             let number = group_of(&organisation.name);
-            let group = groups.entry(number).or_insert_with(|| Group {
-                participant: Participant::new(self.id.clone(), number),
-                ledger: None,
-                ledger_silent_at_us: now_us + LEDGER_SILENT_US,
-            });
+            let group = groups
+                .entry(number)
+                .or_insert_with(|| self.group(number, now_us));
             let meter = group.participant.holder().meter(&organisation.name, now_us);
             meters.insert(organisation.name.clone(), meter);
         }
@@ -135,6 +158,15 @@
         meters
     }
 
+    fn group(&self, number: u16, now_us: u64) -> Group {
+        let mut participant = Participant::new(self.id.clone(), number);
+        participant.holder().set_slots_digest(self.slots_digest);
+        Group {
+            participant,
+            ledger_silent_at_us: now_us + LEDGER_SILENT_US,
+        }
+    }
+
     /// Tells the ledgers of this entry what the configuration allows.
     fn set_limits(&self, config: &Config, now_us: u64) {
         let mut groups = self.groups.borrow_mut();
@@ -182,6 +214,23 @@
         self.context.meters.store(Arc::new(meters));
     }
 
+    /// Returns the highest epoch of a group that this entry has seen.
+    fn followed_epoch(&self, group: u16) -> Epoch {
+        let mut groups = self.limits.groups.borrow_mut();
+        let group = groups.get_mut(&group);
+        group
+            .map(|group| group.participant.holder().epoch().clone())
+            .unwrap_or_default()
+    }
+
+    /// Returns whether a process runs as far as membership tells.
+    fn is_serving(&self, process: &HolderId) -> bool {
+        let fleet = self.fleet.borrow();
+        let mut serving = fleet.members.serving(Role::Entry);
+        serving
+            .any(|report| report.name == process.slot && report.incarnation == process.incarnation)
+    }
+
     /// Returns the entry that should be the ledger of a group.
     fn preferred_ledger(&self, group: u16) -> Option<Name> {
         let fleet = self.fleet.borrow();
--- a/src/process/entry/control/limits/epoch.rs
+++ b/src/process/entry/control/limits/epoch.rs
@@ -1,4 +1,4 @@
-//! Who is the ledger of a group: epochs and slots in the object API.
+//! Who is the ledger of a group: epochs in the object API.
 
 use std::{
     collections::BTreeSet,
@@ -6,7 +6,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
 use serde::{
     Deserialize,
     Serialize, //
@@ -19,14 +18,20 @@
 };
 use crate::{
     clock::US_PER_S,
+    error::ErrorKind,
     event::Event,
     names::{
         Incarnation,
         Name, //
     },
     process::{
-        limits::ledger::Ledger,
-        membership::Role,
+        limits::{
+            ledger::Ledger,
+            message::{
+                Epoch,
+                HolderId, //
+            },
+        },
         platform::{
             Condition,
             ObjectVersion,
@@ -37,15 +42,13 @@
     },
 };
 
-const SLOT_PREFIX: &str = "limits/slots/";
-
 const EPOCH_PREFIX: &str = "limits/epochs/";
 
 /// Interval between checks whether this entry should take over a ledger.
 const CHECK: Duration = Duration::from_millis(500);
 
 /// Bound for one call.
-const CALL_WITHIN_US: u64 = 2 * US_PER_S;
+pub(super) const CALL_WITHIN_US: u64 = 2 * US_PER_S;
 
 /// Time between reads of the slots by a ledger.
 const SLOTS_EVERY_US: u64 = 5 * US_PER_S;
@@ -58,6 +61,21 @@
     incarnation: Incarnation,
 }
 
+impl EpochRecord {
+    fn epoch(&self) -> Epoch {
+        let ledger = HolderId {
+            slot: self.slot.clone(),
+            incarnation: self.incarnation,
+        };
+        Epoch::acquired(self.epoch, ledger)
+    }
+}
+
+/// Returns whether a call failed because the object API does not work.
+fn is_outage(error: &PlatformError) -> bool {
+    error.kind() == ErrorKind::PlatformUnavailable
+}
+
 impl Control {
     /// Registers this slot and takes over ledgers where this entry is the
     /// preferred one and the present one is gone.
@@ -76,44 +94,53 @@
                 continue;
             }
             // Every step is repeated until it succeeds.
-            if !self.limits.is_registered.get() {
-                let joined = self.join(&platform).await;
-                // During an outage the entry follows the epochs that its peers
-                // name, so that a restarted one serves.
-                let is_out = joined.is_err() && self.context.has_config();
-                self.limits.takes_part.set(joined.is_ok() || is_out);
-            }
+            let mut is_reachable = self.join(&platform).await;
             let now_us = self.context.clock.now_us();
-            if self.limits.is_registered.get() && now_us >= read_at_us {
+            if is_reachable && self.limits.has_ledger() && now_us >= read_at_us {
                 read_at_us = now_us + SLOTS_EVERY_US;
                 let _ = self.read_slots(&platform).await;
             }
             for group in 0..GROUPS {
-                if self.wants_ledger(group) {
-                    let _ = self.take_ledger(&platform, group).await;
+                if !self.wants_ledger(group) {
+                    continue;
+                }
+                is_reachable = is_reachable && self.acquire_ledger(&platform, group).await;
+                if !is_reachable && self.limits.takes_part.get() {
+                    self.take_provisional_ledger(group);
                 }
             }
             tokio::time::sleep(CHECK).await;
         }
     }
 
+    /// Registers the slot unless that was done; returns whether the object API
+    /// can be reached.
+    async fn join(&self, platform: &Platform) -> bool {
+        if self.limits.is_registered.get() {
+            return true;
+        }
+        let joined = self.register(platform).await;
+        // During an outage the entry follows the epochs that its peers name, so
+        // that a restarted one serves.
+        let is_out = joined.is_err() && self.context.has_config();
+        self.limits.takes_part.set(joined.is_ok() || is_out);
+        !joined.is_err_and(|error| is_outage(&error))
+    }
+
     /// Registers the slot and then reads the epochs.
     ///
     /// A slot is registered before it holds anything, so that a new ledger
     /// knows whom to ask; it knows the epochs before it takes part, so that it
     /// does not follow a ledger that has been replaced.
-    async fn join(&self, platform: &Platform) -> PlatformResult<()> {
+    async fn register(&self, platform: &Platform) -> PlatformResult<()> {
         self.register_slot(platform).await?;
         for group in 0..GROUPS {
             if !self.limits.groups.borrow().contains_key(&group) {
                 continue;
             }
             let stored = self.epoch_record(platform, group).await?;
-            let record = stored.map(|(record, _)| record);
-            let mut groups = self.limits.groups.borrow_mut();
-            if let (Some(record), Some(state)) = (record, groups.get_mut(&group)) {
-                state.participant.observe_epoch(record.epoch);
-                state.ledger = Some(record.slot);
+            if let Some((record, _)) = stored {
+                self.observe_epoch(group, &record.epoch());
             }
         }
         self.limits.is_registered.set(self.context.has_config());
@@ -135,76 +162,32 @@
         Ok(Some((record, stored.version)))
     }
 
-    async fn register_slot(&self, platform: &Platform) -> PlatformResult<()> {
-        let key = format!("{SLOT_PREFIX}{}", self.limits.id.slot);
-        let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
-        let put = platform.put(
-            &key,
-            Bytes::from_static(b"{}"),
-            Condition::Absent,
-            deadline_us,
-        );
-        match put.await {
-            Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
-            Err(error) => Err(error),
-        }
-    }
-
-    async fn read_slots(&self, platform: &Platform) -> PlatformResult<()> {
-        let mut slots = self.list_slots(platform).await?;
-        let now_us = self.context.clock.now_us();
-        let is_gone = |slot: &Name| {
-            let gone_at_us = self.fleet.borrow().members.removed_gone_at_us(slot);
-            gone_at_us.is_some_and(|gone_at_us| gone_at_us <= now_us)
-        };
-        let gone: Vec<Name> = slots.iter().filter(|slot| is_gone(slot)).cloned().collect();
-        for slot in gone {
-            self.unregister_slot(platform, &slot).await;
-            slots.remove(&slot);
-        }
-        *self.limits.slots.borrow_mut() = slots.clone();
-        let mut groups = self.limits.groups.borrow_mut();
-        for group in groups.values_mut() {
-            if let Some(ledger) = group.participant.ledger() {
-                for slot in &slots {
-                    ledger.add_slot(slot.clone());
-                }
-            }
-        }
-        Ok(())
-    }
-
-    async fn list_slots(&self, platform: &Platform) -> PlatformResult<BTreeSet<Name>> {
-        let mut slots = BTreeSet::new();
-        let mut after = String::new();
-        loop {
-            let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
-            let listing = platform.list(SLOT_PREFIX, &after, deadline_us).await?;
-            for object in &listing.objects {
-                slots.extend(object.key.strip_prefix(SLOT_PREFIX).map(Name::from));
-            }
-            match listing.objects.last() {
-                Some(last) if listing.more => after = last.key.to_string(),
-                _ => return Ok(slots),
-            }
-        }
-    }
-
     fn wants_ledger(&self, group: u16) -> bool {
         let mut groups = self.limits.groups.borrow_mut();
         let Some(state) = groups.get_mut(&group) else {
             return false;
         };
         let has_ledger = state.participant.has_ledger();
+        // A provisional epoch is replaced as soon as the object API answers.
         let wants_epoch = state
             .participant
             .ledger()
-            .is_some_and(|ledger| ledger.wants_epoch());
+            .is_some_and(|ledger| ledger.wants_epoch() || ledger.epoch().is_provisional());
         drop(groups);
         let is_preferred = self.preferred_ledger(group).as_ref() == Some(&self.limits.id.slot);
         !self.limits.is_leaving.get() && is_preferred && (!has_ledger || wants_epoch)
     }
 
+    /// Takes over a ledger; returns whether the object API can be reached.
+    async fn acquire_ledger(&self, platform: &Platform, group: u16) -> bool {
+        // A new ledger asks the registered slots, so it has to be one of them.
+        if !self.limits.is_registered.get() {
+            return true;
+        }
+        let taken = self.take_ledger(platform, group).await;
+        !taken.is_err_and(|error| is_outage(&error))
+    }
+
     async fn take_ledger(&self, platform: &Platform, group: u16) -> PlatformResult<()> {
         let key = format!("{EPOCH_PREFIX}{group}");
         let (record, condition) = match self.epoch_record(platform, group).await? {
@@ -216,7 +199,8 @@
         {
             return Ok(());
         }
-        let epoch = record.map_or(0, |record| record.epoch) + 1;
+        let known = self.followed_epoch(group).acquired;
+        let epoch = record.map_or(0, |record| record.epoch).max(known) + 1;
         self.acquire(platform, &key, group, epoch, condition)
             .await?;
         Ok(())
@@ -228,15 +212,10 @@
             // A lost answer or a reserve that only a new epoch can recover.
             return false;
         }
-        let fleet = self.fleet.borrow();
-        let mut serving = fleet.members.serving(Role::Entry);
-        let is_live = serving
-            .any(|report| report.name == record.slot && report.incarnation == record.incarnation);
-        if is_live && let Some(state) = self.limits.groups.borrow_mut().get_mut(&group) {
-            state.participant.observe_epoch(record.epoch);
-            state.ledger = Some(record.slot.clone());
-        }
-        is_live
+        let epoch = record.epoch();
+        self.observe_epoch(group, &epoch);
+        // A provisional epoch may have replaced the recorded one.
+        self.followed_epoch(group) == epoch && self.is_serving(&epoch.ledger)
     }
 
     async fn acquire(
@@ -261,48 +240,23 @@
             .put(key, value.into(), condition, deadline_us)
             .await?;
         let slots = self.list_slots(platform).await?;
-        self.lead(group, epoch, slots);
+        self.lead(group, record.epoch(), slots);
         Ok(version)
     }
 
-    fn lead(&self, group: u16, epoch: u64, slots: BTreeSet<Name>) {
+    fn lead(&self, group: u16, epoch: Epoch, mut slots: BTreeSet<Name>) {
         info!(self.context.log, "entry is the ledger of a group";
-            "event" => Event::LedgerTaken, "group" => group, "epoch" => epoch);
+            "event" => Event::LedgerTaken, "group" => group, "epoch" => epoch.acquired);
         let now_us = self.context.clock.now_us();
         *self.limits.slots.borrow_mut() = slots.clone();
+        // A slot that started during an outage may hold shares of a provisional
+        // ledger although it is not registered.
+        slots.extend(self.limits.entry_slots.iter().cloned());
         if let Some(state) = self.limits.groups.borrow_mut().get_mut(&group) {
             let ledger = Ledger::new(group, epoch, slots.into_iter().collect());
             state.participant.lead(ledger);
-            state.ledger = Some(self.limits.id.slot.clone());
         }
         let config = self.context.config.load();
         self.limits.set_limits(&config, now_us);
     }
-
-    /// Tells the ledgers which slots the platform has removed.
-    pub(super) fn note_removed_slots(&self) {
-        let fleet = self.fleet.borrow();
-        let slots = self.limits.slots.borrow();
-        let mut groups = self.limits.groups.borrow_mut();
-        for group in groups.values_mut() {
-            let Some(ledger) = group.participant.ledger() else {
-                continue;
-            };
-            for slot in slots.iter() {
-                if let Some(gone_at_us) = fleet.members.removed_gone_at_us(slot) {
-                    ledger.remove_slot(slot, gone_at_us);
-                }
-            }
-        }
-    }
-
-    /// Removes the registration of a slot that holds nothing any more.
-    pub(super) async fn unregister_slot(&self, platform: &Platform, slot: &str) {
-        let key = format!("{SLOT_PREFIX}{slot}");
-        let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
-        // A registration that stays only delays the next recovery.
-        if let Ok(Some(stored)) = platform.get(&key, deadline_us).await {
-            let _ = platform.delete(&key, stored.version, deadline_us).await;
-        }
-    }
 }
--- a/src/process/entry/control/limits/messages.rs
+++ b/src/process/entry/control/limits/messages.rs
@@ -17,6 +17,7 @@
     process::{
         limits::message::{
             Directive,
+            Epoch,
             Report, //
         },
         membership::Role,
@@ -32,6 +33,7 @@
 impl Control {
     /// Lets the ledgers of this entry rebalance and repeat open messages.
     pub(super) fn run_ledgers(self: &Rc<Self>, now_us: u64) {
+        self.add_known_slots();
         self.note_removed_slots();
         let deputies: Vec<(u16, Vec<Name>)> = {
             let groups = self.limits.groups.borrow();
@@ -61,15 +63,7 @@
     pub(super) fn report_to_ledgers(self: &Rc<Self>, now_us: u64) {
         let numbers: Vec<u16> = self.limits.groups.borrow().keys().copied().collect();
         for number in numbers {
-            let known = self
-                .limits
-                .groups
-                .borrow()
-                .get(&number)
-                .and_then(|group| group.ledger.clone())
-                .filter(|ledger| self.is_present(ledger));
-            let ledger = known.or_else(|| self.preferred_ledger(number));
-            let Some(ledger) = ledger else {
+            let Some(ledger) = self.present_ledger(number) else {
                 continue;
             };
             self.ask_deputies(number, &ledger, now_us);
@@ -119,7 +113,7 @@
         if slot == self.limits.id.slot {
             let answer = self.take_limit_report(&report);
             self.apply_directives(&answer.directives, now_us);
-            self.note_ledger(&report, &slot, &answer);
+            self.note_answer(&report, &answer);
             return;
         }
         let Some(address) = self.control_address(&slot) else {
@@ -134,25 +128,18 @@
             if let Ok(Packed(answer)) = call.await {
                 let now_us = control.context.clock.now_us();
                 control.apply_directives(&answer.directives, now_us);
-                control.note_ledger(&report, &slot, &answer);
+                control.note_answer(&report, &answer);
             }
         });
     }
 
-    /// Remembers who answered as the ledger, or whom the answer names.
-    fn note_ledger(&self, report: &LimitReport, slot: &Name, answer: &LimitAnswer) {
-        if report.deputy.is_some() {
-            return;
-        }
+    /// Follows the epoch that an answer names and notes an answer of a ledger.
+    fn note_answer(&self, report: &LimitReport, answer: &LimitAnswer) {
         let silent_at_us = self.context.clock.now_us() + LEDGER_SILENT_US;
-        if let Some(group) = self
-            .limits
-            .groups
-            .borrow_mut()
-            .get_mut(&report.report.group)
-        {
-            group.ledger = answer.ledger.clone();
-            if answer.ledger.as_ref() == Some(slot) {
+        let mut groups = self.limits.groups.borrow_mut();
+        if let Some(group) = groups.get_mut(&report.report.group) {
+            group.participant.observe_epoch(&answer.epoch);
+            if answer.is_ledger {
                 group.ledger_silent_at_us = silent_at_us;
             }
         }
@@ -169,20 +156,31 @@
             let directive = group.participant.on_deputy_report(&asked.report, now_us);
             return LimitAnswer {
                 directives: directive.into_iter().collect(),
-                ledger: None,
+                epoch: group.participant.holder().epoch().clone(),
+                is_ledger: false,
             };
         }
-        let directives = group.participant.on_ledger_report(&asked.report, now_us);
-        let ledger = if group.participant.has_ledger() {
-            Some(self.limits.id.slot.clone())
-        } else {
-            group.ledger.clone()
-        };
-        LimitAnswer { directives, ledger }
+        LimitAnswer {
+            directives: group.participant.on_ledger_report(&asked.report, now_us),
+            epoch: group.participant.holder().epoch().clone(),
+            is_ledger: group.participant.has_ledger(),
+        }
+    }
+
+    /// Applies a directive of another entry and returns the epoch that this
+    /// entry follows.
+    pub(in super::super) fn take_directive(&self, directive: &Directive) -> Epoch {
+        let now_us = self.context.clock.now_us();
+        self.apply_directives(std::slice::from_ref(directive), now_us);
+        let mut groups = self.limits.groups.borrow_mut();
+        let group = groups.get_mut(&directive.group);
+        group
+            .map(|group| group.participant.holder().epoch().clone())
+            .unwrap_or_default()
     }
 
     /// Applies directives that are meant for this entry.
-    pub(in super::super) fn apply_directives(&self, directives: &[Directive], now_us: u64) {
+    fn apply_directives(&self, directives: &[Directive], now_us: u64) {
         let mut has_share = false;
         let mut groups = self.limits.groups.borrow_mut();
         for directive in directives {
@@ -205,16 +203,34 @@
                 continue;
             };
             let control = Rc::clone(self);
+            let group = directive.group;
             ntex::rt::spawn(async move {
                 let call = control.links.call(address, async |client| {
                     client.limit_directive(Packed(directive)).await
                 });
                 // The ledger repeats what is not acknowledged.
-                let _ = call.await;
+                if let Ok(Packed(epoch)) = call.await {
+                    control.observe_epoch(group, &epoch);
+                }
             });
         }
     }
 
+    /// Follows an epoch that another entry or the object API names.
+    pub(super) fn observe_epoch(&self, group: u16, epoch: &Epoch) {
+        if let Some(state) = self.limits.groups.borrow_mut().get_mut(&group) {
+            state.participant.observe_epoch(epoch);
+        }
+    }
+
+    /// Returns the ledger of the epoch that this entry follows while its slot
+    /// is present, otherwise the entry that should be the ledger.
+    fn present_ledger(&self, group: u16) -> Option<Name> {
+        let epoch = self.followed_epoch(group);
+        let followed = Some(epoch.ledger.slot).filter(|slot| self.is_present(slot));
+        followed.or_else(|| self.preferred_ledger(group))
+    }
+
     fn control_address(&self, slot: &Name) -> Option<SocketAddr> {
         let fleet = self.fleet.borrow();
         let report = fleet.members.get(slot);
--- a/src/process/limits/holder.rs
+++ b/src/process/limits/holder.rs
@@ -13,6 +13,7 @@
         AccountDirective,
         AccountReport,
         Directive,
+        Epoch,
         HolderId,
         Lender,
         Report, //
@@ -30,7 +31,8 @@
 pub struct Holder {
     id: HolderId,
     group: u16,
-    epoch: u64,
+    epoch: Epoch,
+    slots_digest: u64,
     heard: u64,
     sequence: u64,
     granted_sequence: u64,
@@ -55,7 +57,8 @@
         Self {
             id,
             group,
-            epoch: 0,
+            epoch: Epoch::default(),
+            slots_digest: 0,
             heard: 0,
             sequence: 0,
             granted_sequence: 0,
@@ -71,14 +74,41 @@
     ///
     /// ```
     /// use yuccalatch::names::Incarnation;
-    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    /// use yuccalatch::process::limits::{
+    ///     holder::Holder,
+    ///     message::{Epoch, HolderId},
+    /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
     /// let holder = Holder::new(id, 0);
-    /// assert_eq!(holder.epoch(), 0);
+    /// assert_eq!(*holder.epoch(), Epoch::default());
     /// ```
-    pub const fn epoch(&self) -> u64 {
-        self.epoch
+    pub const fn epoch(&self) -> &Epoch {
+        &self.epoch
+    }
+
+    /// Sets the digest of the slots that the settings name, which the reports
+    /// carry.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut holder = Holder::new(id, 0);
+    /// holder.set_slots_digest(7);
+    /// assert_eq!(holder.report(0).unwrap().slots_digest, 7);
+    /// ```
+    pub const fn set_slots_digest(&mut self, slots_digest: u64) {
+        self.slots_digest = slots_digest;
+    }
+
+    pub(super) const fn group(&self) -> u16 {
+        self.group
+    }
+
+    pub(super) const fn slots_digest(&self) -> u64 {
+        self.slots_digest
     }
 
     /// Returns the identity of the process.
@@ -165,19 +195,22 @@
     ///
     /// ```
     /// use yuccalatch::names::Incarnation;
-    /// use yuccalatch::process::limits::{holder::Holder, message::HolderId};
+    /// use yuccalatch::process::limits::{
+    ///     holder::Holder,
+    ///     message::{Epoch, HolderId},
+    /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
-    /// let mut holder = Holder::new(id, 0);
-    /// holder.observe_epoch(7);
-    /// holder.observe_epoch(6);
-    /// assert_eq!(holder.epoch(), 7);
+    /// let mut holder = Holder::new(id.clone(), 0);
+    /// holder.observe_epoch(&Epoch::acquired(7, id.clone()));
+    /// holder.observe_epoch(&Epoch::acquired(6, id));
+    /// assert_eq!(holder.epoch().acquired, 7);
     /// ```
-    pub fn observe_epoch(&mut self, epoch: u64) {
-        if epoch <= self.epoch {
+    pub fn observe_epoch(&mut self, epoch: &Epoch) {
+        if *epoch <= self.epoch {
             return;
         }
-        self.epoch = epoch;
+        self.epoch = epoch.clone();
         self.heard = 0;
         self.is_known = false;
         self.is_deputy = false;
@@ -210,15 +243,20 @@
     ///
     /// ```
     /// use yuccalatch::names::Incarnation;
-    /// use yuccalatch::process::limits::{holder::Holder, ledger::Ledger, message::HolderId};
+    /// use yuccalatch::process::limits::{
+    ///     holder::Holder,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let epoch = Epoch::acquired(7, id.clone());
     /// let mut holder = Holder::new(id, 0);
-    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let mut ledger = Ledger::new(0, epoch.clone(), vec!["entry-1".into()]);
     /// for directive in ledger.tick(0) {
     ///     assert!(!holder.on_directive(&directive, 0));
     /// }
-    /// assert_eq!(holder.epoch(), 7);
+    /// assert_eq!(*holder.epoch(), epoch);
     /// ```
     pub fn on_directive(&mut self, directive: &Directive, now_us: u64) -> bool {
         let is_addressed = directive.slot == self.id.slot
@@ -227,7 +265,7 @@
         if !is_addressed || directive.epoch < self.epoch {
             return false;
         }
-        self.observe_epoch(directive.epoch);
+        self.observe_epoch(&directive.epoch);
         if directive.lender == Lender::Ledger && directive.sequence > self.heard {
             self.heard = directive.sequence;
             self.is_known = !directive.is_recover;
@@ -313,7 +351,7 @@
         if report.group != self.group {
             return None;
         }
-        self.observe_epoch(report.epoch);
+        self.observe_epoch(&report.epoch);
         let mut accounts = Vec::new();
         if report.epoch == self.epoch {
             for asked in &report.accounts {
@@ -328,7 +366,7 @@
             to: Some(report.from.incarnation),
             slot: report.from.slot.clone(),
             group: self.group,
-            epoch: self.epoch,
+            epoch: self.epoch.clone(),
             sequence: self.granted_sequence,
             is_recover: false,
             is_deputy: false,
@@ -346,7 +384,8 @@
         Report {
             from: self.id.clone(),
             group: self.group,
-            epoch: self.epoch,
+            epoch: self.epoch.clone(),
+            slots_digest: self.slots_digest,
             heard: self.heard,
             sequence: self.sequence,
             is_complete,
--- a/src/process/limits/ledger.rs
+++ b/src/process/limits/ledger.rs
@@ -1,5 +1,7 @@
 //! Ledger of one group: lends the shares of its organisations by demand.
 
+mod recovery;
+
 use std::collections::{
     BTreeMap,
     BTreeSet, //
@@ -13,6 +15,7 @@
     message::{
         Amount,
         Directive,
+        Epoch,
         HolderId,
         Lender,
         Report, //
@@ -31,12 +34,16 @@
 #[derive(Debug)]
 pub struct Ledger {
     group: u16,
-    epoch: u64,
+    epoch: Epoch,
+    /// Digest that an answer has to carry, in a provisional epoch.
+    slots_digest: Option<u64>,
     sequence: u64,
     slots: BTreeMap<Name, Slot>,
     deputies: Vec<Name>,
     listed: BTreeSet<HolderId>,
     books: BTreeMap<Name, Book>,
+    /// Whether all slots had answered when the second answers were asked for.
+    is_confirming: bool,
     is_recovered: bool,
     wants_epoch: bool,
 }
@@ -47,47 +54,81 @@
     /// `slots` are all registered slots, read after the epoch was acquired.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let ledger = Ledger::new(3, 1, vec!["entry-1".into()]);
+    /// let ledger = Ledger::new(3, Epoch::default(), vec!["entry-1".into()]);
     /// assert!(!ledger.is_recovered());
     /// ```
-    pub fn new(group: u16, epoch: u64, slots: Vec<Name>) -> Self {
+    pub fn new(group: u16, epoch: Epoch, slots: Vec<Name>) -> Self {
         let empty = |slot| (slot, Slot::default());
         Self {
             group,
             epoch,
+            slots_digest: None,
             sequence: 0,
             slots: slots.into_iter().map(empty).collect(),
             deputies: Vec::new(),
             listed: BTreeSet::new(),
             books: BTreeMap::new(),
+            is_confirming: false,
             is_recovered: false,
             wants_epoch: false,
         }
     }
 
+    /// Creates the ledger of a provisional epoch.
+    ///
+    /// `slots` are all slots of which a process may be a holder or a ledger.
+    /// An answer with another digest comes from a process that may know of a
+    /// slot that is missing in `slots`; it does not count.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::{
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    /// };
+    ///
+    /// let epoch = Epoch::default().next_provisional(HolderId::default());
+    /// let ledger = Ledger::provisional(3, epoch, vec!["entry-1".into()], 7);
+    /// assert!(!ledger.is_recovered());
+    /// ```
+    pub fn provisional(group: u16, epoch: Epoch, slots: Vec<Name>, slots_digest: u64) -> Self {
+        Self {
+            slots_digest: Some(slots_digest),
+            ..Self::new(group, epoch, slots)
+        }
+    }
+
     /// Returns the epoch.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
-    /// assert_eq!(ledger.epoch(), 7);
+    /// let ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
+    /// assert_eq!(*ledger.epoch(), Epoch::default());
     /// ```
-    pub const fn epoch(&self) -> u64 {
-        self.epoch
+    pub const fn epoch(&self) -> &Epoch {
+        &self.epoch
     }
 
     /// Returns whether all slots have answered or are gone.
     ///
     /// ```
     /// use yuccalatch::names::Incarnation;
-    /// use yuccalatch::process::limits::{holder::Holder, ledger::Ledger, message::HolderId};
+    /// use yuccalatch::process::limits::{
+    ///     holder::Holder,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
     /// let mut holder = Holder::new(id, 0);
-    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let mut ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
+    /// for directive in ledger.tick(0) {
+    ///     holder.on_directive(&directive, 0);
+    /// }
+    /// ledger.on_report(&holder.report(0).unwrap(), 0);
+    /// assert!(!ledger.is_recovered());
     /// for directive in ledger.tick(0) {
     ///     holder.on_directive(&directive, 0);
     /// }
@@ -102,9 +143,9 @@
     /// epoch.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
     /// assert!(!ledger.wants_epoch());
     /// ```
     pub const fn wants_epoch(&self) -> bool {
@@ -117,9 +158,9 @@
     /// process passes them to the new ledger.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// assert!(Ledger::new(0, 1, Vec::new()).retire().is_empty());
+    /// assert!(Ledger::new(0, Epoch::default(), Vec::new()).retire().is_empty());
     /// ```
     pub fn retire(self) -> Vec<HolderId> {
         let mut borrowers: BTreeSet<HolderId> = self.listed;
@@ -137,9 +178,9 @@
     /// Adds a slot that was registered after the epoch was acquired.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let mut ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
     /// ledger.add_slot("entry-2".into());
     /// assert_eq!(ledger.tick(0).len(), 2);
     /// ```
@@ -156,9 +197,9 @@
     /// at the given time, which includes the grace period.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let mut ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
     /// ledger.remove_slot(&"entry-1".into(), 10);
     /// ledger.tick(9);
     /// assert!(!ledger.is_recovered());
@@ -174,9 +215,9 @@
     /// Names the slots that keep a reserve and grant while the ledger is down.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let mut ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
     /// ledger.set_deputies(vec!["entry-1".into()]);
     /// ```
     pub fn set_deputies(&mut self, deputies: Vec<Name>) {
@@ -190,9 +231,12 @@
     /// Revisions count from one; an older or equal one is ignored.
     ///
     /// ```
-    /// use yuccalatch::process::limits::{ledger::Ledger, message::Amount};
+    /// use yuccalatch::process::limits::{
+    ///     ledger::Ledger,
+    ///     message::{Amount, Epoch},
+    /// };
     ///
-    /// let mut ledger = Ledger::new(0, 1, Vec::new());
+    /// let mut ledger = Ledger::new(0, Epoch::default(), Vec::new());
     /// let limits = Amount { rate_tokens_per_s: 10, burst_tokens: 20 };
     /// ledger.set_limits(&"acme".into(), limits, 1, 0);
     /// ledger.tick(0);
@@ -209,9 +253,9 @@
     /// Returns whether the shares of an organisation fit the configured limits.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
     /// assert!(!ledger.is_in_force(&"acme".into()));
     /// ```
     pub fn is_in_force(&self, organisation: &Name) -> bool {
@@ -221,9 +265,12 @@
     /// Returns the part of an organisation's limits that nobody may hold.
     ///
     /// ```
-    /// use yuccalatch::process::limits::{ledger::Ledger, message::Amount};
+    /// use yuccalatch::process::limits::{
+    ///     ledger::Ledger,
+    ///     message::{Amount, Epoch},
+    /// };
     ///
-    /// let mut ledger = Ledger::new(0, 1, Vec::new());
+    /// let mut ledger = Ledger::new(0, Epoch::default(), Vec::new());
     /// let limits = Amount { rate_tokens_per_s: 10, burst_tokens: 20 };
     /// ledger.set_limits(&"acme".into(), limits, 1, 0);
     /// ledger.tick(0);
@@ -238,11 +285,15 @@
     ///
     /// ```
     /// use yuccalatch::names::Incarnation;
-    /// use yuccalatch::process::limits::{holder::Holder, ledger::Ledger, message::HolderId};
+    /// use yuccalatch::process::limits::{
+    ///     holder::Holder,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
     /// let mut holder = Holder::new(id, 0);
-    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let mut ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
     /// let answers = ledger.on_report(&holder.report(0).unwrap(), 0);
     /// assert!(answers[0].is_recover);
     /// ```
@@ -251,7 +302,8 @@
         if report.group != self.group || !is_known || report.epoch > self.epoch {
             return Vec::new();
         }
-        if report.epoch < self.epoch {
+        let is_other = |digest| digest != report.slots_digest;
+        if report.epoch < self.epoch || self.slots_digest.is_some_and(is_other) {
             return vec![self.recover(&report.from.slot)];
         }
         match self.accept(report) {
@@ -272,9 +324,9 @@
     /// Reclaims, rebalances and repeats open messages; call about every 100 ms.
     ///
     /// ```
-    /// use yuccalatch::process::limits::ledger::Ledger;
+    /// use yuccalatch::process::limits::{ledger::Ledger, message::Epoch};
     ///
-    /// let mut ledger = Ledger::new(0, 7, vec!["entry-1".into()]);
+    /// let mut ledger = Ledger::new(0, Epoch::default(), vec!["entry-1".into()]);
     /// assert!(ledger.tick(0)[0].is_recover);
     /// ```
     pub fn tick(&mut self, now_us: u64) -> Vec<Directive> {
@@ -304,6 +356,7 @@
     /// one; what the earlier one held becomes free with an empty level.
     fn open_accounts(&mut self, report: &Report, now_us: u64) {
         let slot = &report.from.slot;
+        self.is_confirming = false;
         self.reclaim(slot);
         for answer in &report.accounts {
             let released = answer.release.map(|release| release.share.amount);
@@ -313,25 +366,6 @@
         }
     }
 
-    fn note_borrowers(&mut self, borrowers: &[HolderId]) {
-        if self.is_recovered {
-            return;
-        }
-        for borrower in borrowers {
-            let Some(slot) = self.slots.get_mut(&borrower.slot) else {
-                continue;
-            };
-            let has_answered = slot
-                .contact
-                .is_some_and(|contact| contact.incarnation == borrower.incarnation);
-            // A process that started after the slot answered may have been
-            // lent to by the earlier ledger; only a later answer covers it.
-            if self.listed.insert(borrower.clone()) && !has_answered {
-                slot.required_after = self.sequence;
-            }
-        }
-    }
-
     fn apply_accounts(&mut self, report: &Report, now_us: u64) {
         let slot = &report.from.slot;
         let mut has_granted = false;
@@ -370,16 +404,6 @@
         self.directives(outgoing)
     }
 
-    fn check_recovered(&mut self, now_us: u64) {
-        if self.is_recovered || !self.slots.values().all(Slot::has_answered) {
-            return;
-        }
-        self.is_recovered = true;
-        for book in self.books.values_mut() {
-            book.settle(now_us);
-        }
-    }
-
     fn drop_gone(&mut self, now_us: u64) {
         let is_gone = |slot: &Slot| slot.gone_at_us.is_some_and(|at_us| at_us <= now_us);
         let gone: Vec<Name> = self
@@ -410,30 +434,6 @@
         self.wants_epoch |= has_lost && (was_deputy || is_granting);
     }
 
-    fn recover(&mut self, slot: &Name) -> Directive {
-        self.sequence += 1;
-        Directive {
-            lender: Lender::Ledger,
-            to: None,
-            slot: slot.clone(),
-            group: self.group,
-            epoch: self.epoch,
-            sequence: self.sequence,
-            is_recover: true,
-            is_deputy: false,
-            accounts: Vec::new(),
-        }
-    }
-
-    fn recover_all(&mut self) -> Vec<Directive> {
-        let slots = self.slots.iter();
-        let silent: Vec<Name> = slots
-            .filter(|(_, slot)| !slot.has_answered())
-            .map(|(name, _)| name.clone())
-            .collect();
-        silent.iter().map(|slot| self.recover(slot)).collect()
-    }
-
     fn directives(&mut self, outgoing: Outgoing) -> Vec<Directive> {
         let mut directives = Vec::new();
         for (name, accounts) in outgoing {
@@ -451,7 +451,7 @@
                 to: Some(contact.incarnation),
                 slot: name,
                 group: self.group,
-                epoch: self.epoch,
+                epoch: self.epoch.clone(),
                 sequence: self.sequence,
                 is_recover: false,
                 is_deputy,
--- a/src/process/limits/message.rs
+++ b/src/process/limits/message.rs
@@ -114,7 +114,7 @@
 }
 
 /// One process that can hold shares.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct HolderId {
     /// Place that runs at most one process at a time.
     pub slot: Name,
@@ -122,6 +122,74 @@
     pub incarnation: Incarnation,
 }
 
+/// Period of one ledger; the higher one replaces the lower one.
+///
+/// A provisional epoch is taken while the object API cannot be reached. Its
+/// ledger is part of it: two processes, also two that run in the same slot one
+/// after the other, never use equal epochs.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Epoch {
+    /// Number acquired with a conditional update; zero before the first one.
+    pub acquired: u64,
+    /// Position among the provisional epochs after the acquired one; zero for
+    /// the acquired one itself.
+    pub provisional: u32,
+    /// Process that is the ledger.
+    pub ledger: HolderId,
+}
+
+impl Epoch {
+    /// Creates the epoch of a number that a process has acquired.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::message::{Epoch, HolderId};
+    ///
+    /// let first = Epoch::acquired(1, HolderId::default());
+    /// assert!(first < Epoch::acquired(2, HolderId::default()));
+    /// ```
+    pub const fn acquired(number: u64, ledger: HolderId) -> Self {
+        Self {
+            acquired: number,
+            provisional: 0,
+            ledger,
+        }
+    }
+
+    /// Returns the next provisional epoch for a process that knows this one.
+    ///
+    /// It is higher than this one and lower than every epoch that is acquired
+    /// later.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::message::{Epoch, HolderId};
+    ///
+    /// let first = Epoch::acquired(1, HolderId::default());
+    /// let next = first.next_provisional(HolderId::default());
+    /// assert!(first < next && next < Epoch::acquired(2, HolderId::default()));
+    /// ```
+    #[must_use]
+    pub const fn next_provisional(&self, ledger: HolderId) -> Self {
+        Self {
+            acquired: self.acquired,
+            provisional: self.provisional.saturating_add(1),
+            ledger,
+        }
+    }
+
+    /// Returns whether the epoch was taken without the object API.
+    ///
+    /// ```
+    /// use yuccalatch::process::limits::message::{Epoch, HolderId};
+    ///
+    /// let first = Epoch::acquired(1, HolderId::default());
+    /// assert!(!first.is_provisional());
+    /// assert!(first.next_provisional(HolderId::default()).is_provisional());
+    /// ```
+    pub const fn is_provisional(&self) -> bool {
+        self.provisional > 0
+    }
+}
+
 /// What a holder needs for its callers.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Demand {
@@ -158,7 +226,9 @@
     /// Ledger group.
     pub group: u16,
     /// Highest epoch that the holder has seen.
-    pub epoch: u64,
+    pub epoch: Epoch,
+    /// Digest of the slots that the settings of the sender name; zero without.
+    pub slots_digest: u64,
     /// Highest sequence that the holder has received from the ledger of the
     /// epoch; proves that the sender was alive after the ledger sent it.
     pub heard: u64,
@@ -216,7 +286,7 @@
     /// Ledger group.
     pub group: u16,
     /// Epoch of the sender.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// Position in the messages of the sender within the epoch.
     pub sequence: u64,
     /// Whether the holder should answer with a complete report.
--- a/src/process/limits/participant.rs
+++ b/src/process/limits/participant.rs
@@ -5,10 +5,12 @@
     ledger::Ledger,
     message::{
         Directive,
+        Epoch,
         HolderId,
         Report, //
     },
 };
+use crate::names::Name;
 
 /// Holder and, while this process has the epoch, ledger of a group.
 ///
@@ -56,13 +58,15 @@
     /// ```
     /// use yuccalatch::names::Incarnation;
     /// use yuccalatch::process::limits::{
-    ///     ledger::Ledger, message::HolderId, participant::Participant,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    ///     participant::Participant,
     /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
-    /// let mut participant = Participant::new(id, 0);
-    /// participant.lead(Ledger::new(0, 1, Vec::new()));
-    /// assert_eq!(participant.ledger().unwrap().epoch(), 1);
+    /// let mut participant = Participant::new(id.clone(), 0);
+    /// participant.lead(Ledger::new(0, Epoch::acquired(1, id), Vec::new()));
+    /// assert_eq!(participant.ledger().unwrap().epoch().acquired, 1);
     /// ```
     pub const fn ledger(&mut self) -> Option<&mut Ledger> {
         self.ledger.as_mut()
@@ -73,12 +77,14 @@
     /// ```
     /// use yuccalatch::names::Incarnation;
     /// use yuccalatch::process::limits::{
-    ///     ledger::Ledger, message::HolderId, participant::Participant,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    ///     participant::Participant,
     /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
-    /// let mut participant = Participant::new(id, 0);
-    /// participant.lead(Ledger::new(0, 1, Vec::new()));
+    /// let mut participant = Participant::new(id.clone(), 0);
+    /// participant.lead(Ledger::new(0, Epoch::acquired(1, id), Vec::new()));
     /// assert!(participant.has_ledger());
     /// ```
     pub const fn has_ledger(&self) -> bool {
@@ -91,38 +97,68 @@
     /// ```
     /// use yuccalatch::names::Incarnation;
     /// use yuccalatch::process::limits::{
-    ///     ledger::Ledger, message::HolderId, participant::Participant,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    ///     participant::Participant,
     /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
-    /// let mut participant = Participant::new(id, 0);
-    /// participant.observe_epoch(2);
-    /// participant.lead(Ledger::new(0, 1, Vec::new()));
+    /// let mut participant = Participant::new(id.clone(), 0);
+    /// participant.observe_epoch(&Epoch::acquired(2, HolderId::default()));
+    /// participant.lead(Ledger::new(0, Epoch::acquired(1, id), Vec::new()));
     /// assert!(!participant.has_ledger());
     /// ```
     pub fn lead(&mut self, ledger: Ledger) {
-        let epoch = ledger.epoch();
-        self.observe_epoch(epoch);
-        if epoch == self.holder.epoch() {
+        self.observe_epoch(ledger.epoch());
+        if ledger.epoch() == self.holder.epoch() {
             self.ledger = Some(ledger);
         }
     }
 
+    /// Becomes the ledger of the next provisional epoch and returns it.
+    ///
+    /// `slots` are all slots of which a process may be a holder or a ledger.
+    /// Only processes whose settings name the same slots count as answered.
+    ///
+    /// ```
+    /// use yuccalatch::names::Incarnation;
+    /// use yuccalatch::process::limits::{message::HolderId, participant::Participant};
+    ///
+    /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
+    /// let mut participant = Participant::new(id, 0);
+    /// assert!(participant.lead_provisionally(vec!["entry-1".into()]).is_provisional());
+    /// assert!(participant.has_ledger());
+    /// ```
+    pub fn lead_provisionally(&mut self, slots: Vec<Name>) -> Epoch {
+        let id = self.holder.id().clone();
+        let epoch = self.holder.epoch().next_provisional(id);
+        let (group, slots_digest) = (self.holder.group(), self.holder.slots_digest());
+        self.lead(Ledger::provisional(
+            group,
+            epoch.clone(),
+            slots,
+            slots_digest,
+        ));
+        epoch
+    }
+
     /// Follows a higher epoch and ends an earlier ledger of this process.
     ///
     /// ```
     /// use yuccalatch::names::Incarnation;
     /// use yuccalatch::process::limits::{
-    ///     ledger::Ledger, message::HolderId, participant::Participant,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    ///     participant::Participant,
     /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
-    /// let mut participant = Participant::new(id, 0);
-    /// participant.lead(Ledger::new(0, 1, Vec::new()));
-    /// participant.observe_epoch(2);
+    /// let mut participant = Participant::new(id.clone(), 0);
+    /// participant.lead(Ledger::new(0, Epoch::acquired(1, id), Vec::new()));
+    /// participant.observe_epoch(&Epoch::acquired(2, HolderId::default()));
     /// assert!(!participant.has_ledger());
     /// ```
-    pub fn observe_epoch(&mut self, epoch: u64) {
+    pub fn observe_epoch(&mut self, epoch: &Epoch) {
         self.holder.observe_epoch(epoch);
         let is_outdated = |ledger: &mut Ledger| ledger.epoch() < epoch;
         if let Some(ledger) = self.ledger.take_if(is_outdated) {
@@ -136,18 +172,21 @@
     /// ```
     /// use yuccalatch::names::Incarnation;
     /// use yuccalatch::process::limits::{
-    ///     ledger::Ledger, message::HolderId, participant::Participant,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    ///     participant::Participant,
     /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
     /// let mut participant = Participant::new(id, 0);
-    /// let mut ledger = Ledger::new(0, 1, vec!["entry-1".into()]);
+    /// let epoch = Epoch::acquired(1, HolderId::default());
+    /// let mut ledger = Ledger::new(0, epoch, vec!["entry-1".into()]);
     /// for directive in ledger.tick(0) {
     ///     assert!(!participant.on_directive(&directive, 0));
     /// }
     /// ```
     pub fn on_directive(&mut self, directive: &Directive, now_us: u64) -> bool {
-        self.observe_epoch(directive.epoch);
+        self.observe_epoch(&directive.epoch);
         self.holder.on_directive(directive, now_us)
     }
 
@@ -156,17 +195,20 @@
     /// ```
     /// use yuccalatch::names::Incarnation;
     /// use yuccalatch::process::limits::{
-    ///     ledger::Ledger, message::HolderId, participant::Participant,
+    ///     ledger::Ledger,
+    ///     message::{Epoch, HolderId},
+    ///     participant::Participant,
     /// };
     ///
     /// let id = HolderId { slot: "entry-1".into(), incarnation: Incarnation(1) };
     /// let mut participant = Participant::new(id, 0);
     /// let report = participant.holder().report(0).unwrap();
-    /// participant.lead(Ledger::new(0, 1, vec!["entry-1".into()]));
+    /// let epoch = Epoch::acquired(1, HolderId::default());
+    /// participant.lead(Ledger::new(0, epoch, vec!["entry-1".into()]));
     /// assert_eq!(participant.on_ledger_report(&report, 0).len(), 1);
     /// ```
     pub fn on_ledger_report(&mut self, report: &Report, now_us: u64) -> Vec<Directive> {
-        self.observe_epoch(report.epoch);
+        self.observe_epoch(&report.epoch);
         match &mut self.ledger {
             Some(ledger) => ledger.on_report(report, now_us),
             None => Vec::new(),
@@ -185,7 +227,7 @@
     /// assert!(participant.on_deputy_report(&report, 0).is_some());
     /// ```
     pub fn on_deputy_report(&mut self, report: &Report, now_us: u64) -> Option<Directive> {
-        self.observe_epoch(report.epoch);
+        self.observe_epoch(&report.epoch);
         self.holder.on_report(report, now_us)
     }
 }
--- a/src/process/rpc.rs
+++ b/src/process/rpc.rs
@@ -50,7 +50,10 @@
     process::{
         limits::{
             self,
-            message::Directive, //
+            message::{
+                Directive,
+                Epoch, //
+            },
         },
         membership::{
             Report,
@@ -306,7 +309,10 @@
 
     /// Takes a message of a ledger to a holder.
     #[method(name = "limit_directive")]
-    async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<()>;
+    ///
+    /// Returns the epoch that the holder follows, so that a ledger whose epoch
+    /// is lower ends.
+    async fn limit_directive(&self, directive: Packed<Directive>) -> RpcResult<Packed<Epoch>>;
 
     /// Takes the report of an entry to the holder of a move.
     #[method(name = "move_report")]
@@ -331,8 +337,10 @@
 pub struct LimitAnswer {
     /// What the holder has to apply.
     pub directives: Vec<Directive>,
-    /// Entry that is the ledger of the group, as far as known.
-    pub ledger: Option<Name>,
+    /// Highest epoch that the sender has seen.
+    pub epoch: Epoch,
+    /// Whether the sender is the ledger of that epoch.
+    pub is_ledger: bool,
 }
 
 /// Methods of an entry for operators.
--- a/src/replay/evaluate/limits/conserved.rs
+++ b/src/replay/evaluate/limits/conserved.rs
@@ -25,6 +25,7 @@
         message::{
             Amount,
             Directive,
+            Epoch,
             HolderId,
             Report, //
         },
@@ -115,7 +116,9 @@
     fn lead(&mut self, entry: usize, now_us: u64) {
         self.epoch += 1;
         self.ledger = entry;
-        let mut ledger = Ledger::new(0, self.epoch, (0..ENTRIES).map(slot).collect());
+        let id = self.participants[entry].holder().id().clone();
+        let epoch = Epoch::acquired(self.epoch, id);
+        let mut ledger = Ledger::new(0, epoch, (0..ENTRIES).map(slot).collect());
         for (name, &limits) in self.names.iter().zip(&self.limits) {
             ledger.set_limits(name, limits, self.revision, now_us);
         }
--- a/src/replay/slopes/control.rs
+++ b/src/replay/slopes/control.rs
@@ -19,6 +19,7 @@
                 AccountReport,
                 Amount,
                 Demand,
+                Epoch,
                 HolderId,
                 Report as LimitReport, //
             },
@@ -225,7 +226,8 @@
     LimitReport {
         from: holder_id(),
         group: 17,
-        epoch: 3,
+        epoch: Epoch::acquired(3, holder_id()),
+        slots_digest: 0,
         heard: 900,
         sequence: 1_200,
         is_complete: false,
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -55,6 +55,10 @@
     /// Time for which an idempotency key is remembered, equal on all instances.
     #[serde(default = "default_idempotency_window_ms")]
     pub idempotency_window_ms: u64,
+    /// Names of all entries of the fleet, equal on all of them; needed for
+    /// ledgers without the object API.
+    #[serde(default)]
+    pub entry_slots: Vec<Name>,
     /// Shortest times of version moves, equal on all entries.
     #[serde(default)]
     pub moves: Pace,
@@ -111,6 +115,11 @@
   // Time for which an idempotency key is remembered, in milliseconds; equal on
   // all instances.
   "idempotency_window_ms": 600000,
+  // Names of all entries of the fleet, equal on all entries. With it, limits
+  // are shared again when all entries restart while the object API is down.
+  // Add a name on all entries before that entry starts; remove a name only
+  // after that entry has stopped. Empty: no ledger without the object API.
+  "entry_slots": [],
   // Shortest times of version moves, in milliseconds; equal on all entries.
   "moves": {"shortest_step_ms": 20000, "step_overhead_ms": 3000, "settle_ms": 60000},
   // "format" is "terminal" or "json"; "level" is "critical", "error",
@@ -129,6 +138,7 @@
             ("admin_address", self.admin_address),
             ("platform_address", self.platform_address),
         ]);
+        checker.slots("entry_slots", &self.entry_slots, &self.name);
         let threads = u64::try_from(self.traffic_threads).unwrap_or(u64::MAX);
         checker.range(
             &["traffic_threads"],
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -8,7 +8,10 @@
 };
 
 use super::Finding;
-use crate::jsonc::Step;
+use crate::{
+    jsonc::Step,
+    names::Name, //
+};
 
 /// A drain longer than an hour points to a wrong unit.
 const MAX_DURATION_MS: u64 = 3_600_000;
@@ -92,6 +95,22 @@
         }
     }
 
+    /// Checks a list of slots, which may be empty: valid names, none twice, the
+    /// own name among them.
+    pub(super) fn slots(&mut self, field: &'static str, slots: &[Name], own: &Name) {
+        for (position, slot) in slots.iter().enumerate() {
+            self.name(field, slot);
+            if slots[..position].contains(slot) {
+                let message = format!("`{field}` names `{slot}` twice");
+                self.add(&[field], message, "name every entry once");
+            }
+        }
+        if !slots.is_empty() && !slots.contains(own) {
+            let message = format!("`{field}` does not contain the own name `{own}`");
+            self.add(&[field], message, "name all entries of the fleet");
+        }
+    }
+
     /// Checks that a number lies in a range.
     pub(super) fn range(
         &mut self,
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -86,7 +86,7 @@
     let mut world = World::new(false);
     world.rounds(20, 20);
     let late = world.participants[2].as_mut().unwrap().holder();
-    late.observe_epoch(world.epoch);
+    late.observe_epoch(&world.epoch);
     let mut late = late.report(world.now_us + 10_000_000).unwrap();
     late.sequence += 1_000;
     late.is_complete = true;
@@ -166,3 +166,129 @@
     let ledger = world.participants[0].as_mut().unwrap().ledger().unwrap();
     assert!(ledger.is_in_force(&organisation));
 }
+
+/// Guards against tokens above the limit when ledgers are taken without the
+/// object API by several candidates, and afterwards with it.
+#[test]
+fn provisional_ledgers_keep_the_limit() {
+    fn property(steps: Vec<Step>) -> bool {
+        let mut world = World::in_outage();
+        world.run(&steps);
+        world.settle();
+        world.drain(5_000_000);
+        true
+    }
+    check(4, property);
+}
+
+/// Guards against shares that stay lost after provisional epochs, when the
+/// object API works again.
+#[test]
+fn recovers_after_provisional_epochs() {
+    fn property(steps: Vec<Step>) -> bool {
+        let mut world = World::in_outage();
+        world.run(&steps);
+        world.is_out = false;
+        world.settle();
+        let organisation = world.organisation.clone();
+        let ledger = world.participants[0].as_mut().unwrap().ledger().unwrap();
+        ledger.is_recovered() && ledger.is_in_force(&organisation) && !ledger.wants_epoch()
+    }
+    check(5, property);
+}
+
+/// Guards against a fleet that admits nothing after a restart in an outage.
+#[test]
+fn provisional_ledger_admits_traffic() {
+    let mut world = World::in_outage();
+    world.lead_provisionally(1);
+    world.rounds(100, 20);
+    // Offered: 800 tokens/s of 1,000 for 10 s, see above.
+    assert!(world.admitted_tokens >= 7_500, "{}", world.admitted_tokens);
+}
+
+/// Guards against a provisional ledger that lends before a silent slot has
+/// answered, which may hold everything.
+#[test]
+fn provisional_ledger_waits_for_every_slot() {
+    let mut world = World::in_outage();
+    world.lead_provisionally(1);
+    world.rounds(20, 20);
+    world.admitted_tokens = 0;
+    world.paused[3] = true;
+    world.lead_provisionally(2);
+    world.rounds(20, 0);
+    let ledger = world.participants[2].as_mut().unwrap().ledger().unwrap();
+    assert!(!ledger.is_recovered());
+    world.paused[3] = false;
+    world.rounds(5, 0);
+    world.check_shares();
+    let ledger = world.participants[2].as_mut().unwrap().ledger().unwrap();
+    assert!(ledger.is_recovered());
+}
+
+/// Guards against answers of a process whose settings name other slots, of
+/// which one may hold shares.
+#[test]
+fn provisional_ledger_ignores_other_slot_lists() {
+    let mut world = World::in_outage();
+    world.participants[3]
+        .as_mut()
+        .unwrap()
+        .holder()
+        .set_slots_digest(2);
+    world.lead_provisionally(1);
+    world.rounds(20, 0);
+    let ledger = world.participants[1].as_mut().unwrap().ledger().unwrap();
+    assert!(!ledger.is_recovered());
+}
+
+/// Guards against one epoch for two processes that run in the same slot one
+/// after the other: messages of the first would count for the second.
+#[test]
+fn restarted_process_takes_another_epoch() {
+    let mut world = World::in_outage();
+    world.lead_provisionally(1);
+    let ledger = world.participants[1].as_mut().unwrap().ledger().unwrap();
+    let first = ledger.epoch().clone();
+    world.start(1);
+    world.lead_provisionally(1);
+    let ledger = world.participants[1].as_mut().unwrap().ledger().unwrap();
+    assert_ne!(first, *ledger.epoch());
+}
+
+/// Guards against a ledger that starts to lend after one answer of each slot.
+/// Here slot 1 has answered, restarts without knowing an epoch, borrows from
+/// the earlier ledger in slot 2, and that one crashes before it can say so.
+#[test]
+fn counts_shares_of_a_crashed_earlier_ledger() {
+    let mut world = World::in_outage();
+    world.lead_provisionally(2);
+    world.rounds(20, 0);
+    world.lead_provisionally(3);
+    for _ in 0..2 {
+        world.tick(3);
+        world.deliver_except(2);
+        for slot in [0, 1, 3] {
+            world.report_to(slot, 3);
+        }
+        world.deliver_except(2);
+    }
+    world.start(1);
+    for _ in 0..3 {
+        world.admit(1, 100);
+        world.report_to(1, 2);
+        world.deliver_all();
+    }
+    assert!(!world.meter(1).unwrap().0.amount().is_zero());
+    world.start(2);
+    world.tick(3);
+    world.deliver_except(1);
+    world.report_to(2, 3);
+    world.deliver_except(1);
+    world.check_shares();
+    world.rounds(5, 0);
+    world.check_shares();
+    let ledger = world.participants[3].as_mut().unwrap().ledger().unwrap();
+    assert!(ledger.is_recovered());
+}
--- a/tests/limit_world/mod.rs
+++ b/tests/limit_world/mod.rs
@@ -1,5 +1,7 @@
 //! Processes of one ledger group whose messages are delivered by a schedule.
 
+mod delivery;
+
 use std::{
     collections::BTreeSet,
     sync::Arc, //
@@ -19,6 +21,7 @@
         message::{
             Amount,
             Directive,
+            Epoch,
             HolderId,
             Report, //
         },
@@ -90,7 +93,7 @@
 pub(crate) struct World {
     pub(crate) organisation: Name,
     pub(crate) participants: Vec<Option<Participant>>,
-    paused: [bool; SLOTS],
+    pub(crate) paused: [bool; SLOTS],
     registered: BTreeSet<usize>,
     pub(crate) messages: Vec<Message>,
     reserved: Vec<(usize, u64, u64)>,
@@ -98,11 +101,15 @@
     reference: Reference,
     wanted: Amount,
     revision: u64,
-    pub(crate) epoch: u64,
+    pub(crate) epoch: Epoch,
     next_incarnation: u64,
     pub(crate) now_us: u64,
     pub(crate) admitted_tokens: u64,
     has_limit_changes: bool,
+    /// Whether the settings of all processes name the slots.
+    names_slots: bool,
+    /// Whether the object API is down.
+    pub(crate) is_out: bool,
 }
 
 fn slot_name(slot: usize) -> Name {
@@ -115,7 +122,24 @@
 
 impl World {
     pub(crate) fn new(has_limit_changes: bool) -> Self {
-        let mut world = Self {
+        let mut world = Self::empty(has_limit_changes);
+        (0..SLOTS).for_each(|slot| world.start(slot));
+        world.settle();
+        world
+    }
+
+    /// Starts all processes while the object API is down, with settings that
+    /// name all slots.
+    pub(crate) fn in_outage() -> Self {
+        let mut world = Self::empty(false);
+        world.names_slots = true;
+        world.is_out = true;
+        (0..SLOTS).for_each(|slot| world.start(slot));
+        world
+    }
+
+    fn empty(has_limit_changes: bool) -> Self {
+        Self {
             organisation: "acme".into(),
             participants: (0..SLOTS).map(|_| None).collect(),
             paused: [false; SLOTS],
@@ -130,15 +154,14 @@
             },
             wanted: LIMITS,
             revision: 1,
-            epoch: 0,
+            epoch: Epoch::default(),
             next_incarnation: 1,
             now_us: 0,
             admitted_tokens: 0,
             has_limit_changes,
-        };
-        (0..SLOTS).for_each(|slot| world.start(slot));
-        world.settle();
-        world
+            names_slots: false,
+            is_out: false,
+        }
     }
 
     pub(crate) fn start(&mut self, slot: usize) {
@@ -148,22 +171,66 @@
         };
         self.next_incarnation += 1;
         let mut participant = Participant::new(id, 0);
-        if self.registered.insert(slot) {
+        if self.names_slots {
+            participant.holder().set_slots_digest(1);
+        }
+        if !self.is_out && self.registered.insert(slot) {
             // A newly registered slot reads the epoch after it is registered.
-            participant.observe_epoch(self.epoch);
+            participant.observe_epoch(&self.epoch);
         }
         self.participants[slot] = Some(participant);
         self.paused[slot] = false;
     }
 
     pub(crate) fn lead(&mut self, slot: usize) {
-        self.epoch += 1;
-        let slots = self.registered.iter().copied().map(slot_name).collect();
-        let mut ledger = Ledger::new(0, self.epoch, slots);
-        ledger.set_limits(&self.organisation, self.wanted, self.revision, self.now_us);
-        ledger.set_deputies(vec![slot_name(slot), slot_name((slot + 1) % SLOTS)]);
         if let Some(participant) = &mut self.participants[slot] {
-            participant.lead(ledger);
+            let number = self.epoch.acquired + 1;
+            self.epoch = Epoch::acquired(number, participant.holder().id().clone());
+            let slots =
+                (0..SLOTS).filter(|slot| self.names_slots || self.registered.contains(slot));
+            let slots = slots.map(slot_name).collect();
+            participant.lead(Ledger::new(0, self.epoch.clone(), slots));
+        }
+        self.set_up_ledger(slot);
+    }
+
+    pub(crate) fn lead_provisionally(&mut self, slot: usize) {
+        if let Some(participant) = &mut self.participants[slot] {
+            participant.lead_provisionally((0..SLOTS).map(slot_name).collect());
+        }
+        self.set_up_ledger(slot);
+    }
+
+    fn set_up_ledger(&mut self, slot: usize) {
+        let participant = self.participants[slot].as_mut();
+        if let Some(ledger) = participant.and_then(Participant::ledger) {
+            ledger.set_limits(&self.organisation, self.wanted, self.revision, self.now_us);
+            ledger.set_deputies(vec![slot_name(slot), slot_name((slot + 1) % SLOTS)]);
+        }
+    }
+
+    /// Takes a provisional epoch during an outage, otherwise acquires one.
+    fn take_over(&mut self, slot: usize) {
+        if self.is_out {
+            self.lead_provisionally(slot);
+        } else {
+            self.lead(slot);
+        }
+    }
+
+    /// Starts or ends an outage of the object API; afterwards the slots
+    /// register one by one.
+    fn switch_outage(&mut self, step: &Step) {
+        if !self.names_slots {
+            return;
+        }
+        if step.choice.is_multiple_of(2) {
+            self.is_out = !self.is_out;
+        } else if !self.is_out && !self.paused[step.slot] {
+            self.registered.insert(step.slot);
+            if let Some(participant) = &mut self.participants[step.slot] {
+                participant.observe_epoch(&self.epoch);
+            }
         }
     }
 
@@ -194,7 +261,7 @@
             .flatten()
             .filter_map(Participant::ledger);
         let is_in_force = ledgers
-            .any(|ledger| ledger.epoch() == self.epoch && ledger.is_in_force(&self.organisation));
+            .any(|ledger| *ledger.epoch() == self.epoch && ledger.is_in_force(&self.organisation));
         if is_in_force {
             self.reference.charge(0, self.now_us);
             self.reference.limits = self.wanted;
@@ -245,8 +312,9 @@
         match step.action {
             0 if step.choice.is_multiple_of(2) => self.start(slot),
             1 => self.paused[slot] = !self.paused[slot],
-            2 if step.choice.is_multiple_of(3) => self.lead(slot),
+            2 if step.choice.is_multiple_of(3) => self.take_over(slot),
             3 => self.remove(slot, step.choice),
+            4 if self.names_slots => self.switch_outage(step),
             4 => self.change_limits(step),
             5 if step.choice.is_multiple_of(2) => self.drain(step.size * 2_000),
             5 => self.refund(step),
@@ -266,6 +334,9 @@
             self.participants[slot] = None;
             return;
         }
+        if self.is_out {
+            return;
+        }
         if self.participants[slot].is_some() {
             self.register_at_ledgers(slot);
             return;
@@ -359,100 +430,6 @@
         }
     }
 
-    pub(crate) fn tick(&mut self, slot: usize) {
-        let now_us = self.now_us;
-        let Some(ledger) = self.running(slot).and_then(Participant::ledger) else {
-            return;
-        };
-        let directives = ledger.tick(now_us);
-        self.send(directives);
-    }
-
-    fn report(&mut self, slot: usize, choice: usize) {
-        let now_us = self.now_us;
-        let to = choice % SLOTS;
-        let deputy = self.participants[to]
-            .as_mut()
-            .map(|peer| peer.holder().id().incarnation);
-        let Some(participant) = self.running(slot) else {
-            return;
-        };
-        if let Some(report) = participant.holder().report(now_us) {
-            // Also outdated ledgers keep receiving reports.
-            let ledgers = (0..SLOTS).filter(|&to| self.has_ledger(to));
-            let copies: Vec<Message> = ledgers
-                .map(|to| Message::Ledger(to, report.clone()))
-                .collect();
-            self.messages.extend(copies);
-        }
-        let Some(deputy) = deputy.filter(|_| to != slot) else {
-            return;
-        };
-        let asked = self
-            .running(slot)
-            .unwrap()
-            .holder()
-            .report_to_deputy(deputy, now_us);
-        self.messages
-            .extend(asked.map(|report| Message::Deputy(to, report)));
-    }
-
-    fn has_ledger(&self, slot: usize) -> bool {
-        self.participants[slot]
-            .as_ref()
-            .is_some_and(Participant::has_ledger)
-    }
-
-    fn send(&mut self, directives: Vec<Directive>) {
-        for directive in directives {
-            self.messages
-                .push(Message::Holder(slot_index(&directive.slot), directive));
-        }
-    }
-
-    fn take_message(&mut self, choice: usize) -> Option<Message> {
-        // A bounded queue keeps most deliveries recent; the rest is lost.
-        if self.messages.len() > MAX_IN_FLIGHT {
-            self.messages.drain(..MAX_IN_FLIGHT / 2);
-        }
-        let count = self.messages.len();
-        (count > 0).then(|| self.messages.swap_remove(choice % count))
-    }
-
-    fn deliver(&mut self, choice: usize, keeps_copy: bool) {
-        let now_us = self.now_us;
-        let Some(message) = self.take_message(choice) else {
-            return;
-        };
-        if keeps_copy {
-            self.messages.push(message.clone());
-        }
-        let (Message::Ledger(slot, _) | Message::Deputy(slot, _) | Message::Holder(slot, _)) =
-            &message;
-        let Some(participant) = self.running(*slot) else {
-            return;
-        };
-        let answers = match &message {
-            Message::Ledger(_, report) => participant.on_ledger_report(report, now_us),
-            Message::Deputy(_, report) => participant
-                .on_deputy_report(report, now_us)
-                .into_iter()
-                .collect(),
-            Message::Holder(_, directive) => {
-                participant.on_directive(directive, now_us);
-                Vec::new()
-            }
-        };
-        self.send(answers);
-    }
-
-    pub(crate) fn deliver_all(&mut self) {
-        while !self.messages.is_empty() {
-            self.deliver(0, false);
-        }
-        self.retry_waiting();
-    }
-
     /// Runs without faults until everything in flight has settled.
     pub(crate) fn settle(&mut self) {
         self.paused = [false; SLOTS];
@@ -461,7 +438,7 @@
                 self.start(slot);
             }
         }
-        self.lead(0);
+        self.take_over(0);
         self.rounds(60, 0);
     }
 
--- a/tests/settings_files.rs
+++ b/tests/settings_files.rs
@@ -96,6 +96,28 @@
     let name = entry.replace("entry-1", "entry 1");
     assert!(problem::<EntrySettings>(&name).starts_with("s.json:3:11:"));
 
+    let listed = |names: &str| entry.replace("\"entry_slots\": []", names);
+    let other = listed("\"entry_slots\": [\"entry-2\"]");
+    let found = problem::<EntrySettings>(&other);
+    assert!(
+        found.contains("`entry_slots` does not contain the own name `entry-1`"),
+        "{found}"
+    );
+    let twice = listed("\"entry_slots\": [\"entry-1\", \"entry-1\"]");
+    let found = problem::<EntrySettings>(&twice);
+    assert!(
+        found.contains("`entry_slots` names `entry-1` twice"),
+        "{found}"
+    );
+    let valid = listed("\"entry_slots\": [\"entry-2\", \"entry-1\"]");
+    assert_eq!(
+        parse::<EntrySettings>("s.json", &valid)
+            .unwrap()
+            .entry_slots
+            .len(),
+        2
+    );
+
     let agent = default_text::<AgentSettings>();
     let queue = agent.replace("\"max_wait_ms\": 10000", "\"max_wait_ms\": 0");
     assert!(problem::<AgentSettings>(&queue).contains("`max_wait_ms` is 0"));
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -206,6 +206,8 @@
     pub(crate) entries: Vec<Process>,
     relayed: bool,
     entry: Value,
+    /// Names of the planned entries, for their settings.
+    entry_slots: Vec<String>,
     agent: Value,
 }
 
@@ -262,6 +264,9 @@
             entries: Vec::new(),
             relayed: plan.relayed,
             entry: plan.entry.clone(),
+            entry_slots: (0..plan.entries)
+                .map(|number| format!("entry-{number}"))
+                .collect(),
             agent: plan.agent.clone(),
         };
         for number in 0..plan.engines {
@@ -364,6 +369,11 @@
             "peers": peers,
             "log": log(),
         });
+        // An entry that a test adds under a new name has no list; the others then
+        // use no provisional epoch.
+        if self.entry_slots.iter().any(|slot| slot == name) {
+            settings["entry_slots"] = json!(self.entry_slots);
+        }
         extend(&mut settings, &self.entry);
         settings
     }
