--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -52,6 +52,10 @@
     /// Time for which an idempotency key is remembered, equal on all instances.
     #[serde(default = "default_idempotency_window_ms")]
     pub idempotency_window_ms: u64,
+    /// Names of all entries of the fleet, equal on all of them; needed for
+    /// ledgers without the object API.
+    #[serde(default)]
+    pub entry_slots: Vec<Name>,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -97,6 +101,11 @@
   // Time for which an idempotency key is remembered, in milliseconds; equal on
   // all instances.
   "idempotency_window_ms": 600000,
+  // Names of all entries of the fleet, equal on all entries. With it, limits
+  // are shared again when all entries restart while the object API is down.
+  // Add a name on all entries before that entry starts; remove a name only
+  // after that entry has stopped. Empty: no ledger without the object API.
+  "entry_slots": [],
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "terminal", "level": "info"}
@@ -112,6 +121,7 @@
             ("platform_address", self.platform_address),
         ];
         checker.instance(&self.name, &self.data_centre, &addresses);
+        checker.slots("entry_slots", &self.entry_slots, &self.name);
         checker.count(
             &["traffic_threads"],
             self.traffic_threads,
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -11,6 +11,7 @@
 use crate::{
     clock::US_PER_MS,
     jsonc::Step,
+    names::Name,
     process::fate::idempotency::WINDOW_US, //
 };
 
@@ -106,6 +107,22 @@
         }
     }
 
+    /// Checks a list of slots, which may be empty: valid names, none twice, the
+    /// own name among them.
+    pub(super) fn slots(&mut self, field: &'static str, slots: &[Name], own: &Name) {
+        for (position, slot) in slots.iter().enumerate() {
+            self.name(field, slot);
+            if slots[..position].contains(slot) {
+                let message = format!("`{field}` names `{slot}` twice");
+                self.add(&[field], message, "name every entry once");
+            }
+        }
+        if !slots.is_empty() && !slots.contains(own) {
+            let message = format!("`{field}` does not contain the own name `{own}`");
+            self.add(&[field], message, "name all entries of the fleet");
+        }
+    }
+
     /// Checks that a number lies in a range.
     pub(super) fn range(
         &mut self,
