Require the settling state in the test of a good move

Cause: a_good_version_is_moved_to and the tests with a restarted agent were never seen to fail without their mechanism.

Change: the test waits for "settling" itself; it also took "finishing" before. Traffic prints the answers that are counted as failed.

--- a/tests/move_processes.rs
+++ b/tests/move_processes.rs
@@ -204,8 +204,9 @@
     submit_move(&fleet);
     eventually("the settling period begins", || {
         let (state, _) = state(&fleet, 0);
-        assert_ne!(state, "done", "the settling period was left out");
-        state == "settling" || state == "finishing"
+        let is_over = state == "finishing" || state == "done";
+        assert!(!is_over, "the settling period was left out");
+        state == "settling"
     });
     for entry in 0..2 {
         eventually("the move is done", || {
--- a/tests/support/moves.rs
+++ b/tests/support/moves.rs
@@ -117,7 +117,10 @@
                     let mut failed = 0;
                     while !is_over.load(Ordering::Relaxed) {
                         let answer = post(caller, "/v1/completions", ACME_KEY, &body);
-                        failed += u64::from(answer.status != 200);
+                        if answer.status != 200 {
+                            eprintln!("caller {number}: {}", answer.text());
+                            failed += 1;
+                        }
                     }
                     failed
                 })
