Ask agents only when their reports are not enough

Cause: the holder of a move asked every agent each 500 ms in all phases. An engine that had loaded a version was reported up to a second later, so that an entry could give a request the new version before it knew a target of it.

Change: in "planned" the holder asks nobody; while a share is held it asks an agent again only when it restarts, is silent or does not report the new version. Loading, finishing and taking back still need the answers. An agent reports a change of the engine's versions at once. A request that was given the new version while no target reports it takes the old one, while that has a share. Agents count orders in orders_total.

The request that takes the old version is not tested by itself.

Conclusion: the calls of the holder no longer grow with the length of the shares.

--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -151,6 +151,7 @@
             Command::Moves(sender) => drop(sender.send(self.moves.borrow().moves())),
             Command::Probe(request, sender) => drop(sender.send(self.probe(&request))),
             Command::Order(request, sender) => {
+                self.context.metrics.orders.inc();
                 let control = Rc::clone(self);
                 ntex::rt::spawn(async move {
                     let answer = control.order(request).await;
--- a/src/process/agent/control/engine.rs
+++ b/src/process/agent/control/engine.rs
@@ -84,7 +84,11 @@
     async fn read_load(&self, client: &Client) -> Result<()> {
         let load: EngineLoad = self.get(client, "/load").await?;
         self.see_engine(load.incarnation);
-        self.context.set_versions(load.versions);
+        // Entries send requests of a version to targets that report it.
+        if load.versions != self.context.versions() {
+            self.context.set_versions(load.versions);
+            self.context.changed.notify_one();
+        }
         Ok(())
     }
 
--- a/src/process/entry/control/moves.rs
+++ b/src/process/entry/control/moves.rs
@@ -27,7 +27,10 @@
 use slog::warn;
 use tokio::sync::Notify;
 
-use self::holder::Tenure;
+use self::{
+    holder::Tenure,
+    targets::Asked, //
+};
 use super::Control;
 use crate::{
     clock::US_PER_MS,
@@ -95,6 +98,8 @@
     is_known: Cell<bool>,
     /// Targets whose last load after a move failed.
     failed_loads: RefCell<BTreeSet<Name>>,
+    /// Last answers of the agents to the holder.
+    asked: RefCell<BTreeMap<Name, Asked>>,
     read_at_us: Cell<u64>,
     /// Moves of the configuration, with its revision.
     wanted: RefCell<(u64, WantedMoves)>,
--- a/src/process/entry/control/moves/targets.rs
+++ b/src/process/entry/control/moves/targets.rs
@@ -10,7 +10,10 @@
 
 use super::Control;
 use crate::{
-    names::Name,
+    names::{
+        Incarnation,
+        Name, //
+    },
     process::{
         membership::Liveness,
         rpc::{
@@ -43,14 +46,23 @@
     pub(super) part: Part,
 }
 
+/// What the holder of a move knows of an agent from its answers.
+#[derive(Clone)]
+pub(super) struct Asked {
+    /// Process that reported at the time of the answer.
+    agent: Incarnation,
+    answer: OrderAnswer,
+}
+
 impl Control {
     /// Sends the outstanding orders. Returns the state of the targets, and
     /// whether the version that is not in use any more is unloaded.
     pub(super) async fn order_targets(self: &Rc<Self>, current: &Move) -> (Vec<TargetView>, bool) {
+        if current.phase == Phase::Planned {
+            return (Vec::new(), false);
+        }
         let targets = self.ordered(current);
-        // Raising the number changes nothing else and yields the state.
-        let fence = |target| self.order(current, target, OrderAction::Fence);
-        let answers = join_all(targets.iter().map(fence)).await;
+        let answers = join_all(targets.iter().map(|target| self.ask(current, target))).await;
         let views: Vec<TargetView> = targets
             .iter()
             .zip(&answers)
@@ -78,6 +90,51 @@
         (views, is_settled)
     }
 
+    /// Returns the state of a target: as last answered where the reports show no
+    /// change since, or by raising the fencing number, which changes nothing else.
+    async fn ask(&self, current: &Move, target: &Ordered) -> Option<OrderAnswer> {
+        if let Some(answer) = self.reported(current, target) {
+            return Some(answer);
+        }
+        let agent = {
+            let fleet = self.fleet.borrow();
+            let report = fleet.members.get(&target.name);
+            report.map(|report| report.incarnation)
+        };
+        let answer = self.order(current, target, OrderAction::Fence).await?;
+        if let Some(agent) = agent {
+            let answer = answer.clone();
+            let mut asked = self.moves.asked.borrow_mut();
+            asked.insert(target.name.clone(), Asked { agent, answer });
+        }
+        Some(answer)
+    }
+
+    /// While a share is held, the steps depend on the versions of a target and
+    /// on the fencing number of its agent only. Reports tell of the versions and
+    /// of a restart of the agent.
+    fn reported(&self, current: &Move, target: &Ordered) -> Option<OrderAnswer> {
+        if !matches!(
+            current.phase,
+            Phase::Shifting { .. } | Phase::Settling { .. }
+        ) {
+            return None;
+        }
+        let asked = self.moves.asked.borrow();
+        let asked = asked.get(&target.name)?;
+        let answer = &asked.answer;
+        let is_loaded = target.part == Part::Old || answer.versions.contains(&current.to);
+        if answer.fencing != Some(current.lease.fencing) || !is_loaded {
+            return None;
+        }
+        let fleet = self.fleet.borrow();
+        let is_live = fleet.members.liveness(&target.name) == Some(Liveness::Live);
+        let report = fleet.members.get(&target.name).filter(|_| is_live)?;
+        let serves = target.part == Part::Old || report.versions.contains(&current.to);
+        let is_unchanged = serves && asked.agent == report.incarnation;
+        is_unchanged.then(|| answer.clone())
+    }
+
     async fn send_orders(&self, current: &Move, targets: &[Ordered], views: &[TargetView]) {
         let orders = current.orders(views);
         let calls = orders.iter().filter_map(|order| {
--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -1,5 +1,7 @@
 //! Version, target and head of the next attempt.
 
+use std::sync::Arc;
+
 use error_stack::Report;
 
 use super::Call;
@@ -19,6 +21,7 @@
             Configured,
             VersionUse, //
         },
+        entry::worker::Placement,
         rpc::ProbeRequest, //
     },
     request::prompt::{
@@ -37,31 +40,25 @@
 
 impl Call {
     pub(super) async fn next_target(&mut self) -> Result<TargetKey> {
+        let is_first = self.version.is_none();
         let version = match &self.version {
             Some(version) => Some(version.clone()),
             None => Some(self.choose_version()?),
         };
-        let config = &self.request.config;
+        let config = Arc::clone(&self.request.config);
         let route = config.route(self.request.route);
         let service = route.map(|entry| entry.service);
         let service = service.ok_or_else(|| Report::new(ErrorKind::NoTarget))?;
-        if let Some(version) = &version {
-            self.prompt = self.cut_prompt(version);
+        let mut placement = self.place(&config, service, version).await;
+        if is_first && placement.ordered.is_empty() {
+            let usage = self.usage.as_mut().filter(|usage| usage.is_moved());
+            let old = usage.and_then(VersionUse::fall_back);
+            if old.is_some() {
+                placement = self.place(&config, service, old).await;
+            }
         }
-        // All attempts of a request use one version, so that a stream never
-        // mixes the output of two.
-        self.version = version;
-        let placement = self
-            .worker
-            .place(
-                config,
-                service,
-                self.placed_version(),
-                &self.probe_request(),
-            )
-            .await;
         if let Some(keyed) = self.request.keyed {
-            let owners = self.worker.owners(config, service, keyed.key);
+            let owners = self.worker.owners(&config, service, keyed.key);
             let mut live = owners
                 .into_iter()
                 .filter(|key| placement.ordered.contains(key));
@@ -76,6 +73,23 @@
         Ok(target)
     }
 
+    async fn place(
+        &mut self,
+        config: &Config,
+        service: ServiceKey,
+        version: Option<Name>,
+    ) -> Placement {
+        if let Some(version) = &version {
+            self.prompt = self.cut_prompt(version);
+        }
+        // All attempts of a request use one version, so that a stream never
+        // mixes the output of two.
+        self.version = version;
+        let prompt = self.probe_request();
+        let version = self.placed_version();
+        self.worker.place(config, service, version, &prompt).await
+    }
+
     /// Returns the version that a target has to serve. Without a move, the
     /// targets of a plain service are interchangeable while tickets change their
     /// releases one by one.
--- a/src/process/entry/moves.rs
+++ b/src/process/entry/moves.rs
@@ -21,7 +21,10 @@
             Side,
             counts::Sample, //
         },
-        rollout::cut::LocalMove, //
+        rollout::{
+            FULL_PERMILLE,
+            cut::LocalMove, //
+        },
     },
 };
 
@@ -61,6 +64,22 @@
         let key = (service.clone(), version.clone());
         self.lock().get(&key).copied().unwrap_or(0)
     }
+
+    fn begin(&self, service: &Name, version: &Name) {
+        let key = (service.clone(), version.clone());
+        *self.lock().entry(key).or_default() += 1;
+    }
+
+    fn end(&self, service: &Name, version: &Name) {
+        let key = (service.clone(), version.clone());
+        let mut running = self.lock();
+        if let Some(count) = running.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                running.remove(&key);
+            }
+        }
+    }
 }
 
 /// Evidence from one answer.
@@ -126,8 +145,7 @@
                 (version, Some((current.ticket, side)))
             }
         };
-        let key = (service.clone(), version.clone());
-        *context.running_versions.lock().entry(key).or_default() += 1;
+        context.running_versions.begin(service, &version);
         drop(local);
         Self {
             context: Arc::clone(context),
@@ -142,6 +160,25 @@
         &self.version
     }
 
+    /// Takes the old version instead of the new one, of which no target is known
+    /// here yet: reports of a load reach other entries later than the holder.
+    /// Returns the old version; `None` when the new one has all traffic.
+    pub(super) fn fall_back(&mut self) -> Option<Name> {
+        let moves = self.context.moves.load();
+        let local = moves.get(&self.service)?.lock();
+        let current = local.current();
+        let is_new = self.compared == Some((current.ticket, Side::New));
+        if !is_new || local.share_permille() >= FULL_PERMILLE {
+            return None;
+        }
+        let running = &self.context.running_versions;
+        running.begin(&self.service, &current.from);
+        running.end(&self.service, &self.version);
+        self.version = current.from.clone();
+        self.compared = Some((current.ticket, Side::Old));
+        Some(self.version.clone())
+    }
+
     /// Whether a move decided on the version.
     pub(super) fn is_moved(&self) -> bool {
         self.compared.is_some()
@@ -165,14 +202,8 @@
 
 impl Drop for VersionUse {
     fn drop(&mut self) {
-        let key = (self.service.clone(), self.version.clone());
-        let mut running = self.context.running_versions.lock();
-        if let Some(count) = running.get_mut(&key) {
-            *count -= 1;
-            if *count == 0 {
-                running.remove(&key);
-            }
-        }
+        let running = &self.context.running_versions;
+        running.end(&self.service, &self.version);
     }
 }
 
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -87,6 +87,8 @@
     pub retries: Counter,
     /// Streams resumed on a new connection.
     pub resumed_streams: Counter,
+    /// Orders of holders of moves that an agent was sent.
+    pub orders: Counter,
     /// Configuration revision in use.
     pub revision: Gauge,
     /// Requests that are running.
@@ -134,6 +136,7 @@
             prompt_blocks: Counter::default(),
             retries: Counter::default(),
             resumed_streams: Counter::default(),
+            orders: Counter::default(),
             revision: Gauge::default(),
             running: Gauge::default(),
             registry: Registry::default(),
@@ -183,6 +186,7 @@
                 "Streams resumed on a new connection",
                 &self.resumed_streams,
             ),
+            ("orders", "Orders of holders of moves", &self.orders),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
