--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -98,6 +98,8 @@
     pub resumed_streams: Counter,
     /// Placements of organisations far above their rate.
     pub confined: Counter,
+    /// Orders of holders of moves that an agent was sent.
+    pub orders: Counter,
     /// Configuration revision in use.
     pub revision: Gauge,
     /// Requests that are running.
@@ -150,6 +152,7 @@
             retries: Counter::default(),
             resumed_streams: Counter::default(),
             confined: Counter::default(),
+            orders: Counter::default(),
             revision: Gauge::default(),
             running: Gauge::default(),
             registry: Registry::default(),
@@ -224,6 +227,7 @@
                 "Placements of organisations far above their rate",
                 &self.confined,
             ),
+            ("orders", "Orders of holders of moves", &self.orders),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
