--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -33,7 +33,9 @@
         cut, //
     },
     version::config::{
+        Config,
         OrganisationKey,
+        ServiceKey,
         ServiceKind,
         TargetKey, //
     },
