Test two failures at once on the running system

Cause: docs/proofs.md named failures in pairs under load as not tested.

The fleet of the tests can be spread over data centres.

--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -166,6 +166,8 @@
     pub(crate) entries: usize,
     pub(crate) engines: usize,
     pub(crate) plains: usize,
+    /// Data centres, over which entries and targets are spread in turn.
+    pub(crate) data_centres: usize,
     /// Whether a relay stands between the entries and each agent.
     pub(crate) relayed: bool,
     /// Fields that are added to the settings of the entries.
@@ -182,6 +184,7 @@
             entries: 1,
             engines: 1,
             plains: 0,
+            data_centres: 1,
             relayed: false,
             entry: json!({}),
             agent: json!({}),
@@ -194,6 +197,7 @@
 pub(crate) struct Target {
     pub(crate) name: String,
     pub(crate) service: &'static str,
+    pub(crate) data_centre: String,
     pub(crate) standin: Process,
     pub(crate) agent: Process,
     pub(crate) relay: Option<Relay>,
@@ -204,9 +208,11 @@
     pub(crate) platform: Process,
     pub(crate) targets: Vec<Target>,
     pub(crate) entries: Vec<Process>,
+    data_centres: usize,
     relayed: bool,
     entry: Value,
     agent: Value,
+    engine: Value,
 }
 
 impl Target {
@@ -221,8 +227,12 @@
 
     /// Returns how often a plain service has run a request body.
     pub(crate) fn executions(&self, body: &str) -> u64 {
-        let counts = get(self.standin.address("address"), "/executions").json();
-        counts["by_body"][body].as_u64().unwrap_or(0)
+        self.execution_counts()[body].as_u64().unwrap_or(0)
+    }
+
+    /// Returns the executions of a plain service by request body.
+    pub(crate) fn execution_counts(&self) -> Value {
+        get(self.standin.address("address"), "/executions").json()["by_body"].clone()
     }
 
     /// Sets faults of the stand-in.
@@ -260,9 +270,11 @@
             platform,
             targets: Vec::new(),
             entries: Vec::new(),
+            data_centres: plan.data_centres,
             relayed: plan.relayed,
             entry: plan.entry.clone(),
             agent: plan.agent.clone(),
+            engine: plan.engine.clone(),
         };
         for number in 0..plan.engines {
             fleet.add_target("draft", &format!("engine-{number}"), &plan.engine);
@@ -293,31 +305,42 @@
         if !engine.is_null() {
             settings["engine"] = engine.clone();
         }
+        let same_service = self.targets.iter().filter(|known| known.service == service);
+        let data_centre = self.data_centre(same_service.count());
         let standin = Process::start(env!("CARGO_BIN_EXE_yuccalatch-standin"), &settings);
-        let agent = self.start_agent(service, name, standin.address("address"), None);
+        let address = standin.address("address");
+        let agent = self.start_agent(service, name, &data_centre, address, None);
         let data_address = agent.address("data_address");
         let relay = self.relayed.then(|| Relay::start(data_address));
         self.targets.push(Target {
             relay,
             name: name.to_owned(),
             service,
+            data_centre,
             standin,
             agent,
         });
     }
 
+    /// Data centre of the entry or target with a number: `a`, `b` and so on.
+    fn data_centre(&self, number: usize) -> String {
+        let letter = b'a' + u8::try_from(number % self.data_centres).unwrap();
+        char::from(letter).to_string()
+    }
+
     /// Starts an agent, on the addresses of an earlier one where given.
     fn start_agent(
         &self,
         service: &str,
         name: &str,
+        data_centre: &str,
         target: SocketAddr,
         former: Option<&Process>,
     ) -> Process {
         let address = |field| former.map_or(json!(ANY), |former| json!(former.address(field)));
         let mut settings = json!({
             "name": name,
-            "data_centre": "a",
+            "data_centre": data_centre,
             "data_address": address("data_address"),
             "control_address": address("control_address"),
             "admin_address": ANY,
@@ -336,19 +359,34 @@
         let old = &mut self.targets[target];
         old.agent.signal("KILL");
         old.agent.wait();
+        self.start_agent_again(target);
+    }
+
+    /// Starts an engine that has ended on the same address.
+    pub(crate) fn start_engine_again(&mut self, target: usize) {
+        let address = self.targets[target].standin.address("address");
+        let settings = json!({"kind": "engine", "address": address, "log": log(),
+            "engine": self.engine});
+        let engine = Process::start(env!("CARGO_BIN_EXE_yuccalatch-standin"), &settings);
+        self.targets[target].standin = engine;
+    }
+
+    /// Starts an agent that has ended on the same addresses.
+    pub(crate) fn start_agent_again(&mut self, target: usize) {
         let old = &self.targets[target];
         let standin = old.standin.address("address");
-        let agent = self.start_agent(old.service, &old.name, standin, Some(&old.agent));
+        let (name, data_centre) = (&old.name, &old.data_centre);
+        let agent = self.start_agent(old.service, name, data_centre, standin, Some(&old.agent));
         self.targets[target].agent = agent;
     }
 
     pub(crate) fn add_entry(&mut self, name: &str) {
-        let settings = self.entry_settings(name);
+        let settings = self.entry_settings(name, self.entries.len());
         let entry = Process::start(env!("CARGO_BIN_EXE_yuccalatch-entry"), &settings);
         self.entries.push(entry);
     }
 
-    fn entry_settings(&self, name: &str) -> Value {
+    fn entry_settings(&self, name: &str, number: usize) -> Value {
         let mut peers: Vec<SocketAddr> = Vec::new();
         let agents = self.targets.iter().map(|target| &target.agent);
         for process in agents.chain(&self.entries) {
@@ -356,7 +394,7 @@
         }
         let mut settings = json!({
             "name": name,
-            "data_centre": "a",
+            "data_centre": self.data_centre(number),
             "caller_address": ANY,
             "control_address": ANY,
             "admin_address": ANY,
@@ -418,7 +456,7 @@
             };
             set.push(
                 json!({"target": {"name": target.name, "service": target.service,
-                "data_centre": "a", "version": version,
+                "data_centre": target.data_centre, "version": version,
                 "address": target.data_address(),
                 "control_address": target.agent.address("control_address")}}),
             );
@@ -430,15 +468,7 @@
 
     /// Submits a ticket and returns its revision.
     pub(crate) fn submit(&self, ticket: &Ticket) -> u64 {
-        let address = self.platform_address();
-        let ticket = ticket.clone();
-        System::new("submit", DefaultRuntime).block_on(async move {
-            let platform = Platform::new(address, Clock::start()).await.unwrap();
-            let mut fold = Fold::default();
-            let deadline_us = platform.clock().now_us() + 30_000_000;
-            let accepted = submit(&platform, &mut fold, &ticket, deadline_us).await;
-            accepted.unwrap().revision
-        })
+        submit_at(self.platform_address(), ticket)
     }
 
     /// Waits until every target of every entry serves.
@@ -465,6 +495,18 @@
     }
 }
 
+/// Submits a ticket at an object API and returns its revision.
+pub(crate) fn submit_at(address: SocketAddr, ticket: &Ticket) -> u64 {
+    let ticket = ticket.clone();
+    System::new("submit", DefaultRuntime).block_on(async move {
+        let platform = Platform::new(address, Clock::start()).await.unwrap();
+        let mut fold = Fold::default();
+        let deadline_us = platform.clock().now_us() + 30_000_000;
+        let accepted = submit(&platform, &mut fold, &ticket, deadline_us).await;
+        accepted.unwrap().revision
+    })
+}
+
 /// Repeats a check until it holds; panics when it never does.
 pub(crate) fn eventually(what: &str, mut check: impl FnMut() -> bool) {
     let started = Instant::now();
@@ -689,7 +731,12 @@
     /// Kills an entry and starts another process in its slot.
     pub(crate) fn replace_entry(&mut self, entry: usize) {
         self.entries[entry].signal("KILL");
-        let settings = self.entry_settings(&format!("entry-{entry}"));
+        self.start_entry_again(entry);
+    }
+
+    /// Starts another process in the slot of an entry that has ended.
+    pub(crate) fn start_entry_again(&mut self, entry: usize) {
+        let settings = self.entry_settings(&format!("entry-{entry}"), entry);
         let program = env!("CARGO_BIN_EXE_yuccalatch-entry");
         self.entries[entry] = Process::start(program, &settings);
     }
@@ -705,8 +752,13 @@
 
     /// Starts an entry that knows certain peers only.
     pub(crate) fn add_entry_with_peers(&mut self, name: &str, peers: &[SocketAddr]) {
-        let mut settings = self.entry_settings(name);
-        settings["peers"] = json!(peers);
+        self.add_entry_with(name, &json!({"peers": peers}));
+    }
+
+    /// Starts an entry some of whose settings are given.
+    pub(crate) fn add_entry_with(&mut self, name: &str, fields: &Value) {
+        let mut settings = self.entry_settings(name, self.entries.len());
+        extend(&mut settings, fields);
         let program = env!("CARGO_BIN_EXE_yuccalatch-entry");
         self.entries.push(Process::start(program, &settings));
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures shared by the tests of the configuration.
 #![allow(dead_code, reason = "every test file uses a part")]
 
+pub(crate) mod callers;
+pub(crate) mod failures;
 pub(crate) mod fleet;
 pub(crate) mod relay;
 
