Let orders of the paired failures run longer

Change: one plain server takes 2.8 s and the other 100 ms for an order, the deadline of orders is 5 s, and 12 callers place orders.

Conclusion: a wrong answer about a running attempt is noticed.

--- a/tests/paired_failures.rs
+++ b/tests/paired_failures.rs
@@ -72,6 +72,10 @@
         agent: json!({"idempotency_window_ms": WINDOW_MS}),
         engine: json!({"decode_tokens_per_s": 40, "prefill_tokens_per_s": 100_000}),
     });
+    // Orders at one server are still running when a link counts as silent, those
+    // at the other have ended by then.
+    fleet.targets[4].set_faults(&json!({"slow_ms": 2_800}));
+    fleet.targets[3].set_faults(&json!({"slow_ms": 100}));
     fleet.submit(&second_ticket());
     fleet.wait_in_force(2);
     fleet
@@ -89,7 +93,7 @@
             "burst_tokens": BURST_TOKENS, "weight": 1}}),
         key("mill-1", "mill", LIMITED_KEY),
         json!({"route": {"name": "orders", "path_prefix": "/orders", "methods": ["POST"],
-            "service": "files", "access": "keyed", "idempotent": false, "timeout_ms": 3_000}}),
+            "service": "files", "access": "keyed", "idempotent": false, "timeout_ms": 5_000}}),
         json!({"route": {"name": "text", "path_prefix": "/v1/completions",
             "methods": ["POST"], "model": "oak", "service": "draft", "access": "keyed",
             "idempotent": true, "timeout_ms": 10_000}}),
--- a/tests/support/callers.rs
+++ b/tests/support/callers.rs
@@ -54,9 +54,9 @@
 
 const PAUSE: Duration = Duration::from_millis(30);
 
-/// Three of each sort of stream, one for whole answers, two for each sort of order.
-/// Three callers ask for more than the limited organisation may have.
-const CALLERS: usize = 11;
+/// Three for streams, one for whole answers, six for orders without and six with
+/// a key. Three ask for more than the limited organisation may have.
+const CALLERS: usize = 19;
 
 /// Prompt and output of one request of the limited organisation.
 pub(crate) const LIMITED_COST_TOKENS: u64 = 410;
@@ -162,8 +162,8 @@
             match caller {
                 0..3 => self.stream(door, &name),
                 3 => self.whole(door, &name),
-                4..6 => self.order(door, &name),
-                6..8 => self.keyed_order(door, &name),
+                4..10 => self.order(door, &name),
+                10..16 => self.keyed_order(door, &name),
                 _ => self.limited(door, &name),
             }
             number += 1;
