Vouch for idempotency keys only where runs are known

Cause: agents did not follow the members of their service, so after a change an agent vouched for keys that another one may have run. An entry that alone was cut off from the object API let an agent run a key without a record; once that agent had gone, an entry that could create the record let the next owner run the key again.

Change: the control thread of the agent notes a change of the members. A request carries the digest of the members, the state of its record and the time without news from the object API (format of the attempt header). An agent runs a key without a record only after 15 s without news at itself and at the entry, and vouches only when both name the same members. An entry trusts the records only without a gap above 4 s (before: 20 s) in its news, so that it has noticed every such outage. During an outage keyed orders are refused as not run for the first 15 s.

key_agent_covers (run_once) now has two entries: a single one hears nobody and refuses all keys after 4 s, before an outage counts as such. What it asserts is the same.

Without the notice of changed members, members_changed fails (a key is served at once); without the 15 s, entry_cut_off fails ("k-4 ran 2 times").

--- a/src/connection/attempt.rs
+++ b/src/connection/attempt.rs
@@ -38,6 +38,21 @@
 /// servers commonly allow for a header section.
 pub const MAX_HEAD_BLOCKS: usize = 1_024;
 
+/// What the object API says about the record of an idempotency key.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RecordState {
+    /// The record belongs to the agent of the attempt, and the object API has
+    /// answered throughout the window, so that every earlier run has a record.
+    Vouched,
+    /// The record belongs to the agent of the attempt, but runs without a record
+    /// may precede, because the object API has not answered throughout the window.
+    Unvouched,
+    /// Another agent or incarnation has created the record.
+    Foreign,
+    /// The object API did not answer, so this attempt may have no record.
+    Silent,
+}
+
 /// Caller's idempotency key and what it was used with.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct IdempotencyClaim {
@@ -45,9 +60,12 @@
     pub key: Digest,
     /// Digest of the request.
     pub request: Digest,
-    /// Whether this attempt created the record in the object API; `None` when
-    /// the object API did not answer.
-    pub created: Option<bool>,
+    /// Record of the key in the object API.
+    pub record: RecordState,
+    /// Digest of the members of the service by which the entry chose the agent.
+    pub members: u64,
+    /// Time since any process that the entry hears had news from the object API.
+    pub api_silent_ms: u64,
 }
 
 /// Everything the agent needs to know besides the body.
--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -20,7 +20,10 @@
 };
 
 use crate::{
-    clock::Clock,
+    clock::{
+        Clock,
+        US_PER_MS, //
+    },
     names::{
         Incarnation,
         Name, //
@@ -28,11 +31,15 @@
     process::{
         cache_index::Answer,
         fair_queue,
+        fate::authority::Standing,
         metrics::Metrics, //
     },
     request::prompt::BlockHash,
     settings::AgentSettings,
-    version::config::ServiceKind, //
+    version::{
+        config::ServiceKind,
+        freshness::Freshness, //
+    },
 };
 
 /// Requests without a first token that an engine holds. Two keep it busy while
@@ -86,7 +93,10 @@
     engine: AtomicU64,
     versions: Mutex<Vec<String>>,
     running_versions: Mutex<BTreeMap<Name, u64>>,
+    /// Digest of the members of the service, 0 while they are not known.
+    members: AtomicU64,
     members_changed_at_us: AtomicU64,
+    news_at_us: AtomicU64,
 }
 
 impl Context {
@@ -109,7 +119,9 @@
             engine: AtomicU64::new(0),
             versions: Mutex::default(),
             running_versions: Mutex::default(),
+            members: AtomicU64::new(0),
             members_changed_at_us: AtomicU64::new(0),
+            news_at_us: AtomicU64::new(0),
         }
     }
 
@@ -139,13 +151,17 @@
         queued.saturating_mul(service_us) / slots
     }
 
-    /// Notes that the members of this target's service have changed, so that
-    /// idempotency keys may have been run by another agent until now.
-    #[expect(
-        dead_code,
-        reason = "the control thread does not follow the configuration yet"
-    )]
-    pub(super) fn note_members_changed(&self) {
+    /// Takes over the members of this target's service. Idempotency keys may have
+    /// been run by another agent until a change.
+    pub(super) fn note_members(&self, members: u64) {
+        if self.members.load(Ordering::Relaxed) != members {
+            self.note_members_changed();
+            // A claim that sees the new members has to see the time as well.
+            self.members.store(members, Ordering::Release);
+        }
+    }
+
+    fn note_members_changed(&self) {
         let now_us = self.clock.now_us();
         self.members_changed_at_us.store(now_us, Ordering::Relaxed);
     }
@@ -154,6 +170,22 @@
         self.members_changed_at_us.load(Ordering::Relaxed)
     }
 
+    /// Takes over what the control thread has heard of the object API.
+    pub(super) fn note_freshness(&self, freshness: &Freshness) {
+        let news_at_us = freshness.news_at_us();
+        self.news_at_us.store(news_at_us, Ordering::Relaxed);
+    }
+
+    /// What this agent knows that bears on a claim of an idempotency key.
+    pub(super) fn standing(&self) -> Standing {
+        let news_at_us = self.news_at_us.load(Ordering::Relaxed);
+        let silent_us = self.clock.now_us().saturating_sub(news_at_us);
+        Standing {
+            members: self.members.load(Ordering::Acquire),
+            api_silent_ms: silent_us / US_PER_MS,
+        }
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/src/process/agent/control.rs
+++ b/src/process/agent/control.rs
@@ -46,6 +46,7 @@
     process::{
         cache_index::CacheIndex,
         config_store::ConfigStore,
+        fate::authority::members_digest,
         peer::{
             self,
             Links, //
@@ -114,11 +115,23 @@
     }
 }
 
+/// Digest of the members of a target's service, 0 for an unknown target.
+fn members_of(config: &Config, name: &str) -> u64 {
+    let target = config.target_by_name(name);
+    let entry = target.and_then(|key| config.target(key));
+    let service = entry.and_then(|entry| config.service_by_name(&entry.target.service));
+    service.map_or(0, |service| members_digest(config, service))
+}
+
 impl Control {
     fn new(context: Arc<Context>, address: SocketAddr) -> Self {
         let config = Rc::new(RefCell::new(Arc::new(Config::default())));
         let published = Rc::clone(&config);
-        let publish = move |next| *published.borrow_mut() = next;
+        let shared = Arc::clone(&context);
+        let publish = move |next: Arc<Config>| {
+            shared.note_members(members_of(&next, &shared.settings.name));
+            *published.borrow_mut() = next;
+        };
         Self {
             index: RefCell::new(CacheIndex::new(Incarnation::default(), INDEX_BLOCKS)),
             store: ConfigStore::new(context.log.clone(), publish),
--- a/src/process/agent/control/report.rs
+++ b/src/process/agent/control/report.rs
@@ -178,6 +178,7 @@
         self.store.offer(answer.revision, address);
         let mut freshness = self.freshness.borrow_mut();
         freshness.hear_news(answer.news_age_ms, sent_at_us);
+        self.context.note_freshness(&freshness);
         if let Some(contacts) = answer.entries
             && !contacts.is_empty()
         {
--- a/src/process/agent/keyed.rs
+++ b/src/process/agent/keyed.rs
@@ -16,8 +16,8 @@
     error::ErrorKind,
     process::fate::{
         Attempt, Queued,
+        authority::authority,
         idempotency::{
-            Authority,
             Claim,
             KeyId,
             Outcome, //
@@ -76,16 +76,12 @@
         let Some(claim) = self.head.idempotency else {
             return Ok(None);
         };
-        let authority = match claim.created {
-            Some(true) => Authority::Created,
-            Some(false) => Authority::Foreign,
-            None => Authority::Silent,
-        };
         let traffic = &self.traffic;
         let deadline = traffic.context.clock.instant(self.expires_at_us);
         loop {
             let changed = traffic.keys_changed.notified();
             let now_us = traffic.context.clock.now_us();
+            let authority = authority(&claim, traffic.context.standing());
             let claimed = {
                 let mut keys = traffic.keys.borrow_mut();
                 if traffic.context.members_changed_at_us() > 0 {
--- a/src/process/entry/context.rs
+++ b/src/process/entry/context.rs
@@ -35,6 +35,7 @@
         US_PER_MS,
         US_PER_S, //
     },
+    connection::attempt::RecordState,
     names::{
         AttemptId,
         Digest,
@@ -43,7 +44,10 @@
     },
     process::metrics::Metrics,
     settings::EntrySettings,
-    version::config::Config, //
+    version::{
+        config::Config,
+        freshness::Freshness, //
+    },
 };
 
 /// Last known state of a target, published by the control thread.
@@ -86,6 +90,7 @@
     leaving: AtomicBool,
     shares_released: AtomicBool,
     keys_stale_at_us: AtomicU64,
+    news_at_us: AtomicU64,
     /// Told when the state that peers should know of has changed.
     pub(super) changed: Notify,
     announced: AtomicBool,
@@ -100,14 +105,13 @@
     pub(super) key: Digest,
     /// Agent that would run the request.
     pub(super) agent: Incarnation,
-    /// Whether the record belongs to that agent; `None` when the object API
-    /// cannot vouch for it.
-    pub(super) answer: oneshot::Sender<Option<bool>>,
+    pub(super) answer: oneshot::Sender<RecordState>,
 }
 
 /// Longest time between two answers of the object API that still counts as
-/// continuous service: one watch call with its bound.
-const PLATFORM_GAP_US: u64 = 20 * US_PER_S;
+/// continuous service: a read of 2 s and a watch call of 1.5 s at most, rounded
+/// up. Part of the sum behind `SILENT_AFTER_MS`.
+const PLATFORM_GAP_US: u64 = 4 * US_PER_S;
 
 impl Context {
     pub(super) fn new(
@@ -134,6 +138,7 @@
             next_sequence: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             keys_stale_at_us: AtomicU64::new(0),
+            news_at_us: AtomicU64::new(0),
             changed: Notify::new(),
             announced: AtomicBool::new(false),
             records,
@@ -185,8 +190,18 @@
         self.clock.now_us() >= self.keys_stale_at_us.load(Ordering::Relaxed)
     }
 
-    pub(super) fn set_keys_stale_at(&self, stale_at_us: u64) {
+    /// Takes over what the control thread has heard of the object API.
+    pub(super) fn note_freshness(&self, freshness: &Freshness) {
+        let stale_at_us = freshness.stale_at_us();
         self.keys_stale_at_us.store(stale_at_us, Ordering::Relaxed);
+        self.news_at_us
+            .store(freshness.news_at_us(), Ordering::Relaxed);
+    }
+
+    /// Time since this entry or a peer that it hears had news from the object API.
+    pub(super) fn api_silent_ms(&self) -> u64 {
+        let news_at_us = self.news_at_us.load(Ordering::Relaxed);
+        self.clock.now_us().saturating_sub(news_at_us) / US_PER_MS
     }
 
     /// Notes whether the object API answered just now.
--- a/src/process/entry/control/configuration.rs
+++ b/src/process/entry/control/configuration.rs
@@ -148,7 +148,7 @@
         result?;
         let mut freshness = self.freshness.borrow_mut();
         freshness.hear_platform(sent_at_us);
-        self.context.set_keys_stale_at(freshness.stale_at_us());
+        self.context.note_freshness(&freshness);
         Ok(())
     }
 
--- a/src/process/entry/control/exchange.rs
+++ b/src/process/entry/control/exchange.rs
@@ -193,7 +193,7 @@
         if !self.store.is_behind() {
             freshness.confirm(sent_at_us);
         }
-        self.context.set_keys_stale_at(freshness.stale_at_us());
+        self.context.note_freshness(&freshness);
     }
 
     fn is_self(&self, report: &Report) -> bool {
--- a/src/process/entry/control/records.rs
+++ b/src/process/entry/control/records.rs
@@ -26,6 +26,7 @@
         US_PER_MS,
         US_PER_S, //
     },
+    connection::attempt::RecordState,
     names::{
         Digest,
         Incarnation,
@@ -92,7 +93,7 @@
 }
 
 impl Records {
-    async fn claim(&self, key: Digest, agent: Incarnation) -> Option<bool> {
+    async fn claim(&self, key: Digest, agent: Incarnation) -> RecordState {
         let path = format!("idempotency/{key}");
         let value = Bytes::from(agent.to_string());
         let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
@@ -116,9 +117,12 @@
         };
         // While the object API was down, another agent may have run the request
         // without a record.
+        let is_covered = self.context.has_platform_covered_window();
         match is_own {
-            Some(true) if !self.context.has_platform_covered_window() => None,
-            other => other,
+            Some(true) if is_covered => RecordState::Vouched,
+            Some(true) => RecordState::Unvouched,
+            Some(false) => RecordState::Foreign,
+            None => RecordState::Silent,
         }
     }
 
--- a/src/process/entry/forward/keyed.rs
+++ b/src/process/entry/forward/keyed.rs
@@ -5,15 +5,21 @@
 
 use super::Call;
 use crate::{
-    connection::attempt::IdempotencyClaim,
+    connection::attempt::{
+        IdempotencyClaim,
+        RecordState, //
+    },
     error::{
         ErrorKind,
         Result, //
     },
     names::Incarnation,
-    process::entry::{
-        context::RecordRequest,
-        request::Keyed, //
+    process::{
+        entry::{
+            context::RecordRequest,
+            request::Keyed, //
+        },
+        fate::authority::members_digest, //
     },
     version::config::TargetKey, //
 };
@@ -28,26 +34,29 @@
         let Some(Keyed { key, request }) = self.request.keyed else {
             return Ok(None);
         };
-        let (answer, created) = oneshot::channel();
+        let (answer, recorded) = oneshot::channel();
         let record = RecordRequest { key, agent, answer };
         let sent = self.worker.context.records.try_send(record);
-        let created = match sent {
-            Ok(()) => created.await.unwrap_or(None),
+        let record = match sent {
+            Ok(()) => recorded.await.unwrap_or(RecordState::Silent),
             // An overloaded control thread counts as a silent object API.
-            Err(_) => None,
+            Err(_) => RecordState::Silent,
         };
         let config = &self.request.config;
         let service = config.route(self.request.route).map(|entry| entry.service);
         let owners = service.map(|service| self.worker.owners(config, service, key));
         let is_owner = owners.is_some_and(|owners| owners.first() == Some(&target));
-        if created.is_none() && !is_owner {
+        let is_sure = matches!(record, RecordState::Vouched | RecordState::Foreign);
+        if !is_sure && !is_owner {
             // The owner may have run the request before it went away.
             return Err(Report::new(ErrorKind::IdempotencyUnverified));
         }
         Ok(Some(IdempotencyClaim {
             key,
             request,
-            created,
+            record,
+            members: service.map_or(0, |service| members_digest(config, service)),
+            api_silent_ms: self.worker.context.api_silent_ms(),
         }))
     }
 }
--- a/src/process/fate.rs
+++ b/src/process/fate.rs
@@ -3,6 +3,7 @@
 //! An attempt starts at most once. Once the table says that an attempt did not
 //! run, no later copy of it can run.
 
+pub mod authority;
 pub mod idempotency;
 
 use std::collections::{
--- /dev/null
+++ b/src/process/fate/authority.rs
@@ -0,0 +1,96 @@
+//! Who vouches that an idempotency key has not run before.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::idempotency::Authority;
+use crate::{
+    connection::attempt::{
+        IdempotencyClaim,
+        RecordState, //
+    },
+    version::config::{
+        Config,
+        ServiceKey, //
+    },
+};
+
+/// Time without news from the object API after which it counts as silent for
+/// every entry, in milliseconds.
+///
+/// An entry trusts the records only if it had news in each 4 s of the window, and
+/// that news may be 4 s old. It reaches all entries within 4 s, or their keys
+/// become stale, and agents within two reports. The sum is 14 s, so a run without
+/// a record falls into a gap that every entry has noticed.
+pub const SILENT_AFTER_MS: u64 = 15_000;
+
+/// What an agent knows that bears on a claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Standing {
+    /// Digest of the members of the service, see [`members_digest`].
+    pub members: u64,
+    /// Time since any process that the agent hears had news from the object API.
+    pub api_silent_ms: u64,
+}
+
+/// Digests the names of the targets among which the keys of a service are shared
+/// out. Returns 0 for a service without targets.
+///
+/// ```
+/// use yuccalatch::process::fate::authority::members_digest;
+/// use yuccalatch::version::config::{Config, ServiceKey};
+///
+/// assert_eq!(members_digest(&Config::default(), ServiceKey::default()), 0);
+/// ```
+pub fn members_digest(config: &Config, service: ServiceKey) -> u64 {
+    let targets = config.targets_of(service);
+    if targets.is_empty() {
+        return 0;
+    }
+    let mut hasher = Xxh3::new();
+    for entry in targets.iter().filter_map(|key| config.target(*key)) {
+        hasher.update(entry.target.name.as_bytes());
+        // No name contains this byte.
+        hasher.update(&[0]);
+    }
+    hasher.digest()
+}
+
+/// Returns who vouches for a key at an agent.
+///
+/// A run without a record is only safe while no entry can believe that all runs
+/// have one. Where entry and agent disagree about the members, one of them does
+/// not know yet who may have run the key before.
+///
+/// ```
+/// use yuccalatch::connection::attempt::{IdempotencyClaim, RecordState};
+/// use yuccalatch::names::Digest;
+/// use yuccalatch::process::fate::authority::{authority, SILENT_AFTER_MS, Standing};
+/// use yuccalatch::process::fate::idempotency::Authority;
+///
+/// let own = Standing { members: 7, api_silent_ms: SILENT_AFTER_MS };
+/// let mut claim = IdempotencyClaim {
+///     key: Digest([1; 32]),
+///     request: Digest([2; 32]),
+///     record: RecordState::Silent,
+///     members: 7,
+///     api_silent_ms: SILENT_AFTER_MS,
+/// };
+/// assert_eq!(authority(&claim, own), Authority::Silent);
+/// claim.api_silent_ms = 100;
+/// assert_eq!(authority(&claim, own), Authority::Nobody);
+/// claim.record = RecordState::Unvouched;
+/// assert_eq!(authority(&claim, own), Authority::Silent);
+/// claim.members = 8;
+/// assert_eq!(authority(&claim, own), Authority::Nobody);
+/// ```
+pub fn authority(claim: &IdempotencyClaim, own: Standing) -> Authority {
+    let is_agreed = claim.members == own.members;
+    let silent_ms = claim.api_silent_ms.min(own.api_silent_ms);
+    match claim.record {
+        RecordState::Vouched => Authority::Created,
+        RecordState::Foreign => Authority::Foreign,
+        RecordState::Unvouched if is_agreed => Authority::Silent,
+        RecordState::Silent if is_agreed && silent_ms >= SILENT_AFTER_MS => Authority::Silent,
+        RecordState::Unvouched | RecordState::Silent => Authority::Nobody,
+    }
+}
--- a/src/process/fate/idempotency.rs
+++ b/src/process/fate/idempotency.rs
@@ -99,8 +99,11 @@
     Created,
     /// Another incarnation or agent has created the record.
     Foreign,
-    /// The object API gives no reliable answer.
+    /// The object API gives no reliable answer, and no entry relies on its records.
     Silent,
+    /// The object API gives no reliable answer here, but another entry may rely on
+    /// its records.
+    Nobody,
 }
 
 /// Answer to a request with an idempotency key.
@@ -238,6 +241,7 @@
         }
         match authority {
             Authority::Foreign => return Err(Report::new(ErrorKind::OutcomeUnknown)),
+            Authority::Nobody => return Err(Report::new(ErrorKind::IdempotencyUnverified)),
             Authority::Silent if !self.covers_window(now_us) => {
                 return Err(Report::new(ErrorKind::IdempotencyUnverified));
             }
--- a/src/version/freshness.rs
+++ b/src/version/freshness.rs
@@ -39,6 +39,20 @@
         self.confirmed_at_us = self.confirmed_at_us.max(Some(sent_at_us));
     }
 
+    /// Returns the time of the news from the object API, 0 if there was none.
+    ///
+    /// ```
+    /// use yuccalatch::version::freshness::Freshness;
+    ///
+    /// let mut freshness = Freshness::default();
+    /// assert_eq!(freshness.news_at_us(), 0);
+    /// freshness.hear_news(Some(2), 5_000);
+    /// assert_eq!(freshness.news_at_us(), 3_000);
+    /// ```
+    pub fn news_at_us(&self) -> u64 {
+        self.platform_at_us.unwrap_or(0)
+    }
+
     /// Returns the age of the news, to be told to peers.
     pub fn news_age_ms(&self, now_us: u64) -> Option<u64> {
         let news_at_us = self.platform_at_us?;
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -288,10 +288,12 @@
 }
 
 /// An agent that covers the window is authority enough while the object API is
-/// silent; otherwise every order would be refused during an outage.
+/// silent everywhere; otherwise every order would be refused during an outage. A
+/// single entry would soon refuse all keys, because it hears nobody.
 #[test]
 fn key_agent_covers() {
     let fleet = start_plan(&Plan {
+        entries: 2,
         engines: 0,
         plains: 2,
         agent: json!({"idempotency_window_ms": 100}),
