--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -31,6 +31,8 @@
     /// Connections with a lower number deliver nothing.
     frozen_below: AtomicUsize,
     is_closed: AtomicBool,
+    /// Bytes that were read and could not be delivered at once.
+    held_bytes: AtomicUsize,
     open: Mutex<Vec<TcpStream>>,
 }
 
@@ -76,6 +78,11 @@
         self.shared.frozen_below.store(0, Ordering::SeqCst);
     }
 
+    /// Returns the bytes that frozen connections have read and hold back.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.shared.held_bytes.load(Ordering::SeqCst)
+    }
+
     /// Breaks all open connections; new ones work.
     pub(crate) fn cut(&self) {
         for stream in &*self.shared.open.lock().unwrap() {
@@ -108,6 +115,10 @@
         let mut buffer = vec![0; 64 << 10];
         loop {
             let read = from.read(&mut buffer);
+            let is_frozen = number < self.frozen_below.load(Ordering::SeqCst);
+            if let (true, Ok(length)) = (is_frozen, &read) {
+                self.held_bytes.fetch_add(*length, Ordering::SeqCst);
+            }
             while number < self.frozen_below.load(Ordering::SeqCst) {
                 if self.is_closed.load(Ordering::SeqCst) {
                     return;
