--- a/tests/paired_failures.rs
+++ b/tests/paired_failures.rs
@@ -20,8 +20,9 @@
 use support::{
     callers::{
         Callers,
-        LIMITED_KEY,
-        order_request, //
+        WINDOW_MS,
+        order_request,
+        second_ticket, //
     },
     failures::{
         Drill,
@@ -37,11 +38,9 @@
         completion,
         eventually,
         exchange,
-        post,
-        ticket, //
+        post, //
     },
 };
-use yuccalatch::version::keys::digest_of;
 
 const SEED: u64 = 6;
 
@@ -54,13 +53,6 @@
 /// electing and reporting.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Twice the time in which callers repeat a keyed order.
-const WINDOW_MS: u64 = 10_000;
-
-const RATE_TOKENS_PER_S: u64 = 600;
-
-const BURST_TOKENS: u64 = 2_000;
-
 fn start() -> Fleet {
     let fleet = Fleet::start(&Plan {
         entries: 3,
@@ -76,34 +68,11 @@
     // at the other have ended by then.
     fleet.targets[4].set_faults(&json!({"slow_ms": 2_800}));
     fleet.targets[3].set_faults(&json!({"slow_ms": 100}));
-    fleet.submit(&second_ticket());
+    fleet.submit(&second_ticket(2 * PAIRS));
     fleet.wait_in_force(2);
     fleet
 }
 
-/// Adds a limited organisation, keys to withdraw and shorter deadlines, so that
-/// callers do not wait for the end of a failure.
-fn second_ticket() -> yuccalatch::version::ticket::Ticket {
-    let key = |name: &str, organisation: &str, text: &str| {
-        json!({"key": {"name": name, "organisation": organisation,
-            "digest": digest_of(text.as_bytes())}})
-    };
-    let mut set = vec![
-        json!({"organisation": {"name": "mill", "rate_tokens_per_s": RATE_TOKENS_PER_S,
-            "burst_tokens": BURST_TOKENS, "weight": 1}}),
-        key("mill-1", "mill", LIMITED_KEY),
-        json!({"route": {"name": "orders", "path_prefix": "/orders", "methods": ["POST"],
-            "service": "files", "access": "keyed", "idempotent": false, "timeout_ms": 5_000}}),
-        json!({"route": {"name": "text", "path_prefix": "/v1/completions",
-            "methods": ["POST"], "model": "oak", "service": "draft", "access": "keyed",
-            "idempotent": true, "timeout_ms": 10_000}}),
-    ];
-    for number in 0..2 * PAIRS {
-        set.push(key(&format!("spare-{number}"), "acme", &spare_key(number)));
-    }
-    ticket(2, &json!(set), &json!([]))
-}
-
 /// The seed of this run; another one can be tried with `PAIRED_FAILURES_SEED`.
 fn seed() -> u64 {
     let given = std::env::var("PAIRED_FAILURES_SEED").ok();
@@ -140,8 +109,8 @@
     let limited_for = limited_since.elapsed();
     callers.print_counts();
     check_recovery(&drill);
-    check_orders(&drill);
-    check_limit(&callers, limited_for);
+    callers.check_orders(&drill.fleet.execution_counts());
+    callers.check_limit(limited_for);
     check_configuration(&drill);
     for target in &drill.fleet.targets {
         assert_no_key(&target.name, &target.received().to_string());
@@ -170,50 +139,6 @@
     }
 }
 
-/// What callers were told of an order has to agree with its executions.
-fn check_orders(drill: &Drill<'_>) {
-    let orders = drill.callers.orders.lock().unwrap();
-    let plains = drill.fleet.targets.iter();
-    let plains: Vec<_> = plains.filter(|target| target.service == "files").collect();
-    let counts: Vec<_> = plains
-        .iter()
-        .map(|plain| plain.execution_counts())
-        .collect();
-    for order in &*orders {
-        let runs: u64 = counts
-            .iter()
-            .map(|counts| counts[&order.body].as_u64().unwrap_or(0))
-            .sum();
-        let (body, told) = (&order.body, &order.told);
-        assert!(runs <= 1, "{body} ran {runs} times: {told:#?}");
-        assert!(
-            runs == 1 || !order.is_served,
-            "{body} did not run: {told:#?}"
-        );
-        assert!(runs == 0 || !order.is_refused, "{body} ran: {told:#?}");
-    }
-    for has_key in [false, true] {
-        let of_kind = || orders.iter().filter(|order| order.has_key == has_key);
-        let served = of_kind().filter(|order| order.is_served).count();
-        let refused = of_kind().filter(|order| order.is_refused).count();
-        println!(
-            "orders, keyed {has_key}: {} served {served} not run {refused}",
-            of_kind().count()
-        );
-        assert!(served > 0);
-    }
-}
-
-/// The organisation may never get more than its rate and burst.
-fn check_limit(callers: &Callers, limited_for: Duration) {
-    let used = callers
-        .limited_tokens
-        .load(std::sync::atomic::Ordering::SeqCst);
-    let limit = RATE_TOKENS_PER_S as f64 * limited_for.as_secs_f64() + BURST_TOKENS as f64;
-    println!("limited organisation: {used} of {limit:.0} tokens");
-    assert!(used > 0 && used as f64 <= limit, "{used} of {limit}");
-}
-
 /// The accepted configuration has to be in force everywhere, and no process may
 /// have gone back to an older one.
 fn check_configuration(drill: &Drill<'_>) {
--- a/tests/support/callers.rs
+++ b/tests/support/callers.rs
@@ -30,14 +30,22 @@
     json, //
 };
 
-use super::fleet::{
-    ACME_KEY,
-    Answer,
-    completion,
-    parse,
-    post_request,
-    reference,
-    request, //
+use super::{
+    failures::spare_key,
+    fleet::{
+        ACME_KEY,
+        Answer,
+        completion,
+        parse,
+        post_request,
+        reference,
+        request,
+        ticket, //
+    },
+};
+use yuccalatch::version::{
+    keys::digest_of,
+    ticket::Ticket, //
 };
 
 /// Tokens of a generation; about a second at the rate of the engines in these
@@ -47,7 +55,15 @@
 /// Time after the first attempt of a keyed order in which its caller repeats it.
 /// Half of the idempotency window of the tests, because a frozen process may hold
 /// the last repetition for a while.
-pub(crate) const REPEAT_WITHIN: Duration = Duration::from_secs(5);
+const REPEAT_WITHIN: Duration = Duration::from_secs(5);
+
+/// Idempotency window, twice the time in which callers repeat a keyed order.
+pub(crate) const WINDOW_MS: u64 = 10_000;
+
+/// Rate of the limited organisation, less than its callers ask for.
+const RATE_TOKENS_PER_S: u64 = 600;
+
+const BURST_TOKENS: u64 = 2_000;
 
 /// Repetitions of an order that was refused as not run.
 const MAX_REPEATS: usize = 6;
@@ -59,7 +75,7 @@
 const CALLERS: usize = 19;
 
 /// Prompt and output of one request of the limited organisation.
-pub(crate) const LIMITED_COST_TOKENS: u64 = 410;
+const LIMITED_COST_TOKENS: u64 = 410;
 
 /// Key of the limited organisation.
 pub(crate) const LIMITED_KEY: &str = "sk-mill-55aa55aa55aa55aa";
@@ -88,14 +104,14 @@
 }
 
 /// What the caller of one order was told.
-pub(crate) struct Order {
-    pub(crate) body: String,
-    pub(crate) has_key: bool,
+struct Order {
+    body: String,
+    has_key: bool,
     /// Whether an answer contained the result of an execution.
-    pub(crate) is_served: bool,
+    is_served: bool,
     /// Whether every answer said that the order did not run.
-    pub(crate) is_refused: bool,
-    pub(crate) told: Vec<String>,
+    is_refused: bool,
+    told: Vec<String>,
 }
 
 /// Background load with everything that its callers saw.
@@ -104,8 +120,8 @@
     is_over: AtomicBool,
     /// Answers that no failure excuses.
     pub(crate) violations: Mutex<Vec<String>>,
-    pub(crate) orders: Mutex<Vec<Order>>,
-    pub(crate) limited_tokens: AtomicU64,
+    orders: Mutex<Vec<Order>>,
+    limited_tokens: AtomicU64,
     counts: Mutex<BTreeMap<String, u64>>,
 }
 
@@ -154,6 +170,39 @@
         *self.counts.lock().unwrap().get(sort).unwrap_or(&0)
     }
 
+    /// What callers were told of an order has to agree with its executions, which
+    /// are given by service and body.
+    pub(crate) fn check_orders(&self, counts: &[Value]) {
+        let orders = self.orders.lock().unwrap();
+        for order in &*orders {
+            let each = counts.iter().map(|counts| &counts[&order.body]);
+            let runs: u64 = each.map(|count| count.as_u64().unwrap_or(0)).sum();
+            let (body, told) = (&order.body, &order.told);
+            assert!(runs <= 1, "{body} ran {runs} times: {told:#?}");
+            assert!(
+                runs == 1 || !order.is_served,
+                "{body} did not run: {told:#?}"
+            );
+            assert!(runs == 0 || !order.is_refused, "{body} ran: {told:#?}");
+        }
+        for has_key in [false, true] {
+            let of_kind = || orders.iter().filter(|order| order.has_key == has_key);
+            let served = of_kind().filter(|order| order.is_served).count();
+            let refused = of_kind().filter(|order| order.is_refused).count();
+            let all = of_kind().count();
+            println!("orders, keyed {has_key}: {all} served {served} not run {refused}");
+            assert!(served > 0);
+        }
+    }
+
+    /// The limited organisation may never get more than its rate and burst.
+    pub(crate) fn check_limit(&self, limited_for: Duration) {
+        let used = self.limited_tokens.load(Ordering::SeqCst);
+        let limit = RATE_TOKENS_PER_S as f64 * limited_for.as_secs_f64() + BURST_TOKENS as f64;
+        println!("limited organisation: {used} of {limit:.0} tokens");
+        assert!(used > 0 && used as f64 <= limit, "{used} of {limit}");
+    }
+
     fn repeat(&self, caller: usize) {
         let mut number = 0;
         while !self.is_over.load(Ordering::SeqCst) {
@@ -352,6 +401,29 @@
     }
 }
 
+/// Adds a limited organisation, keys to withdraw and shorter deadlines, so that
+/// callers do not wait for the end of a failure.
+pub(crate) fn second_ticket(spare_keys: usize) -> Ticket {
+    let key = |name: &str, organisation: &str, text: &str| {
+        json!({"key": {"name": name, "organisation": organisation,
+            "digest": digest_of(text.as_bytes())}})
+    };
+    let mut set = vec![
+        json!({"organisation": {"name": "mill", "rate_tokens_per_s": RATE_TOKENS_PER_S,
+            "burst_tokens": BURST_TOKENS, "weight": 1}}),
+        key("mill-1", "mill", LIMITED_KEY),
+        json!({"route": {"name": "orders", "path_prefix": "/orders", "methods": ["POST"],
+            "service": "files", "access": "keyed", "idempotent": false, "timeout_ms": 5_000}}),
+        json!({"route": {"name": "text", "path_prefix": "/v1/completions",
+            "methods": ["POST"], "model": "oak", "service": "draft", "access": "keyed",
+            "idempotent": true, "timeout_ms": 10_000}}),
+    ];
+    for number in 0..spare_keys {
+        set.push(key(&format!("spare-{number}"), "acme", &spare_key(number)));
+    }
+    ticket(2, &json!(set), &json!([]))
+}
+
 struct Stop<'a>(&'a AtomicBool);
 
 impl Drop for Stop<'_> {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -1,36 +1,24 @@
 //! Starts the programs as separate processes on loopback.
 
-use std::{
-    fs,
-    io::{
-        BufRead,
-        BufReader,
-        Read,
-        Write, //
+use std::net::SocketAddr;
+
+pub(crate) use super::{
+    http::{
+        Answer,
+        Exchange,
+        completion,
+        exchange,
+        get,
+        parse,
+        post,
+        post_request,
+        put,
+        reference,
+        request, //
     },
-    net::{
-        SocketAddr,
-        TcpStream, //
-    },
-    path::PathBuf,
     process::{
-        Child,
-        Command,
-        Stdio, //
-    },
-    sync::{
-        Arc,
-        Mutex,
-        atomic::{
-            AtomicU64,
-            Ordering, //
-        },
-        mpsc, //
-    },
-    thread,
-    time::{
-        Duration,
-        Instant, //
+        Process,
+        eventually, //
     },
 };
 
@@ -60,107 +48,12 @@
     },
 };
 
-/// Long enough that only a hang reaches it.
-const PATIENCE: Duration = Duration::from_secs(60);
-
 /// Key of the organisation `acme` in the tests.
 pub(crate) const ACME_KEY: &str = "sk-acme-0123456789abcdef";
 
 /// Key of the organisation `brazos` in the tests.
 pub(crate) const BRAZOS_KEY: &str = "sk-brazos-fedcba9876543210";
 
-static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
-
-/// A running program; killed by its id when dropped.
-pub(crate) struct Process {
-    child: Child,
-    /// Log lines so far.
-    pub(crate) log: Arc<Mutex<Vec<String>>>,
-    started: Value,
-    settings: PathBuf,
-}
-
-impl Process {
-    /// Starts a program and waits until it listens.
-    pub(crate) fn start(program: &str, settings: &Value) -> Self {
-        let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
-        let file = format!("yuccalatch-{}-{number}.json", std::process::id());
-        let path = std::env::temp_dir().join(file);
-        fs::write(&path, settings.to_string()).unwrap();
-        let mut child = Command::new(program)
-            .arg("--settings")
-            .arg(&path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let log = Arc::new(Mutex::new(Vec::new()));
-        let (sender, receiver) = mpsc::channel();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let copy = Arc::clone(&log);
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                if line.contains("YL1001") {
-                    let _ = sender.send(line.clone());
-                }
-                copy.lock().unwrap().push(line);
-            }
-        });
-        let started = receiver.recv_timeout(PATIENCE).unwrap_or_else(|_| {
-            panic!("{program} did not start: {:?}", log.lock().unwrap());
-        });
-        Self {
-            child,
-            log,
-            started: serde_json::from_str(&started).unwrap(),
-            settings: path,
-        }
-    }
-
-    /// Returns an address from the record of the start.
-    pub(crate) fn address(&self, field: &str) -> SocketAddr {
-        self.started[field].as_str().unwrap().parse().unwrap()
-    }
-
-    pub(crate) fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends a signal such as `TERM`, `STOP` or `KILL`.
-    pub(crate) fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        let status = Command::new("kill")
-            .args(["-s", signal, &id])
-            .status()
-            .unwrap();
-        assert!(status.success());
-    }
-
-    /// Waits for the end and returns whether the exit code was zero.
-    pub(crate) fn wait(&mut self) -> bool {
-        let started = Instant::now();
-        while started.elapsed() < PATIENCE {
-            if let Some(status) = self.child.try_wait().unwrap() {
-                return status.success();
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        panic!("the process does not stop");
-    }
-
-    pub(crate) fn log_contains(&self, text: &str) -> bool {
-        let log = self.log.lock().unwrap();
-        log.iter().any(|line| line.contains(text))
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.settings);
-    }
-}
-
 /// Shape of a fleet.
 pub(crate) struct Plan {
     pub(crate) entries: usize,
@@ -490,6 +383,13 @@
         }
     }
 
+    /// Returns the executions of every plain service by request body.
+    pub(crate) fn execution_counts(&self) -> Vec<Value> {
+        let plains = self.targets.iter();
+        let plains = plains.filter(|target| target.service == "files");
+        plains.map(Target::execution_counts).collect()
+    }
+
     pub(crate) fn caller(&self, entry: usize) -> SocketAddr {
         self.entries[entry].address("caller_address")
     }
@@ -507,226 +407,6 @@
     })
 }
 
-/// Repeats a check until it holds; panics when it never does.
-pub(crate) fn eventually(what: &str, mut check: impl FnMut() -> bool) {
-    let started = Instant::now();
-    while started.elapsed() < PATIENCE {
-        if check() {
-            return;
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    panic!("never: {what}");
-}
-
-/// Answer of a server.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<(String, String)>,
-    pub(crate) body: Vec<u8>,
-    /// Whether the body had its proper end.
-    pub(crate) is_complete: bool,
-}
-
-impl Answer {
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known == name);
-        found.map(|(_, value)| value.as_str())
-    }
-
-    pub(crate) fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
-
-    pub(crate) fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).unwrap()
-    }
-
-    /// Text that a stream of completion events carries.
-    pub(crate) fn streamed_text(&self) -> String {
-        let text = self.text();
-        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
-        events
-            .filter_map(|data| serde_json::from_str::<Value>(data).ok())
-            .filter_map(|event| {
-                let choice = &event["choices"][0];
-                let part = choice["delta"]["content"]
-                    .as_str()
-                    .or(choice["text"].as_str());
-                part.map(str::to_owned)
-            })
-            .collect()
-    }
-}
-
-/// Sends raw bytes and reads until the server closes the connection.
-pub(crate) fn exchange(address: SocketAddr, request: &[u8]) -> Answer {
-    let mut stream = TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream.write_all(request).unwrap();
-    let mut raw = Vec::new();
-    let _ = stream.read_to_end(&mut raw);
-    parse(&raw)
-}
-
-/// A request whose answer is read in parts.
-pub(crate) struct Exchange {
-    stream: TcpStream,
-    raw: Vec<u8>,
-}
-
-impl Exchange {
-    pub(crate) fn start(address: SocketAddr, request: &[u8]) -> Self {
-        let mut stream = TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        stream.write_all(request).unwrap();
-        Self {
-            stream,
-            raw: Vec::new(),
-        }
-    }
-
-    /// Reads until a text occurs this many times.
-    pub(crate) fn read_until(&mut self, text: &str, count: usize) {
-        let mut buffer = [0; 4096];
-        while String::from_utf8_lossy(&self.raw).matches(text).count() < count {
-            let length = self.stream.read(&mut buffer).unwrap();
-            assert!(length > 0, "ended: {}", String::from_utf8_lossy(&self.raw));
-            self.raw.extend_from_slice(&buffer[..length]);
-        }
-    }
-
-    /// Sends more bytes.
-    pub(crate) fn send(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).unwrap();
-    }
-
-    /// Reads to the end of the connection.
-    pub(crate) fn finish(mut self) -> Answer {
-        let _ = self.stream.read_to_end(&mut self.raw);
-        parse(&self.raw)
-    }
-}
-
-/// Parses an answer that was read to the end of the connection.
-pub(crate) fn parse(raw: &[u8]) -> Answer {
-    let split = raw.windows(4).position(|window| window == b"\r\n\r\n");
-    let Some(split) = split else {
-        return Answer {
-            status: 0,
-            headers: Vec::new(),
-            body: raw.to_vec(),
-            is_complete: false,
-        };
-    };
-    let head = String::from_utf8_lossy(&raw[..split]).into_owned();
-    let mut lines = head.lines();
-    let status = lines.next().and_then(|line| line.split(' ').nth(1));
-    let headers: Vec<(String, String)> = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
-        .collect();
-    let rest = &raw[split + 4..];
-    let is_chunked = headers
-        .iter()
-        .any(|(name, value)| name == "transfer-encoding" && value.contains("chunked"));
-    let length = headers
-        .iter()
-        .find(|(name, _)| name == "content-length")
-        .and_then(|(_, value)| value.parse::<usize>().ok());
-    let (body, is_complete) = if is_chunked {
-        join_chunks(rest)
-    } else {
-        (
-            rest.to_vec(),
-            length.is_none_or(|length| rest.len() == length),
-        )
-    };
-    Answer {
-        status: status.and_then(|status| status.parse().ok()).unwrap_or(0),
-        headers,
-        body,
-        is_complete,
-    }
-}
-
-fn join_chunks(mut rest: &[u8]) -> (Vec<u8>, bool) {
-    let mut body = Vec::new();
-    loop {
-        let Some(end) = rest.windows(2).position(|window| window == b"\r\n") else {
-            return (body, false);
-        };
-        let line = String::from_utf8_lossy(&rest[..end]);
-        let Ok(length) = usize::from_str_radix(line.trim(), 16) else {
-            return (body, false);
-        };
-        rest = &rest[end + 2..];
-        if length == 0 {
-            return (body, true);
-        }
-        if rest.len() < length + 2 {
-            body.extend_from_slice(rest);
-            return (body, false);
-        }
-        body.extend_from_slice(&rest[..length]);
-        rest = &rest[length + 2..];
-    }
-}
-
-/// Formats a request that closes its connection.
-pub(crate) fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
-    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n");
-    for (name, value) in headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
-    }
-    if !body.is_empty() || method == "POST" || method == "PUT" {
-        text.push_str(&format!("content-length: {}\r\n", body.len()));
-    }
-    text.push_str("\r\n");
-    text.push_str(body);
-    text.into_bytes()
-}
-
-pub(crate) fn get(address: SocketAddr, path: &str) -> Answer {
-    exchange(address, &request("GET", path, &[], ""))
-}
-
-pub(crate) fn put(address: SocketAddr, path: &str, body: &Value) -> Answer {
-    let headers = [("content-type", "application/json")];
-    exchange(address, &request("PUT", path, &headers, &body.to_string()))
-}
-
-/// Formats a POST of a JSON body with a key.
-pub(crate) fn post_request(path: &str, key: &str, body: &Value) -> Vec<u8> {
-    let authorization = format!("Bearer {key}");
-    let headers = [
-        ("authorization", authorization.as_str()),
-        ("content-type", "application/json"),
-    ];
-    request("POST", path, &headers, &body.to_string())
-}
-
-/// Posts a JSON body with a key.
-pub(crate) fn post(address: SocketAddr, path: &str, key: &str, body: &Value) -> Answer {
-    exchange(address, &post_request(path, key, body))
-}
-
-/// Body of a text completion.
-pub(crate) fn completion(prompt: &str, max_tokens: u64, stream: bool) -> Value {
-    json!({"model": "oak", "prompt": prompt, "max_tokens": max_tokens, "stream": stream})
-}
-
-/// Text that an uninterrupted generation yields.
-pub(crate) fn reference(version: &str, prompt: &str, tokens: u64) -> String {
-    let mut text = prompt.to_owned();
-    for _ in 0..tokens {
-        let token = yuccalatch::standin::engine::next_token(version, &text);
-        text.push_str(&token);
-    }
-    text[prompt.len()..].to_owned()
-}
-
 impl Fleet {
     /// Kills an entry and starts another process in its slot.
     pub(crate) fn replace_entry(&mut self, entry: usize) {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,9 +1,11 @@
 //! Fixtures shared by the tests of the configuration.
-#![allow(dead_code, reason = "every test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "every test file uses a part")]
 
 pub(crate) mod callers;
 pub(crate) mod failures;
 pub(crate) mod fleet;
+pub(crate) mod http;
+pub(crate) mod process;
 pub(crate) mod relay;
 
 use std::{
