End a process whose control thread fails or panics

Cause: when the control thread of an entry or agent ended with an error, the process logged YL1004 and went on serving with a configuration and limits that grew old; after a panic it did not even log. docs/events.md says that the process exits with code 1.

Change: lifecycle::run ends with the failure of the control thread, and with internal when that thread panics.

Conclusion: the balancer and the platform see a dead process instead of a stale one.

--- a/src/process.rs
+++ b/src/process.rs
@@ -12,7 +12,7 @@
 pub mod hints;
 pub mod http_server;
 pub mod kv_import;
-mod lifecycle;
+pub mod lifecycle;
 pub mod limits;
 pub mod logging;
 pub mod membership;
--- a/src/process/lifecycle.rs
+++ b/src/process/lifecycle.rs
@@ -11,6 +11,7 @@
     error,
     info, //
 };
+use tokio::sync::oneshot;
 
 use super::{
     admin::{
@@ -21,7 +22,11 @@
 };
 use crate::{
     clock::Clock,
-    error::Result,
+    error::{
+        ErrorKind,
+        Report,
+        Result, //
+    },
     event::Event, //
 };
 
@@ -30,7 +35,15 @@
 
 /// Runs the control thread, the admin listener and the traffic of a process
 /// until the traffic ends.
-pub(super) fn run<C>(
+///
+/// Without its control thread a process would go on with a configuration that
+/// grows old, so the failure or panic of that thread ends it.
+///
+/// # Errors
+///
+/// Returns the failure of the traffic or of the control thread, and
+/// [`ErrorKind::Internal`] when the control thread panics.
+pub fn run<C>(
     name: &str,
     log: &Logger,
     admin: (TcpListener, Arc<impl Observed>),
@@ -40,13 +53,12 @@
 where
     C: Future<Output = Result<()>> + 'static,
 {
-    let control_log = log.clone();
+    let (ended, control_ended) = oneshot::channel();
     stop::spawn_system("control", move || async move {
-        if let Err(report) = control().await {
-            error!(control_log, "control thread failed";
-                "event" => Event::Fatal, "error" => ?report);
-        }
+        // The receiver has gone when the process ends anyway.
+        let _ = ended.send(control().await);
     })?;
+    let log = log.clone();
     let system = ntex::rt::System::new(name, ntex::rt::DefaultRuntime);
     system.block_on(async move {
         ntex::rt::spawn(async move {
@@ -54,10 +66,26 @@
             // A failure shows as a missing admin listener, not as lost traffic.
             let _ = admin::serve(listener, observed).await;
         });
-        traffic.await
+        tokio::select! {
+            result = traffic => result,
+            report = control_failure(control_ended) => {
+                error!(log, "control thread failed";
+                    "event" => Event::Fatal, "error" => ?report);
+                Err(report)
+            }
+        }
     })
 }
 
+/// Waits for a failure of the control thread.
+async fn control_failure(ended: oneshot::Receiver<Result<()>>) -> Report {
+    match ended.await {
+        Ok(Ok(())) => std::future::pending().await,
+        Ok(Err(report)) => report,
+        Err(_) => Report::new(ErrorKind::Internal).attach("the control thread has panicked"),
+    }
+}
+
 /// Waits until a stopping process has finished its work, at most until the drain
 /// deadline. `is_done` is given the current time.
 pub(super) async fn drain(
