--- a/scripts/control_cost.sh
+++ b/scripts/control_cost.sh
@@ -61,7 +61,7 @@
     awk -v ticket="$1" -v first="$2" -v count="$3" 'BEGIN {
         printf "{\"ticket\": %d, \"author\": \"cost\", \"comment\": \"measurement\", \"set\": [", ticket
         for (i = first; i < first + count; i++) {
-            printf "%s{\"organisation\": {\"name\": \"org-%06d\", \"rate_tokens_per_s\": 1000, \"burst_tokens\": 100000, \"weight\": 1}},", i > first ? "," : "", i
+            printf "%s{\"organisation\": {\"name\": \"org-%06d\", \"rate_tokens_per_s\": 1000, \"burst_tokens\": 100000, \"weight\": 1}},", (i > first ? "," : ""), i
             printf "{\"key\": {\"name\": \"key-%06d\", \"organisation\": \"org-%06d\", \"digest\": \"%064x\"}}", i, i, i + 1
         }
         printf "], \"remove\": []}\n"
