Share starting and stopping of processes between the measuring scripts

Cause: scripts/control_cost.sh repeated the process handling of scripts/overhead.sh.

Change: both source scripts/processes.sh.

--- a/scripts/control_cost.sh
+++ b/scripts/control_cost.sh
@@ -6,29 +6,10 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bin=${PROFILE_DIR:-target/release}
+source scripts/processes.sh
 base=${BASE_PORT:-8000}
 seconds=${SECONDS_PER_POINT:-20}
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-    local pid
-    for pid in "${pids[@]}"; do
-        kill -s KILL "$pid" 2>/dev/null || true
-    done
-    for pid in "${pids[@]}"; do
-        wait "$pid" 2>/dev/null || true
-    done
-    pids=()
-}
-trap 'stop_all; rm -rf "$work"' EXIT
-
-start() { # program name: settings on standard input
-    cat > "$work/$2.json"
-    "$bin/$1" --settings "$work/$2.json" 2> "$work/$2.log" &
-    pids+=($!)
-}
+trap 'stop_all KILL; rm -rf "$work"' EXIT
 
 log='"log": {"format": "json", "level": "warning"}'
 platform="127.0.0.1:$base"
@@ -130,7 +111,7 @@
         -v em="$(resident_kb "${entry_pids[@]}")" -v am="$(resident_kb "${agent_pids[@]}")" \
         'BEGIN {printf "| %d | %d | %d | %.2f | %.2f | %.1f | %.1f | %.0f |\n", e, a, o,
             100 * et / hz / s / e, 100 * at / hz / s / a, em / 1024, am / 1024, b / s / (e + a)}'
-    stop_all
+    stop_all KILL
 }
 
 submit() {
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -5,28 +5,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bin=${PROFILE_DIR:-target/release}
+source scripts/processes.sh
 base=${BASE_PORT:-7500}
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-    local pid
-    for pid in "${pids[@]}"; do
-        kill -s TERM "$pid" 2>/dev/null || true
-    done
-    for pid in "${pids[@]}"; do
-        wait "$pid" 2>/dev/null || true
-    done
-    rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() { # program name: settings on standard input
-    cat > "$work/$2.json"
-    "$bin/$1" --settings "$work/$2.json" 2> "$work/$2.log" &
-    pids+=($!)
-}
+trap 'stop_all TERM; rm -rf "$work"' EXIT
 
 log='"log": {"format": "json", "level": "warning"}'
 platform="127.0.0.1:$base"
