--- a/src/replay/slopes/control.rs
+++ b/src/replay/slopes/control.rs
@@ -1,5 +1,7 @@
 //! Slopes of the control state: configuration, members, limits.
 
+use std::hint::black_box;
+
 use super::{
     Allocated,
     Slope,
@@ -15,6 +17,7 @@
     },
     process::{
         limits::{
+            ledger::Ledger,
             message::{
                 AccountReport,
                 Amount,
@@ -47,6 +50,10 @@
 const ORGANISATIONS: [usize; 3] = [2_000, 8_000, 28_000];
 const TARGETS: [usize; 3] = [500, 1_500, 5_300];
 const LOG_ENTRIES: [usize; 3] = [8, 16, 64];
+/// Rounds of holders and ledgers.
+const ROUND_US: usize = 100_000;
+/// Long enough for both questions of a new ledger.
+const SETTLED_AT_US: u64 = 2_000_000;
 const ACCOUNTS: [usize; 3] = [1, 8, 64];
 
 /// Organisations in one ticket, which keeps it below the limit of its size.
@@ -109,6 +116,23 @@
             &ORGANISATIONS,
             holder,
         ),
+        time(
+            "round of a holder without traffic, us",
+            "organisation",
+            &ORGANISATIONS,
+            settled_ledger,
+            |participant| drop(black_box(participant.holder().report(SETTLED_AT_US))),
+        ),
+        time(
+            "round of a ledger without traffic, us",
+            "organisation",
+            &ORGANISATIONS,
+            settled_ledger,
+            |participant| {
+                let ledger = participant.ledger();
+                drop(black_box(ledger.map(|ledger| ledger.tick(SETTLED_AT_US))));
+            },
+        ),
         bytes(
             "limit report, bytes",
             "organisation with news",
@@ -200,6 +224,33 @@
     participant
 }
 
+/// A process that is its own ledger, after the exchange that settles them.
+fn settled_ledger(organisations: usize) -> Participant {
+    let mut participant = holder(organisations);
+    let epoch = Epoch::acquired(1, holder_id());
+    let mut ledger = Ledger::new(0, epoch, vec![holder_id().slot]);
+    let limits = Amount {
+        rate_tokens_per_s: 1_000,
+        burst_tokens: 10_000,
+    };
+    for number in 0..organisations {
+        ledger.set_limits(&name("organisation", number), limits, 1, 0);
+    }
+    participant.lead(ledger);
+    for now_us in (0..SETTLED_AT_US).step_by(ROUND_US) {
+        let mut directives = participant
+            .ledger()
+            .map_or_else(Vec::new, |ledger| ledger.tick(now_us));
+        if let Some(report) = participant.holder().report(now_us) {
+            directives.extend(participant.on_ledger_report(&report, now_us));
+        }
+        for directive in &directives {
+            participant.on_directive(directive, now_us);
+        }
+    }
+    participant
+}
+
 fn holder_id() -> HolderId {
     HolderId {
         slot: "entry-001".into(),
