Let a frozen relay fill its buffer in the tests

A frozen relay held what one read had returned; when that read returned only the head of the attempt, the held bytes never grew to the part of the body that the test waits for.

Change: a frozen connection is read until the buffer of 64 KiB is full. The checks are the same.

Conclusion: a fault of the test harness.

--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -114,25 +114,11 @@
         from.set_read_timeout(Some(POLL)).unwrap();
         let mut buffer = vec![0; 64 << 10];
         loop {
-            let read = from.read(&mut buffer);
-            let is_frozen = number < self.frozen_below.load(Ordering::SeqCst);
-            if let (true, Ok(length)) = (is_frozen, &read) {
-                self.held_bytes.fetch_add(*length, Ordering::SeqCst);
-            }
-            while number < self.frozen_below.load(Ordering::SeqCst) {
-                if self.is_closed.load(Ordering::SeqCst) {
-                    return;
-                }
-                thread::sleep(POLL);
+            let (length, mut is_over) = self.fill(number, &mut from, &mut buffer);
+            if self.is_closed.load(Ordering::SeqCst) {
+                return;
             }
-            let is_over = match read {
-                Ok(0) => true,
-                Ok(length) => to.write_all(&buffer[..length]).is_err(),
-                Err(error) => !matches!(
-                    error.kind(),
-                    ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
-                ),
-            };
+            is_over |= to.write_all(&buffer[..length]).is_err();
             if is_over {
                 let _ = to.shutdown(Shutdown::Both);
                 let _ = from.shutdown(Shutdown::Both);
@@ -140,4 +126,42 @@
             }
         }
     }
+
+    /// Reads once, and on while the connection is frozen and the buffer has room.
+    /// Returns the bytes read and whether the connection has ended.
+    fn fill(&self, number: usize, from: &mut TcpStream, buffer: &mut [u8]) -> (usize, bool) {
+        let mut length = 0;
+        let mut is_over = false;
+        loop {
+            let is_full = length == buffer.len();
+            if is_over || is_full {
+                thread::sleep(POLL);
+            } else {
+                match from.read(&mut buffer[length..]) {
+                    Ok(0) => is_over = true,
+                    Ok(read) => {
+                        length += read;
+                        if self.is_frozen(number) {
+                            self.held_bytes.fetch_add(read, Ordering::SeqCst);
+                        }
+                    }
+                    Err(error) => is_over = !is_transient(error.kind()),
+                }
+            }
+            if !self.is_frozen(number) || self.is_closed.load(Ordering::SeqCst) {
+                return (length, is_over);
+            }
+        }
+    }
+
+    fn is_frozen(&self, number: usize) -> bool {
+        number < self.frozen_below.load(Ordering::SeqCst)
+    }
+}
+
+fn is_transient(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+    )
 }
