List whole prefixes in one place, derive the standing once, one rule for bound versions

Cause: the read-through of the change found the loop over the pages of a listing three times, two types named Standing, a demand that stored what its own result says, and the rule whether a version binds the targets of a service in both placement and explain.

Change: Platform::list_all serves tickets, slots and records, with the deadline of each call as before. Demand::count is the only way to count; the weight by rate moved to the evaluation, its only user. The agent's view of the object API is called AgentNews. moves::binds_targets serves placement and explain. Behaviour stays as it is.

Formatter, linter and documentation build are clean; 294 doc examples, config_force 4, entry_restart 4, explain_reply 1, fair_queue 7 (without flood_isolation), fleet_limits 4, flood_confinement 1, key_vouching 2, plain_moves 2, run_once 14, ticket_commit 9 and whole_path 1 pass.

--- a/src/process/agent/context.rs
+++ b/src/process/agent/context.rs
@@ -34,7 +34,7 @@
             self,
             WEIGHT_UNITS, //
         },
-        fate::authority::Standing,
+        fate::authority::AgentNews,
         metrics::Metrics,
         stop, //
     },
@@ -173,17 +173,13 @@
     /// been run by another agent until a change.
     pub(super) fn note_members(&self, members: u64) {
         if self.members.load(Ordering::Relaxed) != members {
-            self.note_members_changed();
+            let now_us = self.clock.now_us();
+            self.members_changed_at_us.store(now_us, Ordering::Relaxed);
             // A claim that sees the new members has to see the time as well.
             self.members.store(members, Ordering::Release);
         }
     }
 
-    fn note_members_changed(&self) {
-        let now_us = self.clock.now_us();
-        self.members_changed_at_us.store(now_us, Ordering::Relaxed);
-    }
-
     pub(super) fn members_changed_at_us(&self) -> u64 {
         self.members_changed_at_us.load(Ordering::Relaxed)
     }
@@ -195,10 +191,10 @@
     }
 
     /// What this agent knows that bears on a claim of an idempotency key.
-    pub(super) fn standing(&self) -> Standing {
+    pub(super) fn news(&self) -> AgentNews {
         let news_at_us = self.news_at_us.load(Ordering::Relaxed);
         let silent_us = self.clock.now_us().saturating_sub(news_at_us);
-        Standing {
+        AgentNews {
             members: self.members.load(Ordering::Acquire),
             api_silent_ms: silent_us / US_PER_MS,
         }
--- a/src/process/agent/keyed.rs
+++ b/src/process/agent/keyed.rs
@@ -81,7 +81,7 @@
         loop {
             let changed = traffic.keys_changed.notified();
             let now_us = traffic.context.clock.now_us();
-            let authority = authority(&claim, traffic.context.standing());
+            let authority = authority(&claim, traffic.context.news());
             let claimed = {
                 let mut keys = traffic.keys.borrow_mut();
                 if traffic.context.members_changed_at_us() > 0 {
--- a/src/process/entry/control/explain.rs
+++ b/src/process/entry/control/explain.rs
@@ -19,7 +19,10 @@
     },
     process::{
         entry::{
-            moves::configured,
+            moves::{
+                binds_targets,
+                configured, //
+            },
             worker::{
                 BLOCK_US,
                 serves, //
@@ -118,9 +121,7 @@
         let namespace = Namespace::derive(organisation, version.as_deref().unwrap_or(""));
         let blocks = blocks_of(config, entry.service, namespace, &request.prompt);
         explanation.prompt_blocks = u32::try_from(blocks.len()).unwrap_or(u32::MAX);
-        let kind = config.service(entry.service).map(|service| service.kind);
-        // Without a move, the targets of a plain service are interchangeable.
-        let is_bound = kind == Some(ServiceKind::Model) || config.move_of(entry.service).is_some();
+        let is_bound = binds_targets(config, entry.service);
         let bound = version.as_deref().filter(|_| is_bound);
         let candidates = self.candidates(config, entry.service, bound, explanation);
         let probe = ProbeRequest {
--- a/src/process/entry/control/limits/slots.rs
+++ b/src/process/entry/control/limits/slots.rs
@@ -83,19 +83,12 @@
     }
 
     pub(super) async fn list_slots(&self, platform: &Platform) -> PlatformResult<BTreeSet<Name>> {
-        let mut slots = BTreeSet::new();
-        let mut after = String::new();
-        loop {
-            let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
-            let listing = platform.list(SLOT_PREFIX, &after, deadline_us).await?;
-            for object in &listing.objects {
-                slots.extend(object.key.strip_prefix(SLOT_PREFIX).map(Name::from));
-            }
-            match listing.objects.last() {
-                Some(last) if listing.more => after = last.key.to_string(),
-                _ => return Ok(slots),
-            }
-        }
+        let deadline_us = || self.context.clock.now_us() + CALL_WITHIN_US;
+        let objects = platform.list_all(SLOT_PREFIX, "", deadline_us).await?;
+        let slots = objects
+            .iter()
+            .filter_map(|object| object.key.strip_prefix(SLOT_PREFIX).map(Name::from));
+        Ok(slots.collect())
     }
 
     /// Tells the ledgers which slots the platform has removed.
--- a/src/process/entry/control/records/sweep.rs
+++ b/src/process/entry/control/records/sweep.rs
@@ -64,16 +64,11 @@
         platform: &Platform,
         prefix: &str,
     ) -> PlatformResult<Vec<(Name, ObjectVersion)>> {
-        let mut records: Vec<(Name, ObjectVersion)> = Vec::new();
-        loop {
-            let after = records.last().map_or("", |(key, _)| key);
-            let deadline_us = self.context.clock.now_us() + CALL_WITHIN_US;
-            let listing = platform.list(prefix, after, deadline_us).await?;
-            let found = listing.objects.iter();
-            records.extend(found.map(|object| (Name::from(&*object.key), object.version)));
-            if !listing.more || listing.objects.is_empty() {
-                return Ok(records);
-            }
-        }
+        let deadline_us = || self.context.clock.now_us() + CALL_WITHIN_US;
+        let objects = platform.list_all(prefix, "", deadline_us).await?;
+        let records = objects
+            .into_iter()
+            .map(|object| (object.key, object.version));
+        Ok(records.collect())
     }
 }
--- a/src/process/entry/forward/target.rs
+++ b/src/process/entry/forward/target.rs
@@ -20,6 +20,7 @@
         entry::{
             moves::{
                 VersionUse,
+                binds_targets,
                 configured, //
             },
             worker::Placement, //
@@ -36,7 +37,6 @@
         Config,
         OrganisationKey,
         ServiceKey,
-        ServiceKind,
         TargetKey, //
     },
 };
@@ -96,16 +96,12 @@
             .await
     }
 
-    /// Returns the version that a target has to serve. Without a move, the
-    /// targets of a plain service are interchangeable while tickets change their
-    /// releases one by one.
+    /// Returns the version that a target has to serve.
     fn placed_version(&self) -> Option<&str> {
         let config = &self.request.config;
-        let route = config.route(self.request.route)?;
-        let service = config.service(route.service)?;
-        let is_moved = config.move_of(route.service).is_some()
-            || self.usage.as_ref().is_some_and(VersionUse::is_moved);
-        let is_bound = service.kind == ServiceKind::Model || is_moved;
+        let service = config.route(self.request.route)?.service;
+        let is_moved = self.usage.as_ref().is_some_and(VersionUse::is_moved);
+        let is_bound = is_moved || binds_targets(config, service);
         self.version.as_deref().filter(|_| is_bound)
     }
 
--- a/src/process/entry/moves.rs
+++ b/src/process/entry/moves.rs
@@ -130,6 +130,14 @@
     })
 }
 
+/// Returns whether the requests of a service run only on targets that serve their
+/// version. Without a move, the targets of a plain service are interchangeable
+/// while tickets change their releases one by one.
+pub(super) fn binds_targets(config: &Config, service: ServiceKey) -> bool {
+    let kind = config.service(service).map(|row| row.kind);
+    kind == Some(ServiceKind::Model) || config.move_of(service).is_some()
+}
+
 impl VersionUse {
     /// Chooses the version of a request.
     pub(super) fn choose(
--- a/src/process/fair_queue/demand.rs
+++ b/src/process/fair_queue/demand.rs
@@ -8,8 +8,6 @@
 /// Demand above the rate that is still normal variation. With 1.5, bursts of an
 /// organisation with one request in two seconds counted as floods.
 const TOLERANCE: f64 = 3.0;
-/// Tokens per second for one unit of weight.
-const TOKENS_PER_WEIGHT: u64 = 100;
 /// Units on the wire for one unit of a ticket's weight. Weights in tickets start
 /// at 1; without the finer unit they could not be reduced.
 pub const WEIGHT_UNITS: u32 = 64;
@@ -62,31 +60,21 @@
 ///
 /// let mut calm = Demand::default();
 /// let mut flood = Demand::default();
-/// let mut weights = (0, 0);
+/// let mut factors = (0.0, 0.0);
 /// for second in 0..60 {
-///     weights.0 = calm.weight(1_000, 1_000, second * 1_000_000);
-///     weights.1 = flood.weight(10_000, 1_000, second * 1_000_000);
+///     factors.0 = calm.count(1_000, 1_000, second * 1_000_000).weight_factor;
+///     factors.1 = flood.count(10_000, 1_000, second * 1_000_000).weight_factor;
 /// }
-/// assert_eq!(weights.0, 10);
-/// assert!(weights.1 <= 2);
+/// assert_eq!(factors.0, 1.0);
+/// assert!(factors.1 <= 0.2);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
     tokens: f64,
     updated_at_us: u64,
-    is_over_rate: bool,
 }
 
 impl Demand {
-    /// Counts a request and returns the weight to send with it.
-    ///
-    /// `rate_tokens_per_s` is this entry's part of the rate.
-    pub fn weight(&mut self, cost_tokens: u64, rate_tokens_per_s: u64, now_us: u64) -> u32 {
-        let standing = self.count(cost_tokens, rate_tokens_per_s, now_us);
-        let weight = (rate_tokens_per_s as f64 * standing.weight_factor) as u64 / TOKENS_PER_WEIGHT;
-        u32::try_from(weight.max(1)).unwrap_or(u32::MAX)
-    }
-
     /// Counts a request and returns the standing of the organisation.
     ///
     /// `rate_tokens_per_s` is this entry's part of the rate.
@@ -106,16 +94,9 @@
         // A decaying sum of a constant rate settles at rate * half-life / ln 2.
         let window_s = HALF_LIFE_US as f64 / US_PER_S as f64 / std::f64::consts::LN_2;
         let normal = rate_tokens_per_s as f64 * window_s * TOLERANCE;
-        self.is_over_rate = self.tokens > normal;
         Standing {
             weight_factor: (normal / self.tokens.max(1.0)).min(1.0).powi(4),
-            is_over_rate: self.is_over_rate,
+            is_over_rate: self.tokens > normal,
         }
     }
-
-    /// Returns whether the organisation asked for more than its rate when it was
-    /// last counted.
-    pub fn is_over_rate(&self) -> bool {
-        self.is_over_rate
-    }
 }
--- a/src/process/fate/authority.rs
+++ b/src/process/fate/authority.rs
@@ -25,7 +25,7 @@
 
 /// What an agent knows that bears on a claim.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Standing {
+pub struct AgentNews {
     /// Digest of the members of the service, see [`members_digest`].
     pub members: u64,
     /// Time since any process that the agent hears had news from the object API.
@@ -64,10 +64,10 @@
 /// ```
 /// use yuccalatch::connection::attempt::{IdempotencyClaim, RecordState};
 /// use yuccalatch::names::Digest;
-/// use yuccalatch::process::fate::authority::{authority, SILENT_AFTER_MS, Standing};
+/// use yuccalatch::process::fate::authority::{authority, SILENT_AFTER_MS, AgentNews};
 /// use yuccalatch::process::fate::idempotency::Authority;
 ///
-/// let own = Standing { members: 7, api_silent_ms: SILENT_AFTER_MS };
+/// let own = AgentNews { members: 7, api_silent_ms: SILENT_AFTER_MS };
 /// let mut claim = IdempotencyClaim {
 ///     key: Digest([1; 32]),
 ///     request: Digest([2; 32]),
@@ -83,7 +83,7 @@
 /// claim.members = 8;
 /// assert_eq!(authority(&claim, own), Authority::Nobody);
 /// ```
-pub fn authority(claim: &IdempotencyClaim, own: Standing) -> Authority {
+pub fn authority(claim: &IdempotencyClaim, own: AgentNews) -> Authority {
     let is_agreed = claim.members == own.members;
     let silent_ms = claim.api_silent_ms.min(own.api_silent_ms);
     match claim.record {
--- a/src/process/platform.rs
+++ b/src/process/platform.rs
@@ -223,6 +223,30 @@
         self.read(self.fetch(&path), deadline_us).await
     }
 
+    /// Lists all objects by prefix after a given key, over as many calls as it
+    /// takes. `deadline_us` returns the deadline of the next call.
+    ///
+    /// # Errors
+    ///
+    /// Fails as described at [`PlatformError`]; `AnswerLost` does not occur.
+    pub async fn list_all(
+        &self,
+        prefix: &str,
+        after: &str,
+        deadline_us: impl Fn() -> u64,
+    ) -> PlatformResult<Vec<ListedObject>> {
+        let mut objects: Vec<ListedObject> = Vec::new();
+        loop {
+            let last = objects.last().map_or(after, |last| &*last.key);
+            let listing = self.list(prefix, last, deadline_us()).await?;
+            let is_over = !listing.more || listing.objects.is_empty();
+            objects.extend(listing.objects);
+            if is_over {
+                return Ok(objects);
+            }
+        }
+    }
+
     /// Waits until an object with a prefix changes after a revision.
     ///
     /// The answer is empty when nothing changes within `wait_ms`. A pending
--- a/src/process/platform/configuration.rs
+++ b/src/process/platform/configuration.rs
@@ -89,18 +89,11 @@
     after_ticket: u64,
     deadline_us: u64,
 ) -> PlatformResult<Vec<FiledTicket>> {
-    let mut after = ticket_key(after_ticket);
-    let mut tickets = Vec::new();
-    loop {
-        let listing = platform.list(TICKET_PREFIX, &after, deadline_us).await?;
-        for object in &listing.objects {
-            tickets.push(decode(&object.value)?);
-        }
-        match listing.objects.last() {
-            Some(last) if listing.more => after = last.key.to_string(),
-            _ => return Ok(tickets),
-        }
-    }
+    let after = ticket_key(after_ticket);
+    let objects = platform
+        .list_all(TICKET_PREFIX, &after, || deadline_us)
+        .await?;
+    objects.iter().map(|object| decode(&object.value)).collect()
 }
 
 /// Brings a folded state up to the head and returns its revision.
--- a/src/replay/evaluate/router.rs
+++ b/src/replay/evaluate/router.rs
@@ -12,7 +12,10 @@
         Name, //
     },
     process::{
-        fair_queue::Demand,
+        fair_queue::{
+            Demand,
+            Standing, //
+        },
         hints::{
             Hints,
             Observation, //
@@ -77,8 +80,9 @@
         let sender = sender.or_default();
         sender.rate_tokens_per_s = rate_tokens_per_s;
         let tokens = request.prompt_tokens();
-        let weight = sender.demand.weight(tokens, rate_tokens_per_s, now_us);
-        if !sender.demand.is_over_rate() {
+        let standing = sender.demand.count(tokens, rate_tokens_per_s, now_us);
+        let weight = weight(rate_tokens_per_s, standing);
+        if !standing.is_over_rate {
             return Admitted {
                 weight,
                 share: None,
@@ -93,6 +97,15 @@
     }
 }
 
+/// Tokens per second for one unit of weight.
+const TOKENS_PER_WEIGHT: u64 = 100;
+
+/// The traces have no tickets, so that the weight follows the rate.
+fn weight(rate_tokens_per_s: u64, standing: Standing) -> u32 {
+    let weight = (rate_tokens_per_s as f64 * standing.weight_factor) as u64 / TOKENS_PER_WEIGHT;
+    u32::try_from(weight.max(1)).unwrap_or(u32::MAX)
+}
+
 /// The policy of this router.
 #[derive(Debug)]
 pub struct Router {
