--- /dev/null
+++ b/src/direct.rs
@@ -0,0 +1,29 @@
+//! Direct path: entries call the targets themselves.
+//!
+//! Used on platforms that list their targets in an object store and whose
+//! targets understand deadlines, priorities and instance checks. An entry
+//! carries the requests; the agent beside an engine only orders its weights.
+//! Decision modules ([`outlier`], [`placement`], [`quota`], [`routing`],
+//! [`turns`]) have neither sockets nor clocks. Everything that depends on the
+//! platform's names is behind the traits of [`port`].
+
+pub mod agent;
+mod attempt;
+pub mod entry;
+pub mod events;
+mod follow;
+pub mod knowledge;
+pub mod message;
+pub mod order;
+pub mod outlier;
+mod peers;
+pub mod placement;
+pub mod port;
+pub mod quota;
+mod relay;
+mod reply;
+pub mod routing;
+mod serve;
+pub mod target;
+pub mod turns;
+mod worker;
--- /dev/null
+++ b/src/direct/attempt.rs
@@ -0,0 +1,256 @@
+//! One try of a request at one target.
+
+use std::rc::Rc;
+
+use futures_util::StreamExt;
+use ntex::{
+    client::ClientResponse,
+    http::{
+        HeaderMap,
+        Method,
+        Payload,
+        StatusCode,
+        error::PayloadError, //
+    },
+    util::{
+        Bytes,
+        BytesMut, //
+    },
+};
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+
+use super::{
+    message::{
+        RequestHead,
+        Stamp, //
+    },
+    port::Platform,
+    routing::{
+        Organisation,
+        Route, //
+    },
+    target::TargetRecord,
+    worker::{
+        Busy,
+        Worker, //
+    },
+};
+use crate::{
+    clock::US_PER_MS,
+    names::Name,
+    process::client::{
+        is_unsent,
+        url, //
+    }, //
+};
+
+/// Largest answer that is collected before it is passed on.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// A request of a caller with everything that its tries need.
+pub(super) struct Incoming {
+    pub(super) head: RequestHead,
+    pub(super) method: Method,
+    pub(super) path_and_query: String,
+    /// Fields that reach the target, without the system's own.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) route: std::sync::Arc<Route>,
+    pub(super) service: Name,
+    pub(super) organisation: Option<std::sync::Arc<Organisation>>,
+    pub(super) cache_namespace: Option<String>,
+    pub(super) arrived_at_us: u64,
+    pub(super) deadline_us: u64,
+}
+
+impl Incoming {
+    /// Returns the id for log lines.
+    pub(super) fn id(&self) -> &str {
+        self.head.id.as_deref().unwrap_or("-")
+    }
+
+    pub(super) fn organisation_name(&self) -> Option<&Name> {
+        self.organisation.as_ref().map(|each| &each.name)
+    }
+}
+
+/// Why a try gave no answer to pass on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Failure {
+    /// The request did not reach the target.
+    Unsent,
+    /// The target states that it did not run the request.
+    NotRun,
+    /// Another target has the address.
+    Misdirected,
+    /// The target did not answer in the time of the try.
+    Silent,
+    /// The connection broke, or the answer is not one to this request.
+    Broken,
+}
+
+impl Failure {
+    /// Returns whether it is certain that the request did not run.
+    pub(super) const fn is_not_run(self) -> bool {
+        matches!(self, Self::Unsent | Self::NotRun | Self::Misdirected)
+    }
+
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::NotRun => "not_run",
+            Self::Misdirected => "misdirected",
+            Self::Silent => "silent",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// Answer of a target whose body is still to be read.
+pub(super) struct Answer<P> {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) busy: Busy<P>,
+    payload: Payload,
+    ends_with_connection: bool,
+}
+
+/// Time for which a target is avoided after it refused a request because it is
+/// full or loads weights.
+const REFUSED_PAUSE_US: u64 = 100 * US_PER_MS;
+
+/// Time for which a target id is avoided whose address another target has. The
+/// list is corrected by then.
+const MISDIRECTED_PAUSE_US: u64 = 3_000 * US_PER_MS;
+
+/// Sends a request to a target and waits for the head of the answer.
+pub(super) async fn send<P: Platform>(
+    worker: &Rc<Worker<P>>,
+    incoming: &Incoming,
+    target: &TargetRecord,
+    last_event_id: Option<u64>,
+    until_us: u64,
+) -> Result<Answer<P>, Failure> {
+    let now_us = worker.now_us();
+    let prompt = incoming.head.prompt.as_ref();
+    let prefill_tokens = prompt.map_or(0, |prompt| {
+        prompt.input_tokens.saturating_sub(prompt.shared_tokens())
+    });
+    let busy = worker.enter(&target.id, prefill_tokens);
+    let stamp = Stamp {
+        remaining_ms: incoming.deadline_us.saturating_sub(now_us) / US_PER_MS,
+        target: &target.id,
+        organisation: incoming.organisation_name(),
+        cache_namespace: incoming.cache_namespace.as_deref(),
+        weights: None,
+        urgency: None,
+        last_event_id,
+    };
+    let mut request = worker
+        .client
+        .request(
+            incoming.method.clone(),
+            url(target.address, &incoming.path_and_query),
+        )
+        .no_decompress()
+        .force_close();
+    *request.headers_mut() = incoming.headers.clone();
+    P::stamp(request.headers_mut(), &stamp);
+    let until = deadline(worker, until_us);
+    let sent = if incoming.body.is_empty() && incoming.method == Method::GET {
+        timeout_at(until, request.send()).await
+    } else {
+        timeout_at(until, request.send_body(incoming.body.clone())).await
+    };
+    let response = match sent {
+        Err(_) => {
+            worker.observe_break(&target.id);
+            return Err(Failure::Silent);
+        }
+        Ok(Err(error)) => {
+            worker.observe_break(&target.id);
+            let is_unsent = is_unsent(&error);
+            return Err(if is_unsent {
+                Failure::Unsent
+            } else {
+                Failure::Broken
+            });
+        }
+        Ok(Ok(response)) => response,
+    };
+    read_head(worker, incoming, target, busy, &response)
+}
+
+fn read_head<P: Platform>(
+    worker: &Rc<Worker<P>>,
+    incoming: &Incoming,
+    target: &TargetRecord,
+    busy: Busy<P>,
+    response: &ClientResponse,
+) -> Result<Answer<P>, Failure> {
+    let status = response.status();
+    let head = P::read_answer(status.as_u16(), response.headers());
+    if head.is_misdirected {
+        worker.observe_refusal(&target.id, &head, MISDIRECTED_PAUSE_US);
+        return Err(Failure::Misdirected);
+    }
+    if head.is_not_run {
+        worker.observe_refusal(&target.id, &head, REFUSED_PAUSE_US);
+        return Err(Failure::NotRun);
+    }
+    let is_other = head.request_id.is_some() && head.request_id != incoming.head.id;
+    if is_other || (status.is_success() && !head.is_sealed) {
+        worker.observe_break(&target.id);
+        return Err(Failure::Broken);
+    }
+    worker.observe(&target.id, &head, !status.is_server_error());
+    let headers = response.headers().clone();
+    let ends_with_connection =
+        !headers.contains_key("content-length") && !headers.contains_key("transfer-encoding");
+    Ok(Answer {
+        status,
+        headers,
+        busy,
+        payload: response.take_payload(),
+        ends_with_connection,
+    })
+}
+
+/// Turns a deadline into an instant of the timer.
+pub(super) fn deadline<P>(worker: &Worker<P>, at_us: u64) -> Instant {
+    Instant::from_std(worker.context.clock.instant(at_us))
+}
+
+impl<P> Answer<P> {
+    /// Returns the next part of the body, `None` at its end.
+    pub(super) async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
+        match self.payload.next().await {
+            None => Ok(None),
+            Some(Ok(part)) => Ok(Some(part)),
+            // Without a length, the body ends when the target closes the
+            // connection; a reset is an error.
+            Some(Err(PayloadError::Incomplete(None))) if self.ends_with_connection => Ok(None),
+            Some(Err(_)) => Err(Failure::Broken),
+        }
+    }
+
+    /// Reads the whole body.
+    pub(super) async fn collect(&mut self, until: Instant) -> Result<Bytes, Failure> {
+        let read = async {
+            let mut body = BytesMut::new();
+            while let Some(part) = self.next().await? {
+                if body.len() + part.len() > MAX_ANSWER_BYTES {
+                    return Err(Failure::Broken);
+                }
+                body.extend_from_slice(&part);
+            }
+            Ok(body.freeze())
+        };
+        timeout_at(until, read)
+            .await
+            .unwrap_or(Err(Failure::Silent))
+    }
+}
--- /dev/null
+++ b/src/direct/entry.rs
@@ -0,0 +1,422 @@
+//! The entry process of the direct path.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use futures_util::StreamExt;
+use ntex::{
+    SharedCfg,
+    http::{
+        HttpServiceConfig,
+        Request,
+        Response,
+        StatusCode, //
+    },
+    service::fn_service,
+    time::Seconds,
+    util::BytesMut, //
+};
+use slog::{
+    Logger,
+    info,
+    warn, //
+};
+use tokio::signal::unix::{
+    SignalKind,
+    signal, //
+};
+
+use super::{
+    follow::{
+        News,
+        StoreHealth,
+        follow, //
+    },
+    knowledge::Knowledge,
+    peers::{
+        self,
+        EntryState,
+        Question, //
+    },
+    port::{
+        EntryRecord,
+        Platform,
+        Store,
+        Topic, //
+    },
+    serve,
+    worker::{
+        Context,
+        Worker, //
+    },
+};
+use crate::{
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    event::Event,
+    process::{
+        admin::Observed,
+        client,
+        http_server,
+        lifecycle,
+        stop, //
+    },
+    settings::DirectEntrySettings,
+};
+
+/// Longest time until a header section is complete.
+const HEADER_TIMEOUT: Seconds = Seconds(10);
+
+/// Largest header section; a prompt lists its parts there.
+const MAX_HEADER_BYTES: usize = 64 << 10;
+
+/// Idle time after which a caller's connection is closed. Longer than any caller
+/// keeps one.
+const CALLER_KEEP_ALIVE: Seconds = Seconds(120);
+
+/// Interval of the control thread's own work.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Interval between exchanges for each other entry, so that the work of an entry
+/// does not grow with the fleet.
+const EXCHANGE_INTERVAL_PER_ENTRY_US: u64 = 60 * US_PER_MS;
+
+/// Time for which a stopping entry goes on to take connections: the balancer
+/// needs two failed checks, a second apart.
+const STOP_LINGER_US: u64 = 2_600 * US_PER_MS;
+
+/// Interval between tries to register.
+const REGISTER_INTERVAL_US: u64 = US_PER_S;
+
+/// Bound for a registration.
+const REGISTER_LIMIT_MS: u64 = 1_000;
+
+impl Observed for Context {
+    fn is_ready(&self) -> bool {
+        self.knowledge.load().can_route() && !self.is_leaving()
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+}
+
+/// Runs an entry until it is told to stop.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Io`] when a listener cannot be opened.
+pub fn run<P: Platform>(settings: DirectEntrySettings, log: &Logger) -> Result<()> {
+    let caller = stop::bind(settings.caller_address)?;
+    let control = stop::bind(settings.control_address)?;
+    let admin = stop::bind(settings.admin_address)?;
+    let context = Arc::new(Context::new(settings, log.clone()));
+    info!(log, "entry listens";
+        "event" => Event::Started,
+        "incarnation" => %context.incarnation,
+        "caller_address" => %stop::local(&caller)?,
+        "control_address" => %stop::local(&control)?,
+        "admin_address" => %stop::local(&admin)?);
+    let shared = Arc::clone(&context);
+    lifecycle::run(
+        "entry",
+        log,
+        (admin, Arc::clone(&context)),
+        move || control_thread::<P>(shared, control),
+        traffic::<P>(context, caller),
+    )
+}
+
+async fn traffic<P: Platform>(context: Arc<Context>, caller: TcpListener) -> Result<()> {
+    let http = HttpServiceConfig::new()
+        .set_client_timeout(HEADER_TIMEOUT)
+        .set_max_buf_size(MAX_HEADER_BYTES)
+        .set_keepalive(CALLER_KEEP_ALIVE);
+    let config = SharedCfg::new("callers").add(http);
+    let shared = Arc::clone(&context);
+    let factory = async move || {
+        let worker = Worker::<P>::new(Arc::clone(&shared)).await;
+        // Without a client the entry cannot serve at all.
+        let worker = worker.expect("the HTTP client is built");
+        fn_service(move |request: Request| {
+            let worker = Rc::clone(&worker);
+            async move { Ok::<Response, std::io::Error>(serve::handle(worker, request).await) }
+        })
+    };
+    let server = http_server::start(caller, config, 1, factory)?;
+    let hangup_log = context.log.clone();
+    ntex::rt::spawn(async move { note_hangups(&hangup_log).await });
+    stop::requested().await?;
+    drain(&context).await;
+    server.stop(false).await;
+    Ok(())
+}
+
+/// Notes SIGHUP. The platform replaces the settings of a running process only
+/// where they concern other instances, which the process finds by itself.
+async fn note_hangups(log: &Logger) {
+    match signal(SignalKind::hangup()) {
+        Ok(mut hangups) => {
+            while hangups.recv().await.is_some() {
+                info!(log, "settings stay in force until the next start";
+                    "event" => Event::SettingsKept);
+            }
+        }
+        Err(error) => warn!(log, "SIGHUP cannot be handled";
+            "event" => Event::SettingsKept, "error" => %error),
+    }
+}
+
+/// Takes no part in the balancer's rotation any more, and answers what comes
+/// until then.
+async fn drain(context: &Context) {
+    context.leave();
+    let now_us = context.clock.now_us();
+    let linger_until_us = now_us + STOP_LINGER_US;
+    let drain_until_us = now_us + context.settings.drain_ms * US_PER_MS;
+    let is_done = |now_us| now_us >= linger_until_us && context.running() == 0;
+    lifecycle::drain(
+        "entry",
+        &context.log,
+        context.clock,
+        drain_until_us,
+        is_done,
+    )
+    .await;
+}
+
+/// State of the control thread.
+struct Control<P: Platform> {
+    context: Arc<Context>,
+    knowledge: RefCell<Knowledge>,
+    health: Rc<StoreHealth>,
+    store: P::Store,
+    client: ntex::client::Client,
+}
+
+async fn control_thread<P: Platform>(context: Arc<Context>, control: TcpListener) -> Result<()> {
+    let listen = Arc::clone(&context);
+    let _server = http_server::start(control, SharedCfg::new("entries"), 1, async move || {
+        let context = Arc::clone(&listen);
+        fn_service(move |request: Request| {
+            let context = Arc::clone(&context);
+            async move { Ok::<Response, std::io::Error>(answer_entry(&context, request).await) }
+        })
+    })?;
+    let control = Rc::new(Control::<P> {
+        store: P::store(context.settings.platform_address).await?,
+        client: client::build("entries").await?,
+        knowledge: RefCell::default(),
+        health: Rc::default(),
+        context,
+    });
+    for topic in [
+        Topic::Configuration,
+        Topic::Targets,
+        Topic::Weights,
+        Topic::Entries,
+    ] {
+        let shared = Rc::clone(&control);
+        ntex::rt::spawn(follow(
+            control.store.clone(),
+            topic,
+            Rc::clone(&control.health),
+            control.context.clock,
+            control.context.log.clone(),
+            move |news| shared.take(news),
+        ));
+    }
+    control.work().await
+}
+
+impl<P: Platform> Control<P> {
+    /// Takes changes of the store and publishes the result.
+    fn take(&self, news: News) {
+        let now_us = self.context.clock.now_us();
+        let regained_at_us = self.health.regained_at_us();
+        let before = self.configuration_version();
+        self.knowledge.borrow_mut().apply(
+            news.topic,
+            news.changes,
+            news.is_listing,
+            regained_at_us,
+            now_us,
+        );
+        self.publish(before, "store");
+    }
+
+    fn configuration_version(&self) -> u64 {
+        let knowledge = self.knowledge.borrow();
+        knowledge
+            .configuration
+            .as_ref()
+            .map_or(0, |known| known.version)
+    }
+
+    /// Makes what is known visible to the traffic thread.
+    fn publish(&self, version_before: u64, source: &str) {
+        let knowledge = self.knowledge.borrow().clone();
+        let version = self.configuration_version();
+        if version != version_before {
+            info!(self.context.log, "configuration is in force";
+                "event" => Event::RevisionApplied,
+                "config_version" => version,
+                "version_before" => version_before,
+                "source" => source);
+            if let Some(table) = &knowledge.table {
+                let now_us = self.context.clock.now_us();
+                self.context
+                    .quotas()
+                    .configure(table.organisations(), now_us);
+            }
+        }
+        self.context.knowledge.store(Arc::new(knowledge));
+    }
+
+    /// Registers this entry, exchanges with others and expires targets.
+    async fn work(self: Rc<Self>) -> Result<()> {
+        let mut next_exchange_us = BTreeMap::new();
+        let mut register_at_us = 0;
+        loop {
+            let now_us = self.context.clock.now_us();
+            if now_us >= register_at_us && !self.health.is_down() {
+                register_at_us = self.register(now_us).await;
+            }
+            if self.knowledge.borrow_mut().expire(now_us) {
+                self.publish(self.configuration_version(), "expiry");
+            }
+            self.context.quotas().assume(now_us);
+            self.start_exchanges(&mut next_exchange_us, now_us);
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Registers this entry unless it is known to be registered. Returns when to
+    /// look again.
+    async fn register(&self, now_us: u64) -> u64 {
+        let own = EntryRecord {
+            name: self.context.settings.name.clone(),
+            control_address: self.context.settings.control_address,
+        };
+        let known = self.knowledge.borrow().entries.get(&own.name).cloned();
+        if known.as_ref() == Some(&own) {
+            return now_us + REGISTER_INTERVAL_US;
+        }
+        if let Err(error) = self.store.register(&own, REGISTER_LIMIT_MS).await {
+            warn!(self.context.log, "entry is not registered";
+                "event" => Event::PlatformDown, "error" => %error);
+        }
+        self.context.clock.now_us() + REGISTER_INTERVAL_US
+    }
+
+    fn state(&self) -> EntryState {
+        state(&self.context)
+    }
+
+    fn start_exchanges(self: &Rc<Self>, next_us: &mut BTreeMap<SocketAddr, u64>, now_us: u64) {
+        let own = self.context.settings.control_address;
+        let addresses = {
+            let knowledge = self.knowledge.borrow();
+            peers::addresses(&knowledge, &self.context.settings.peers, Some(own))
+        };
+        let count = u64::try_from(addresses.len()).unwrap_or(u64::MAX);
+        let interval_us = EXCHANGE_INTERVAL_PER_ENTRY_US.saturating_mul(count + 1);
+        next_us.retain(|address, _| addresses.contains(address));
+        for address in addresses {
+            let due_us = next_us.entry(address).or_insert(now_us);
+            if now_us < *due_us {
+                continue;
+            }
+            *due_us = now_us + interval_us;
+            let control = Rc::clone(self);
+            ntex::rt::spawn(async move { control.exchange(address).await });
+        }
+    }
+
+    /// Asks another entry and takes what it knows.
+    async fn exchange(&self, address: SocketAddr) {
+        let question = {
+            let knowledge = self.knowledge.borrow();
+            let wants_targets = self.health.is_down() || !knowledge.has_targets;
+            Question {
+                entry: Some(self.state()),
+                configuration_version: knowledge
+                    .configuration
+                    .as_ref()
+                    .map_or(0, |known| known.version),
+                targets_revision: wants_targets.then_some(knowledge.targets_revision),
+            }
+        };
+        // An entry that does not answer is charged by `Quotas::assume`.
+        let Ok(reply) = peers::ask(&self.client, address, &question).await else {
+            return;
+        };
+        let now_us = self.context.clock.now_us();
+        let entry = &reply.entry;
+        self.context
+            .quotas()
+            .learn(&entry.name, entry.incarnation, &entry.used, now_us);
+        let before = self.configuration_version();
+        let is_new = peers::adopt(&mut self.knowledge.borrow_mut(), reply, now_us);
+        if is_new {
+            self.publish(before, "entry");
+        }
+    }
+}
+
+fn state(context: &Context) -> EntryState {
+    EntryState {
+        name: context.settings.name.clone(),
+        incarnation: context.incarnation,
+        control_address: context.settings.control_address,
+        used: context.quotas().used(),
+    }
+}
+
+/// Answers another entry or an agent.
+async fn answer_entry(context: &Context, mut request: Request) -> Response {
+    if request.uri().path() != peers::PATH {
+        return Response::new(StatusCode::NOT_FOUND);
+    }
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let Ok(part) = part else {
+            return Response::new(StatusCode::BAD_REQUEST);
+        };
+        if body.len() + part.len() > peers::MAX_MESSAGE_BYTES {
+            return Response::new(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        body.extend_from_slice(&part);
+    }
+    let Ok(question) = postcard::from_bytes::<Question>(&body) else {
+        return Response::new(StatusCode::BAD_REQUEST);
+    };
+    let knowledge = context.knowledge.load();
+    let reply = peers::reply(&question, state(context), &knowledge);
+    match postcard::to_stdvec(&reply) {
+        Ok(body) => Response::build(StatusCode::OK).body(body),
+        Err(error) => {
+            warn!(context.log, "answer to an entry cannot be written";
+                "event" => Event::RevisionRejected,
+                "kind" => ErrorKind::Internal.name(),
+                "error" => %error);
+            Response::new(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/events.rs
@@ -0,0 +1,108 @@
+//! Splits a stream of server-sent events at event boundaries.
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+
+/// Longest event that is buffered.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Whole events of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Batch {
+    /// Bytes of the events, unchanged.
+    pub data: Bytes,
+    /// Id of the last event that has one.
+    pub last_id: Option<u64>,
+}
+
+/// Failure to split a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SplitError {
+    /// An event is longer than can be buffered.
+    TooLong,
+    /// The ids of the events do not grow by one.
+    OutOfOrder,
+}
+
+/// Splits bytes into whole events. A rest without its end is kept back, so that
+/// a broken stream can go on at another target after the last whole event.
+///
+/// ```
+/// use yuccalatch::direct::events::Splitter;
+///
+/// let mut splitter = Splitter::new(None);
+/// let batch = splitter.push(b"id: 0\ndata: a\n\nid: 1\nda").unwrap().unwrap();
+/// assert_eq!(&batch.data[..], b"id: 0\ndata: a\n\n");
+/// assert_eq!(batch.last_id, Some(0));
+/// assert!(splitter.has_rest());
+/// ```
+#[derive(Debug)]
+pub struct Splitter {
+    buffer: BytesMut,
+    last_id: Option<u64>,
+}
+
+impl Splitter {
+    /// Starts after the event with the given id, or at the first event.
+    pub fn new(last_id: Option<u64>) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            last_id,
+        }
+    }
+
+    /// Takes bytes and returns the events that are complete now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an event is too long or out of order.
+    pub fn push(&mut self, data: &[u8]) -> Result<Option<Batch>, SplitError> {
+        self.buffer.extend_from_slice(data);
+        let Some(end) = end_of_last_event(&self.buffer) else {
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err(SplitError::TooLong);
+            }
+            return Ok(None);
+        };
+        let data = self.buffer.split_to(end).freeze();
+        let mut batch_id = None;
+        for id in ids(&data) {
+            if self.last_id.is_some_and(|last| id != last + 1) {
+                return Err(SplitError::OutOfOrder);
+            }
+            self.last_id = Some(id);
+            batch_id = Some(id);
+        }
+        Ok(Some(Batch {
+            data,
+            last_id: batch_id,
+        }))
+    }
+
+    /// Returns the id of the last whole event.
+    pub const fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Returns whether an event is incomplete.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+}
+
+/// Returns the position after the last empty line.
+fn end_of_last_event(data: &[u8]) -> Option<usize> {
+    let lf = data.windows(2).rposition(|pair| pair == b"\n\n");
+    let crlf = data.windows(4).rposition(|part| part == b"\r\n\r\n");
+    lf.map(|at| at + 2).max(crlf.map(|at| at + 4))
+}
+
+/// Returns the ids of the events.
+fn ids(data: &[u8]) -> impl Iterator<Item = u64> {
+    data.split(|byte| *byte == b'\n').filter_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/src/direct/knowledge.rs
@@ -0,0 +1,205 @@
+//! What a process knows of the platform's objects.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use super::{
+    port::{
+        Change,
+        Changes,
+        EntryRecord,
+        Topic, //
+    },
+    routing::{
+        Configuration,
+        RoutingTable, //
+    },
+    target::{
+        Targets,
+        WantedWeights, //
+    },
+};
+use crate::{
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
+    names::Name,
+};
+
+/// Time after an outage of the store in which the records of live targets come
+/// back; stated by the platform.
+pub const REFILL_US: u64 = 2 * US_PER_S;
+
+/// Time by which the removal of a record is delayed at most after an outage. It
+/// leaves a margin before a target that has really left must be avoided.
+const KEEP_US: u64 = REFILL_US - 200 * US_PER_MS;
+
+/// Weights that are wanted, and when this process learnt it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Wanted {
+    /// Weights.
+    pub weights: WantedWeights,
+    /// When this process learnt of them.
+    pub seen_at_us: u64,
+    /// Ready engines at that time, in the order of their turns.
+    pub turns: Arc<[Name]>,
+}
+
+/// Objects of the platform, as of a revision for each topic.
+#[derive(Clone, Debug, Default)]
+pub struct Knowledge {
+    /// Configuration with the revision of the store.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Lookups over the configuration.
+    pub table: Option<Arc<RoutingTable>>,
+    /// Targets by id.
+    pub targets: Targets,
+    /// Whether the list of targets was ever read.
+    pub has_targets: bool,
+    /// Wanted weights by model.
+    pub wanted: BTreeMap<Name, Wanted>,
+    /// Registered entries by name.
+    pub entries: BTreeMap<Name, EntryRecord>,
+    /// Revision of the list of targets.
+    pub targets_revision: u64,
+    /// Targets whose record has vanished around an outage, with the time until
+    /// which they are kept.
+    pub vanished: BTreeMap<Name, u64>,
+}
+
+impl Knowledge {
+    /// Returns whether requests can be routed.
+    pub const fn can_route(&self) -> bool {
+        self.table.is_some() && self.has_targets
+    }
+
+    /// Takes a configuration unless a later one is known. Returns whether it was
+    /// taken.
+    pub fn adopt_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
+        let known = self.configuration.as_ref().map(|known| known.version);
+        if known.is_some_and(|version| version >= configuration.version) {
+            return false;
+        }
+        self.table = Some(Arc::new(RoutingTable::new(&configuration)));
+        self.configuration = Some(configuration);
+        true
+    }
+
+    /// Takes the wanted weights of a model unless later ones are known.
+    pub fn adopt_weights(&mut self, weights: WantedWeights, now_us: u64) -> bool {
+        let known = self.wanted.get(&weights.model);
+        if known.is_some_and(|known| known.weights.version >= weights.version) {
+            return false;
+        }
+        let turns = super::turns::order(&self.targets, &weights.model);
+        let wanted = Wanted {
+            seen_at_us: now_us,
+            turns,
+            weights,
+        };
+        self.wanted.insert(wanted.weights.model.clone(), wanted);
+        true
+    }
+
+    /// Takes changes of a topic. `regained_at_us` is when the store answered
+    /// again after an outage.
+    pub fn apply(
+        &mut self,
+        topic: Topic,
+        changes: Changes,
+        is_listing: bool,
+        regained_at_us: Option<u64>,
+        now_us: u64,
+    ) {
+        if topic == Topic::Targets {
+            self.has_targets |= is_listing;
+            self.targets_revision = self.targets_revision.max(changes.revision);
+        }
+        if is_listing {
+            self.remove_unlisted(topic, &changes, regained_at_us, now_us);
+        }
+        for change in changes.changes {
+            match change {
+                Change::Configuration(configuration) => {
+                    self.adopt_configuration(Arc::from(configuration));
+                }
+                Change::Target(record) => {
+                    self.vanished.remove(&record.id);
+                    self.targets.insert(record.id.clone(), Arc::new(record));
+                }
+                Change::TargetGone(id) => self.remove_target(&id, regained_at_us, now_us),
+                Change::Weights(weights) => {
+                    self.adopt_weights(weights, now_us);
+                }
+                Change::Entry(entry) => {
+                    self.entries.insert(entry.name.clone(), entry);
+                }
+                Change::EntryGone(name) => {
+                    self.entries.remove(&name);
+                }
+                Change::Unreadable(..) => {}
+            }
+        }
+    }
+
+    fn remove_unlisted(
+        &mut self,
+        topic: Topic,
+        changes: &Changes,
+        regained_at_us: Option<u64>,
+        now_us: u64,
+    ) {
+        if topic != Topic::Targets {
+            return;
+        }
+        let listed: std::collections::BTreeSet<&Name> = changes
+            .changes
+            .iter()
+            .filter_map(|change| match change {
+                Change::Target(record) => Some(&record.id),
+                _ => None,
+            })
+            .collect();
+        let missing: Vec<Name> = self
+            .targets
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove_target(&id, regained_at_us, now_us);
+        }
+    }
+
+    /// Removes a target, later when its record may only have lapsed during an
+    /// outage of the store.
+    fn remove_target(&mut self, id: &Name, regained_at_us: Option<u64>, now_us: u64) {
+        match regained_at_us {
+            Some(at_us) if now_us < at_us + KEEP_US && self.targets.contains_key(id) => {
+                self.vanished.insert(id.clone(), at_us + KEEP_US);
+            }
+            _ => {
+                self.targets.remove(id);
+            }
+        }
+    }
+
+    /// Removes the targets that have not come back in time. Returns whether any
+    /// was removed.
+    pub fn expire(&mut self, now_us: u64) -> bool {
+        let due: Vec<Name> = self
+            .vanished
+            .iter()
+            .filter(|(_, until_us)| now_us >= **until_us)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &due {
+            self.vanished.remove(id);
+            self.targets.remove(id);
+        }
+        !due.is_empty()
+    }
+}
--- /dev/null
+++ b/src/direct/peers.rs
@@ -0,0 +1,187 @@
+//! Exchange between entries: use of rates, and what they know of the platform.
+//!
+//! An entry that the store does not answer keeps up through the others, and one
+//! that restarts during an outage finds the configuration there.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use error_stack::{
+    Report,
+    ResultExt, //
+};
+use ntex::{
+    client::Client,
+    http::Method, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::time::timeout;
+
+use super::{
+    knowledge::Knowledge,
+    routing::Configuration,
+    target::{
+        TargetRecord,
+        WantedWeights, //
+    },
+};
+use crate::{
+    error::{
+        ErrorKind,
+        Result, //
+    },
+    names::{
+        Incarnation,
+        Name, //
+    },
+    process::client::url,
+};
+
+/// Path of the exchange on the control listener.
+pub(super) const PATH: &str = "/exchange";
+
+/// Bound for one exchange. Entries are a few milliseconds apart, so an entry that
+/// takes longer is not heard.
+const EXCHANGE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Largest message; a configuration of a megabyte fits.
+pub(super) const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// What an entry or agent says when it asks.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct Question {
+    /// Entry that asks; agents have no name here.
+    pub(super) entry: Option<EntryState>,
+    /// Version of the configuration that is known, 0 without one.
+    pub(super) configuration_version: u64,
+    /// Revision of the list of targets, `None` when it is not wanted.
+    pub(super) targets_revision: Option<u64>,
+}
+
+/// State that entries tell each other.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct EntryState {
+    pub(super) name: Name,
+    pub(super) incarnation: Incarnation,
+    pub(super) control_address: SocketAddr,
+    /// Use of each organisation since the start.
+    pub(super) used: Vec<(Name, u64)>,
+}
+
+/// Answer to a question.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct Reply {
+    pub(super) entry: EntryState,
+    /// A later configuration.
+    pub(super) configuration: Option<Configuration>,
+    /// A later list of targets with its revision.
+    pub(super) targets: Option<(u64, Vec<TargetRecord>)>,
+    /// Wanted weights of all models.
+    pub(super) weights: Vec<WantedWeights>,
+}
+
+/// Makes the answer to a question.
+pub(super) fn reply(question: &Question, entry: EntryState, knowledge: &Knowledge) -> Reply {
+    let configuration = knowledge
+        .configuration
+        .as_ref()
+        .filter(|known| known.version > question.configuration_version)
+        .map(|known| Configuration::clone(known));
+    let targets = question
+        .targets_revision
+        .filter(|revision| knowledge.has_targets && knowledge.targets_revision > *revision)
+        .map(|_| {
+            let records = knowledge.targets.values().map(|record| (**record).clone());
+            (knowledge.targets_revision, records.collect())
+        });
+    Reply {
+        entry,
+        configuration,
+        targets,
+        weights: knowledge
+            .wanted
+            .values()
+            .map(|wanted| wanted.weights.clone())
+            .collect(),
+    }
+}
+
+/// Takes what an answer says of the platform. Returns whether anything is new.
+pub(super) fn adopt(knowledge: &mut Knowledge, reply: Reply, now_us: u64) -> bool {
+    let mut is_new = false;
+    if let Some(configuration) = reply.configuration {
+        is_new |= knowledge.adopt_configuration(Arc::new(configuration));
+    }
+    if let Some((revision, records)) = reply.targets
+        && revision > knowledge.targets_revision
+    {
+        knowledge.targets_revision = revision;
+        knowledge.has_targets = true;
+        knowledge.vanished.clear();
+        knowledge.targets = records
+            .into_iter()
+            .map(|record| (record.id.clone(), Arc::new(record)))
+            .collect();
+        is_new = true;
+    }
+    for weights in reply.weights {
+        is_new |= knowledge.adopt_weights(weights, now_us);
+    }
+    is_new
+}
+
+/// Returns the addresses to ask: the registered entries and those of the
+/// settings, without the own one.
+pub(super) fn addresses(
+    knowledge: &Knowledge,
+    peers: &[SocketAddr],
+    own: Option<SocketAddr>,
+) -> BTreeSet<SocketAddr> {
+    knowledge
+        .entries
+        .values()
+        .map(|entry| entry.control_address)
+        .chain(peers.iter().copied())
+        .filter(|address| Some(*address) != own)
+        .collect()
+}
+
+/// Asks one entry.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::PeerUnavailable`] when it does not answer in time.
+pub(super) async fn ask(
+    client: &Client,
+    address: SocketAddr,
+    question: &Question,
+) -> Result<Reply> {
+    let body = postcard::to_stdvec(question).change_context(ErrorKind::Internal)?;
+    let call = async {
+        let response = client
+            .request(Method::POST, url(address, PATH))
+            .send_body(body)
+            .await
+            .map_err(|error| unavailable(error.to_string()))?;
+        if !response.status().is_success() {
+            return Err(unavailable(format!("status {}", response.status())));
+        }
+        let body = response.body().limit(MAX_MESSAGE_BYTES).await;
+        let body = body.map_err(|error| unavailable(error.to_string()))?;
+        postcard::from_bytes(&body).change_context(ErrorKind::PeerUnavailable)
+    };
+    timeout(EXCHANGE_LIMIT, call)
+        .await
+        .unwrap_or_else(|_| Err(unavailable("no answer in time".to_owned())))
+}
+
+fn unavailable(reason: String) -> Report<ErrorKind> {
+    Report::new(ErrorKind::PeerUnavailable).attach(reason)
+}
--- /dev/null
+++ b/src/direct/placement.rs
@@ -0,0 +1,134 @@
+//! Chooses the target of a request.
+//!
+//! Load pattern: prompts that share long parts, on engines whose memory holds
+//! the parts of a fraction of the subjects, with hot subjects, engines that
+//! load weights and engines that fail.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::message::{
+    Load,
+    Prompt, //
+};
+use crate::names::Name;
+
+/// Prompt tokens that an engine computes in a millisecond, as a low estimate of
+/// both deployments (41 and 70).
+const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+
+/// Time that each running request adds to the first token of another one: its
+/// share of a batch step and of the context that the step reads.
+const RUNNING_COST_MS: f64 = 4.0;
+
+/// Time that each waiting request adds.
+const WAITING_COST_MS: f64 = 60.0;
+
+/// Cost of a failed try, in milliseconds of waiting.
+const FAILURE_COST_MS: f64 = 800.0;
+
+/// Targets that keep the parts of a subject.
+const HOMES: usize = 2;
+
+/// Cost of the second home, so that the first one is preferred.
+const SECOND_HOME_MS: f64 = 15.0;
+
+/// What is known of a target that may run a request.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// Id of the target.
+    pub id: &'a Name,
+    /// Load from its last answer.
+    pub load: Load,
+    /// Requests of this entry that run there.
+    pub own_running: u32,
+    /// Prompt tokens of this entry that wait for their first event there.
+    pub own_prefill_tokens: u64,
+    /// Recent share of failures, 0 to 1.
+    pub failure_share: f64,
+    /// Whether other targets come first: it failed, refused or loads weights.
+    pub is_avoided: bool,
+    /// Whether it has older weights than are wanted.
+    pub is_outdated: bool,
+}
+
+/// Cost of a request that begins on older weights, in milliseconds of waiting.
+const OUTDATED_COST_MS: f64 = 60.0;
+
+/// Returns the candidates in the order in which they are tried, as positions.
+///
+/// Engines are ordered by the expected time to the first token, which counts
+/// the subject's part as cached at its homes. Other targets are ordered by load.
+///
+/// ```
+/// use yuccalatch::direct::{message::Load, placement::{rank, Candidate}};
+///
+/// let ids = ["a".into(), "b".into()];
+/// let candidates: Vec<Candidate<'_>> = ids.iter().zip([3, 0]).map(|(id, running)| Candidate {
+///     id,
+///     load: Load { running, waiting: 0, slots: 6 },
+///     own_running: 0,
+///     own_prefill_tokens: 0,
+///     failure_share: 0.0,
+///     is_avoided: false,
+///     is_outdated: false,
+/// }).collect();
+/// assert_eq!(rank(&candidates, None, 0), [1, 0]);
+/// ```
+pub fn rank(candidates: &[Candidate<'_>], prompt: Option<&Prompt>, salt: u64) -> Vec<usize> {
+    let homes = prompt.map(|prompt| homes(candidates, prompt, salt));
+    let mut costs: Vec<(bool, f64, usize)> = candidates
+        .iter()
+        .enumerate()
+        .map(|(at, candidate)| {
+            let cost = match (prompt, &homes) {
+                (Some(prompt), Some(homes)) => engine_cost_ms(candidate, prompt, homes, at),
+                _ => plain_cost_ms(candidate),
+            };
+            (candidate.is_avoided, cost, at)
+        })
+        .collect();
+    costs.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    costs.into_iter().map(|(_, _, at)| at).collect()
+}
+
+/// Returns the positions of the targets that keep the last part of a prompt.
+fn homes(candidates: &[Candidate<'_>], prompt: &Prompt, salt: u64) -> Vec<usize> {
+    let Some(subject) = prompt.parts.last() else {
+        return Vec::new();
+    };
+    let seed = subject.id ^ salt;
+    let mut weighted: Vec<(u64, usize)> = candidates
+        .iter()
+        .enumerate()
+        .map(|(at, candidate)| (xxh3_64_with_seed(candidate.id.as_bytes(), seed), at))
+        .collect();
+    weighted.sort_unstable_by(|a, b| b.cmp(a));
+    weighted.into_iter().take(HOMES).map(|(_, at)| at).collect()
+}
+
+fn engine_cost_ms(candidate: &Candidate<'_>, prompt: &Prompt, homes: &[usize], at: usize) -> f64 {
+    let subject_tokens = prompt.parts.last().map_or(0, |part| part.tokens);
+    let cache_cost_ms = match homes.iter().position(|home| *home == at) {
+        Some(0) => 0.0,
+        Some(_) => SECOND_HOME_MS,
+        None => SECOND_HOME_MS + subject_tokens as f64 / PREFILL_TOKENS_PER_MS,
+    };
+    let outdated_ms = if candidate.is_outdated {
+        OUTDATED_COST_MS
+    } else {
+        0.0
+    };
+    cache_cost_ms
+        + outdated_ms
+        + candidate.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS
+        + f64::from(candidate.load.running.max(candidate.own_running)) * RUNNING_COST_MS
+        + f64::from(candidate.load.waiting) * WAITING_COST_MS
+        + candidate.failure_share * FAILURE_COST_MS
+}
+
+fn plain_cost_ms(candidate: &Candidate<'_>) -> f64 {
+    let slots = f64::from(candidate.load.slots.max(1));
+    let busy = f64::from(candidate.load.running + candidate.load.waiting);
+    let own = f64::from(candidate.own_running);
+    busy.max(own) / slots * 100.0 + own + candidate.failure_share * FAILURE_COST_MS
+}
--- /dev/null
+++ b/src/direct/relay.rs
@@ -0,0 +1,211 @@
+//! Passes streams of events to callers and resumes them at other targets.
+
+use std::rc::Rc;
+
+use futures_util::stream;
+use ntex::{
+    http::{
+        Response,
+        StatusCode, //
+    },
+    util::Bytes, //
+};
+use slog::info;
+use tokio::time::timeout_at;
+
+use super::{
+    attempt::{
+        self,
+        Answer,
+        Failure,
+        Incoming, //
+    },
+    events::Splitter,
+    port::Platform,
+    reply,
+    serve::Tries,
+    worker::{
+        RunningRequest,
+        Worker, //
+    },
+};
+use crate::{
+    event::Event,
+    names::Name, //
+};
+
+/// A stream on its way to a caller.
+pub(super) struct Relay<P: Platform> {
+    worker: Rc<Worker<P>>,
+    incoming: Incoming,
+    tries: Tries,
+    answer: Option<Answer<P>>,
+    splitter: Splitter,
+    target: Name,
+    events_bytes: usize,
+    first_at_us: u64,
+    first: Option<Bytes>,
+    outcome: &'static str,
+    _running: RunningRequest,
+}
+
+/// Reads whole events until the first batch is there.
+pub(super) async fn first_events<P: Platform>(
+    answer: &mut Answer<P>,
+    splitter: &mut Splitter,
+    until: tokio::time::Instant,
+) -> Result<Option<Bytes>, Failure> {
+    let read = async {
+        loop {
+            match answer.next().await? {
+                None if splitter.has_rest() => return Err(Failure::Broken),
+                None => return Ok(None),
+                Some(part) => {
+                    if let Some(batch) = splitter.push(&part).map_err(|_| Failure::Broken)? {
+                        return Ok(Some(Bytes::from(batch.data.to_vec())));
+                    }
+                }
+            }
+        }
+    };
+    timeout_at(until, read)
+        .await
+        .unwrap_or(Err(Failure::Silent))
+}
+
+impl<P: Platform> Relay<P> {
+    /// Starts a relay with the first events.
+    pub(super) fn new(
+        worker: &Rc<Worker<P>>,
+        incoming: Incoming,
+        tries: Tries,
+        target: Name,
+        (answer, splitter, first): (Answer<P>, Splitter, Option<Bytes>),
+        running: RunningRequest,
+    ) -> Self {
+        let is_whole = first.is_none();
+        Self {
+            first_at_us: worker.now_us(),
+            worker: Rc::clone(worker),
+            incoming,
+            tries,
+            answer: (!is_whole).then_some(answer),
+            splitter,
+            target,
+            events_bytes: 0,
+            first,
+            outcome: if is_whole { "complete" } else { "caller_left" },
+            _running: running,
+        }
+    }
+
+    /// Makes the answer to the caller.
+    pub(super) fn into_response(
+        self,
+        status: StatusCode,
+        headers: &ntex::http::HeaderMap,
+    ) -> Response {
+        let is_leaving = self.worker.context.is_leaving();
+        let mut builder = reply::forwarded(status, headers, is_leaving);
+        let body = stream::unfold(self, |mut relay| async move {
+            let item = relay.next().await?;
+            Some((item, relay))
+        });
+        builder.streaming(Box::pin(body))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        if let Some(first) = self.first.take() {
+            self.events_bytes += first.len();
+            return Some(Ok(first));
+        }
+        let until = attempt::deadline(&self.worker, self.incoming.deadline_us);
+        loop {
+            let answer = self.answer.as_mut()?;
+            match first_events(answer, &mut self.splitter, until).await {
+                Ok(Some(data)) => {
+                    self.events_bytes += data.len();
+                    return Some(Ok(data));
+                }
+                Ok(None) => {
+                    self.answer = None;
+                    self.outcome = "complete";
+                    return None;
+                }
+                Err(failure) => {
+                    self.answer = None;
+                    if failure != Failure::Silent {
+                        self.worker.observe_break(&self.target);
+                        if self.resume(failure).await {
+                            continue;
+                        }
+                    }
+                    self.outcome = failure.name();
+                    return Some(Err(std::io::Error::other(failure.name())));
+                }
+            }
+        }
+    }
+
+    /// Goes on at another target after the last whole event.
+    async fn resume(&mut self, failure: Failure) -> bool {
+        if !self.incoming.route.can_resume {
+            return false;
+        }
+        loop {
+            let Some(target) = self.tries.next(&self.worker, &self.incoming, true) else {
+                return false;
+            };
+            let last_event_id = self.splitter.last_id();
+            info!(self.worker.context.log, "stream goes on at another target";
+                "event" => Event::StreamContinued,
+                "request_id" => self.incoming.id(),
+                "failed_target" => &*self.target,
+                "target" => &*target.id,
+                "last_event_id" => last_event_id,
+                "cause" => failure.name());
+            let until_us = self.incoming.deadline_us;
+            let sent = attempt::send(
+                &self.worker,
+                &self.incoming,
+                &target,
+                last_event_id,
+                until_us,
+            )
+            .await;
+            match sent {
+                Ok(answer) if answer.status.is_success() => {
+                    self.splitter = Splitter::new(last_event_id);
+                    self.target = target.id.clone();
+                    self.answer = Some(answer);
+                    return true;
+                }
+                Ok(_) => return false,
+                Err(failure) => self.tries.failed(failure),
+            }
+        }
+    }
+}
+
+impl<P: Platform> Drop for Relay<P> {
+    fn drop(&mut self) {
+        let now_us = self.worker.now_us();
+        let event = if self.outcome == "complete" {
+            Event::RequestDone
+        } else {
+            Event::RequestFailed
+        };
+        info!(self.worker.context.log, "stream ended";
+            "event" => event,
+            "request_id" => self.incoming.id(),
+            "organisation" => self.incoming.organisation_name().map(|name| &**name),
+            "route" => &*self.incoming.route.name,
+            "target" => &*self.target,
+            "tries" => self.tries.count(),
+            "outcome" => self.outcome,
+            "bytes" => self.events_bytes,
+            "last_event_id" => self.splitter.last_id(),
+            "first_us" => self.first_at_us.saturating_sub(self.incoming.arrived_at_us),
+            "total_us" => now_us.saturating_sub(self.incoming.arrived_at_us));
+    }
+}
--- /dev/null
+++ b/src/direct/serve.rs
@@ -0,0 +1,496 @@
+//! Requests of callers, from the head to the answer.
+
+use std::{
+    collections::HashSet,
+    rc::Rc,
+    sync::Arc, //
+};
+
+use futures_util::StreamExt;
+use ntex::{
+    http::{
+        HeaderMap,
+        Payload,
+        Request,
+        Response,
+        StatusCode, //
+    },
+    util::{
+        Bytes,
+        BytesMut, //
+    },
+};
+use slog::info;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    attempt::{
+        self,
+        Answer,
+        Failure,
+        Incoming, //
+    },
+    events::Splitter,
+    knowledge::Knowledge,
+    port::Platform,
+    relay::{
+        Relay,
+        first_events, //
+    },
+    reply,
+    routing::{
+        Organisation,
+        Route,
+        RoutingTable, //
+    },
+    target::TargetRecord,
+    worker::{
+        RunningRequest,
+        Worker, //
+    },
+};
+use crate::{
+    clock::US_PER_MS,
+    error::ErrorKind,
+    event::Event,
+    names::Name,
+    process::upload,
+    request::headers::{
+        Direction,
+        HeaderFilter, //
+    },
+};
+
+/// Tries of one request at most, those that were refused included.
+const MAX_TRIES: u32 = 4;
+
+/// Time before the caller's deadline at which the entry answers, so that the
+/// answer still arrives.
+const ANSWER_MARGIN_US: u64 = 15 * US_PER_MS;
+
+/// Shortest time in which another try is worthwhile.
+const MIN_TRY_US: u64 = 30 * US_PER_MS;
+
+/// Cache namespace of organisations that share cached prompts.
+const SHARED_NAMESPACE: &str = "shared";
+
+/// Time after which a request that found no target is worth another try.
+const NO_TARGET_RETRY_MS: u64 = 400;
+
+/// The tries of one request.
+pub(super) struct Tries {
+    tried: HashSet<Name>,
+    count: u32,
+    /// Tries that ran or may have run.
+    may_have_run: u32,
+}
+
+impl Tries {
+    pub(super) fn new() -> Self {
+        Self {
+            tried: HashSet::new(),
+            count: 0,
+            may_have_run: 0,
+        }
+    }
+
+    pub(super) const fn count(&self) -> u32 {
+        self.count
+    }
+
+    /// Notes the failure of the last try.
+    pub(super) fn failed(&mut self, failure: Failure) {
+        if failure.is_not_run() {
+            self.may_have_run = self.may_have_run.saturating_sub(1);
+        }
+    }
+
+    /// Returns whether any try ran or may have run.
+    pub(super) const fn may_have_run(&self) -> bool {
+        self.may_have_run > 0
+    }
+
+    /// Chooses the next target; `None` when nothing is left to try.
+    pub(super) fn next<P: Platform>(
+        &mut self,
+        worker: &Rc<Worker<P>>,
+        incoming: &Incoming,
+        has_run: bool,
+    ) -> Option<Arc<TargetRecord>> {
+        let route = &incoming.route;
+        let is_first = self.count == 0;
+        let may_run_again = !has_run && !self.may_have_run() || route.may_repeat();
+        let has_tries = self.count < MAX_TRIES && self.may_have_run < route.max_targets;
+        let has_time = worker.now_us() + MIN_TRY_US < incoming.deadline_us;
+        if !is_first && !(may_run_again && has_tries && has_time) {
+            return None;
+        }
+        let knowledge = worker.context.knowledge.load();
+        let salt = incoming.cache_namespace.as_deref().map_or(0, |namespace| {
+            if namespace == SHARED_NAMESPACE {
+                0
+            } else {
+                xxh3_64(namespace.as_bytes())
+            }
+        });
+        let prompt = incoming.head.prompt.as_ref();
+        let target = worker
+            .targets(&knowledge, &incoming.service, prompt, salt, &self.tried)
+            .into_iter()
+            .next()?;
+        if is_first {
+            worker.note_first_try(&incoming.service);
+        } else if !worker.take_retry(&incoming.service) {
+            return None;
+        }
+        self.count += 1;
+        self.may_have_run += 1;
+        self.tried.insert(target.id.clone());
+        Some(target)
+    }
+}
+
+/// Answers a request.
+pub(super) async fn handle<P: Platform>(worker: Rc<Worker<P>>, mut request: Request) -> Response {
+    let arrived_at_us = worker.now_us();
+    let running = RunningRequest::new(&worker.context);
+    let knowledge = worker.context.knowledge.load_full();
+    worker.refresh(&knowledge);
+    let mut payload = request.take_payload();
+    let head = P::read_request(request.headers());
+    let id = head.id.clone();
+    let refuse = |kind: ErrorKind, retry_after_ms: Option<u64>| {
+        let is_leaving = worker.context.is_leaving();
+        info!(worker.context.log, "request refused";
+            "event" => Event::RequestRefused,
+            "request_id" => id.as_deref(),
+            "kind" => kind.name(),
+            "config_version" => knowledge.table.as_ref().map(|table| table.version),
+            "retry_after_ms" => retry_after_ms);
+        reply::own(kind, retry_after_ms, is_leaving)
+    };
+    let Some(table) = knowledge.table.as_ref().filter(|_| knowledge.has_targets) else {
+        upload::discard(&mut payload).await;
+        return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS));
+    };
+    let body = match read_body(&mut payload, table.limits.max_body_bytes).await {
+        Ok(body) => body,
+        Err(kind) => {
+            upload::discard(&mut payload).await;
+            return refuse(kind, None);
+        }
+    };
+    let (route, organisation) = match admit(table, &request, &head.key) {
+        Ok(admitted) => admitted,
+        Err(kind) => return refuse(kind, None),
+    };
+    let cost = cost(&head, organisation.as_deref());
+    let incoming = incoming::<P>(
+        &request,
+        head,
+        body,
+        (route, organisation),
+        arrived_at_us,
+        &knowledge,
+    );
+    if let Some(organisation) = &incoming.organisation {
+        let taken = worker
+            .context
+            .quotas()
+            .take(&organisation.name, cost, arrived_at_us);
+        if let Err(wait_ms) = taken {
+            return refuse(ErrorKind::RateLimited, Some(wait_ms));
+        }
+    }
+    forward(worker, incoming, cost, running).await
+}
+
+async fn read_body(payload: &mut Payload, limit_bytes: usize) -> Result<Bytes, ErrorKind> {
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| ErrorKind::BadRequest)?;
+        if body.len() + part.len() > limit_bytes {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
+
+type Admitted = (Arc<Route>, Option<Arc<Organisation>>);
+
+/// Finds the route and checks the key.
+fn admit(
+    table: &RoutingTable,
+    request: &Request,
+    key: &Option<Name>,
+) -> Result<Admitted, ErrorKind> {
+    let host = request
+        .headers()
+        .get("host")
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| request.uri().host())
+        .unwrap_or_default();
+    let route = table
+        .route(host, request.uri().path())
+        .ok_or(ErrorKind::RouteNotFound)?;
+    let organisation = key.as_ref().and_then(|key| table.organisation(key));
+    if organisation.is_none() && !route.is_public && table.has_organisations() {
+        return Err(ErrorKind::UnknownKey);
+    }
+    Ok((Arc::clone(route), organisation.cloned()))
+}
+
+/// Returns what a request is charged with.
+fn cost(head: &super::message::RequestHead, organisation: Option<&Organisation>) -> u64 {
+    match organisation {
+        Some(organisation) if organisation.counts_tokens => head
+            .prompt
+            .as_ref()
+            .map_or(organisation.default_tokens, |prompt| prompt.cost_tokens()),
+        _ => 1,
+    }
+}
+
+fn incoming<P: Platform>(
+    request: &Request,
+    head: super::message::RequestHead,
+    body: Bytes,
+    (route, organisation): Admitted,
+    arrived_at_us: u64,
+    _knowledge: &Knowledge,
+) -> Incoming {
+    let filter = HeaderFilter::new(
+        Direction::ToTarget,
+        request
+            .headers()
+            .get_all("connection")
+            .map(|value| value.as_bytes()),
+    );
+    let mut headers = HeaderMap::new();
+    for (name, value) in request.headers() {
+        if filter.forwards(name.as_str()) && P::forwards(name.as_str()) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    let patience_ms = head.patience_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let is_isolated = organisation.as_ref().is_some_and(|each| each.is_isolated);
+    let cache_namespace = head.prompt.is_some().then(|| match &organisation {
+        Some(organisation) if is_isolated => format!("own-{}", organisation.name),
+        _ => SHARED_NAMESPACE.to_owned(),
+    });
+    let service = choose_service(&route, head.id.as_deref());
+    Incoming {
+        method: request.method().clone(),
+        path_and_query: request
+            .uri()
+            .path_and_query()
+            .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
+        deadline_us: (arrived_at_us + patience_ms.saturating_mul(US_PER_MS))
+            .saturating_sub(ANSWER_MARGIN_US),
+        head,
+        headers,
+        body,
+        service,
+        route,
+        organisation,
+        cache_namespace,
+        arrived_at_us,
+    }
+}
+
+/// Chooses the service of a request by the shares of its route.
+fn choose_service(route: &Route, id: Option<&str>) -> Name {
+    let total: u64 = route
+        .shares
+        .iter()
+        .map(|share| u64::from(share.weight))
+        .sum();
+    let mut point = xxh3_64(id.unwrap_or_default().as_bytes()) % total.max(1);
+    for share in &route.shares {
+        let weight = u64::from(share.weight);
+        if point < weight {
+            return share.service.clone();
+        }
+        point -= weight;
+    }
+    route
+        .shares
+        .first()
+        .map_or_else(|| Name::from(""), |share| share.service.clone())
+}
+
+/// What came of the tries of a request.
+enum Outcome<P> {
+    Whole(Answer<P>, Bytes),
+    Events(Answer<P>, Splitter, Option<Bytes>),
+}
+
+/// Sends a request to targets until one answers.
+async fn forward<P: Platform>(
+    worker: Rc<Worker<P>>,
+    incoming: Incoming,
+    cost: u64,
+    running: RunningRequest,
+) -> Response {
+    let mut log = RequestLog::new(&worker, &incoming);
+    let mut tries = Tries::new();
+    let mut last: Option<(Answer<P>, Bytes)> = None;
+    let mut last_failure = None;
+    while let Some(target) = tries.next(&worker, &incoming, last.is_some()) {
+        log.target = Some(target.id.clone());
+        log.tries = tries.count();
+        let until_us = try_until_us(&worker, &incoming, &tries);
+        match try_target(&worker, &incoming, &target, until_us).await {
+            Ok(Outcome::Events(answer, splitter, first)) => {
+                log.is_handed_over = true;
+                let (status, headers) = (answer.status, answer.headers.clone());
+                let parts = (answer, splitter, first);
+                let relay = Relay::new(&worker, incoming, tries, target.id.clone(), parts, running);
+                return relay.into_response(status, &headers);
+            }
+            Ok(Outcome::Whole(answer, body)) => {
+                let is_failure = answer.status.is_server_error();
+                last = Some((answer, body));
+                if !is_failure {
+                    break;
+                }
+            }
+            Err(failure) => {
+                tries.failed(failure);
+                last_failure = Some(failure);
+                info!(worker.context.log, "try failed";
+                    "event" => Event::AttemptRetried,
+                    "request_id" => incoming.id(),
+                    "target" => &*target.id,
+                    "try" => tries.count(),
+                    "cause" => failure.name());
+            }
+        }
+    }
+    let is_leaving = worker.context.is_leaving();
+    if let Some((answer, body)) = last {
+        log.status = answer.status.as_u16();
+        let mut builder = reply::forwarded(answer.status, &answer.headers, is_leaving);
+        return builder.body(body);
+    }
+    let (kind, retry_after_ms) = failure_answer(&tries, last_failure);
+    if kind.is_not_run()
+        && let Some(organisation) = &incoming.organisation
+    {
+        worker.context.quotas().give_back(&organisation.name, cost);
+    }
+    log.status = kind.answer().status;
+    log.kind = Some(kind);
+    reply::own(kind, retry_after_ms, is_leaving)
+}
+
+/// Returns the answer to a request that no target has answered.
+fn failure_answer(tries: &Tries, failure: Option<Failure>) -> (ErrorKind, Option<u64>) {
+    if tries.may_have_run() {
+        let kind = match failure {
+            Some(Failure::Silent) => ErrorKind::DeadlineExceeded,
+            _ => ErrorKind::OutcomeUnknown,
+        };
+        return (kind, None);
+    }
+    match failure {
+        None => (ErrorKind::NoTarget, Some(NO_TARGET_RETRY_MS)),
+        Some(_) => (ErrorKind::Overloaded, Some(NO_TARGET_RETRY_MS)),
+    }
+}
+
+/// Returns the end of a try. A request that may be repeated leaves time for
+/// another target when this one stays silent.
+fn try_until_us<P: Platform>(worker: &Worker<P>, incoming: &Incoming, tries: &Tries) -> u64 {
+    let route = &incoming.route;
+    if !route.may_repeat() || tries.count() >= route.max_targets {
+        return incoming.deadline_us;
+    }
+    let now_us = worker.now_us();
+    let patience_us = incoming.deadline_us.saturating_sub(now_us);
+    let goal_us = route.goal_ms * US_PER_MS;
+    (now_us + goal_us.max(patience_us / 3)).min(incoming.deadline_us)
+}
+
+async fn try_target<P: Platform>(
+    worker: &Rc<Worker<P>>,
+    incoming: &Incoming,
+    target: &TargetRecord,
+    until_us: u64,
+) -> Result<Outcome<P>, Failure> {
+    let after = incoming.head.last_event_id;
+    let mut answer = attempt::send(worker, incoming, target, after, until_us).await?;
+    let until = attempt::deadline(worker, incoming.deadline_us);
+    if incoming.route.is_stream && answer.status == StatusCode::OK {
+        let until = attempt::deadline(worker, until_us);
+        let mut splitter = Splitter::new(after);
+        let first = first_events(&mut answer, &mut splitter, until).await;
+        let first = first.inspect_err(|_| worker.observe_break(&target.id))?;
+        answer.busy.started();
+        return Ok(Outcome::Events(answer, splitter, first));
+    }
+    let body = answer.collect(until).await;
+    let body = body.inspect_err(|_| worker.observe_break(&target.id))?;
+    Ok(Outcome::Whole(answer, body))
+}
+
+/// Writes the line of a request when it ends, also when its caller leaves.
+struct RequestLog<P: Platform> {
+    worker: Rc<Worker<P>>,
+    request_id: Name,
+    organisation: Option<Name>,
+    route: Name,
+    target: Option<Name>,
+    tries: u32,
+    status: u16,
+    kind: Option<ErrorKind>,
+    arrived_at_us: u64,
+    is_handed_over: bool,
+}
+
+impl<P: Platform> RequestLog<P> {
+    fn new(worker: &Rc<Worker<P>>, incoming: &Incoming) -> Self {
+        Self {
+            worker: Rc::clone(worker),
+            request_id: incoming.id().into(),
+            organisation: incoming.organisation_name().cloned(),
+            route: incoming.route.name.clone(),
+            target: None,
+            tries: 0,
+            status: 0,
+            kind: None,
+            arrived_at_us: incoming.arrived_at_us,
+            is_handed_over: false,
+        }
+    }
+}
+
+impl<P: Platform> Drop for RequestLog<P> {
+    fn drop(&mut self) {
+        if self.is_handed_over {
+            return;
+        }
+        let outcome = match self.status {
+            0 => "caller_left",
+            200..400 => "complete",
+            _ => "failed",
+        };
+        let event = if outcome == "complete" {
+            Event::RequestDone
+        } else {
+            Event::RequestFailed
+        };
+        info!(self.worker.context.log, "request ended";
+            "event" => event,
+            "request_id" => &*self.request_id,
+            "organisation" => self.organisation.as_deref(),
+            "route" => &*self.route,
+            "target" => self.target.as_deref(),
+            "tries" => self.tries,
+            "outcome" => outcome,
+            "status" => self.status,
+            "kind" => self.kind.map(ErrorKind::name),
+            "total_us" => self.worker.now_us().saturating_sub(self.arrived_at_us));
+    }
+}
--- /dev/null
+++ b/src/direct/turns.rs
@@ -0,0 +1,68 @@
+//! Turns in which the engines of a model load new weights.
+//!
+//! Entries and agents derive the same turns from the list of targets, so that
+//! entries avoid an engine while it loads without a message about it.
+
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::target::{
+    TargetState,
+    Targets, //
+};
+use crate::{
+    clock::US_PER_MS,
+    names::Name, //
+};
+
+/// Time between two turns. It covers a load of about half a second and the end
+/// of most runs before it.
+pub const TURN_US: u64 = 750 * US_PER_MS;
+
+/// Engines for each engine that loads at the same time. Loads get slower when
+/// more than about a fifth of the engines share the weight store.
+const ENGINES_PER_LOAD: usize = 5;
+
+/// Returns the ready engines of a model in the order of their turns.
+pub fn order(targets: &Targets, model: &str) -> Arc<[Name]> {
+    let mut engines: Vec<(u64, &Name)> = targets
+        .values()
+        .filter(|record| record.weights.contains_key(model))
+        .filter(|record| record.state == TargetState::Ready)
+        .map(|record| (xxh3_64(record.id.as_bytes()), &record.id))
+        .collect();
+    engines.sort_unstable();
+    engines.into_iter().map(|(_, id)| id.clone()).collect()
+}
+
+/// Returns how many engines load at the same time.
+///
+/// ```
+/// use yuccalatch::direct::turns::loads_at_once;
+///
+/// assert_eq!(loads_at_once(12), 2);
+/// assert_eq!(loads_at_once(50), 10);
+/// ```
+pub const fn loads_at_once(engines: usize) -> usize {
+    let loads = engines / ENGINES_PER_LOAD;
+    if loads == 0 { 1 } else { loads }
+}
+
+/// Returns the time from the request for new weights to an engine's turn.
+/// Engines that are not in the list, because they came later, start at once.
+///
+/// ```
+/// use yuccalatch::direct::turns::{offset_us, TURN_US};
+///
+/// let turns = ["a", "b", "c"].map(|id| id.into());
+/// assert_eq!(offset_us(&turns, "c"), 2 * TURN_US);
+/// assert_eq!(offset_us(&turns, "d"), 0);
+/// ```
+pub fn offset_us(turns: &[Name], id: &str) -> u64 {
+    let rank = turns.iter().position(|each| **each == *id).unwrap_or(0);
+    let turn = rank / loads_at_once(turns.len());
+    u64::try_from(turn)
+        .unwrap_or(u64::MAX)
+        .saturating_mul(TURN_US)
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -41,6 +41,8 @@
     Stopped = 1003;
     /// A process cannot go on.
     Fatal = 1004;
+    /// A process was told that its settings file has changed.
+    SettingsKept = 1005;
     /// A request was answered.
     RequestDone = 2001;
     /// A request was refused.
@@ -85,6 +87,10 @@
     OrderFenced = 7003;
     /// The versions of an engine are restored after the end of a move.
     VersionsRestored = 7004;
+    /// The operator wants other weights.
+    WeightsWanted = 7005;
+    /// An agent has ordered its engine to load weights.
+    WeightsOrdered = 7006;
     /// The object API stopped answering.
     PlatformDown = 8001;
     /// The object API answers again.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod connection;
 pub mod daemon;
+pub mod direct;
 pub mod error;
 pub mod event;
 pub mod jsonc;
--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -30,7 +30,7 @@
     fn metrics(&self) -> String;
 }
 
-/// Serves `/healthz`, `/readyz` and `/metrics` until the process ends.
+/// Serves `/healthz`, `/ready` (also as `/readyz`) and `/metrics` until the process ends.
 ///
 /// # Errors
 ///
@@ -40,6 +40,7 @@
         App::new()
             .state(Arc::clone(&observed))
             .route("/healthz", web::get().to(healthy))
+            .route("/ready", web::get().to(ready::<O>))
             .route("/readyz", web::get().to(ready::<O>))
             .route("/metrics", web::get().to(metrics::<O>))
     })?;
--- a/src/process/client.rs
+++ b/src/process/client.rs
@@ -63,9 +63,31 @@
     build_with(name, Connector::default().keep_alive(Seconds(0))).await
 }
 
+/// Makes a client for targets: it opens a connection for each call, so that a
+/// closed, silent or reused connection never makes an outcome uncertain, and
+/// gives up early on a target that does not accept it.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::Internal`] when the client cannot be built.
+pub async fn build_direct(name: &'static str, connect_timeout: Millis) -> Result<Client> {
+    let connector = Connector::default()
+        .limit(MAX_CONNECTIONS)
+        .keep_alive(Seconds(0));
+    build_connecting(name, connector, connect_timeout).await
+}
+
 async fn build_with(name: &'static str, connector: Connector) -> Result<Client> {
+    build_connecting(name, connector, CONNECT_TIMEOUT).await
+}
+
+async fn build_connecting(
+    name: &'static str,
+    connector: Connector,
+    connect_timeout: Millis,
+) -> Result<Client> {
     let config =
-        ntex::SharedCfg::new(name).add(IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT));
+        ntex::SharedCfg::new(name).add(IoConfig::new().set_connect_timeout(connect_timeout));
     Client::builder()
         .connector::<&str>(connector)
         .disable_timeout()
--- a/src/process/lifecycle.rs
+++ b/src/process/lifecycle.rs
@@ -88,7 +88,7 @@
 
 /// Waits until a stopping process has finished its work, at most until the drain
 /// deadline. `is_done` is given the current time.
-pub(super) async fn drain(
+pub(crate) async fn drain(
     name: &str,
     log: &Logger,
     clock: Clock,
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -1,4 +1,5 @@
-//! Log output of a process: JSON lines or a terminal format on standard error.
+//! Log output of a process: JSON lines on standard output, or a terminal format
+//! on standard error.
 
 use slog::{
     Drain,
@@ -12,7 +13,7 @@
     LogSettings, //
 };
 
-/// Records kept while standard error is slow; more are dropped and counted.
+/// Records kept while the output is slow; more are dropped and counted.
 const CHANNEL_RECORDS: usize = 4_096;
 
 /// Makes the root logger of a process.
@@ -29,7 +30,7 @@
     let fields = o!("program" => program, "name" => name.to_owned());
     match settings.format {
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = slog_json::Json::default(std::io::stdout()).fuse();
             root(drain, settings.level.into(), fields)
         }
         LogFormat::Terminal => {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! them into deadlines when it uses them.
 
 mod agent;
+mod direct;
 mod entry;
 mod shared;
 mod standin;
@@ -12,6 +13,10 @@
     AgentSettings,
     QueueSettings, //
 };
+pub use direct::{
+    DirectAgentSettings,
+    DirectEntrySettings, //
+};
 pub use entry::EntrySettings;
 pub use shared::{
     LogFormat,
--- /dev/null
+++ b/src/settings/direct.rs
@@ -0,0 +1,144 @@
+//! Settings of the programs on a platform with the direct path.
+
+use std::net::SocketAddr;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use super::{
+    Finding, Settings,
+    shared::{
+        Checker,
+        LogSettings, //
+    },
+};
+use crate::names::Name;
+
+/// Settings of an entry that calls the targets itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DirectEntrySettings {
+    /// Name of the instance, unique in the fleet.
+    pub name: Name,
+    /// Data centre that the instance stands in.
+    pub data_centre: Name,
+    /// Listener for callers.
+    pub caller_address: SocketAddr,
+    /// Listener for other entries and agents.
+    pub control_address: SocketAddr,
+    /// Listener for the balancer's checks and metrics.
+    pub admin_address: SocketAddr,
+    /// The object store.
+    pub platform_address: SocketAddr,
+    /// Control addresses of entries to ask first.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Longest time that a graceful stop waits for requests.
+    pub drain_ms: u64,
+    /// Second tries allowed for each thousand requests of a service.
+    pub retries_per_thousand: u32,
+    /// Second tries in the fleet that are allowed in a retry window besides.
+    pub spare_retries: u32,
+    /// Retry window.
+    pub retry_window_ms: u64,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl Settings for DirectEntrySettings {
+    const DEFAULT_TEXT: &'static str = r#"{
+  // Name of the instance, unique in the fleet.
+  "name": "entry-1",
+  // Data centre that the instance stands in.
+  "data_centre": "dc-1",
+  // Listener for callers.
+  "caller_address": "127.0.0.1:8080",
+  // Listener for other entries and agents.
+  "control_address": "127.0.0.1:7100",
+  // Listener for /ready and /metrics.
+  "admin_address": "127.0.0.1:9100",
+  // The object store.
+  "platform_address": "127.0.0.1:7400",
+  // Control addresses of entries to ask first.
+  "peers": [],
+  // Longest time that a graceful stop waits for requests, in milliseconds.
+  "drain_ms": 7000,
+  // Second tries allowed for each thousand requests of a service.
+  "retries_per_thousand": 100,
+  // Second tries in the fleet that are allowed in a retry window besides.
+  "spare_retries": 50,
+  // Retry window, in milliseconds.
+  "retry_window_ms": 10000,
+  // "format" is "terminal" or "json"; "level" is "critical", "error",
+  // "warning", "info", "debug" or "trace".
+  "log": {"format": "json", "level": "info"}
+}
+"#;
+
+    fn check(&self) -> Vec<Finding> {
+        let mut checker = Checker::default();
+        let addresses = [
+            ("caller_address", self.caller_address),
+            ("control_address", self.control_address),
+            ("admin_address", self.admin_address),
+        ];
+        checker.instance(&self.name, &self.data_centre, &addresses);
+        checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
+        checker.duration_ms(&["retry_window_ms"], self.retry_window_ms, 100);
+        checker.range(
+            &["retries_per_thousand"],
+            u64::from(self.retries_per_thousand),
+            (0, 1_000),
+            "state retries for each thousand requests",
+        );
+        checker.finish()
+    }
+}
+
+/// Settings of an agent that only orders the weights of its engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DirectAgentSettings {
+    /// Name of the instance, unique in the fleet.
+    pub name: Name,
+    /// Data centre that the instance stands in.
+    pub data_centre: Name,
+    /// The engine.
+    pub target_address: SocketAddr,
+    /// The object store.
+    pub platform_address: SocketAddr,
+    /// Control addresses of entries to ask while the store is silent.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// Log.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl Settings for DirectAgentSettings {
+    const DEFAULT_TEXT: &'static str = r#"{
+  // Name of the instance, unique in the fleet.
+  "name": "agent-1",
+  // Data centre that the instance stands in.
+  "data_centre": "dc-1",
+  // The engine.
+  "target_address": "127.0.0.1:8000",
+  // The object store.
+  "platform_address": "127.0.0.1:7400",
+  // Control addresses of entries to ask while the store is silent.
+  "peers": [],
+  // "format" is "terminal" or "json"; "level" is "critical", "error",
+  // "warning", "info", "debug" or "trace".
+  "log": {"format": "json", "level": "info"}
+}
+"#;
+
+    fn check(&self) -> Vec<Finding> {
+        let mut checker = Checker::default();
+        checker.instance(&self.name, &self.data_centre, &[]);
+        checker.finish()
+    }
+}
