Keep cached prompts per version, tell entries which engines are paused

Ruled out: turns derived at entries from the list alone; the list tells a load up to two seconds late.

Change: agents pause their engine before the order and tell all entries; the turn counts from the first version that an engine lacks; cache namespaces hold the weights' version, which requests then insist on, so parts may come from the KV cache store.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -5,7 +5,12 @@
 //! request in the object store, which never goes back.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeSet,
+    net::SocketAddr,
     rc::Rc,
     time::Duration, //
 };
@@ -41,6 +46,7 @@
     },
     peers::{
         self,
+        EngineState,
         Question, //
     },
     port::{
@@ -53,8 +59,7 @@
 use crate::{
     clock::{
         Clock,
-        US_PER_MS,
-        US_PER_S, //
+        US_PER_MS, //
     },
     error::Result,
     event::Event,
@@ -66,12 +71,13 @@
     settings::DirectAgentSettings,
 };
 
-/// Interval between looks at the engine while it has older weights.
-const BUSY_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between looks at the engine while it has older weights. Looks from
+/// the own instance are free of charge.
+const BUSY_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Interval between looks at the engine otherwise. A restarted engine has the
 /// weights that it had before, which may be older than those wanted.
-const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+const IDLE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Bound for a call to the engine on the same instance.
 const ENGINE_LIMIT_MS: u64 = 500;
@@ -82,11 +88,15 @@
 /// Bound for a listing of the store.
 const LIST_LIMIT_MS: u64 = 1_000;
 
-/// Interval between questions to an entry while the store does not answer.
-const ASK_INTERVAL_US: u64 = 500 * US_PER_MS;
+/// Interval between questions to an entry while the list of targets is wanted or
+/// the store does not answer.
+const ASK_INTERVAL_US: u64 = 300 * US_PER_MS;
+
+/// Interval in which the entries are told about an engine that is paused.
+const TELL_INTERVAL_US: u64 = 400 * US_PER_MS;
 
-/// Interval between listings while the own engine is not found.
-const LIST_INTERVAL_US: u64 = US_PER_S;
+/// Questions to entries without an answer after which the store is asked.
+const MAX_UNANSWERED: u32 = 2;
 
 /// State of an agent.
 struct Agent<P: Platform> {
@@ -94,7 +104,12 @@
     log: Logger,
     clock: Clock,
     store: P::Store,
+    /// Keeps its connections, for entries and for looks at the engine.
     client: Client,
+    order_client: Client,
+    /// Control addresses of the entries.
+    entries: RefCell<Vec<SocketAddr>>,
+    unanswered: Cell<u32>,
     knowledge: RefCell<Knowledge>,
     health: Rc<StoreHealth>,
 }
@@ -114,7 +129,10 @@
     system.block_on(async move {
         let agent = Rc::new(Agent::<P> {
             store: P::store(settings.platform_address).await?,
-            client: client::build_direct("engine", CONNECT_TIMEOUT).await?,
+            client: client::build("entries").await?,
+            order_client: client::build_direct("engine", CONNECT_TIMEOUT).await?,
+            entries: RefCell::default(),
+            unanswered: Cell::new(0),
             clock: Clock::start(),
             knowledge: RefCell::default(),
             health: Rc::default(),
@@ -131,7 +149,7 @@
             move |news| shared.take(news),
         ));
         tokio::select! {
-            () = agent.work() => {}
+            () = Rc::clone(&agent).work() => {}
             result = stop::requested() => result?,
         }
         info!(log, "agent has stopped"; "event" => Event::Stopped);
@@ -153,36 +171,61 @@
         }
     }
 
-    async fn work(&self) {
-        let mut listed_fence = 0;
-        let mut list_at_us = 0;
+    async fn work(self: Rc<Self>) {
+        let mut told: Option<(EngineState, u64)> = None;
         let mut ask_at_us = 0;
         loop {
             let now_us = self.clock.now_us();
-            if self.health.is_down() && now_us >= ask_at_us {
+            let report = self.engine_report().await;
+            let wanted = report.as_ref().and_then(|report| self.outdated(report));
+            let lacks_targets = self.own_id().is_none() || self.lacks_turns(wanted.as_ref());
+            if (lacks_targets || self.health.is_down()) && now_us >= ask_at_us {
                 ask_at_us = now_us + ASK_INTERVAL_US;
-                self.ask_entry().await;
+                self.learn_targets().await;
             }
-            let is_behind = match self.engine_report().await {
-                Some(report) => self.outdated(&report).map(|wanted| (wanted, report)),
-                None => None,
-            };
-            let Some((wanted, report)) = is_behind else {
+            let Some((report, id)) = report.zip(self.own_id()) else {
                 tokio::time::sleep(IDLE_INTERVAL).await;
                 continue;
             };
-            let is_listed = listed_fence == wanted.weights.fence && self.own_id().is_some();
-            if !is_listed && now_us >= list_at_us {
-                list_at_us = now_us + LIST_INTERVAL_US;
-                if self.list_targets(&wanted).await {
-                    listed_fence = wanted.weights.fence;
+            let step = wanted.as_ref().map_or(Step::Done, |wanted| {
+                next_step(wanted, &report, &id, self.clock.now_us())
+            });
+            if let (Step::Order, Some(wanted)) = (step, &wanted) {
+                self.order(wanted, &report, &id).await;
+            }
+            let state = EngineState {
+                target: id,
+                is_paused: report.is_busy || matches!(step, Step::Drain | Step::Busy | Step::Order),
+                weights: report.weights,
+            };
+            let is_due = match &told {
+                None => false,
+                Some((before, at_us)) => {
+                    *before != state || state.is_paused && now_us >= at_us + TELL_INTERVAL_US
                 }
+            };
+            if is_due {
+                self.tell_entries(&state);
+            }
+            if is_due || told.is_none() {
+                told = Some((state, now_us));
             }
-            self.advance(&report).await;
-            tokio::time::sleep(BUSY_INTERVAL).await;
+            let is_idle = matches!(step, Step::Done);
+            tokio::time::sleep(if is_idle {
+                IDLE_INTERVAL
+            } else {
+                BUSY_INTERVAL
+            })
+            .await;
         }
     }
 
+    /// Returns whether the turns were derived before the engine was known.
+    fn lacks_turns(&self, wanted: Option<&Wanted>) -> bool {
+        let id = self.own_id();
+        wanted.is_some_and(|wanted| !wanted.turns.iter().any(|turn| Some(turn) == id.as_ref()))
+    }
+
     async fn engine_report(&self) -> Option<EngineReport> {
         let engine = self.settings.target_address;
         // The engine restarts or is down; the next look follows soon.
@@ -199,42 +242,79 @@
         })
     }
 
-    /// Reads the list of targets and derives the turns from it.
-    async fn list_targets(&self, wanted: &Wanted) -> bool {
-        let changes = match self.store.list(Topic::Targets, LIST_LIMIT_MS).await {
-            Ok(changes) => changes,
-            Err(error) => {
-                warn!(self.log, "the targets cannot be listed";
-                    "event" => Event::PlatformDown, "error" => %error);
-                return false;
+    /// Learns the targets from an entry, or from the store when no entry answers,
+    /// and derives the turns from them.
+    async fn learn_targets(&self) {
+        if self.ask_entry().await {
+            self.unanswered.set(0);
+        } else {
+            self.unanswered.set(self.unanswered.get() + 1);
+            if self.unanswered.get() < MAX_UNANSWERED || self.health.is_down() {
+                return;
             }
-        };
-        let now_us = self.clock.now_us();
+            match self.store.list(Topic::Targets, LIST_LIMIT_MS).await {
+                Ok(changes) => {
+                    let now_us = self.clock.now_us();
+                    let mut knowledge = self.knowledge.borrow_mut();
+                    knowledge.apply(Topic::Targets, changes, true, None, now_us);
+                }
+                Err(error) => warn!(self.log, "the targets cannot be listed";
+                    "event" => Event::PlatformDown, "error" => %error),
+            }
+        }
         let mut knowledge = self.knowledge.borrow_mut();
-        knowledge.apply(Topic::Targets, changes, true, None, now_us);
-        let model = &wanted.weights.model;
-        let order = turns::order(&knowledge.targets, model);
-        if let Some(wanted) = knowledge.wanted.get_mut(model) {
-            wanted.turns = order;
+        let knowledge = &mut *knowledge;
+        for (model, wanted) in &mut knowledge.wanted {
+            wanted.turns = turns::order(&knowledge.targets, model);
         }
-        true
     }
 
-    /// Asks an entry for the wanted weights and the targets.
-    async fn ask_entry(&self) {
+    /// Asks entries in turn for the wanted weights and the targets.
+    async fn ask_entry(&self) -> bool {
         let question = Question {
             entry: None,
             configuration_version: u64::MAX,
             targets_revision: Some(self.knowledge.borrow().targets_revision),
+            engine: None,
         };
-        for address in &self.settings.peers {
-            // The next address is asked when this one does not answer.
-            if let Ok(reply) = peers::ask(&self.client, *address, &question).await {
-                let now_us = self.clock.now_us();
-                peers::adopt(&mut self.knowledge.borrow_mut(), reply, now_us);
-                return;
+        for address in self.entry_addresses() {
+            match peers::ask(&self.client, address, &question).await {
+                Ok(reply) => {
+                    let now_us = self.clock.now_us();
+                    self.entries.borrow_mut().clone_from(&reply.entries);
+                    peers::adopt(&mut self.knowledge.borrow_mut(), reply, now_us);
+                    return true;
+                }
+                // The next entry is asked.
+                Err(_) => continue,
             }
         }
+        false
+    }
+
+    fn entry_addresses(&self) -> BTreeSet<SocketAddr> {
+        let entries = self.entries.borrow();
+        let seeds = self.settings.peers.iter();
+        entries.iter().chain(seeds).copied().collect()
+    }
+
+    /// Tells all entries about the engine, without waiting for them. An entry
+    /// that does not hear it learns the same from the engine's refusals.
+    fn tell_entries(self: &Rc<Self>, state: &EngineState) {
+        for address in self.entry_addresses() {
+            let agent = Rc::clone(self);
+            let question = Question {
+                entry: None,
+                configuration_version: u64::MAX,
+                targets_revision: None,
+                engine: Some(state.clone()),
+            };
+            ntex::rt::spawn(async move {
+                if let Ok(reply) = peers::ask(&agent.client, address, &question).await {
+                    agent.entries.borrow_mut().clone_from(&reply.entries);
+                }
+            });
+        }
     }
 
     /// Returns the id of the own engine: of all records with its address, the
@@ -249,30 +329,21 @@
             .map(|record| record.id.clone())
     }
 
-    async fn advance(&self, report: &EngineReport) {
-        let (Some(wanted), Some(id)) = (self.outdated(report), self.own_id()) else {
-            return;
-        };
-        if next_step(&wanted, report, &id, self.clock.now_us()) != Step::Order {
-            return;
-        }
+    async fn order(&self, wanted: &Wanted, report: &EngineReport, id: &Name) {
         let order = WeightsOrder {
             model: wanted.weights.model.clone(),
             version: wanted.weights.version,
             holder: self.settings.name.clone(),
             fence: wanted.weights.fence,
             accepted_orders: report.accepted_orders,
-            target: id,
+            target: id.clone(),
         };
         let engine = self.settings.target_address;
-        let answer = P::order(&self.client, engine, &order, ENGINE_LIMIT_MS).await;
+        let answer = P::order(&self.order_client, engine, &order, ENGINE_LIMIT_MS).await;
         self.note_order(&order, &answer);
-        if !matches!(
-            answer,
-            Ok(OrderAnswer::Accepted | OrderAnswer::AlreadyLoaded)
-        ) {
-            // The record of the engine may be outdated.
-            self.list_targets(&wanted).await;
+        if let Ok(OrderAnswer::Refused(_)) = answer {
+            // The engine has restarted under another id.
+            self.learn_targets().await;
         }
     }
 
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -61,7 +61,7 @@
     pub(super) route: std::sync::Arc<Route>,
     pub(super) service: Name,
     pub(super) organisation: Option<std::sync::Arc<Organisation>>,
-    pub(super) cache_namespace: Option<String>,
+    pub(super) kv_store: Option<std::net::SocketAddr>,
     pub(super) arrived_at_us: u64,
     pub(super) deadline_us: u64,
 }
@@ -72,6 +72,26 @@
         self.head.id.as_deref().unwrap_or("-")
     }
 
+    /// Returns the organisation whose cached parts are kept apart.
+    pub(super) fn isolated_name(&self) -> Option<&Name> {
+        let organisation = self.organisation.as_ref()?;
+        organisation.is_isolated.then_some(&organisation.name)
+    }
+
+    /// Returns the namespace of the request's cached parts. It holds the version
+    /// of the weights, so that parts of other weights are never found, and the
+    /// organisation when its parts are kept apart.
+    fn cache_namespace(&self, weights: Option<u64>, target: &Name) -> String {
+        let version = match weights {
+            Some(version) => version.to_string(),
+            None => format!("at-{target}"),
+        };
+        match self.isolated_name() {
+            Some(name) => format!("{version}/{name}"),
+            None => version,
+        }
+    }
+
     pub(super) fn organisation_name(&self) -> Option<&Name> {
         self.organisation.as_ref().map(|each| &each.name)
     }
@@ -84,7 +104,7 @@
     Unsent,
     /// The target states that it did not run the request.
     NotRun,
-    /// Another target has the address.
+    /// Another target has the address, or the engine has other weights.
     Misdirected,
     /// The target did not answer in the time of the try.
     Silent,
@@ -126,6 +146,10 @@
 /// list is corrected by then.
 const MISDIRECTED_PAUSE_US: u64 = 3_000 * US_PER_MS;
 
+/// Time for which an engine is avoided whose weights are not those that the entry
+/// knows of. Its agent tells the new version by then.
+const OTHER_WEIGHTS_PAUSE_US: u64 = 300 * US_PER_MS;
+
 /// Sends a request to a target and waits for the head of the answer.
 pub(super) async fn send<P: Platform>(
     worker: &Rc<Worker<P>>,
@@ -140,12 +164,21 @@
         prompt.input_tokens.saturating_sub(prompt.shared_tokens())
     });
     let busy = worker.enter(&target.id, prefill_tokens);
+    let weights = prompt.and_then(|prompt| worker.weights(target, &prompt.model));
+    let namespace = prompt.map(|_| incoming.cache_namespace(weights, &target.id));
+    let kv_store = incoming.kv_store.filter(|_| weights.is_some());
+    let is_warm = match (prompt, &namespace) {
+        (Some(prompt), Some(namespace)) => worker.is_warm(&target.id, namespace, prompt),
+        _ => true,
+    };
     let stamp = Stamp {
         remaining_ms: incoming.deadline_us.saturating_sub(now_us) / US_PER_MS,
         target: &target.id,
         organisation: incoming.organisation_name(),
-        cache_namespace: incoming.cache_namespace.as_deref(),
-        weights: None,
+        cache_namespace: namespace.as_deref(),
+        import_from: kv_store.filter(|_| !is_warm),
+        export_to: kv_store.filter(|_| prompt.is_some()),
+        weights,
         urgency: None,
         last_event_id,
     };
@@ -181,7 +214,13 @@
         }
         Ok(Ok(response)) => response,
     };
-    read_head(worker, incoming, target, busy, &response)
+    let answer = read_head(worker, incoming, target, busy, &response)?;
+    if let (Some(prompt), Some(namespace)) = (prompt, &namespace)
+        && answer.status.is_success()
+    {
+        worker.note_warm(&target.id, namespace, prompt);
+    }
+    Ok(answer)
 }
 
 fn read_head<P: Platform>(
@@ -194,7 +233,13 @@
     let status = response.status();
     let head = P::read_answer(status.as_u16(), response.headers());
     if head.is_misdirected {
-        worker.observe_refusal(&target.id, &head, MISDIRECTED_PAUSE_US);
+        let is_other = head.target.as_ref().is_some_and(|id| *id != target.id);
+        let pause_us = if is_other {
+            MISDIRECTED_PAUSE_US
+        } else {
+            OTHER_WEIGHTS_PAUSE_US
+        };
+        worker.observe_refusal(&target.id, &head, pause_us);
         return Err(Failure::Misdirected);
     }
     if head.is_not_run {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -360,6 +360,7 @@
                     .as_ref()
                     .map_or(0, |known| known.version),
                 targets_revision: wants_targets.then_some(knowledge.targets_revision),
+                engine: None,
             }
         };
         // An entry that does not answer is charged by `Quotas::assume`.
@@ -407,6 +408,9 @@
     let Ok(question) = postcard::from_bytes::<Question>(&body) else {
         return Response::new(StatusCode::BAD_REQUEST);
     };
+    if let Some(engine) = question.engine.clone() {
+        context.note_engine(engine);
+    }
     let knowledge = context.knowledge.load();
     let reply = peers::reply(&question, state(context), &knowledge);
     match postcard::to_stdvec(&reply) {
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -24,9 +24,16 @@
     event::Event, //
 };
 
-/// Time for which a watch waits for a change. It bounds how long a silent
-/// connection goes unnoticed.
-const WATCH_WAIT_MS: u64 = 1_500;
+/// Returns the time for which a watch waits for a change. It bounds how long a
+/// silent connection goes unnoticed; each call is charged.
+const fn watch_wait_ms(topic: Topic) -> u64 {
+    match topic {
+        // Both have to be followed within two seconds.
+        Topic::Configuration | Topic::Targets => 1_500,
+        Topic::Weights => 3_000,
+        Topic::Entries => 20_000,
+    }
+}
 
 /// Time that an answer of the store may take beyond the wait. Slow answers take
 /// about a fifth of a second.
@@ -95,8 +102,9 @@
         let result = match revision {
             None => store.list(topic, ANSWER_LIMIT_MS).await,
             Some(revision) => {
-                let limit_ms = WATCH_WAIT_MS + ANSWER_LIMIT_MS;
-                store.watch(topic, revision, WATCH_WAIT_MS, limit_ms).await
+                let wait_ms = watch_wait_ms(topic);
+                let limit_ms = wait_ms + ANSWER_LIMIT_MS;
+                store.watch(topic, revision, wait_ms, limit_ms).await
             }
         };
         match result {
--- a/src/direct/knowledge.rs
+++ b/src/direct/knowledge.rs
@@ -42,12 +42,25 @@
 pub struct Wanted {
     /// Weights.
     pub weights: WantedWeights,
-    /// When this process learnt of them.
-    pub seen_at_us: u64,
+    /// Versions that were wanted, the latest last, and when this process learnt
+    /// of each.
+    pub seen: Vec<(u64, u64)>,
     /// Ready engines at that time, in the order of their turns.
     pub turns: Arc<[Name]>,
 }
 
+/// Versions of weights that are remembered for each model. All engines have
+/// passed older ones long before.
+const MAX_SEEN: usize = 16;
+
+impl Wanted {
+    /// Returns when an engine with the given version became outdated.
+    pub fn outdated_since_us(&self, version: u64) -> Option<u64> {
+        let later = self.seen.iter().find(|(wanted, _)| *wanted > version);
+        later.map(|(_, at_us)| *at_us)
+    }
+}
+
 /// Objects of the platform, as of a revision for each topic.
 #[derive(Clone, Debug, Default)]
 pub struct Knowledge {
@@ -95,10 +108,14 @@
             return false;
         }
         let turns = super::turns::order(&self.targets, &weights.model);
+        let mut seen = known.map(|known| known.seen.clone()).unwrap_or_default();
+        seen.push((weights.version, now_us));
+        let surplus = seen.len().saturating_sub(MAX_SEEN);
+        seen.drain(..surplus);
         let wanted = Wanted {
-            seen_at_us: now_us,
-            turns,
             weights,
+            seen,
+            turns,
         };
         self.wanted.insert(wanted.weights.model.clone(), wanted);
         true
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -1,5 +1,7 @@
 //! What the direct path reads from requests and answers, and what it adds.
 
+use std::net::SocketAddr;
+
 use crate::names::Name;
 
 /// Part of a prompt that other requests may share.
@@ -62,6 +64,10 @@
     pub organisation: Option<&'a Name>,
     /// Namespace of the engine's prefix cache.
     pub cache_namespace: Option<&'a str>,
+    /// Engine or store that the engine may import cached parts from.
+    pub import_from: Option<SocketAddr>,
+    /// Store that the engine exports computed parts to.
+    pub export_to: Option<SocketAddr>,
     /// Weights that the request is for; an engine with others refuses it.
     pub weights: Option<u64>,
     /// Urgency at an engine, 0 (first) to 9.
@@ -90,8 +96,11 @@
     pub is_sealed: bool,
     /// Whether the target states that it did not run the request.
     pub is_not_run: bool,
-    /// Whether another target has the address now.
+    /// Whether the target refuses the request because it is another one or has
+    /// other weights than the request is for.
     pub is_misdirected: bool,
+    /// Id of the target, when it states it.
+    pub target: Option<Name>,
     /// Load of the target.
     pub load: Option<Load>,
     /// Version of the weights that the answer is made with.
--- a/src/direct/order.rs
+++ b/src/direct/order.rs
@@ -5,7 +5,14 @@
     message::EngineReport,
     turns, //
 };
-use crate::names::Name;
+use crate::{
+    clock::US_PER_MS,
+    names::Name, //
+};
+
+/// Longest time for which an engine takes no new work before the order. Most
+/// runs have ended by then; the order waits for the others.
+pub const DRAIN_US: u64 = 1_200 * US_PER_MS;
 
 /// What an agent does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -14,6 +21,8 @@
     Done,
     /// The turn of the engine comes later.
     WaitUntil(u64),
+    /// Entries send no new work; the engine's runs end.
+    Drain,
     /// The engine carries out an order.
     Busy,
     /// Give the order now.
@@ -33,26 +42,30 @@
 ///
 /// let weights = WantedWeights { model: "m".into(), version: 2, fence: 7 };
 /// let turns = ["e1", "e2"].map(|id| id.into());
-/// let wanted = Wanted { weights, seen_at_us: 1_000, turns: Arc::new(turns) };
-/// let report = EngineReport { weights: vec![("m".into(), 1)], ..EngineReport::default() };
+/// let wanted = Wanted { weights, seen: vec![(2, 1_000)], turns: Arc::new(turns) };
+/// let mut report = EngineReport { weights: vec![("m".into(), 1)], ..EngineReport::default() };
 /// assert_eq!(next_step(&wanted, &report, &"e1".into(), 1_000), Step::Order);
 /// assert!(matches!(next_step(&wanted, &report, &"e2".into(), 1_000), Step::WaitUntil(_)));
+/// report.running = 1;
+/// assert_eq!(next_step(&wanted, &report, &"e1".into(), 1_000), Step::Drain);
 /// ```
 pub fn next_step(wanted: &Wanted, report: &EngineReport, id: &Name, now_us: u64) -> Step {
     let loaded = report
         .weights
         .iter()
         .find(|(model, _)| *model == wanted.weights.model);
-    match loaded {
-        Some((_, version)) if *version < wanted.weights.version => {}
-        _ => return Step::Done,
+    let Some(since_us) = loaded.and_then(|(_, version)| wanted.outdated_since_us(*version)) else {
+        return Step::Done;
+    };
+    if report.is_busy {
+        return Step::Busy;
     }
-    let turn_at_us = wanted.seen_at_us + turns::offset_us(&wanted.turns, id);
+    let turn_at_us = since_us + turns::offset_us(&wanted.turns, id);
     if now_us < turn_at_us {
         return Step::WaitUntil(turn_at_us);
     }
-    if report.is_busy {
-        return Step::Busy;
+    if report.running + report.waiting > 0 && now_us < turn_at_us + DRAIN_US {
+        return Step::Drain;
     }
     Step::Order
 }
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -63,6 +63,19 @@
     pub(super) configuration_version: u64,
     /// Revision of the list of targets, `None` when it is not wanted.
     pub(super) targets_revision: Option<u64>,
+    /// State of the engine beside the agent that asks.
+    pub(super) engine: Option<EngineState>,
+}
+
+/// State of an engine, from the agent beside it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct EngineState {
+    pub(super) target: Name,
+    /// Whether it takes no new work, because it is about to load weights or loads
+    /// them.
+    pub(super) is_paused: bool,
+    /// Version of the weights of each model.
+    pub(super) weights: Vec<(Name, u64)>,
 }
 
 /// State that entries tell each other.
@@ -85,6 +98,8 @@
     pub(super) targets: Option<(u64, Vec<TargetRecord>)>,
     /// Wanted weights of all models.
     pub(super) weights: Vec<WantedWeights>,
+    /// Control addresses of all known entries.
+    pub(super) entries: Vec<SocketAddr>,
 }
 
 /// Makes the answer to a question.
@@ -110,6 +125,11 @@
             .values()
             .map(|wanted| wanted.weights.clone())
             .collect(),
+        entries: knowledge
+            .entries
+            .values()
+            .map(|entry| entry.control_address)
+            .collect(),
     }
 }
 
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -213,6 +213,13 @@
         self.services.get(name)
     }
 
+    /// Returns the address of the KV cache store.
+    pub fn kv_store(&self) -> Option<SocketAddr> {
+        self.services
+            .values()
+            .find_map(|service| service.kv_store_address)
+    }
+
     /// Returns all organisations.
     pub fn organisations(&self) -> &[Arc<Organisation>] {
         &self.organisations
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -31,7 +31,6 @@
         Incoming, //
     },
     events::Splitter,
-    knowledge::Knowledge,
     port::Platform,
     relay::{
         Relay,
@@ -71,9 +70,6 @@
 /// Shortest time in which another try is worthwhile.
 const MIN_TRY_US: u64 = 30 * US_PER_MS;
 
-/// Cache namespace of organisations that share cached prompts.
-const SHARED_NAMESPACE: &str = "shared";
-
 /// Time after which a request that found no target is worth another try.
 const NO_TARGET_RETRY_MS: u64 = 400;
 
@@ -126,13 +122,9 @@
             return None;
         }
         let knowledge = worker.context.knowledge.load();
-        let salt = incoming.cache_namespace.as_deref().map_or(0, |namespace| {
-            if namespace == SHARED_NAMESPACE {
-                0
-            } else {
-                xxh3_64(namespace.as_bytes())
-            }
-        });
+        let salt = incoming
+            .isolated_name()
+            .map_or(0, |name| xxh3_64(name.as_bytes()));
         let prompt = incoming.head.prompt.as_ref();
         let target = worker
             .targets(&knowledge, &incoming.service, prompt, salt, &self.tried)
@@ -191,7 +183,7 @@
         body,
         (route, organisation),
         arrived_at_us,
-        &knowledge,
+        table,
     );
     if let Some(organisation) = &incoming.organisation {
         let taken = worker
@@ -258,7 +250,7 @@
     body: Bytes,
     (route, organisation): Admitted,
     arrived_at_us: u64,
-    _knowledge: &Knowledge,
+    table: &RoutingTable,
 ) -> Incoming {
     let filter = HeaderFilter::new(
         Direction::ToTarget,
@@ -274,11 +266,6 @@
         }
     }
     let patience_ms = head.patience_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-    let is_isolated = organisation.as_ref().is_some_and(|each| each.is_isolated);
-    let cache_namespace = head.prompt.is_some().then(|| match &organisation {
-        Some(organisation) if is_isolated => format!("own-{}", organisation.name),
-        _ => SHARED_NAMESPACE.to_owned(),
-    });
     let service = choose_service(&route, head.id.as_deref());
     Incoming {
         method: request.method().clone(),
@@ -294,7 +281,7 @@
         service,
         route,
         organisation,
-        cache_namespace,
+        kv_store: table.kv_store(),
         arrived_at_us,
     }
 }
--- a/src/direct/turns.rs
+++ b/src/direct/turns.rs
@@ -16,9 +16,12 @@
     names::Name, //
 };
 
-/// Time between two turns. It covers a load of about half a second and the end
-/// of most runs before it.
-pub const TURN_US: u64 = 750 * US_PER_MS;
+/// Time from the first turn to the last. Together with the end of the runs and
+/// the load it stays below the eight seconds in which all engines have to follow.
+pub const SPREAD_US: u64 = 4_500 * US_PER_MS;
+
+/// Longest time between two turns, so that a few engines do not wait for long.
+pub const MAX_TURN_US: u64 = 900 * US_PER_MS;
 
 /// Engines for each engine that loads at the same time. Loads get slower when
 /// more than about a fifth of the engines share the weight store.
@@ -53,16 +56,18 @@
 /// Engines that are not in the list, because they came later, start at once.
 ///
 /// ```
-/// use yuccalatch::direct::turns::{offset_us, TURN_US};
+/// use yuccalatch::direct::turns::{offset_us, MAX_TURN_US};
 ///
 /// let turns = ["a", "b", "c"].map(|id| id.into());
-/// assert_eq!(offset_us(&turns, "c"), 2 * TURN_US);
+/// assert_eq!(offset_us(&turns, "c"), 2 * MAX_TURN_US);
 /// assert_eq!(offset_us(&turns, "d"), 0);
 /// ```
 pub fn offset_us(turns: &[Name], id: &str) -> u64 {
+    let at_once = loads_at_once(turns.len());
     let rank = turns.iter().position(|each| **each == *id).unwrap_or(0);
-    let turn = rank / loads_at_once(turns.len());
-    u64::try_from(turn)
-        .unwrap_or(u64::MAX)
-        .saturating_mul(TURN_US)
+    let groups = turns.len().div_ceil(at_once).max(1);
+    let groups = u64::try_from(groups).unwrap_or(u64::MAX);
+    let turn_us = (SPREAD_US / groups).min(MAX_TURN_US);
+    let turn = u64::try_from(rank / at_once).unwrap_or(u64::MAX);
+    turn.saturating_mul(turn_us)
 }
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -10,6 +10,7 @@
         HashSet, //
     },
     marker::PhantomData,
+    num::NonZeroUsize,
     rc::Rc,
     sync::{
         Arc, Mutex, MutexGuard,
@@ -22,11 +23,13 @@
 };
 
 use arc_swap::ArcSwap;
+use lru::LruCache;
 use ntex::{
     client::Client,
     time::Millis, //
 };
 use slog::Logger;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
     knowledge::Knowledge,
@@ -36,6 +39,7 @@
         Prompt, //
     },
     outlier::Outlier,
+    peers::EngineState,
     placement::{
         self,
         Candidate, //
@@ -45,13 +49,11 @@
         TargetRecord,
         TargetState, //
     },
-    turns,
 };
 use crate::{
     clock::{
         Clock,
-        US_PER_MS,
-        US_PER_S, //
+        US_PER_MS, //
     },
     error::Result,
     names::{
@@ -77,13 +79,22 @@
 /// Age from which a reported load says nothing.
 const LOAD_AGE_US: u64 = 500 * US_PER_MS;
 
-/// Time before its turn from which an engine gets no new work, so that its runs
-/// end before it loads weights.
-const TURN_LEAD_US: u64 = 100 * US_PER_MS;
+/// Engines whose state is kept; states of engines that have left are removed
+/// above it.
+const MAX_ENGINES: usize = 8_192;
 
-/// Time after its turn until which an engine is taken to load weights, unless
-/// its record says that it is done.
-const TURN_END_US: u64 = 3 * US_PER_S;
+/// Parts that are remembered as cached at their targets, about 50 bytes each.
+const WARM_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+
+/// State of an engine as its agent has told it.
+struct HeardEngine {
+    state: EngineState,
+    until_us: u64,
+}
+
+/// Time for which the word of an agent holds. An agent repeats it more often
+/// while its engine changes weights.
+const HEARD_US: u64 = 1_500 * US_PER_MS;
 
 /// What the threads of an entry share.
 pub(super) struct Context {
@@ -93,6 +104,7 @@
     pub(super) log: Logger,
     pub(super) knowledge: ArcSwap<Knowledge>,
     quotas: Mutex<Quotas>,
+    engines: Mutex<HashMap<Name, HeardEngine>>,
     is_leaving: AtomicBool,
     running: AtomicUsize,
 }
@@ -106,6 +118,7 @@
             log,
             knowledge: ArcSwap::default(),
             quotas: Mutex::default(),
+            engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         }
@@ -119,6 +132,24 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    fn engines(&self) -> MutexGuard<'_, HashMap<Name, HeardEngine>> {
+        self.engines
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Takes what an agent tells about its engine.
+    pub(super) fn note_engine(&self, state: EngineState) {
+        let until_us = self.clock.now_us() + HEARD_US;
+        let heard = HeardEngine { state, until_us };
+        let mut engines = self.engines();
+        engines.insert(heard.state.target.clone(), heard);
+        if engines.len() > MAX_ENGINES {
+            let now_us = self.clock.now_us();
+            engines.retain(|_, heard| now_us < heard.until_us);
+        }
+    }
+
     pub(super) fn leave(&self) {
         self.is_leaving.store(true, Ordering::Relaxed);
     }
@@ -166,6 +197,7 @@
     views: RefCell<HashMap<Name, View>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     configured_version: Cell<u64>,
+    warm: RefCell<LruCache<u64, ()>>,
     platform: PhantomData<P>,
 }
 
@@ -177,6 +209,7 @@
             views: RefCell::default(),
             budgets: RefCell::default(),
             configured_version: Cell::new(0),
+            warm: RefCell::new(LruCache::new(WARM_PARTS)),
             platform: PhantomData,
         }))
     }
@@ -222,18 +255,21 @@
             .filter(|record| !tried.contains(&record.id))
             .collect();
         let views = self.views.borrow();
+        let engines = self.context.engines();
         let unseen = View::default();
         let candidates: Vec<Candidate<'_>> = records
             .iter()
             .map(|record| {
                 let view = views.get(&record.id).unwrap_or(&unseen);
-                let weights = prompt.map(|prompt| weights_of(knowledge, record, view, prompt));
-                let (is_outdated, is_loading) = match (&weights, prompt) {
-                    (Some(Some(version)), Some(prompt)) => {
-                        standing(knowledge, record, *version, prompt, now_us)
-                    }
-                    _ => (false, false),
-                };
+                let heard = engines
+                    .get(&record.id)
+                    .filter(|heard| now_us < heard.until_us);
+                let is_paused = heard.is_some_and(|heard| heard.state.is_paused);
+                let is_outdated = prompt.is_some_and(|prompt| {
+                    let version = weights_of(record, view, heard, &prompt.model);
+                    let wanted = knowledge.wanted.get(&prompt.model);
+                    wanted.is_some_and(|wanted| version < Some(wanted.weights.version))
+                });
                 let load = if now_us < view.load_until_us {
                     view.load
                 } else {
@@ -248,7 +284,7 @@
                     own_running: view.own_running,
                     own_prefill_tokens: view.own_prefill_tokens,
                     failure_share: view.outlier.failure_share(),
-                    is_avoided: is_loading || view.outlier.is_avoided(now_us),
+                    is_avoided: is_paused || view.outlier.is_avoided(now_us),
                     is_outdated,
                 }
             })
@@ -259,6 +295,33 @@
             .collect()
     }
 
+    /// Returns the version of a target's weights, `None` when nothing tells it.
+    pub(super) fn weights(&self, record: &TargetRecord, model: &Name) -> Option<u64> {
+        let views = self.views.borrow();
+        let engines = self.context.engines();
+        let unseen = View::default();
+        let view = views.get(&record.id).unwrap_or(&unseen);
+        weights_of(record, view, engines.get(&record.id), model)
+    }
+
+    /// Returns whether all parts of a prompt were computed or imported at a
+    /// target through this entry.
+    pub(super) fn is_warm(&self, target: &Name, namespace: &str, prompt: &Prompt) -> bool {
+        let mut warm = self.warm.borrow_mut();
+        prompt
+            .parts
+            .iter()
+            .all(|part| warm.get(&warm_key(target, namespace, part.id)).is_some())
+    }
+
+    /// Notes that a target has the parts of a prompt.
+    pub(super) fn note_warm(&self, target: &Name, namespace: &str, prompt: &Prompt) {
+        let mut warm = self.warm.borrow_mut();
+        for part in &prompt.parts {
+            warm.put(warm_key(target, namespace, part.id), ());
+        }
+    }
+
     /// Counts a request at a target until the guard is dropped.
     pub(super) fn enter(self: &Rc<Self>, id: &Name, prefill_tokens: u64) -> Busy<P> {
         let mut views = self.views.borrow_mut();
@@ -281,9 +344,7 @@
             view.load = load;
             view.load_until_us = load_until_us;
         }
-        if head.weights > view.weights {
-            view.weights = head.weights;
-        }
+        view.weights = view.weights.max(head.weights);
         view.outlier.answered(is_good);
     }
 
@@ -296,6 +357,7 @@
             view.load = load;
             view.load_until_us = now_us + LOAD_AGE_US;
         }
+        view.weights = view.weights.max(head.weights);
         view.outlier.refused(now_us, pause_us);
     }
 
@@ -350,36 +412,25 @@
     }
 }
 
-/// Returns the version of a target's weights for a prompt, `None` when it does
-/// not list the model.
+/// Returns the version of a target's weights, `None` when nothing tells it.
 fn weights_of(
-    _knowledge: &Knowledge,
     record: &TargetRecord,
     view: &View,
-    prompt: &Prompt,
+    heard: Option<&HeardEngine>,
+    model: &Name,
 ) -> Option<u64> {
-    let listed = record.weights.get(&prompt.model).copied();
-    listed.max(view.weights)
+    let told = heard.and_then(|heard| {
+        let mut weights = heard.state.weights.iter();
+        weights.find(|(name, _)| name == model)
+    });
+    let told = told.map(|(_, version)| *version);
+    let listed = record.weights.get(model).copied();
+    listed.max(view.weights).max(told)
 }
 
-/// Returns whether a target has older weights than are wanted, and whether it
-/// is taken to load weights now.
-fn standing(
-    knowledge: &Knowledge,
-    record: &TargetRecord,
-    version: u64,
-    prompt: &Prompt,
-    now_us: u64,
-) -> (bool, bool) {
-    let Some(wanted) = knowledge.wanted.get(&prompt.model) else {
-        return (false, false);
-    };
-    if version >= wanted.weights.version {
-        return (false, false);
-    }
-    let turn_at_us = wanted.seen_at_us + turns::offset_us(&wanted.turns, &record.id);
-    let is_loading = now_us + TURN_LEAD_US >= turn_at_us && now_us < turn_at_us + TURN_END_US;
-    (true, is_loading)
+fn warm_key(target: &Name, namespace: &str, part: u64) -> u64 {
+    let seed = xxh3_64_with_seed(namespace.as_bytes(), part);
+    xxh3_64_with_seed(target.as_bytes(), seed)
 }
 
 /// A request at a target.
