Cut broken streams without an error answer, handle SIGHUP in agents

Ruled out: ending the stream by itself, which looks complete.

Change: the caller's connection is cut, also by the entry of the agents' path, which had the same fault; connection tracking is shared; SIGHUP is logged. Agents tell entries their engine's load. Tried: parts imported from other engines only, no export to the KV store.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -26,11 +26,6 @@
 };
 
 use super::{
-    follow::{
-        News,
-        StoreHealth,
-        follow, //
-    },
     knowledge::{
         Knowledge,
         Wanted, //
@@ -50,6 +45,7 @@
         Question, //
     },
     port::{
+        Changes,
         Platform,
         Store,
         Topic, //
@@ -59,7 +55,8 @@
 use crate::{
     clock::{
         Clock,
-        US_PER_MS, //
+        US_PER_MS,
+        US_PER_S, //
     },
     error::Result,
     event::Event,
@@ -88,15 +85,18 @@
 /// Bound for a listing of the store.
 const LIST_LIMIT_MS: u64 = 1_000;
 
-/// Interval between questions to an entry while the list of targets is wanted or
-/// the store does not answer.
-const ASK_INTERVAL_US: u64 = 300 * US_PER_MS;
+/// Interval in which each entry is told about the engine, for each entry, so
+/// that the work of an agent does not grow with the fleet.
+const TELL_INTERVAL_PER_ENTRY_US: u64 = 60 * US_PER_MS;
+
+/// Entries that the interval is reckoned for at least.
+const MIN_TOLD: u64 = 4;
 
-/// Interval in which the entries are told about an engine that is paused.
-const TELL_INTERVAL_US: u64 = 400 * US_PER_MS;
+/// Time without an answer of any entry after which the store is read.
+const UNHEARD_US: u64 = 1_500 * US_PER_MS;
 
-/// Questions to entries without an answer after which the store is asked.
-const MAX_UNANSWERED: u32 = 2;
+/// Interval between readings of the store.
+const LIST_INTERVAL_US: u64 = US_PER_S;
 
 /// State of an agent.
 struct Agent<P: Platform> {
@@ -109,9 +109,9 @@
     order_client: Client,
     /// Control addresses of the entries.
     entries: RefCell<Vec<SocketAddr>>,
-    unanswered: Cell<u32>,
+    /// When an entry answered last.
+    heard_at_us: Cell<u64>,
     knowledge: RefCell<Knowledge>,
-    health: Rc<StoreHealth>,
 }
 
 /// Runs an agent until it is told to stop.
@@ -132,22 +132,14 @@
             client: client::build("entries").await?,
             order_client: client::build_direct("engine", CONNECT_TIMEOUT).await?,
             entries: RefCell::default(),
-            unanswered: Cell::new(0),
+            heard_at_us: Cell::new(0),
             clock: Clock::start(),
             knowledge: RefCell::default(),
-            health: Rc::default(),
             log: log.clone(),
             settings,
         });
-        let shared = Rc::clone(&agent);
-        ntex::rt::spawn(follow(
-            agent.store.clone(),
-            Topic::Weights,
-            Rc::clone(&agent.health),
-            agent.clock,
-            log.clone(),
-            move |news| shared.take(news),
-        ));
+        let hangup_log = log.clone();
+        ntex::rt::spawn(async move { stop::note_hangups(&hangup_log).await });
         tokio::select! {
             () = Rc::clone(&agent).work() => {}
             result = stop::requested() => result?,
@@ -157,58 +149,52 @@
     })
 }
 
-impl<P: Platform> Agent<P> {
-    fn take(&self, news: News) {
-        let now_us = self.clock.now_us();
-        let mut knowledge = self.knowledge.borrow_mut();
-        knowledge.apply(news.topic, news.changes, news.is_listing, None, now_us);
-        for wanted in knowledge.wanted.values() {
-            info!(self.log, "weights are wanted";
-                "event" => Event::WeightsWanted,
-                "model" => &*wanted.weights.model,
-                "version" => wanted.weights.version,
-                "fence" => wanted.weights.fence);
+/// Returns whether entries have to hear of a change at once.
+fn is_urgent(told: Option<&EngineState>, state: Option<&EngineState>) -> bool {
+    match (told, state) {
+        (Some(told), Some(state)) => {
+            told.is_paused != state.is_paused || told.weights != state.weights
         }
+        _ => false,
     }
+}
 
+impl<P: Platform> Agent<P> {
     async fn work(self: Rc<Self>) {
-        let mut told: Option<(EngineState, u64)> = None;
-        let mut ask_at_us = 0;
+        let mut told: Option<EngineState> = None;
+        let mut tell_at_us = 0;
+        let mut list_at_us = self.clock.now_us() + UNHEARD_US;
         loop {
             let now_us = self.clock.now_us();
+            if now_us >= self.heard_at_us.get() + UNHEARD_US && now_us >= list_at_us {
+                list_at_us = now_us + LIST_INTERVAL_US;
+                self.read_store().await;
+            }
             let report = self.engine_report().await;
             let wanted = report.as_ref().and_then(|report| self.outdated(report));
-            let lacks_targets = self.own_id().is_none() || self.lacks_turns(wanted.as_ref());
-            if (lacks_targets || self.health.is_down()) && now_us >= ask_at_us {
-                ask_at_us = now_us + ASK_INTERVAL_US;
-                self.learn_targets().await;
-            }
-            let Some((report, id)) = report.zip(self.own_id()) else {
-                tokio::time::sleep(IDLE_INTERVAL).await;
-                continue;
+            let id = self.own_id();
+            let step = match (&report, &wanted, &id) {
+                (Some(report), Some(wanted), Some(id)) => {
+                    next_step(wanted, report, id, self.clock.now_us())
+                }
+                _ => Step::Done,
             };
-            let step = wanted.as_ref().map_or(Step::Done, |wanted| {
-                next_step(wanted, &report, &id, self.clock.now_us())
-            });
-            if let (Step::Order, Some(wanted)) = (step, &wanted) {
-                self.order(wanted, &report, &id).await;
+            if let (Step::Order, Some(wanted), Some(report), Some(id)) =
+                (step, &wanted, &report, &id)
+            {
+                self.order(wanted, report, id).await;
             }
-            let state = EngineState {
+            let state = report.zip(id).map(|(report, id)| EngineState {
                 target: id,
                 is_paused: report.is_busy || matches!(step, Step::Drain | Step::Busy | Step::Order),
                 weights: report.weights,
-            };
-            let is_due = match &told {
-                None => false,
-                Some((before, at_us)) => {
-                    *before != state || state.is_paused && now_us >= at_us + TELL_INTERVAL_US
-                }
-            };
-            if is_due {
-                self.tell_entries(&state);
-            }
-            if is_due || told.is_none() {
-                told = Some((state, now_us));
+                running: report.running,
+                waiting: report.waiting,
+            });
+            if now_us >= tell_at_us || is_urgent(told.as_ref(), state.as_ref()) {
+                let wants_targets = state.is_none() || self.lacks_turns(wanted.as_ref());
+                tell_at_us = now_us + self.tell_entries(state.as_ref(), wants_targets);
+                told = state;
             }
             let is_idle = matches!(step, Step::Done);
             tokio::time::sleep(if is_idle {
@@ -242,54 +228,56 @@
         })
     }
 
-    /// Learns the targets from an entry, or from the store when no entry answers,
-    /// and derives the turns from them.
-    async fn learn_targets(&self) {
-        if self.ask_entry().await {
-            self.unanswered.set(0);
-        } else {
-            self.unanswered.set(self.unanswered.get() + 1);
-            if self.unanswered.get() < MAX_UNANSWERED || self.health.is_down() {
-                return;
-            }
-            match self.store.list(Topic::Targets, LIST_LIMIT_MS).await {
-                Ok(changes) => {
-                    let now_us = self.clock.now_us();
-                    let mut knowledge = self.knowledge.borrow_mut();
-                    knowledge.apply(Topic::Targets, changes, true, None, now_us);
+    /// Reads the wanted weights and the targets from the store, because no entry
+    /// answers.
+    async fn read_store(&self) {
+        for topic in [Topic::Weights, Topic::Targets, Topic::Entries] {
+            match self.store.list(topic, LIST_LIMIT_MS).await {
+                Ok(changes) => self.take(topic, changes),
+                Err(error) => {
+                    warn!(self.log, "neither entries nor the object store answer";
+                        "event" => Event::PlatformDown,
+                        "topic" => ?topic,
+                        "error" => %error);
+                    return;
                 }
-                Err(error) => warn!(self.log, "the targets cannot be listed";
-                    "event" => Event::PlatformDown, "error" => %error),
             }
         }
+        self.derive_turns();
+    }
+
+    fn take(&self, topic: Topic, changes: Changes) {
+        let now_us = self.clock.now_us();
         let mut knowledge = self.knowledge.borrow_mut();
-        let knowledge = &mut *knowledge;
-        for (model, wanted) in &mut knowledge.wanted {
-            wanted.turns = turns::order(&knowledge.targets, model);
+        knowledge.apply(topic, changes, true, None, now_us);
+    }
+
+    /// Takes the answer of an entry.
+    fn take_reply(&self, reply: peers::Reply) {
+        let now_us = self.clock.now_us();
+        self.heard_at_us.set(now_us);
+        self.entries.borrow_mut().clone_from(&reply.entries);
+        let is_new = peers::adopt(&mut self.knowledge.borrow_mut(), reply, now_us);
+        if !is_new {
+            return;
+        }
+        self.derive_turns();
+        for wanted in self.knowledge.borrow().wanted.values() {
+            info!(self.log, "weights are wanted";
+                "event" => Event::WeightsWanted,
+                "model" => &*wanted.weights.model,
+                "version" => wanted.weights.version,
+                "fence" => wanted.weights.fence,
+                "turn_us" => self.own_id().map(|id| turns::offset_us(&wanted.turns, &id)));
         }
     }
 
-    /// Asks entries in turn for the wanted weights and the targets.
-    async fn ask_entry(&self) -> bool {
-        let question = Question {
-            entry: None,
-            configuration_version: u64::MAX,
-            targets_revision: Some(self.knowledge.borrow().targets_revision),
-            engine: None,
-        };
-        for address in self.entry_addresses() {
-            match peers::ask(&self.client, address, &question).await {
-                Ok(reply) => {
-                    let now_us = self.clock.now_us();
-                    self.entries.borrow_mut().clone_from(&reply.entries);
-                    peers::adopt(&mut self.knowledge.borrow_mut(), reply, now_us);
-                    return true;
-                }
-                // The next entry is asked.
-                Err(_) => continue,
-            }
+    fn derive_turns(&self) {
+        let mut knowledge = self.knowledge.borrow_mut();
+        let knowledge = &mut *knowledge;
+        for (model, wanted) in &mut knowledge.wanted {
+            wanted.turns = turns::order(&knowledge.targets, model);
         }
-        false
     }
 
     fn entry_addresses(&self) -> BTreeSet<SocketAddr> {
@@ -299,22 +287,27 @@
     }
 
     /// Tells all entries about the engine, without waiting for them. An entry
-    /// that does not hear it learns the same from the engine's refusals.
-    fn tell_entries(self: &Rc<Self>, state: &EngineState) {
-        for address in self.entry_addresses() {
+    /// that does not hear it learns the same from the engine's refusals. Returns
+    /// the time until they are told again.
+    fn tell_entries(self: &Rc<Self>, state: Option<&EngineState>, wants_targets: bool) -> u64 {
+        let addresses = self.entry_addresses();
+        let count = u64::try_from(addresses.len()).unwrap_or(u64::MAX);
+        let revision = self.knowledge.borrow().targets_revision;
+        for (position, address) in addresses.into_iter().enumerate() {
             let agent = Rc::clone(self);
             let question = Question {
                 entry: None,
                 configuration_version: u64::MAX,
-                targets_revision: None,
-                engine: Some(state.clone()),
+                targets_revision: (wants_targets && position == 0).then_some(revision),
+                engine: state.cloned(),
             };
             ntex::rt::spawn(async move {
                 if let Ok(reply) = peers::ask(&agent.client, address, &question).await {
-                    agent.entries.borrow_mut().clone_from(&reply.entries);
+                    agent.take_reply(reply);
                 }
             });
         }
+        TELL_INTERVAL_PER_ENTRY_US.saturating_mul(count.max(MIN_TOLD))
     }
 
     /// Returns the id of the own engine: of all records with its address, the
@@ -343,7 +336,7 @@
         self.note_order(&order, &answer);
         if let Ok(OrderAnswer::Refused(_)) = answer {
             // The engine has restarted under another id.
-            self.learn_targets().await;
+            self.knowledge.borrow_mut().targets.remove(id);
         }
     }
 
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -21,6 +21,7 @@
     Instant,
     timeout_at, //
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     message::{
@@ -61,7 +62,6 @@
     pub(super) route: std::sync::Arc<Route>,
     pub(super) service: Name,
     pub(super) organisation: Option<std::sync::Arc<Organisation>>,
-    pub(super) kv_store: Option<std::net::SocketAddr>,
     pub(super) arrived_at_us: u64,
     pub(super) deadline_us: u64,
 }
@@ -78,6 +78,12 @@
         organisation.is_isolated.then_some(&organisation.name)
     }
 
+    /// Returns what keeps the placement of isolated organisations apart.
+    pub(super) fn salt(&self) -> u64 {
+        let name = self.isolated_name();
+        name.map_or(0, |name| xxh3_64(name.as_bytes()))
+    }
+
     /// Returns the namespace of the request's cached parts. It holds the version
     /// of the weights, so that parts of other weights are never found, and the
     /// organisation when its parts are kept apart.
@@ -166,18 +172,22 @@
     let busy = worker.enter(&target.id, prefill_tokens);
     let weights = prompt.and_then(|prompt| worker.weights(target, &prompt.model));
     let namespace = prompt.map(|_| incoming.cache_namespace(weights, &target.id));
-    let kv_store = incoming.kv_store.filter(|_| weights.is_some());
-    let is_warm = match (prompt, &namespace) {
-        (Some(prompt), Some(namespace)) => worker.is_warm(&target.id, namespace, prompt),
-        _ => true,
+    let import_from = match (prompt, &namespace, weights) {
+        (Some(prompt), Some(namespace), Some(version))
+            if !worker.is_warm(&target.id, namespace, prompt) =>
+        {
+            let place = (incoming.salt(), namespace.as_str());
+            worker.import_source(target, prompt, place, version)
+        }
+        _ => None,
     };
     let stamp = Stamp {
         remaining_ms: incoming.deadline_us.saturating_sub(now_us) / US_PER_MS,
         target: &target.id,
         organisation: incoming.organisation_name(),
         cache_namespace: namespace.as_deref(),
-        import_from: kv_store.filter(|_| !is_warm),
-        export_to: kv_store.filter(|_| prompt.is_some()),
+        import_from,
+        export_to: None,
         weights,
         urgency: None,
         last_event_id,
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -30,10 +30,6 @@
     info,
     warn, //
 };
-use tokio::signal::unix::{
-    SignalKind,
-    signal, //
-};
 
 use super::{
     follow::{
@@ -160,28 +156,13 @@
     };
     let server = http_server::start(caller, config, 1, factory)?;
     let hangup_log = context.log.clone();
-    ntex::rt::spawn(async move { note_hangups(&hangup_log).await });
+    ntex::rt::spawn(async move { stop::note_hangups(&hangup_log).await });
     stop::requested().await?;
     drain(&context).await;
     server.stop(false).await;
     Ok(())
 }
 
-/// Notes SIGHUP. The platform replaces the settings of a running process only
-/// where they concern other instances, which the process finds by itself.
-async fn note_hangups(log: &Logger) {
-    match signal(SignalKind::hangup()) {
-        Ok(mut hangups) => {
-            while hangups.recv().await.is_some() {
-                info!(log, "settings stay in force until the next start";
-                    "event" => Event::SettingsKept);
-            }
-        }
-        Err(error) => warn!(log, "SIGHUP cannot be handled";
-            "event" => Event::SettingsKept, "error" => %error),
-    }
-}
-
 /// Takes no part in the balancer's rotation any more, and answers what comes
 /// until then.
 async fn drain(context: &Context) {
@@ -280,9 +261,7 @@
                 "source" => source);
             if let Some(table) = &knowledge.table {
                 let now_us = self.context.clock.now_us();
-                self.context
-                    .quotas()
-                    .configure(table.organisations(), now_us);
+                self.context.configure_quotas(table, now_us);
             }
         }
         self.context.knowledge.store(Arc::new(knowledge));
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -42,6 +42,9 @@
 /// Pause after a failed call; each call to the store is charged.
 const PAUSE: Duration = Duration::from_millis(250);
 
+/// Pause after changes of the targets, so that one call brings many of them.
+const BATCH_PAUSE: Duration = Duration::from_millis(250);
+
 /// Whether the store answers.
 #[derive(Debug, Default)]
 pub(super) struct StoreHealth {
@@ -118,6 +121,9 @@
                         changes,
                         is_listing,
                     });
+                    if topic == Topic::Targets {
+                        tokio::time::sleep(BATCH_PAUSE).await;
+                    }
                 }
             }
             Err(StoreError::HistoryGone) => {
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -76,6 +76,10 @@
     pub(super) is_paused: bool,
     /// Version of the weights of each model.
     pub(super) weights: Vec<(Name, u64)>,
+    /// Requests that run.
+    pub(super) running: u32,
+    /// Requests that wait.
+    pub(super) waiting: u32,
 }
 
 /// State that entries tell each other.
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -58,6 +58,8 @@
 ///
 /// Engines are ordered by the expected time to the first token, which counts
 /// the subject's part as cached at its homes. Other targets are ordered by load.
+/// `entries` is the number of entries that share the targets; the others are
+/// taken to send as much as this one.
 ///
 /// ```
 /// use yuccalatch::direct::{message::Load, placement::{rank, Candidate}};
@@ -72,16 +74,24 @@
 ///     is_avoided: false,
 ///     is_outdated: false,
 /// }).collect();
-/// assert_eq!(rank(&candidates, None, 0), [1, 0]);
+/// assert_eq!(rank(&candidates, None, 0, 1), [1, 0]);
 /// ```
-pub fn rank(candidates: &[Candidate<'_>], prompt: Option<&Prompt>, salt: u64) -> Vec<usize> {
+pub fn rank(
+    candidates: &[Candidate<'_>],
+    prompt: Option<&Prompt>,
+    salt: u64,
+    entries: usize,
+) -> Vec<usize> {
     let homes = prompt.map(|prompt| homes(candidates, prompt, salt));
     let mut costs: Vec<(bool, f64, usize)> = candidates
         .iter()
         .enumerate()
         .map(|(at, candidate)| {
             let cost = match (prompt, &homes) {
-                (Some(prompt), Some(homes)) => engine_cost_ms(candidate, prompt, homes, at),
+                (Some(prompt), Some(homes)) => {
+                    let home = homes.iter().position(|home| *home == at);
+                    engine_cost_ms(candidate, prompt, home, entries)
+                }
                 _ => plain_cost_ms(candidate),
             };
             (candidate.is_avoided, cost, at)
@@ -93,22 +103,50 @@
 
 /// Returns the positions of the targets that keep the last part of a prompt.
 fn homes(candidates: &[Candidate<'_>], prompt: &Prompt, salt: u64) -> Vec<usize> {
+    let ids = candidates.iter().map(|candidate| candidate.id);
+    let mut homes = by_weight(ids, prompt, salt);
+    homes.truncate(HOMES);
+    homes
+}
+
+/// Returns the positions of all targets in the order in which they are homes of
+/// a prompt's last part.
+///
+/// ```
+/// use yuccalatch::direct::{message::{Part, Prompt}, placement::by_weight};
+///
+/// let prompt = Prompt {
+///     model: "m".into(), input_tokens: 9, max_output_tokens: 1,
+///     parts: vec![Part { id: 7, tokens: 8 }],
+/// };
+/// let ids = ["a".into(), "b".into()];
+/// assert_eq!(by_weight(ids.iter(), &prompt, 0).len(), 2);
+/// ```
+pub fn by_weight<'a>(
+    ids: impl Iterator<Item = &'a Name>,
+    prompt: &Prompt,
+    salt: u64,
+) -> Vec<usize> {
     let Some(subject) = prompt.parts.last() else {
         return Vec::new();
     };
     let seed = subject.id ^ salt;
-    let mut weighted: Vec<(u64, usize)> = candidates
-        .iter()
+    let mut weighted: Vec<(u64, usize)> = ids
         .enumerate()
-        .map(|(at, candidate)| (xxh3_64_with_seed(candidate.id.as_bytes(), seed), at))
+        .map(|(at, id)| (xxh3_64_with_seed(id.as_bytes(), seed), at))
         .collect();
     weighted.sort_unstable_by(|a, b| b.cmp(a));
-    weighted.into_iter().take(HOMES).map(|(_, at)| at).collect()
+    weighted.into_iter().map(|(_, at)| at).collect()
 }
 
-fn engine_cost_ms(candidate: &Candidate<'_>, prompt: &Prompt, homes: &[usize], at: usize) -> f64 {
+fn engine_cost_ms(
+    candidate: &Candidate<'_>,
+    prompt: &Prompt,
+    home: Option<usize>,
+    entries: usize,
+) -> f64 {
     let subject_tokens = prompt.parts.last().map_or(0, |part| part.tokens);
-    let cache_cost_ms = match homes.iter().position(|home| *home == at) {
+    let cache_cost_ms = match home {
         Some(0) => 0.0,
         Some(_) => SECOND_HOME_MS,
         None => SECOND_HOME_MS + subject_tokens as f64 / PREFILL_TOKENS_PER_MS,
@@ -120,7 +158,7 @@
     };
     cache_cost_ms
         + outdated_ms
-        + candidate.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS
+        + candidate.own_prefill_tokens as f64 * entries as f64 / PREFILL_TOKENS_PER_MS
         + f64::from(candidate.load.running.max(candidate.own_running)) * RUNNING_COST_MS
         + f64::from(candidate.load.waiting) * WAITING_COST_MS
         + candidate.failure_share * FAILURE_COST_MS
--- a/src/direct/quota.rs
+++ b/src/direct/quota.rs
@@ -65,7 +65,7 @@
 ///     rate_per_s: 100, burst: 800, counts_tokens: true, default_tokens: 1,
 /// });
 /// let mut quotas = Quotas::default();
-/// quotas.configure(&[organisation], 0);
+/// quotas.configure(&[organisation], 0, 0);
 /// assert_eq!(quotas.take("a", 100, 0), Ok(()));
 /// assert!(quotas.take("a", 100, 0).is_err());
 /// assert_eq!(quotas.take("a", 100, 1_000_000), Ok(()));
@@ -84,7 +84,15 @@
 
 impl Quotas {
     /// Takes the rates of a configuration. Levels are kept.
-    pub fn configure(&mut self, organisations: &[Arc<Organisation>], now_us: u64) {
+    ///
+    /// `tolerance_tokens` is added to the burst: an excess of that size is
+    /// tolerated, while a refusal inside the rate harms a caller.
+    pub fn configure(
+        &mut self,
+        organisations: &[Arc<Organisation>],
+        tolerance_tokens: u64,
+        now_us: u64,
+    ) {
         self.buckets.retain(|name, _| {
             organisations
                 .iter()
@@ -94,7 +102,10 @@
             if organisation.rate_per_s == 0 {
                 continue;
             }
-            let burst = organisation.burst.max(1) as f64;
+            let mut burst = organisation.burst.max(1) as f64;
+            if organisation.counts_tokens {
+                burst += tolerance_tokens as f64;
+            }
             let bucket = self
                 .buckets
                 .entry(organisation.name.clone())
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -46,7 +46,7 @@
     first_at_us: u64,
     first: Option<Bytes>,
     outcome: &'static str,
-    _running: RunningRequest,
+    running: RunningRequest,
 }
 
 /// Reads whole events until the first batch is there.
@@ -95,7 +95,7 @@
             events_bytes: 0,
             first,
             outcome: if is_whole { "complete" } else { "caller_left" },
-            _running: running,
+            running,
         }
     }
 
@@ -141,6 +141,7 @@
                         }
                     }
                     self.outcome = failure.name();
+                    self.running.cut();
                     return Some(Err(std::io::Error::other(failure.name())));
                 }
             }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -122,12 +122,15 @@
             return None;
         }
         let knowledge = worker.context.knowledge.load();
-        let salt = incoming
-            .isolated_name()
-            .map_or(0, |name| xxh3_64(name.as_bytes()));
         let prompt = incoming.head.prompt.as_ref();
         let target = worker
-            .targets(&knowledge, &incoming.service, prompt, salt, &self.tried)
+            .targets(
+                &knowledge,
+                &incoming.service,
+                prompt,
+                incoming.salt(),
+                &self.tried,
+            )
             .into_iter()
             .next()?;
         if is_first {
@@ -145,7 +148,7 @@
 /// Answers a request.
 pub(super) async fn handle<P: Platform>(worker: Rc<Worker<P>>, mut request: Request) -> Response {
     let arrived_at_us = worker.now_us();
-    let running = RunningRequest::new(&worker.context);
+    let running = RunningRequest::new(&worker, request.io());
     let knowledge = worker.context.knowledge.load_full();
     worker.refresh(&knowledge);
     let mut payload = request.take_payload();
@@ -177,14 +180,7 @@
         Err(kind) => return refuse(kind, None),
     };
     let cost = cost(&head, organisation.as_deref());
-    let incoming = incoming::<P>(
-        &request,
-        head,
-        body,
-        (route, organisation),
-        arrived_at_us,
-        table,
-    );
+    let incoming = incoming::<P>(&request, head, body, (route, organisation), arrived_at_us);
     if let Some(organisation) = &incoming.organisation {
         let taken = worker
             .context
@@ -250,7 +246,6 @@
     body: Bytes,
     (route, organisation): Admitted,
     arrived_at_us: u64,
-    table: &RoutingTable,
 ) -> Incoming {
     let filter = HeaderFilter::new(
         Direction::ToTarget,
@@ -281,7 +276,6 @@
         service,
         route,
         organisation,
-        kv_store: table.kv_store(),
         arrived_at_us,
     }
 }
@@ -397,7 +391,7 @@
     let now_us = worker.now_us();
     let patience_us = incoming.deadline_us.saturating_sub(now_us);
     let goal_us = route.goal_ms * US_PER_MS;
-    (now_us + goal_us.max(patience_us / 3)).min(incoming.deadline_us)
+    (now_us + goal_us.max(patience_us / 2)).min(incoming.deadline_us)
 }
 
 async fn try_target<P: Platform>(
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -10,6 +10,7 @@
         HashSet, //
     },
     marker::PhantomData,
+    net::SocketAddr,
     num::NonZeroUsize,
     rc::Rc,
     sync::{
@@ -26,6 +27,7 @@
 use lru::LruCache;
 use ntex::{
     client::Client,
+    io::IoRef,
     time::Millis, //
 };
 use slog::Logger;
@@ -45,6 +47,7 @@
         Candidate, //
     },
     quota::Quotas,
+    routing::RoutingTable,
     target::{
         TargetRecord,
         TargetState, //
@@ -60,7 +63,13 @@
         Incarnation,
         Name, //
     },
-    process::client,
+    process::{
+        client,
+        connections::{
+            BusyGuard,
+            Connections, //
+        },
+    },
     request::retry::{
         RetryBudget,
         RetryRate, //
@@ -132,6 +141,14 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Takes the rates of a configuration.
+    pub(super) fn configure_quotas(&self, table: &RoutingTable, now_us: u64) {
+        let tolerance_tokens = self.settings.quota_tolerance_tokens;
+        let organisations = table.organisations();
+        self.quotas()
+            .configure(organisations, tolerance_tokens, now_us);
+    }
+
     fn engines(&self) -> MutexGuard<'_, HashMap<Name, HeardEngine>> {
         self.engines
             .lock()
@@ -163,19 +180,32 @@
     }
 }
 
-/// Counts a request as running until it is dropped.
-pub(super) struct RunningRequest(Arc<Context>);
+/// Counts a request as running, and its connection as busy, until it is dropped.
+pub(super) struct RunningRequest {
+    context: Arc<Context>,
+    connection: Option<BusyGuard>,
+}
 
 impl RunningRequest {
-    pub(super) fn new(context: &Arc<Context>) -> Self {
-        context.running.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(context))
+    pub(super) fn new<P>(worker: &Worker<P>, io: Option<&IoRef>) -> Self {
+        worker.context.running.fetch_add(1, Ordering::Relaxed);
+        Self {
+            context: Arc::clone(&worker.context),
+            connection: worker.connections.enter(io),
+        }
+    }
+
+    /// Cuts the caller's connection.
+    pub(super) fn cut(&self) {
+        if let Some(connection) = &self.connection {
+            connection.cut();
+        }
     }
 }
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.context.running.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -194,6 +224,7 @@
 pub(super) struct Worker<P> {
     pub(super) context: Arc<Context>,
     pub(super) client: Client,
+    pub(super) connections: Rc<Connections>,
     views: RefCell<HashMap<Name, View>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     configured_version: Cell<u64>,
@@ -203,7 +234,11 @@
 
 impl<P> Worker<P> {
     pub(super) async fn new(context: Arc<Context>) -> Result<Rc<Self>> {
+        let connections = Rc::<Connections>::default();
+        let leaving = Arc::clone(&context);
+        ntex::rt::spawn(Rc::clone(&connections).watch(move || leaving.is_leaving()));
         Ok(Rc::new(Self {
+            connections,
             context,
             client: client::build_direct("targets", CONNECT_TIMEOUT).await?,
             views: RefCell::default(),
@@ -228,9 +263,7 @@
             return;
         }
         let now_us = self.now_us();
-        self.context
-            .quotas()
-            .configure(table.organisations(), now_us);
+        self.context.configure_quotas(table, now_us);
         self.views
             .borrow_mut()
             .retain(|id, view| view.own_running > 0 || knowledge.targets.contains_key(id));
@@ -270,7 +303,13 @@
                     let wanted = knowledge.wanted.get(&prompt.model);
                     wanted.is_some_and(|wanted| version < Some(wanted.weights.version))
                 });
-                let load = if now_us < view.load_until_us {
+                let load = if let Some(heard) = heard {
+                    Load {
+                        running: heard.state.running,
+                        waiting: heard.state.waiting,
+                        slots: record.slots,
+                    }
+                } else if now_us < view.load_until_us {
                     view.load
                 } else {
                     Load {
@@ -289,7 +328,8 @@
                 }
             })
             .collect();
-        placement::rank(&candidates, prompt, salt)
+        let entries = knowledge.entries.len().max(1);
+        placement::rank(&candidates, prompt, salt, entries)
             .into_iter()
             .map(|at| Arc::clone(records[at]))
             .collect()
@@ -304,6 +344,46 @@
         weights_of(record, view, engines.get(&record.id), model)
     }
 
+    /// Returns the address of an engine that probably has the parts of a prompt
+    /// and the same weights as the target: another home of its last part, or one
+    /// that is known to have computed them.
+    pub(super) fn import_source(
+        &self,
+        target: &TargetRecord,
+        prompt: &Prompt,
+        (salt, namespace): (u64, &str),
+        version: u64,
+    ) -> Option<SocketAddr> {
+        let knowledge = self.context.knowledge.load();
+        let now_us = self.now_us();
+        let engines: Vec<&Arc<TargetRecord>> = knowledge
+            .targets
+            .values()
+            .filter(|record| record.service == target.service)
+            .collect();
+        let ids = engines.iter().map(|record| &record.id);
+        let homes = placement::by_weight(ids, prompt, salt);
+        let is_source = |record: &&Arc<TargetRecord>| {
+            let is_avoided = self
+                .views
+                .borrow()
+                .get(&record.id)
+                .is_some_and(|view| view.outlier.is_avoided(now_us));
+            record.id != target.id
+                && !is_avoided
+                && self.weights(record, &prompt.model) == Some(version)
+        };
+        let mut sources = homes
+            .into_iter()
+            .map(|at| engines[at])
+            .filter(|record| is_source(&record));
+        let first = sources.next()?;
+        let known = std::iter::once(first)
+            .chain(sources)
+            .find(|record| self.is_warm(&record.id, namespace, prompt));
+        Some(known.unwrap_or(first).address)
+    }
+
     /// Returns whether all parts of a prompt were computed or imported at a
     /// target through this entry.
     pub(super) fn is_warm(&self, target: &Name, namespace: &str, prompt: &Prompt) -> bool {
--- a/src/process.rs
+++ b/src/process.rs
@@ -5,6 +5,7 @@
 pub mod cache_index;
 pub mod client;
 pub mod config_store;
+pub(crate) mod connections;
 pub mod entry;
 pub mod fair_queue;
 pub mod fate;
--- a/src/process/entry/connections.rs
+++ b/src/process/connections.rs
@@ -1,4 +1,4 @@
-//! Open connections of callers on one traffic thread.
+//! Open connections of callers on one traffic thread of an entry.
 
 use std::{
     cell::RefCell,
@@ -7,12 +7,7 @@
     time::Duration, //
 };
 
-use ntex::{
-    io::IoRef,
-    web::HttpRequest, //
-};
-
-use super::context::Context;
+use ntex::io::IoRef;
 
 /// Interval between checks for a graceful stop and for closed connections.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -20,21 +15,21 @@
 /// Connections that have carried a request, with the number of requests that
 /// are running.
 #[derive(Debug, Default)]
-pub(super) struct Connections {
+pub(crate) struct Connections {
     open: RefCell<HashMap<IoRef, usize>>,
 }
 
 /// Marks a connection as busy until it is dropped.
 #[derive(Debug)]
-pub(super) struct BusyGuard {
+pub(crate) struct BusyGuard {
     connections: Rc<Connections>,
     io: IoRef,
 }
 
 impl Connections {
     /// Marks the connection of a request as busy.
-    pub(super) fn enter(self: &Rc<Self>, request: &HttpRequest) -> Option<BusyGuard> {
-        let io = request.io()?.clone();
+    pub(crate) fn enter(self: &Rc<Self>, io: Option<&IoRef>) -> Option<BusyGuard> {
+        let io = io?.clone();
         *self.open.borrow_mut().entry(io.clone()).or_insert(0) += 1;
         Some(BusyGuard {
             connections: Rc::clone(self),
@@ -44,12 +39,12 @@
 
     /// Closes idle connections during a graceful stop. A caller that keeps one
     /// open would otherwise send its next request to a process that stops.
-    pub(super) async fn watch(self: Rc<Self>, context: std::sync::Arc<Context>) {
+    pub(crate) async fn watch(self: Rc<Self>, is_leaving: impl Fn() -> bool) {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
             let mut open = self.open.borrow_mut();
             open.retain(|io, _| !io.is_closed());
-            if context.is_leaving() {
+            if is_leaving() {
                 let idle = open.iter().filter(|(_, busy)| **busy == 0);
                 idle.for_each(|(io, _)| io.close());
             }
@@ -57,6 +52,14 @@
     }
 }
 
+impl BusyGuard {
+    /// Cuts the connection, so that a caller does not take a broken answer for a
+    /// whole one. The HTTP server would write an error answer into the body.
+    pub(crate) fn cut(&self) {
+        self.io.terminate();
+    }
+}
+
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         let mut open = self.connections.open.borrow_mut();
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -3,7 +3,6 @@
 mod admission;
 mod answer;
 mod attempt;
-mod connections;
 mod context;
 mod control;
 mod forward;
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -22,7 +22,6 @@
         error_event,
         error_response, //
     },
-    connections::BusyGuard,
     context::RunningGuard,
     forward::Call,
     request::{
@@ -42,6 +41,7 @@
     event::Event,
     names::Name,
     process::{
+        connections::BusyGuard,
         metrics::OrganisationMetrics,
         upload, //
     },
@@ -95,7 +95,7 @@
     let id = request_id(&request);
     let guard = (
         RunningGuard::new(&worker.context),
-        worker.connections.enter(&request),
+        worker.connections.enter(request.io()),
     );
     let request = match Request::read(&worker.context, id.clone(), &request, &mut payload).await {
         Ok(request) => request,
@@ -315,6 +315,9 @@
                 if !self.call.request.is_stream() {
                     // Without an event format, a broken transfer is the only
                     // way to say that the body is incomplete.
+                    if let Some(connection) = &self._guard.1 {
+                        connection.cut();
+                    }
                     return Some(Err(std::io::Error::other(kind)));
                 }
                 Some(Ok(Bytes::from(error_event(kind, &self.call.request.id))))
--- a/src/process/entry/worker.rs
+++ b/src/process/entry/worker.rs
@@ -19,7 +19,6 @@
 use tokio::sync::mpsc;
 
 use super::{
-    connections::Connections,
     context::{
         Context,
         TargetViews, //
@@ -38,6 +37,7 @@
     },
     process::{
         client,
+        connections::Connections,
         hints::{
             Hints,
             Observation, //
@@ -129,7 +129,8 @@
         let now_us = context.clock.now_us();
         let client = client::build("agents").await?;
         let connections = Rc::<Connections>::default();
-        ntex::rt::spawn(Rc::clone(&connections).watch(Arc::clone(&context)));
+        let leaving = Arc::clone(&context);
+        ntex::rt::spawn(Rc::clone(&connections).watch(move || leaving.is_leaving()));
         let (cancellations, urls) = mpsc::channel(MAX_CANCELLATIONS);
         ntex::rt::spawn(send_cancellations(client.clone(), urls));
         Ok(Rc::new(Self {
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -43,6 +43,8 @@
     pub spare_retries: u32,
     /// Retry window.
     pub retry_window_ms: u64,
+    /// Tokens by which an organisation may exceed its burst.
+    pub quota_tolerance_tokens: u64,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -72,6 +74,8 @@
   "spare_retries": 50,
   // Retry window, in milliseconds.
   "retry_window_ms": 10000,
+  // Tokens by which an organisation may exceed its burst.
+  "quota_tolerance_tokens": 0,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "json", "level": "info"}
