--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -153,7 +153,9 @@
 fn is_urgent(told: Option<&EngineState>, state: Option<&EngineState>) -> bool {
     match (told, state) {
         (Some(told), Some(state)) => {
-            told.is_paused != state.is_paused || told.weights != state.weights
+            told.is_paused != state.is_paused
+                || told.pause_in_us.is_some() != state.pause_in_us.is_some()
+                || told.weights != state.weights
         }
         _ => false,
     }
@@ -184,7 +186,12 @@
             {
                 self.order(wanted, report, id).await;
             }
+            let pause_in_us = match step {
+                Step::WaitUntil(at_us) => Some(at_us.saturating_sub(now_us)),
+                _ => None,
+            };
             let state = report.zip(id).map(|(report, id)| EngineState {
+                pause_in_us,
                 target: id,
                 is_paused: report.is_busy || matches!(step, Step::Drain | Step::Busy | Step::Order),
                 weights: report.weights,
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -1,6 +1,9 @@
 //! One try of a request at one target.
 
-use std::rc::Rc;
+use std::{
+    net::SocketAddr,
+    rc::Rc, //
+};
 
 use futures_util::StreamExt;
 use ntex::{
@@ -62,6 +65,7 @@
     pub(super) route: std::sync::Arc<Route>,
     pub(super) service: Name,
     pub(super) organisation: Option<std::sync::Arc<Organisation>>,
+    pub(super) kv_store: Option<SocketAddr>,
     pub(super) arrived_at_us: u64,
     pub(super) deadline_us: u64,
 }
@@ -172,12 +176,15 @@
     let busy = worker.enter(&target.id, prefill_tokens);
     let weights = prompt.and_then(|prompt| worker.weights(target, &prompt.model));
     let namespace = prompt.map(|_| incoming.cache_namespace(weights, &target.id));
+    let kv_store = incoming
+        .kv_store
+        .filter(|_| weights.is_some() && !worker.context.is_kv_store_down());
     let import_from = match (prompt, &namespace, weights) {
         (Some(prompt), Some(namespace), Some(version))
             if !worker.is_warm(&target.id, namespace, prompt) =>
         {
             let place = (incoming.salt(), namespace.as_str());
-            worker.import_source(target, prompt, place, version)
+            kv_store.or_else(|| worker.import_source(target, prompt, place, version))
         }
         _ => None,
     };
@@ -187,7 +194,7 @@
         organisation: incoming.organisation_name(),
         cache_namespace: namespace.as_deref(),
         import_from,
-        export_to: None,
+        export_to: kv_store.filter(|_| prompt.is_some()),
         weights,
         urgency: None,
         last_event_id,
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    io,
     net::{
         SocketAddr,
         TcpListener, //
@@ -30,6 +31,10 @@
     info,
     warn, //
 };
+use tokio::{
+    net::TcpStream,
+    time::timeout, //
+};
 
 use super::{
     follow::{
@@ -96,6 +101,12 @@
 /// needs two failed checks, a second apart.
 const STOP_LINGER_US: u64 = 2_600 * US_PER_MS;
 
+/// Bound for a connection to the KV cache store, which is a few milliseconds away.
+const KV_STORE_LIMIT: Duration = Duration::from_millis(250);
+
+/// Interval between looks at the KV cache store.
+const KV_STORE_PAUSE: Duration = Duration::from_millis(750);
+
 /// Interval between tries to register.
 const REGISTER_INTERVAL_US: u64 = US_PER_S;
 
@@ -170,7 +181,14 @@
     let now_us = context.clock.now_us();
     let linger_until_us = now_us + STOP_LINGER_US;
     let drain_until_us = now_us + context.settings.drain_ms * US_PER_MS;
-    let is_done = |now_us| now_us >= linger_until_us && context.running() == 0;
+    let is_done = |now_us| {
+        if now_us >= linger_until_us {
+            // The balancer uses a stopping entry when its data centre has too few
+            // others; its callers are sent away in time.
+            context.close();
+        }
+        context.is_closed() && context.running() == 0
+    };
     lifecycle::drain(
         "entry",
         &context.log,
@@ -222,6 +240,7 @@
             move |news| shared.take(news),
         ));
     }
+    ntex::rt::spawn(Rc::clone(&control).watch_kv_store());
     control.work().await
 }
 
@@ -241,6 +260,32 @@
         self.publish(before, "store");
     }
 
+    /// Watches whether the KV cache store answers. A store that is down delays
+    /// each request that names it.
+    async fn watch_kv_store(self: Rc<Self>) {
+        loop {
+            let store = {
+                let knowledge = self.knowledge.borrow();
+                knowledge.table.as_ref().and_then(|table| table.kv_store())
+            };
+            let Some(store) = store else {
+                tokio::time::sleep(KV_STORE_PAUSE).await;
+                continue;
+            };
+            let result = match timeout(KV_STORE_LIMIT, TcpStream::connect(store)).await {
+                Ok(connected) => connected.map(drop),
+                Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            };
+            if self.context.note_kv_store(result.is_err()) {
+                info!(self.context.log, "the KV cache store has changed its state";
+                    "event" => Event::KvStoreFailed,
+                    "is_down" => result.is_err(),
+                    "error" => result.as_ref().err().map(ToString::to_string));
+            }
+            tokio::time::sleep(KV_STORE_PAUSE).await;
+        }
+    }
+
     fn configuration_version(&self) -> u64 {
         let knowledge = self.knowledge.borrow();
         knowledge
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -22,6 +22,8 @@
     pub input_tokens: u64,
     /// Largest length of the output.
     pub max_output_tokens: u64,
+    /// Length of the output that the caller expects; right at the median.
+    pub expected_output_tokens: u64,
     /// Shared parts in order, which begin the prompt.
     pub parts: Vec<Part>,
 }
--- a/src/direct/order.rs
+++ b/src/direct/order.rs
@@ -10,9 +10,10 @@
     names::Name, //
 };
 
-/// Longest time for which an engine takes no new work before the order. Most
-/// runs have ended by then; the order waits for the others.
-pub const DRAIN_US: u64 = 1_200 * US_PER_MS;
+/// Longest time for which an engine takes no new work before the order. Entries
+/// have sent only what ends in time, so that most runs have ended by then; the
+/// order waits for the others.
+pub const DRAIN_US: u64 = 600 * US_PER_MS;
 
 /// What an agent does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -74,6 +74,8 @@
     /// Whether it takes no new work, because it is about to load weights or loads
     /// them.
     pub(super) is_paused: bool,
+    /// Time until the engine is paused, when that is planned.
+    pub(super) pause_in_us: Option<u64>,
     /// Version of the weights of each model.
     pub(super) weights: Vec<(Name, u64)>,
     /// Requests that run.
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -116,7 +116,7 @@
 /// use yuccalatch::direct::{message::{Part, Prompt}, placement::by_weight};
 ///
 /// let prompt = Prompt {
-///     model: "m".into(), input_tokens: 9, max_output_tokens: 1,
+///     model: "m".into(), input_tokens: 9, max_output_tokens: 1, expected_output_tokens: 1,
 ///     parts: vec![Part { id: 7, tokens: 8 }],
 /// };
 /// let ids = ["a".into(), "b".into()];
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -70,6 +70,9 @@
 /// Shortest time in which another try is worthwhile.
 const MIN_TRY_US: u64 = 30 * US_PER_MS;
 
+/// Time after which a caller is told to go to another entry.
+const STOPPING_RETRY_MS: u64 = 50;
+
 /// Time after which a request that found no target is worth another try.
 const NO_TARGET_RETRY_MS: u64 = 400;
 
@@ -164,6 +167,10 @@
             "retry_after_ms" => retry_after_ms);
         reply::own(kind, retry_after_ms, is_leaving)
     };
+    if worker.context.is_closed() {
+        upload::discard(&mut payload).await;
+        return refuse(ErrorKind::Stopping, Some(STOPPING_RETRY_MS));
+    }
     let Some(table) = knowledge.table.as_ref().filter(|_| knowledge.has_targets) else {
         upload::discard(&mut payload).await;
         return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS));
@@ -180,7 +187,14 @@
         Err(kind) => return refuse(kind, None),
     };
     let cost = cost(&head, organisation.as_deref());
-    let incoming = incoming::<P>(&request, head, body, (route, organisation), arrived_at_us);
+    let incoming = incoming::<P>(
+        &request,
+        head,
+        body,
+        (route, organisation),
+        arrived_at_us,
+        table,
+    );
     if let Some(organisation) = &incoming.organisation {
         let taken = worker
             .context
@@ -246,6 +260,7 @@
     body: Bytes,
     (route, organisation): Admitted,
     arrived_at_us: u64,
+    table: &RoutingTable,
 ) -> Incoming {
     let filter = HeaderFilter::new(
         Direction::ToTarget,
@@ -274,6 +289,7 @@
         headers,
         body,
         service,
+        kv_store: table.kv_store(),
         route,
         organisation,
         arrived_at_us,
--- a/src/direct/turns.rs
+++ b/src/direct/turns.rs
@@ -18,10 +18,10 @@
 
 /// Time from the first turn to the last. Together with the end of the runs and
 /// the load it stays below the eight seconds in which all engines have to follow.
-pub const SPREAD_US: u64 = 4_500 * US_PER_MS;
+pub const SPREAD_US: u64 = 5_000 * US_PER_MS;
 
 /// Longest time between two turns, so that a few engines do not wait for long.
-pub const MAX_TURN_US: u64 = 900 * US_PER_MS;
+pub const MAX_TURN_US: u64 = 1_000 * US_PER_MS;
 
 /// Engines for each engine that loads at the same time. Loads get slower when
 /// more than about a fifth of the engines share the weight store.
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -98,9 +98,30 @@
 /// State of an engine as its agent has told it.
 struct HeardEngine {
     state: EngineState,
+    /// When the engine is paused, if that is planned.
+    pause_at_us: Option<u64>,
     until_us: u64,
 }
 
+impl HeardEngine {
+    /// Returns whether a request would still run when the engine is paused.
+    fn is_paused_before(&self, end_us: u64) -> bool {
+        self.state.is_paused || self.pause_at_us.is_some_and(|at_us| at_us < end_us)
+    }
+}
+
+/// Time in which an engine makes a token while others run there, between the
+/// 4.4 ms of an idle engine and the 20 ms of one that reads prompts.
+const TOKEN_US: u64 = 8 * US_PER_MS;
+
+/// Time to the first token of a request at an engine.
+const FIRST_TOKEN_US: u64 = 250 * US_PER_MS;
+
+/// Returns when a request that is sent now has probably ended.
+const fn expected_end_us(prompt: &Prompt, now_us: u64) -> u64 {
+    now_us + FIRST_TOKEN_US + prompt.expected_output_tokens * TOKEN_US
+}
+
 /// Time for which the word of an agent holds. An agent repeats it more often
 /// while its engine changes weights.
 const HEARD_US: u64 = 1_500 * US_PER_MS;
@@ -115,6 +136,8 @@
     quotas: Mutex<Quotas>,
     engines: Mutex<HashMap<Name, HeardEngine>>,
     is_leaving: AtomicBool,
+    is_closed: AtomicBool,
+    is_kv_store_down: AtomicBool,
     running: AtomicUsize,
 }
 
@@ -129,6 +152,8 @@
             quotas: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
+            is_kv_store_down: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         }
     }
@@ -157,8 +182,12 @@
 
     /// Takes what an agent tells about its engine.
     pub(super) fn note_engine(&self, state: EngineState) {
-        let until_us = self.clock.now_us() + HEARD_US;
-        let heard = HeardEngine { state, until_us };
+        let now_us = self.clock.now_us();
+        let heard = HeardEngine {
+            pause_at_us: state.pause_in_us.map(|in_us| now_us + in_us),
+            until_us: now_us + HEARD_US,
+            state,
+        };
         let mut engines = self.engines();
         engines.insert(heard.state.target.clone(), heard);
         if engines.len() > MAX_ENGINES {
@@ -171,6 +200,24 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Takes no further requests.
+    pub(super) fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the KV cache store answers. Returns whether that is new.
+    pub(super) fn note_kv_store(&self, is_down: bool) -> bool {
+        self.is_kv_store_down.swap(is_down, Ordering::Relaxed) != is_down
+    }
+
+    pub(super) fn is_kv_store_down(&self) -> bool {
+        self.is_kv_store_down.load(Ordering::Relaxed)
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
     }
@@ -286,6 +333,9 @@
             .filter(|record| *record.service == *service)
             .filter(|record| record.state == TargetState::Ready)
             .filter(|record| !tried.contains(&record.id))
+            .filter(|record| {
+                prompt.is_none_or(|prompt| !self.is_too_old(knowledge, record, prompt, now_us))
+            })
             .collect();
         let views = self.views.borrow();
         let engines = self.context.engines();
@@ -297,7 +347,9 @@
                 let heard = engines
                     .get(&record.id)
                     .filter(|heard| now_us < heard.until_us);
-                let is_paused = heard.is_some_and(|heard| heard.state.is_paused);
+                let is_paused = heard.zip(prompt).is_some_and(|(heard, prompt)| {
+                    heard.is_paused_before(expected_end_us(prompt, now_us))
+                });
                 let is_outdated = prompt.is_some_and(|prompt| {
                     let version = weights_of(record, view, heard, &prompt.model);
                     let wanted = knowledge.wanted.get(&prompt.model);
@@ -335,6 +387,25 @@
             .collect()
     }
 
+    /// Returns whether an engine lacks weights for so long that nothing may begin
+    /// on its older ones.
+    fn is_too_old(
+        &self,
+        knowledge: &Knowledge,
+        record: &TargetRecord,
+        prompt: &Prompt,
+        now_us: u64,
+    ) -> bool {
+        let Some(wanted) = knowledge.wanted.get(&prompt.model) else {
+            return false;
+        };
+        let limit_us = self.context.settings.old_weights_ms * US_PER_MS;
+        let since_us = self
+            .weights(record, &prompt.model)
+            .and_then(|version| wanted.outdated_since_us(version));
+        since_us.is_some_and(|since_us| now_us >= since_us + limit_us)
+    }
+
     /// Returns the version of a target's weights, `None` when nothing tells it.
     pub(super) fn weights(&self, record: &TargetRecord, model: &Name) -> Option<u64> {
         let views = self.views.borrow();
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -45,6 +45,9 @@
     pub retry_window_ms: u64,
     /// Tokens by which an organisation may exceed its burst.
     pub quota_tolerance_tokens: u64,
+    /// Time after a request for new weights in which requests may begin on older
+    /// ones.
+    pub old_weights_ms: u64,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -76,6 +79,9 @@
   "retry_window_ms": 10000,
   // Tokens by which an organisation may exceed its burst.
   "quota_tolerance_tokens": 0,
+  // Time after a request for new weights in which requests may begin on older
+  // ones, in milliseconds.
+  "old_weights_ms": 6000,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "json", "level": "info"}
@@ -92,6 +98,7 @@
         checker.instance(&self.name, &self.data_centre, &addresses);
         checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
         checker.duration_ms(&["retry_window_ms"], self.retry_window_ms, 100);
+        checker.duration_ms(&["old_weights_ms"], self.old_weights_ms, 0);
         checker.range(
             &["retries_per_thousand"],
             u64::from(self.retries_per_thousand),
