Derive the turns of loads from fresh lists, send nothing to paused engines

Cause: agents kept the list of targets that they had read first, so turns differed between agents and engines loaded out of turn; when all engines were to be paused soon, the paused ones looked cheapest (503 to 96 requests).

Ruled out: wrongful refusals of the limits as the cause of the 429 answers: all concern the organisation whose rate the operator had lowered.

Change: agents ask one entry for changes of the list each round; candidates have a standing, and a request waits up to 0.6 s while all engines load.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -199,8 +199,7 @@
                 waiting: report.waiting,
             });
             if now_us >= tell_at_us || is_urgent(told.as_ref(), state.as_ref()) {
-                let wants_targets = state.is_none() || self.lacks_turns(wanted.as_ref());
-                tell_at_us = now_us + self.tell_entries(state.as_ref(), wants_targets);
+                tell_at_us = now_us + self.tell_entries(state.as_ref());
                 told = state;
             }
             let is_idle = matches!(step, Step::Done);
@@ -213,12 +212,6 @@
         }
     }
 
-    /// Returns whether the turns were derived before the engine was known.
-    fn lacks_turns(&self, wanted: Option<&Wanted>) -> bool {
-        let id = self.own_id();
-        wanted.is_some_and(|wanted| !wanted.turns.iter().any(|turn| Some(turn) == id.as_ref()))
-    }
-
     async fn engine_report(&self) -> Option<EngineReport> {
         let engine = self.settings.target_address;
         // The engine restarts or is down; the next look follows soon.
@@ -264,11 +257,20 @@
         let now_us = self.clock.now_us();
         self.heard_at_us.set(now_us);
         self.entries.borrow_mut().clone_from(&reply.entries);
+        let fences = |knowledge: &Knowledge| -> Vec<u64> {
+            let wanted = knowledge.wanted.values();
+            wanted.map(|wanted| wanted.weights.fence).collect()
+        };
+        let before = fences(&self.knowledge.borrow());
         let is_new = peers::adopt(&mut self.knowledge.borrow_mut(), reply, now_us);
+        let is_wanted_new = before != fences(&self.knowledge.borrow());
         if !is_new {
             return;
         }
         self.derive_turns();
+        if !is_wanted_new {
+            return;
+        }
         for wanted in self.knowledge.borrow().wanted.values() {
             info!(self.log, "weights are wanted";
                 "event" => Event::WeightsWanted,
@@ -296,7 +298,7 @@
     /// Tells all entries about the engine, without waiting for them. An entry
     /// that does not hear it learns the same from the engine's refusals. Returns
     /// the time until they are told again.
-    fn tell_entries(self: &Rc<Self>, state: Option<&EngineState>, wants_targets: bool) -> u64 {
+    fn tell_entries(self: &Rc<Self>, state: Option<&EngineState>) -> u64 {
         let addresses = self.entry_addresses();
         let count = u64::try_from(addresses.len()).unwrap_or(u64::MAX);
         let revision = self.knowledge.borrow().targets_revision;
@@ -305,7 +307,8 @@
             let question = Question {
                 entry: None,
                 configuration_version: u64::MAX,
-                targets_revision: (wants_targets && position == 0).then_some(revision),
+                // One answer with the list is enough; it comes when it has changed.
+                targets_revision: (position == 0).then_some(revision),
                 engine: state.cloned(),
             };
             ntex::rt::spawn(async move {
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -32,6 +32,19 @@
 /// Cost of the second home, so that the first one is preferred.
 const SECOND_HOME_MS: f64 = 15.0;
 
+/// Whether a target may get a request, best first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Standing {
+    /// It takes requests.
+    Open,
+    /// It is paused before the request has probably ended.
+    ClosingSoon,
+    /// It has failed or refused a moment ago.
+    Avoided,
+    /// It takes no request before it has loaded weights.
+    Paused,
+}
+
 /// What is known of a target that may run a request.
 #[derive(Clone, Debug)]
 pub struct Candidate<'a> {
@@ -45,8 +58,8 @@
     pub own_prefill_tokens: u64,
     /// Recent share of failures, 0 to 1.
     pub failure_share: f64,
-    /// Whether other targets come first: it failed, refused or loads weights.
-    pub is_avoided: bool,
+    /// Whether it may get a request.
+    pub standing: Standing,
     /// Whether it has older weights than are wanted.
     pub is_outdated: bool,
 }
@@ -62,7 +75,7 @@
 /// taken to send as much as this one.
 ///
 /// ```
-/// use yuccalatch::direct::{message::Load, placement::{rank, Candidate}};
+/// use yuccalatch::direct::{message::Load, placement::{rank, Candidate, Standing}};
 ///
 /// let ids = ["a".into(), "b".into()];
 /// let candidates: Vec<Candidate<'_>> = ids.iter().zip([3, 0]).map(|(id, running)| Candidate {
@@ -71,7 +84,7 @@
 ///     own_running: 0,
 ///     own_prefill_tokens: 0,
 ///     failure_share: 0.0,
-///     is_avoided: false,
+///     standing: Standing::Open,
 ///     is_outdated: false,
 /// }).collect();
 /// assert_eq!(rank(&candidates, None, 0, 1), [1, 0]);
@@ -83,7 +96,7 @@
     entries: usize,
 ) -> Vec<usize> {
     let homes = prompt.map(|prompt| homes(candidates, prompt, salt));
-    let mut costs: Vec<(bool, f64, usize)> = candidates
+    let mut costs: Vec<(Standing, f64, usize)> = candidates
         .iter()
         .enumerate()
         .map(|(at, candidate)| {
@@ -94,7 +107,7 @@
                 }
                 _ => plain_cost_ms(candidate),
             };
-            (candidate.is_avoided, cost, at)
+            (candidate.standing, cost, at)
         })
         .collect();
     costs.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -3,7 +3,8 @@
 use std::{
     collections::HashSet,
     rc::Rc,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use futures_util::StreamExt;
@@ -31,6 +32,7 @@
         Incoming, //
     },
     events::Splitter,
+    placement::Standing,
     port::Platform,
     relay::{
         Relay,
@@ -70,6 +72,13 @@
 /// Shortest time in which another try is worthwhile.
 const MIN_TRY_US: u64 = 30 * US_PER_MS;
 
+/// Shortest time for which a request waits while all engines load weights; a load
+/// takes about half a second.
+const MIN_WAIT_US: u64 = 600 * US_PER_MS;
+
+/// Interval between looks for an engine that takes requests.
+const WAIT_STEP: Duration = Duration::from_millis(20);
+
 /// Time after which a caller is told to go to another entry.
 const STOPPING_RETRY_MS: u64 = 50;
 
@@ -135,7 +144,9 @@
                 &self.tried,
             )
             .into_iter()
-            .next()?;
+            .next()
+            .filter(|(_, standing)| *standing != Standing::Paused)
+            .map(|(target, _)| target)?;
         if is_first {
             worker.note_first_try(&incoming.service);
         } else if !worker.take_retry(&incoming.service) {
@@ -201,6 +212,14 @@
             .quotas()
             .take(&organisation.name, cost, arrived_at_us);
         if let Err(wait_ms) = taken {
+            info!(worker.context.log, "organisation is over its rate";
+                "event" => Event::RequestRefused,
+                "request_id" => incoming.id(),
+                "organisation" => &*organisation.name,
+                "cost" => cost,
+                "rate_per_s" => organisation.rate_per_s,
+                "burst" => organisation.burst,
+                "retry_after_ms" => wait_ms);
             return refuse(ErrorKind::RateLimited, Some(wait_ms));
         }
     }
@@ -334,6 +353,7 @@
     let mut tries = Tries::new();
     let mut last: Option<(Answer<P>, Bytes)> = None;
     let mut last_failure = None;
+    wait_for_target(&worker, &incoming).await;
     while let Some(target) = tries.next(&worker, &incoming, last.is_some()) {
         log.target = Some(target.id.clone());
         log.tries = tries.count();
@@ -382,6 +402,31 @@
     reply::own(kind, retry_after_ms, is_leaving)
 }
 
+/// Waits while all engines of a request load weights.
+async fn wait_for_target<P: Platform>(worker: &Rc<Worker<P>>, incoming: &Incoming) {
+    let goal_us = incoming.route.goal_ms * US_PER_MS;
+    let until_us = (incoming.arrived_at_us + goal_us.max(MIN_WAIT_US)).min(incoming.deadline_us);
+    let prompt = incoming.head.prompt.as_ref();
+    while prompt.is_some() && worker.now_us() < until_us {
+        let knowledge = worker.context.knowledge.load_full();
+        let targets = worker.targets(
+            &knowledge,
+            &incoming.service,
+            prompt,
+            incoming.salt(),
+            &HashSet::new(),
+        );
+        let is_paused = |standing: &Standing| *standing == Standing::Paused;
+        if targets
+            .first()
+            .is_none_or(|(_, standing)| !is_paused(standing))
+        {
+            return;
+        }
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+}
+
 /// Returns the answer to a request that no target has answered.
 fn failure_answer(tries: &Tries, failure: Option<Failure>) -> (ErrorKind, Option<u64>) {
     if tries.may_have_run() {
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -44,7 +44,8 @@
     peers::EngineState,
     placement::{
         self,
-        Candidate, //
+        Candidate,
+        Standing, //
     },
     quota::Quotas,
     routing::RoutingTable,
@@ -106,7 +107,7 @@
 impl HeardEngine {
     /// Returns whether a request would still run when the engine is paused.
     fn is_paused_before(&self, end_us: u64) -> bool {
-        self.state.is_paused || self.pause_at_us.is_some_and(|at_us| at_us < end_us)
+        self.pause_at_us.is_some_and(|at_us| at_us < end_us)
     }
 }
 
@@ -325,7 +326,7 @@
         prompt: Option<&Prompt>,
         salt: u64,
         tried: &HashSet<Name>,
-    ) -> Vec<Arc<TargetRecord>> {
+    ) -> Vec<(Arc<TargetRecord>, Standing)> {
         let now_us = self.now_us();
         let records: Vec<&Arc<TargetRecord>> = knowledge
             .targets
@@ -347,9 +348,13 @@
                 let heard = engines
                     .get(&record.id)
                     .filter(|heard| now_us < heard.until_us);
-                let is_paused = heard.zip(prompt).is_some_and(|(heard, prompt)| {
-                    heard.is_paused_before(expected_end_us(prompt, now_us))
-                });
+                let end_us = prompt.map_or(now_us, |prompt| expected_end_us(prompt, now_us));
+                let standing = match heard {
+                    Some(heard) if heard.state.is_paused => Standing::Paused,
+                    _ if view.outlier.is_avoided(now_us) => Standing::Avoided,
+                    Some(heard) if heard.is_paused_before(end_us) => Standing::ClosingSoon,
+                    _ => Standing::Open,
+                };
                 let is_outdated = prompt.is_some_and(|prompt| {
                     let version = weights_of(record, view, heard, &prompt.model);
                     let wanted = knowledge.wanted.get(&prompt.model);
@@ -375,7 +380,7 @@
                     own_running: view.own_running,
                     own_prefill_tokens: view.own_prefill_tokens,
                     failure_share: view.outlier.failure_share(),
-                    is_avoided: is_paused || view.outlier.is_avoided(now_us),
+                    standing,
                     is_outdated,
                 }
             })
@@ -383,7 +388,7 @@
         let entries = knowledge.entries.len().max(1);
         placement::rank(&candidates, prompt, salt, entries)
             .into_iter()
-            .map(|at| Arc::clone(records[at]))
+            .map(|at| (Arc::clone(records[at]), candidates[at].standing))
             .collect()
     }
 
