--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -53,6 +53,9 @@
 /// Largest answer that is collected before it is passed on.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Label of requests without an organisation.
+pub(super) const PUBLIC: &str = "public";
+
 /// A request of a caller with everything that its tries need.
 pub(super) struct Incoming {
     pub(super) head: RequestHead,
@@ -101,6 +104,11 @@
         }
     }
 
+    /// Returns the label of the request's metrics.
+    pub(super) fn label(&self) -> &str {
+        self.organisation_name().map_or(PUBLIC, |name| &**name)
+    }
+
     pub(super) fn organisation_name(&self) -> Option<&Name> {
         self.organisation.as_ref().map(|each| &each.name)
     }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -119,7 +119,9 @@
     }
 
     fn metrics(&self) -> String {
-        String::new()
+        let running = i64::try_from(self.running()).unwrap_or(i64::MAX);
+        self.metrics.running.set(running);
+        self.metrics.render()
     }
 }
 
@@ -304,6 +306,8 @@
                 "config_version" => version,
                 "version_before" => version_before,
                 "source" => source);
+            let revision = i64::try_from(version).unwrap_or(i64::MAX);
+            self.context.metrics.revision.set(revision);
             if let Some(table) = &knowledge.table {
                 let now_us = self.context.clock.now_us();
                 self.context.configure_quotas(table, now_us);
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -23,13 +23,17 @@
     events::Splitter,
     port::Platform,
     reply,
-    serve::Tries,
+    serve::{
+        Tries,
+        seconds, //
+    },
     worker::{
         RunningRequest,
         Worker, //
     },
 };
 use crate::{
+    error::ErrorKind,
     event::Event,
     names::Name, //
 };
@@ -158,6 +162,7 @@
                 return false;
             };
             let last_event_id = self.splitter.last_id();
+            self.worker.context.metrics.resumed_streams.inc();
             info!(self.worker.context.log, "stream goes on at another target";
                 "event" => Event::StreamContinued,
                 "request_id" => self.incoming.id(),
@@ -191,11 +196,18 @@
 impl<P: Platform> Drop for Relay<P> {
     fn drop(&mut self) {
         let now_us = self.worker.now_us();
-        let event = if self.outcome == "complete" {
-            Event::RequestDone
-        } else {
-            Event::RequestFailed
+        let first_us = self.first_at_us.saturating_sub(self.incoming.arrived_at_us);
+        let total_us = now_us.saturating_sub(self.incoming.arrived_at_us);
+        let metrics = &self.worker.context.metrics;
+        let label = self.incoming.label();
+        let (event, kind) = match self.outcome {
+            "complete" => (Event::RequestDone, None),
+            _ => (Event::RequestFailed, Some(ErrorKind::StreamBroken)),
         };
+        metrics.count_answer(label, kind);
+        let histograms = metrics.organisation(label);
+        histograms.first_token.observe(seconds(first_us));
+        histograms.total.observe(seconds(total_us));
         info!(self.worker.context.log, "stream ended";
             "event" => event,
             "request_id" => self.incoming.id(),
@@ -206,7 +218,7 @@
             "outcome" => self.outcome,
             "bytes" => self.events_bytes,
             "last_event_id" => self.splitter.last_id(),
-            "first_us" => self.first_at_us.saturating_sub(self.incoming.arrived_at_us),
-            "total_us" => now_us.saturating_sub(self.incoming.arrived_at_us));
+            "first_us" => first_us,
+            "total_us" => total_us);
     }
 }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -29,7 +29,8 @@
         self,
         Answer,
         Failure,
-        Incoming, //
+        Incoming,
+        PUBLIC, //
     },
     events::Splitter,
     placement::Standing,
@@ -51,7 +52,10 @@
     },
 };
 use crate::{
-    clock::US_PER_MS,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     error::ErrorKind,
     event::Event,
     names::Name,
@@ -130,7 +134,8 @@
         let may_run_again = !has_run && !self.may_have_run() || route.may_repeat();
         let has_tries = self.count < MAX_TRIES && self.may_have_run < route.max_targets;
         let has_time = worker.now_us() + MIN_TRY_US < incoming.deadline_us;
-        if !is_first && !(may_run_again && has_tries && has_time) {
+        let may_try = is_first || may_run_again && has_tries && has_time;
+        if !may_try {
             return None;
         }
         let knowledge = worker.context.knowledge.load();
@@ -168,7 +173,7 @@
     let mut payload = request.take_payload();
     let head = P::read_request(request.headers());
     let id = head.id.clone();
-    let refuse = |kind: ErrorKind, retry_after_ms: Option<u64>| {
+    let refuse = |kind: ErrorKind, retry_after_ms: Option<u64>, label: &str| {
         let is_leaving = worker.context.is_leaving();
         info!(worker.context.log, "request refused";
             "event" => Event::RequestRefused,
@@ -176,26 +181,27 @@
             "kind" => kind.name(),
             "config_version" => knowledge.table.as_ref().map(|table| table.version),
             "retry_after_ms" => retry_after_ms);
+        worker.context.metrics.count_answer(label, Some(kind));
         reply::own(kind, retry_after_ms, is_leaving)
     };
     if worker.context.is_closed() {
         upload::discard(&mut payload).await;
-        return refuse(ErrorKind::Stopping, Some(STOPPING_RETRY_MS));
+        return refuse(ErrorKind::Stopping, Some(STOPPING_RETRY_MS), PUBLIC);
     }
     let Some(table) = knowledge.table.as_ref().filter(|_| knowledge.has_targets) else {
         upload::discard(&mut payload).await;
-        return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS));
+        return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS), PUBLIC);
     };
     let body = match read_body(&mut payload, table.limits.max_body_bytes).await {
         Ok(body) => body,
         Err(kind) => {
             upload::discard(&mut payload).await;
-            return refuse(kind, None);
+            return refuse(kind, None, PUBLIC);
         }
     };
     let (route, organisation) = match admit(table, &request, &head.key) {
         Ok(admitted) => admitted,
-        Err(kind) => return refuse(kind, None),
+        Err(kind) => return refuse(kind, None, PUBLIC),
     };
     let cost = cost(&head, organisation.as_deref());
     let incoming = incoming::<P>(
@@ -220,7 +226,7 @@
                 "rate_per_s" => organisation.rate_per_s,
                 "burst" => organisation.burst,
                 "retry_after_ms" => wait_ms);
-            return refuse(ErrorKind::RateLimited, Some(wait_ms));
+            return refuse(ErrorKind::RateLimited, Some(wait_ms), &organisation.name);
         }
     }
     forward(worker, incoming, cost, running).await
@@ -513,6 +519,11 @@
         if self.is_handed_over {
             return;
         }
+        let total_us = self.worker.now_us().saturating_sub(self.arrived_at_us);
+        let metrics = &self.worker.context.metrics;
+        let label = self.organisation.as_deref().unwrap_or(PUBLIC);
+        metrics.count_answer(label, self.kind);
+        metrics.organisation(label).total.observe(seconds(total_us));
         let outcome = match self.status {
             0 => "caller_left",
             200..400 => "complete",
@@ -533,6 +544,11 @@
             "outcome" => outcome,
             "status" => self.status,
             "kind" => self.kind.map(ErrorKind::name),
-            "total_us" => self.worker.now_us().saturating_sub(self.arrived_at_us));
+            "total_us" => total_us);
     }
 }
+
+/// Turns a time into the unit of the histograms.
+pub(super) fn seconds(time_us: u64) -> f64 {
+    time_us as f64 / US_PER_S as f64
+}
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -70,6 +70,7 @@
             BusyGuard,
             Connections, //
         },
+        metrics::Metrics,
     },
     request::retry::{
         RetryBudget,
@@ -134,6 +135,7 @@
     pub(super) clock: Clock,
     pub(super) log: Logger,
     pub(super) knowledge: ArcSwap<Knowledge>,
+    pub(super) metrics: Metrics,
     quotas: Mutex<Quotas>,
     engines: Mutex<HashMap<Name, HeardEngine>>,
     is_leaving: AtomicBool,
@@ -150,6 +152,7 @@
             clock: Clock::start(),
             log,
             knowledge: ArcSwap::default(),
+            metrics: Metrics::new(),
             quotas: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
@@ -449,10 +452,7 @@
                 && !is_avoided
                 && self.weights(record, &prompt.model) == Some(version)
         };
-        let mut sources = homes
-            .into_iter()
-            .map(|at| engines[at])
-            .filter(|record| is_source(&record));
+        let mut sources = homes.into_iter().map(|at| engines[at]).filter(is_source);
         let first = sources.next()?;
         let known = std::iter::once(first)
             .chain(sources)
@@ -535,7 +535,11 @@
 
     /// Takes a second try from the budget of a service.
     pub(super) fn take_retry(&self, service: &Name) -> bool {
-        self.with_budget(service, RetryBudget::try_retry)
+        let is_taken = self.with_budget(service, RetryBudget::try_retry);
+        if is_taken {
+            self.context.metrics.retries.inc();
+        }
+        is_taken
     }
 
     fn with_budget<T>(&self, service: &Name, f: impl FnOnce(&mut RetryBudget, u64) -> T) -> T {
