Weigh engines that are about to load instead of leaving them out

Ruled out: waiting for an engine at the entry; no request had to.

Change: an engine that is paused before the answer has probably ended costs 80 ms more instead of coming after all others.

--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -32,7 +32,8 @@
 /// Cost of the second home, so that the first one is preferred.
 const SECOND_HOME_MS: f64 = 15.0;
 
-/// Whether a target may get a request, best first.
+/// Whether a target may get a request, best first. The first two differ only in
+/// their cost.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Standing {
     /// It takes requests.
@@ -64,6 +65,10 @@
     pub is_outdated: bool,
 }
 
+/// Cost of a request that probably still runs when its target is paused, and so
+/// delays the load of weights, in milliseconds of waiting.
+const CLOSING_COST_MS: f64 = 80.0;
+
 /// Cost of a request that begins on older weights, in milliseconds of waiting.
 const OUTDATED_COST_MS: f64 = 60.0;
 
@@ -107,7 +112,14 @@
                 }
                 _ => plain_cost_ms(candidate),
             };
-            (candidate.standing, cost, at)
+            let closing_ms = match candidate.standing {
+                Standing::ClosingSoon => CLOSING_COST_MS,
+                _ => 0.0,
+            };
+            // A closing target is only dearer: when most engines are about to
+            // load, the few others would get all requests.
+            let class = candidate.standing.max(Standing::ClosingSoon);
+            (class, cost + closing_ms, at)
         })
         .collect();
     costs.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
