Let the last two runs of an engine go on under new weights

Cause: an engine that waited for its last long run stood idle for up to three seconds at each load, so three to five of twelve engines served.

Ruled out: long answers kept away from engines before their turn (entry before: they gather on the engines that are done).

Change: the order is given when at most two runs are left, which go on under the new weights.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -37,7 +37,8 @@
     },
     order::{
         Step,
-        next_step, //
+        next_step,
+        runs_mode, //
     },
     peers::{
         self,
@@ -336,6 +337,7 @@
         let order = WeightsOrder {
             model: wanted.weights.model.clone(),
             version: wanted.weights.version,
+            runs: runs_mode(report),
             holder: self.settings.name.clone(),
             fence: wanted.weights.fence,
             accepted_orders: report.accepted_orders,
@@ -361,6 +363,7 @@
             "model" => &*order.model,
             "version" => order.version,
             "fence" => order.fence,
+            "runs" => ?order.runs,
             "accepted_orders" => order.accepted_orders,
             "outcome" => outcome);
     }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -124,13 +124,24 @@
     pub waiting: u32,
 }
 
-/// Order to an engine to load other weights once its runs have ended.
+/// What becomes of the runs of an engine that loads other weights.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunsMode {
+    /// They end before the load.
+    Finish,
+    /// They go on under the new weights.
+    Continue,
+}
+
+/// Order to an engine to load other weights.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WeightsOrder {
     /// Model.
     pub model: Name,
     /// Version to load.
     pub version: u64,
+    /// What becomes of the runs.
+    pub runs: RunsMode,
     /// Instance that gives the order.
     pub holder: Name,
     /// Fencing token.
--- a/src/direct/order.rs
+++ b/src/direct/order.rs
@@ -2,7 +2,10 @@
 
 use super::{
     knowledge::Wanted,
-    message::EngineReport,
+    message::{
+        EngineReport,
+        RunsMode, //
+    },
     turns, //
 };
 use crate::{
@@ -13,7 +16,29 @@
 /// Longest time for which an engine takes no new work before the order. Entries
 /// have sent only what ends in time, so that most runs have ended by then; the
 /// order waits for the others.
-pub const DRAIN_US: u64 = 600 * US_PER_MS;
+pub const DRAIN_US: u64 = 1_500 * US_PER_MS;
+
+/// Runs that go on under the new weights at most. What they make after the load is
+/// worth nothing, but an engine that waits for its last runs stands idle.
+const MAX_CONTINUED: u32 = 2;
+
+/// Returns what becomes of the runs of an engine that gets an order now.
+///
+/// ```
+/// use yuccalatch::direct::{
+///     message::{EngineReport, RunsMode},
+///     order::runs_mode,
+/// };
+///
+/// let report = EngineReport { running: 9, ..EngineReport::default() };
+/// assert_eq!(runs_mode(&report), RunsMode::Finish);
+/// ```
+pub const fn runs_mode(report: &EngineReport) -> RunsMode {
+    match report.running {
+        1..=MAX_CONTINUED => RunsMode::Continue,
+        _ => RunsMode::Finish,
+    }
+}
 
 /// What an agent does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,7 +72,7 @@
 /// let mut report = EngineReport { weights: vec![("m".into(), 1)], ..EngineReport::default() };
 /// assert_eq!(next_step(&wanted, &report, &"e1".into(), 1_000), Step::Order);
 /// assert!(matches!(next_step(&wanted, &report, &"e2".into(), 1_000), Step::WaitUntil(_)));
-/// report.running = 1;
+/// report.running = 3;
 /// assert_eq!(next_step(&wanted, &report, &"e1".into(), 1_000), Step::Drain);
 /// ```
 pub fn next_step(wanted: &Wanted, report: &EngineReport, id: &Name, now_us: u64) -> Step {
@@ -65,7 +90,7 @@
     if now_us < turn_at_us {
         return Step::WaitUntil(turn_at_us);
     }
-    if report.running + report.waiting > 0 && now_us < turn_at_us + DRAIN_US {
+    if report.running + report.waiting > MAX_CONTINUED && now_us < turn_at_us + DRAIN_US {
         return Step::Drain;
     }
     Step::Order
