--- a/src/direct/order.rs
+++ b/src/direct/order.rs
@@ -16,11 +16,11 @@
 /// Longest time for which an engine takes no new work before the order. Entries
 /// have sent only what ends in time, so that most runs have ended by then; the
 /// order waits for the others.
-pub const DRAIN_US: u64 = 1_000 * US_PER_MS;
+pub const DRAIN_US: u64 = 300 * US_PER_MS;
 
 /// Runs that go on under the new weights at most. What they make after the load is
 /// worth nothing, but an engine that waits for its last runs stands idle.
-const MAX_CONTINUED: u32 = 6;
+const MAX_CONTINUED: u32 = 24;
 
 /// Returns what becomes of the runs of an engine that gets an order now.
 ///
