Keep each preamble at half of the engines

Ruled out: imports; the KV cache store has a part only after its first run.

Change: the homes of a subject are taken first from the half of the engines that keep its preamble.

--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -4,6 +4,8 @@
 //! the parts of a fraction of the subjects, with hot subjects, engines that
 //! load weights and engines that fail.
 
+use std::cmp::Reverse;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::message::{
@@ -29,6 +31,10 @@
 /// Targets that keep the parts of a subject.
 const HOMES: usize = 2;
 
+/// A preamble, which many subjects share, is kept at one target of this many, so
+/// that not every target has to compute it.
+const PREAMBLE_PART: usize = 2;
+
 /// Cost of the second home, so that the first one is preferred.
 const SECOND_HOME_MS: f64 = 15.0;
 
@@ -135,7 +141,7 @@
 }
 
 /// Returns the positions of all targets in the order in which they are homes of
-/// a prompt's last part.
+/// a prompt's last part: by its hash, first those that keep the first part.
 ///
 /// ```
 /// use yuccalatch::direct::{message::{Part, Prompt}, placement::by_weight};
@@ -152,16 +158,17 @@
     prompt: &Prompt,
     salt: u64,
 ) -> Vec<usize> {
-    let Some(subject) = prompt.parts.last() else {
+    let (Some(preamble), Some(subject)) = (prompt.parts.first(), prompt.parts.last()) else {
         return Vec::new();
     };
-    let seed = subject.id ^ salt;
-    let mut weighted: Vec<(u64, usize)> = ids
-        .enumerate()
-        .map(|(at, id)| (xxh3_64_with_seed(id.as_bytes(), seed), at))
-        .collect();
-    weighted.sort_unstable_by(|a, b| b.cmp(a));
-    weighted.into_iter().map(|(_, at)| at).collect()
+    let ids: Vec<&Name> = ids.collect();
+    let weight = |at: usize, part: u64| xxh3_64_with_seed(ids[at].as_bytes(), part ^ salt);
+    let mut order: Vec<usize> = (0..ids.len()).collect();
+    order.sort_unstable_by_key(|at| Reverse(weight(*at, preamble.id)));
+    let near = ids.len().div_ceil(PREAMBLE_PART);
+    order[..near].sort_unstable_by_key(|at| Reverse(weight(*at, subject.id)));
+    order[near..].sort_unstable_by_key(|at| Reverse(weight(*at, subject.id)));
+    order
 }
 
 fn engine_cost_ms(
