--- a/tests/shared_quotas.rs
+++ b/tests/shared_quotas.rs
@@ -60,7 +60,7 @@
             quotas.assume(now_us);
         }
         admitted.push(sum);
-        if now_us % exchange_us == 0 {
+        if now_us.is_multiple_of(exchange_us) {
             let used: Vec<_> = entries.iter().map(Quotas::used).collect();
             for (to, quotas) in entries.iter_mut().enumerate() {
                 for (from, used) in used.iter().enumerate() {
