Read JSON logs from standard output in tests, split worker.rs and serve.rs

Ruled out: load; the programs ran and had written their start lines.

Change: tests and scripts read standard output; checks are unchanged. The state that threads share and the tries of a request have files of their own.

--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -7,7 +7,7 @@
 
 start() { # program name: settings on standard input
     cat > "$work/$2.json"
-    "$bin/$1" --settings "$work/$2.json" 2> "$work/$2.log" &
+    "$bin/$1" --settings "$work/$2.json" > "$work/$2.log" 2>&1 &
     pids+=($!)
 }
 
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -36,7 +36,7 @@
     local program=$1 name=$2
     cat > "$work/$name.json"
     "$profile_dir/$program" --settings "$work/$name.json" --check-settings > /dev/null
-    "$profile_dir/$program" --settings "$work/$name.json" 2> "$work/$name.log" &
+    "$profile_dir/$program" --settings "$work/$name.json" > "$work/$name.log" 2>&1 &
     pids+=($!)
     printf '   %-12s pid %s\n' "$name" "$!"
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 mod attempt;
+mod context;
 pub mod entry;
 pub mod events;
 mod follow;
@@ -25,5 +26,6 @@
 pub mod routing;
 mod serve;
 pub mod target;
+mod tries;
 pub mod turns;
 mod worker;
--- /dev/null
+++ b/src/direct/context.rs
@@ -0,0 +1,157 @@
+//! State that the threads of an entry share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+};
+
+use arc_swap::ArcSwap;
+use slog::Logger;
+
+use super::{
+    knowledge::Knowledge,
+    peers::EngineState,
+    quota::Quotas,
+    routing::RoutingTable, //
+};
+use crate::{
+    clock::{
+        Clock,
+        US_PER_MS, //
+    },
+    names::{
+        Incarnation,
+        Name, //
+    },
+    process::metrics::Metrics,
+    settings::DirectEntrySettings, //
+};
+
+/// Engines whose state is kept; states of engines that have left are removed
+/// above it.
+const MAX_ENGINES: usize = 8_192;
+
+/// Time for which the word of an agent holds. An agent repeats it more often
+/// while its engine changes weights.
+const HEARD_US: u64 = 1_500 * US_PER_MS;
+
+/// State of an engine as its agent has told it.
+pub(super) struct HeardEngine {
+    pub(super) state: EngineState,
+    /// When the engine is paused, if that is planned.
+    pause_at_us: Option<u64>,
+    pub(super) until_us: u64,
+}
+
+impl HeardEngine {
+    /// Returns whether a request would still run when the engine is paused.
+    pub(super) fn is_paused_before(&self, end_us: u64) -> bool {
+        self.pause_at_us.is_some_and(|at_us| at_us < end_us)
+    }
+}
+
+/// What the threads of an entry share.
+pub(super) struct Context {
+    pub(super) settings: DirectEntrySettings,
+    pub(super) incarnation: Incarnation,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) knowledge: ArcSwap<Knowledge>,
+    pub(super) metrics: Metrics,
+    quotas: Mutex<Quotas>,
+    engines: Mutex<HashMap<Name, HeardEngine>>,
+    is_leaving: AtomicBool,
+    is_closed: AtomicBool,
+    is_kv_store_down: AtomicBool,
+    pub(super) running: AtomicUsize,
+}
+
+impl Context {
+    pub(super) fn new(settings: DirectEntrySettings, log: Logger) -> Self {
+        Self {
+            settings,
+            incarnation: Incarnation::random(),
+            clock: Clock::start(),
+            log,
+            knowledge: ArcSwap::default(),
+            metrics: Metrics::new(),
+            quotas: Mutex::default(),
+            engines: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
+            is_kv_store_down: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+        }
+    }
+
+    /// Locks the quotas. A panic of another thread ends the process, so a
+    /// poisoned lock is still consistent.
+    pub(super) fn quotas(&self) -> MutexGuard<'_, Quotas> {
+        self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the rates of a configuration.
+    pub(super) fn configure_quotas(&self, table: &RoutingTable, now_us: u64) {
+        let tolerance_tokens = self.settings.quota_tolerance_tokens;
+        let organisations = table.organisations();
+        self.quotas()
+            .configure(organisations, tolerance_tokens, now_us);
+    }
+
+    pub(super) fn engines(&self) -> MutexGuard<'_, HashMap<Name, HeardEngine>> {
+        self.engines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes what an agent tells about its engine.
+    pub(super) fn note_engine(&self, state: EngineState) {
+        let now_us = self.clock.now_us();
+        let heard = HeardEngine {
+            pause_at_us: state.pause_in_us.map(|in_us| now_us + in_us),
+            until_us: now_us + HEARD_US,
+            state,
+        };
+        let mut engines = self.engines();
+        engines.insert(heard.state.target.clone(), heard);
+        if engines.len() > MAX_ENGINES {
+            let now_us = self.clock.now_us();
+            engines.retain(|_, heard| now_us < heard.until_us);
+        }
+    }
+
+    pub(super) fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes no further requests.
+    pub(super) fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the KV cache store answers. Returns whether that is new.
+    pub(super) fn note_kv_store(&self, is_down: bool) -> bool {
+        self.is_kv_store_down.swap(is_down, Ordering::Relaxed) != is_down
+    }
+
+    pub(super) fn is_kv_store_down(&self) -> bool {
+        self.is_kv_store_down.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+}
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -37,6 +37,7 @@
 };
 
 use super::{
+    context::Context,
     follow::{
         News,
         StoreHealth,
@@ -55,10 +56,7 @@
         Topic, //
     },
     serve,
-    worker::{
-        Context,
-        Worker, //
-    },
+    worker::Worker,
 };
 use crate::{
     clock::{
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -23,10 +23,8 @@
     events::Splitter,
     port::Platform,
     reply,
-    serve::{
-        Tries,
-        seconds, //
-    },
+    serve::seconds,
+    tries::Tries,
     worker::{
         RunningRequest,
         Worker, //
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -14,26 +14,24 @@
     num::NonZeroUsize,
     rc::Rc,
     sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{
-            AtomicBool,
-            AtomicUsize,
-            Ordering, //
-        },
+        Arc,
+        atomic::Ordering, //
     },
 };
 
-use arc_swap::ArcSwap;
 use lru::LruCache;
 use ntex::{
     client::Client,
     io::IoRef,
     time::Millis, //
 };
-use slog::Logger;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
+    context::{
+        Context,
+        HeardEngine, //
+    },
     knowledge::Knowledge,
     message::{
         AnswerHead,
@@ -41,36 +39,26 @@
         Prompt, //
     },
     outlier::Outlier,
-    peers::EngineState,
     placement::{
         self,
         Candidate,
         Standing, //
     },
-    quota::Quotas,
-    routing::RoutingTable,
     target::{
         TargetRecord,
         TargetState, //
     },
 };
 use crate::{
-    clock::{
-        Clock,
-        US_PER_MS, //
-    },
+    clock::US_PER_MS,
     error::Result,
-    names::{
-        Incarnation,
-        Name, //
-    },
+    names::Name,
     process::{
         client,
         connections::{
             BusyGuard,
             Connections, //
         },
-        metrics::Metrics,
     },
     request::retry::{
         RetryBudget,
@@ -90,28 +78,9 @@
 /// Age from which a reported load says nothing.
 const LOAD_AGE_US: u64 = 500 * US_PER_MS;
 
-/// Engines whose state is kept; states of engines that have left are removed
-/// above it.
-const MAX_ENGINES: usize = 8_192;
-
 /// Parts that are remembered as cached at their targets, about 50 bytes each.
 const WARM_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
-/// State of an engine as its agent has told it.
-struct HeardEngine {
-    state: EngineState,
-    /// When the engine is paused, if that is planned.
-    pause_at_us: Option<u64>,
-    until_us: u64,
-}
-
-impl HeardEngine {
-    /// Returns whether a request would still run when the engine is paused.
-    fn is_paused_before(&self, end_us: u64) -> bool {
-        self.pause_at_us.is_some_and(|at_us| at_us < end_us)
-    }
-}
-
 /// Time in which an engine makes a token while others run there, between the
 /// 4.4 ms of an idle engine and the 20 ms of one that reads prompts.
 const TOKEN_US: u64 = 8 * US_PER_MS;
@@ -124,113 +93,6 @@
     now_us + FIRST_TOKEN_US + prompt.expected_output_tokens * TOKEN_US
 }
 
-/// Time for which the word of an agent holds. An agent repeats it more often
-/// while its engine changes weights.
-const HEARD_US: u64 = 1_500 * US_PER_MS;
-
-/// What the threads of an entry share.
-pub(super) struct Context {
-    pub(super) settings: DirectEntrySettings,
-    pub(super) incarnation: Incarnation,
-    pub(super) clock: Clock,
-    pub(super) log: Logger,
-    pub(super) knowledge: ArcSwap<Knowledge>,
-    pub(super) metrics: Metrics,
-    quotas: Mutex<Quotas>,
-    engines: Mutex<HashMap<Name, HeardEngine>>,
-    is_leaving: AtomicBool,
-    is_closed: AtomicBool,
-    is_kv_store_down: AtomicBool,
-    running: AtomicUsize,
-}
-
-impl Context {
-    pub(super) fn new(settings: DirectEntrySettings, log: Logger) -> Self {
-        Self {
-            settings,
-            incarnation: Incarnation::random(),
-            clock: Clock::start(),
-            log,
-            knowledge: ArcSwap::default(),
-            metrics: Metrics::new(),
-            quotas: Mutex::default(),
-            engines: Mutex::default(),
-            is_leaving: AtomicBool::new(false),
-            is_closed: AtomicBool::new(false),
-            is_kv_store_down: AtomicBool::new(false),
-            running: AtomicUsize::new(0),
-        }
-    }
-
-    /// Locks the quotas. A panic of another thread ends the process, so a
-    /// poisoned lock is still consistent.
-    pub(super) fn quotas(&self) -> MutexGuard<'_, Quotas> {
-        self.quotas
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-
-    /// Takes the rates of a configuration.
-    pub(super) fn configure_quotas(&self, table: &RoutingTable, now_us: u64) {
-        let tolerance_tokens = self.settings.quota_tolerance_tokens;
-        let organisations = table.organisations();
-        self.quotas()
-            .configure(organisations, tolerance_tokens, now_us);
-    }
-
-    fn engines(&self) -> MutexGuard<'_, HashMap<Name, HeardEngine>> {
-        self.engines
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-
-    /// Takes what an agent tells about its engine.
-    pub(super) fn note_engine(&self, state: EngineState) {
-        let now_us = self.clock.now_us();
-        let heard = HeardEngine {
-            pause_at_us: state.pause_in_us.map(|in_us| now_us + in_us),
-            until_us: now_us + HEARD_US,
-            state,
-        };
-        let mut engines = self.engines();
-        engines.insert(heard.state.target.clone(), heard);
-        if engines.len() > MAX_ENGINES {
-            let now_us = self.clock.now_us();
-            engines.retain(|_, heard| now_us < heard.until_us);
-        }
-    }
-
-    pub(super) fn leave(&self) {
-        self.is_leaving.store(true, Ordering::Relaxed);
-    }
-
-    /// Takes no further requests.
-    pub(super) fn close(&self) {
-        self.is_closed.store(true, Ordering::Relaxed);
-    }
-
-    pub(super) fn is_closed(&self) -> bool {
-        self.is_closed.load(Ordering::Relaxed)
-    }
-
-    /// Notes whether the KV cache store answers. Returns whether that is new.
-    pub(super) fn note_kv_store(&self, is_down: bool) -> bool {
-        self.is_kv_store_down.swap(is_down, Ordering::Relaxed) != is_down
-    }
-
-    pub(super) fn is_kv_store_down(&self) -> bool {
-        self.is_kv_store_down.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn running(&self) -> usize {
-        self.running.load(Ordering::Relaxed)
-    }
-}
-
 /// Counts a request as running, and its connection as busy, until it is dropped.
 pub(super) struct RunningRequest {
     context: Arc<Context>,
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -55,12 +55,12 @@
         let mut child = Command::new(program)
             .arg("--settings")
             .arg(&path)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
         let log = Arc::new(Mutex::new(Vec::new()));
         let (sender, receiver) = mpsc::channel();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let copy = Arc::clone(&log);
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
