--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -274,8 +274,15 @@
         worker.observe_break(&target.id);
         return Err(Failure::Broken);
     }
-    worker.observe(&target.id, &head, !status.is_server_error());
     let headers = response.headers().clone();
+    // The HTTP client can not tell a regular end of such a body from a reset.
+    let is_framed =
+        headers.contains_key("content-length") || headers.contains_key("transfer-encoding");
+    if !is_framed && status != StatusCode::NO_CONTENT {
+        worker.observe_break(&target.id);
+        return Err(Failure::Broken);
+    }
+    worker.observe(&target.id, &head, !status.is_server_error());
     Ok(Answer {
         status,
         headers,
@@ -295,9 +302,6 @@
         match self.payload.next().await {
             None => Ok(None),
             Some(Ok(part)) => Ok(Some(part)),
-            // Also the end of a body without a length: the HTTP client drops bytes
-            // that arrive together with the end, so such a body may lack its last
-            // ones.
             Some(Err(_)) => Err(Failure::Broken),
         }
     }
