--- a/src/direct/order.rs
+++ b/src/direct/order.rs
@@ -30,7 +30,7 @@
 ///     order::runs_mode,
 /// };
 ///
-/// let report = EngineReport { running: 9, ..EngineReport::default() };
+/// let report = EngineReport { running: 30, ..EngineReport::default() };
 /// assert_eq!(runs_mode(&report), RunsMode::Finish);
 /// ```
 pub const fn runs_mode(report: &EngineReport) -> RunsMode {
@@ -72,7 +72,7 @@
 /// let mut report = EngineReport { weights: vec![("m".into(), 1)], ..EngineReport::default() };
 /// assert_eq!(next_step(&wanted, &report, &"e1".into(), 1_000), Step::Order);
 /// assert!(matches!(next_step(&wanted, &report, &"e2".into(), 1_000), Step::WaitUntil(_)));
-/// report.running = 3;
+/// report.running = 30;
 /// assert_eq!(next_step(&wanted, &report, &"e1".into(), 1_000), Step::Drain);
 /// ```
 pub fn next_step(wanted: &Wanted, report: &EngineReport, id: &Name, now_us: u64) -> Step {
