Accept fractions of bounds in the settings of an entry

A fraction in retry-window-s would have been worse: the template appended three zeros to it.

spare_retries drops a fraction; the window is now written in seconds (retry_window_s). The test fails without the adapters.

--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -6,17 +6,21 @@
     Deserialize,
     Serialize, //
 };
+use serde_with::serde_as;
 
 use super::{
     Finding, Settings,
     shared::{
         Checker,
-        LogSettings, //
+        Floor,
+        LogSettings,
+        Seconds, //
     },
 };
 use crate::names::Name;
 
 /// Settings of an entry that sends requests to the targets without agents between.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DirectEntrySettings {
@@ -45,9 +49,12 @@
     /// Retries allowed for each thousand requests of a service.
     pub retries_per_thousand: u32,
     /// Retries of a service that the whole fleet may make in a retry window in
-    /// addition to `retries_per_thousand`.
+    /// addition to `retries_per_thousand`. A fraction is dropped.
+    #[serde_as(as = "Floor")]
     pub spare_retries: u32,
-    /// Length of the window in which `spare_retries` are allowed.
+    /// Length of the window in which `spare_retries` are allowed, written in seconds.
+    #[serde(rename = "retry_window_s")]
+    #[serde_as(as = "Seconds")]
     pub retry_window_ms: u64,
     /// Tokens by which an organisation may exceed its burst before it is refused.
     pub quota_tolerance_tokens: u64,
@@ -86,8 +93,8 @@
   // Retries of a service that the whole fleet may make in a retry window in
   // addition to "retries_per_thousand".
   "spare_retries": 50,
-  // Length of the window in which "spare_retries" are allowed, in milliseconds.
-  "retry_window_ms": 10000,
+  // Length of the window in which "spare_retries" are allowed, in seconds.
+  "retry_window_s": 10,
   // Tokens by which an organisation may exceed its burst before it is refused.
   "quota_tolerance_tokens": 0,
   // Time after new weights were requested in which requests may still start on
@@ -109,7 +116,7 @@
         addresses.extend(self.metrics_address.map(|each| ("metrics_address", each)));
         checker.instance(&self.name, &self.data_centre, &addresses);
         checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
-        checker.duration_ms(&["retry_window_ms"], self.retry_window_ms, 100);
+        checker.duration_ms(&["retry_window_s"], self.retry_window_ms, 100);
         checker.duration_ms(&["old_weights_ms"], self.old_weights_ms, 0);
         checker.range(
             &["retries_per_thousand"],
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -4,7 +4,14 @@
 
 use serde::{
     Deserialize,
-    Serialize, //
+    Deserializer,
+    Serialize,
+    Serializer,
+    de::Error, //
+};
+use serde_with::{
+    DeserializeAs,
+    SerializeAs, //
 };
 
 use super::Finding;
@@ -18,6 +25,51 @@
 /// A drain longer than an hour points to a wrong unit.
 const MAX_DURATION_MS: u64 = 3_600_000;
 
+/// Whole number that may be written with a fraction, which is dropped. Bounds that a
+/// platform divides among instances have fractions.
+pub(super) struct Floor;
+
+impl SerializeAs<u32> for Floor {
+    fn serialize_as<S: Serializer>(value: &u32, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u32(*value)
+    }
+}
+
+impl<'de> DeserializeAs<'de, u32> for Floor {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+        let value = f64::deserialize(deserializer)?;
+        if (0.0..=f64::from(u32::MAX)).contains(&value) {
+            return Ok(value as u32);
+        }
+        Err(D::Error::custom(format!(
+            "{value} is not in the range from 0 to {} (hint: write a number in that range)",
+            u32::MAX
+        )))
+    }
+}
+
+/// Milliseconds that are written as seconds, with or without a fraction. Parts of a
+/// millisecond count as a whole one.
+pub(super) struct Seconds;
+
+impl SerializeAs<u64> for Seconds {
+    fn serialize_as<S: Serializer>(value_ms: &u64, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(*value_ms as f64 / 1e3)
+    }
+}
+
+impl<'de> DeserializeAs<'de, u64> for Seconds {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+        let value_s = f64::deserialize(deserializer)?;
+        if (0.0..=MAX_DURATION_MS as f64).contains(&value_s) {
+            return Ok((value_s * 1e3).ceil() as u64);
+        }
+        Err(D::Error::custom(format!(
+            "{value_s} is not a number of seconds (hint: write a number from 0 to {MAX_DURATION_MS})"
+        )))
+    }
+}
+
 /// Default of `drain_ms` of entry and agent.
 pub(super) const fn default_drain_ms() -> u64 {
     30_000
--- a/tests/settings_files.rs
+++ b/tests/settings_files.rs
@@ -6,6 +6,7 @@
     error::ErrorKind,
     settings::{
         AgentSettings,
+        DirectEntrySettings,
         EngineSettings,
         EntrySettings,
         LogSettings,
@@ -154,3 +155,20 @@
     let invalid = read::<EntrySettings>(Path::new("Cargo.toml")).unwrap_err();
     assert_eq!(*invalid.current_context(), ErrorKind::SettingsInvalid);
 }
+
+/// Bounds that a platform divides among instances have fractions.
+#[test]
+fn fractions_of_bounds_are_accepted() {
+    let text = default_text::<DirectEntrySettings>()
+        .replace(
+            "\"spare_retries\": 50",
+            "\"spare_retries\": 38.2608695652174",
+        )
+        .replace("\"retry_window_s\": 10", "\"retry_window_s\": 10.5");
+    let settings: DirectEntrySettings = parse("s.json", &text).unwrap();
+    assert_eq!(settings.spare_retries, 38);
+    assert_eq!(settings.retry_window_ms, 10_500);
+
+    let text = text.replace("38.2608695652174", "-1");
+    assert!(problem::<DirectEntrySettings>(&text).contains("write a number in that range"));
+}
