Name the KV cache store of a prompt by its subject

Cause: with several stores (two or three on the grown and large sites) an entry took the first one of a hash map, whose order differs from process to process.

All entries now name the same store for a subject, and each store is checked on its own. Ruled out: a single choice by address, which would leave all others unused.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -31,6 +31,7 @@
         CallRequest, //
     },
     choice::TargetChoice,
+    kv_store::select_store,
     message::{
         Prompt,
         RequestHead,
@@ -75,7 +76,7 @@
     pub(super) route: std::sync::Arc<Route>,
     pub(super) service: Name,
     pub(super) organisation: Option<std::sync::Arc<Organisation>>,
-    pub(super) kv_store: Option<SocketAddr>,
+    pub(super) kv_stores: std::sync::Arc<[SocketAddr]>,
     pub(super) arrived_at_us: u64,
     pub(super) deadline_us: u64,
 }
@@ -201,9 +202,12 @@
         _ => Vec::new(),
     };
     worker.record_sent_parts(&target.id, &keys, false);
-    let kv_store = incoming
-        .kv_store
-        .filter(|_| choice.weights.is_some() && !worker.context.is_kv_store_down());
+    let kv_store = prompt
+        .filter(|_| choice.weights.is_some())
+        .and_then(|prompt| {
+            let down = worker.context.down_kv_stores();
+            select_store(&incoming.kv_stores, &down, prompt)
+        });
     let import_from = choice.import_from.or(kv_store);
     let has_uncached_tokens = prompt.is_some_and(|prompt| choice.uncached_tokens(prompt) > 0);
     let system_fields = SystemFields {
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
@@ -79,7 +80,8 @@
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
-    is_kv_store_down: AtomicBool,
+    /// Addresses of the KV cache stores that accept no connections.
+    down_kv_stores: ArcSwap<Vec<SocketAddr>>,
     is_watching: AtomicBool,
     /// Requests that have not been answered in full.
     pub(super) running: AtomicUsize,
@@ -98,7 +100,7 @@
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
-            is_kv_store_down: AtomicBool::new(false),
+            down_kv_stores: ArcSwap::default(),
             is_watching: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         }
@@ -167,9 +169,11 @@
         self.is_closed.load(Ordering::Relaxed)
     }
 
-    /// Records whether the KV cache store is down. Returns whether that has changed.
-    pub(super) fn set_kv_store_down(&self, is_down: bool) -> bool {
-        self.is_kv_store_down.swap(is_down, Ordering::Relaxed) != is_down
+    /// Records which KV cache stores accept no connections. Returns whether that has
+    /// changed.
+    pub(super) fn set_down_kv_stores(&self, down: Vec<SocketAddr>) -> bool {
+        let down = Arc::new(down);
+        self.down_kv_stores.swap(Arc::clone(&down)) != down
     }
 
     /// Records whether this entry watches the object store and gets answers.
@@ -181,8 +185,8 @@
         self.is_watching.load(Ordering::Relaxed)
     }
 
-    pub(super) fn is_kv_store_down(&self) -> bool {
-        self.is_kv_store_down.load(Ordering::Relaxed)
+    pub(super) fn down_kv_stores(&self) -> Arc<Vec<SocketAddr>> {
+        self.down_kv_stores.load_full()
     }
 
     pub(super) fn is_leaving(&self) -> bool {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -22,7 +22,10 @@
     time::Duration, //
 };
 
-use futures_util::StreamExt;
+use futures_util::{
+    StreamExt,
+    future::join_all, //
+};
 use ntex::{
     SharedCfg,
     http::{
@@ -114,7 +117,7 @@
 /// away.
 const KV_STORE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Pause between checks of the KV cache store.
+/// Pause between checks of a single KV cache store.
 const KV_STORE_CHECK_PAUSE: Duration = Duration::from_millis(750);
 
 /// Interval between checks of this entry's registration.
@@ -316,32 +319,34 @@
         self.publish(before, "store");
     }
 
-    /// Checks periodically whether the KV cache store accepts connections. A store
+    /// Checks periodically whether the KV cache stores accept connections. A store
     /// that is down delays each request that refers to it.
     async fn watch_kv_store(self: Rc<Self>) {
         loop {
-            let store = {
+            let stores: Arc<[SocketAddr]> = {
                 let platform_state = self.platform_state.borrow();
-                platform_state
-                    .table
-                    .as_ref()
-                    .and_then(|table| table.kv_store_address())
-            };
-            let Some(store) = store else {
-                tokio::time::sleep(KV_STORE_CHECK_PAUSE).await;
-                continue;
-            };
-            let result = match timeout(KV_STORE_TIMEOUT, TcpStream::connect(store)).await {
-                Ok(connected) => connected.map(drop),
-                Err(_) => Err(io::ErrorKind::TimedOut.into()),
+                let table = platform_state.table.as_ref();
+                table.map_or_else(Arc::default, |table| Arc::clone(table.kv_stores()))
             };
-            if self.context.set_kv_store_down(result.is_err()) {
-                info!(self.context.log, "the KV cache store went down or came back";
+            let checks = stores.iter().map(async |store| {
+                let connected = match timeout(KV_STORE_TIMEOUT, TcpStream::connect(store)).await {
+                    Ok(connected) => connected.map(drop),
+                    Err(_) => Err(io::ErrorKind::TimedOut.into()),
+                };
+                connected.err().map(|error| (*store, error))
+            });
+            let failures: Vec<(SocketAddr, io::Error)> =
+                join_all(checks).await.into_iter().flatten().collect();
+            let down = failures.iter().map(|(store, _)| *store).collect();
+            if self.context.set_down_kv_stores(down) {
+                info!(self.context.log, "a KV cache store went down or came back";
                     "event" => Event::KvStoreFailed,
-                    "is_down" => result.is_err(),
-                    "error" => result.as_ref().err().map(ToString::to_string));
+                    "is_down" => !failures.is_empty(),
+                    "failures" => ?failures);
             }
-            tokio::time::sleep(KV_STORE_CHECK_PAUSE).await;
+            // Connections are charged, so more stores are checked less often.
+            let checked = u32::try_from(stores.len().max(1)).unwrap_or(u32::MAX);
+            tokio::time::sleep(KV_STORE_CHECK_PAUSE.saturating_mul(checked)).await;
         }
     }
 
--- /dev/null
+++ b/src/direct/kv_store.rs
@@ -0,0 +1,40 @@
+//! Selects the KV cache store that keeps the parts of a prompt.
+//!
+//! Designed for several stores and many entries that exchange no messages about
+//! them: all entries name the same store for a subject, so that parts which one entry
+//! exports are found by the others, and every store keeps other subjects.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::message::Prompt;
+
+/// Returns the store of a prompt's subject among those that are up, by rendezvous
+/// hashing; `None` when there is no store, or the prompt has no shared parts.
+///
+/// ```
+/// use yuccalatch::direct::{
+///     kv_store::select_store,
+///     message::{Prompt, PromptPart},
+/// };
+///
+/// let prompt = Prompt {
+///     model: "m".into(), input_tokens: 9, max_output_tokens: 1, expected_output_tokens: 1,
+///     parts: vec![PromptPart { id: 7, tokens: 8 }],
+/// };
+/// let stores = ["10.0.0.1:80".parse().unwrap(), "10.0.0.2:80".parse().unwrap()];
+/// let first = select_store(&stores, &[], &prompt).unwrap();
+/// assert_ne!(select_store(&stores, &[first], &prompt), Some(first));
+/// assert_eq!(select_store(&stores, &stores, &prompt), None);
+/// ```
+pub fn select_store(
+    stores: &[SocketAddr],
+    down: &[SocketAddr],
+    prompt: &Prompt,
+) -> Option<SocketAddr> {
+    let subject = prompt.parts.last()?;
+    let weight = |store: &SocketAddr| xxh3_64_with_seed(store.to_string().as_bytes(), subject.id);
+    let up = stores.iter().filter(|store| !down.contains(store));
+    up.max_by_key(|store| weight(store)).copied()
+}
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -1,7 +1,10 @@
 //! Configuration of routes, services and organisations, and lookups in it.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     net::SocketAddr,
     sync::Arc, //
 };
@@ -134,6 +137,7 @@
     /// Routes by host, those with the longest prefix first.
     routes_by_host: HashMap<Name, Vec<Arc<Route>>>,
     services: HashMap<Name, Service>,
+    kv_stores: Arc<[SocketAddr]>,
     organisations: Vec<Arc<Organisation>>,
     organisations_by_key: HashMap<Name, Arc<Organisation>>,
 }
@@ -175,6 +179,11 @@
                 keys.map(|key| (key.clone(), Arc::clone(organisation)))
             })
             .collect();
+        let kv_stores: BTreeSet<SocketAddr> = configuration
+            .services
+            .iter()
+            .filter_map(|service| service.kv_store_address)
+            .collect();
         let services = configuration
             .services
             .iter()
@@ -185,6 +194,7 @@
             limits: configuration.limits,
             routes_by_host,
             services,
+            kv_stores: kv_stores.into_iter().collect(),
             organisations,
             organisations_by_key,
         }
@@ -219,11 +229,9 @@
         self.services.get(name)
     }
 
-    /// Returns the address of the KV cache store, `None` when none is configured.
-    pub fn kv_store_address(&self) -> Option<SocketAddr> {
-        self.services
-            .values()
-            .find_map(|service| service.kv_store_address)
+    /// Returns the addresses of the KV cache stores, in ascending order.
+    pub const fn kv_stores(&self) -> &Arc<[SocketAddr]> {
+        &self.kv_stores
     }
 
     /// Returns all organisations, in the order of the configuration.
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -235,7 +235,7 @@
         headers,
         body,
         service,
-        kv_store: table.kv_store_address(),
+        kv_stores: Arc::clone(table.kv_stores()),
         route,
         organisation,
         arrived_at_us,
--- /dev/null
+++ b/tests/kv_stores.rs
@@ -0,0 +1,88 @@
+//! Tests which KV cache store entries name when there are several.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr, //
+};
+
+use yuccalatch::direct::{
+    kv_store::select_store,
+    message::{
+        Prompt,
+        PromptPart, //
+    },
+    routing::{
+        CallerLimits,
+        Configuration,
+        RoutingTable,
+        Service, //
+    },
+};
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([172, 20, 0, number], 8_342))
+}
+
+fn table_with_stores(numbers: &[u8]) -> RoutingTable {
+    let service = |number: &u8| Service {
+        name: format!("store-{number}").into(),
+        engine: None,
+        kv_store_address: Some(address(*number)),
+    };
+    RoutingTable::new(&Configuration {
+        version: 1,
+        routes: vec![],
+        services: numbers.iter().map(service).collect(),
+        organisations: vec![],
+        limits: CallerLimits {
+            max_body_bytes: 1,
+            idle_timeout_ms: 1,
+        },
+    })
+}
+
+fn prompt(subject: u64) -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    Prompt {
+        model: "m".into(),
+        input_tokens: 9_000,
+        max_output_tokens: 10,
+        expected_output_tokens: 10,
+        parts: vec![part(1, 2_500), part(subject, 3_800)],
+    }
+}
+
+/// Parts that one entry exports are lost to the others if they name another store.
+/// Each table has its own hash seed, as each entry has.
+#[test]
+fn all_entries_name_the_same_store_for_a_subject() {
+    let tables: Vec<_> = (0..16).map(|_| table_with_stores(&[2, 4, 6])).collect();
+    for subject in 0..50 {
+        let store = |table: &RoutingTable| select_store(table.kv_stores(), &[], &prompt(subject));
+        let first = store(&tables[0]).unwrap();
+        assert!(tables.iter().all(|table| store(table) == Some(first)));
+    }
+}
+
+#[test]
+fn subjects_spread_over_all_stores() {
+    let table = table_with_stores(&[2, 4, 6]);
+    let mut counts: HashMap<SocketAddr, u32> = HashMap::new();
+    for subject in 0..300 {
+        let store = select_store(table.kv_stores(), &[], &prompt(subject)).unwrap();
+        *counts.entry(store).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 3);
+    assert!(counts.values().all(|count| *count >= 60), "{counts:?}");
+}
+
+#[test]
+fn a_store_that_is_down_moves_only_its_own_subjects() {
+    let stores = [address(2), address(4), address(6)];
+    for subject in 0..100 {
+        let before = select_store(&stores, &[], &prompt(subject));
+        let after = select_store(&stores, &[address(4)], &prompt(subject));
+        assert_ne!(after, Some(address(4)));
+        assert!(before == after || before == Some(address(4)));
+    }
+}
