--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -282,29 +282,28 @@
     fn with_budget<T>(&self, service: &Name, f: impl FnOnce(&mut RetryBudget, u64) -> T) -> T {
         let now_us = self.now_us();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let platform_state = self.context.platform_state.load();
-            let entries = u64::try_from(platform_state.entries.len()).unwrap_or(MIN_ENTRIES);
-            RetryBudget::new(
-                retry_rate(&self.context.settings.get(), entries.max(MIN_ENTRIES)),
-                now_us,
-            )
-        });
+        let entries = self.context.platform_state.load().entries.len();
+        let rate = retry_rate(&self.context.settings.get(), entries);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(rate, now_us));
+        // The fleet may have grown and the settings may have changed.
+        budget.set_rate(rate);
         f(budget, now_us)
     }
 }
 
 /// Returns the share of all entries' retry budget that one entry may use.
-fn retry_rate(settings: &DirectEntrySettings, entries: u64) -> RetryRate {
-    let spare = u64::from(settings.spare_retries) / entries;
+fn retry_rate(settings: &DirectEntrySettings, entries: usize) -> RetryRate {
+    let entries = u64::try_from(entries).unwrap_or(u64::MAX).max(MIN_ENTRIES);
     // Half of the spare retries are available as a burst, and the other half is
     // refilled over the window, so that no window allows more than all of them.
-    let window_s = (settings.retry_window_ms / 1_000).max(1);
-    let burst = u32::try_from(spare / 2).unwrap_or(u32::MAX).max(1);
-    let floor_per_s = u32::try_from(spare / 2 / window_s).unwrap_or(u32::MAX);
+    let half = u64::from(settings.spare_retries) / 2;
+    let burst = u32::try_from(half / entries).unwrap_or(u32::MAX).max(1);
+    let floor_milli_per_s = half * 1_000_000 / settings.retry_window_ms.max(1) / entries;
     RetryRate {
         per_thousand: settings.retries_per_thousand,
-        floor_per_s,
+        floor_milli_per_s: u32::try_from(floor_milli_per_s).unwrap_or(u32::MAX),
         burst,
     }
 }
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -178,9 +178,9 @@
 pub struct RetryRate {
     /// Retries allowed per thousand first attempts.
     pub per_thousand: u32,
-    /// Retries allowed per second in addition, so that an entry with little traffic
-    /// can still retry.
-    pub floor_per_s: u32,
+    /// Thousandths of a retry that are allowed per second in addition, so that an entry
+    /// with little traffic can still retry.
+    pub floor_milli_per_s: u32,
     /// Most retries that can accumulate for use at once.
     pub burst: u32,
 }
@@ -191,7 +191,7 @@
     fn default() -> Self {
         Self {
             per_thousand: 100,
-            floor_per_s: 1,
+            floor_milli_per_s: 1_000,
             burst: 10,
         }
     }
@@ -215,7 +215,7 @@
     /// ```
     /// use yuccalatch::request::retry::{RetryBudget, RetryRate};
     ///
-    /// let rate = RetryRate { per_thousand: 500, floor_per_s: 0, burst: 1 };
+    /// let rate = RetryRate { per_thousand: 500, floor_milli_per_s: 0, burst: 1 };
     /// let mut budget = RetryBudget::new(rate, 0);
     /// assert!(budget.try_retry(0));
     /// assert!(!budget.try_retry(0));
@@ -231,6 +231,23 @@
         }
     }
 
+    /// Applies another rate, for example after the number of entries has changed. What
+    /// has accumulated is kept up to the new burst.
+    ///
+    /// ```
+    /// use yuccalatch::request::retry::{RetryBudget, RetryRate};
+    ///
+    /// let rate = RetryRate { per_thousand: 0, floor_milli_per_s: 0, burst: 10 };
+    /// let mut budget = RetryBudget::new(rate, 0);
+    /// budget.set_rate(RetryRate { burst: 1, ..rate });
+    /// assert!(budget.try_retry(0));
+    /// assert!(!budget.try_retry(0));
+    /// ```
+    pub fn set_rate(&mut self, rate: RetryRate) {
+        self.rate = rate;
+        self.add_units(0);
+    }
+
     /// Adds the part of a retry that the first attempt of a request allows.
     pub fn note_first_attempt(&mut self) {
         self.add_units(u64::from(self.rate.per_thousand) * (UNITS_PER_RETRY / 1_000));
@@ -241,7 +258,8 @@
         let elapsed_us = now_us.saturating_sub(self.refilled_at_us);
         self.refilled_at_us = self.refilled_at_us.max(now_us);
         // One retry per second is one unit per microsecond.
-        self.add_units(elapsed_us.saturating_mul(u64::from(self.rate.floor_per_s)));
+        let floor_units = elapsed_us.saturating_mul(u64::from(self.rate.floor_milli_per_s));
+        self.add_units(floor_units / 1_000);
         let Some(level_units) = self.level_units.checked_sub(UNITS_PER_RETRY) else {
             return false;
         };
--- a/tests/retry_policy.rs
+++ b/tests/retry_policy.rs
@@ -140,7 +140,7 @@
                 return false;
             }
         }
-        let floor = now_us * u64::from(rate.floor_per_s) / 1_000_000;
+        let floor = now_us * u64::from(rate.floor_milli_per_s) / 1_000_000_000;
         retries <= burst + floor + first * u64::from(rate.per_thousand) / 1_000 + 1
     }
     let random = Gen::from_size_and_seed(400, 11);
