Compare few engines a request in large fleets, never price an import above computing

Two things made it worse: the first engines with new weights were preferred by all entries, and an engine that would import a preamble cost 120 ms more than the one that had it, though computing takes 50 ms.

A request now compares the homes of its subject, the engines that hold its parts, and two engines drawn by its id; an import costs at most what computing costs; one entry's own prompts count for at most eight entries.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -3,8 +3,8 @@
 //! Used on platforms that list their targets in an object store and whose
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
-//! load weights and reports its state. Decision modules ([`outlier`],
-//! [`placement`], [`quota`], [`routing`], [`turns`]) use neither sockets nor
+//! load weights and reports its state. Decision modules ([`kv_store`],
+//! [`outlier`], [`placement`], [`quota`], [`routing`], [`sampling`], [`turns`]) use neither sockets nor
 //! clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
@@ -16,6 +16,7 @@
 pub mod entry;
 pub mod events;
 mod follow;
+pub mod kv_store;
 pub mod message;
 pub mod order;
 pub mod outlier;
@@ -28,6 +29,7 @@
 mod reply;
 mod request_attempts;
 pub mod routing;
+pub mod sampling;
 mod serve;
 pub mod target;
 pub mod turns;
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -6,6 +6,8 @@
     sync::Arc, //
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{
     attempt::IncomingRequest,
     cache::prompt_keys,
@@ -21,6 +23,7 @@
         Candidate, //
     },
     platform_state::PlatformState,
+    sampling,
     target::{
         TargetRecord,
         TargetState, //
@@ -191,10 +194,14 @@
                 choice.import_from = Some(address);
             }
         }
+        let entries = platform_state.entries.len().max(1);
+        let is_sampled = draw_open_sample(&choices, incoming, entries);
         let candidates: Vec<Candidate<'_>> = choices
             .iter()
             .zip(choice_observations)
-            .map(|(choice, observed)| Candidate {
+            .zip(is_sampled)
+            .map(|((choice, observed), is_sampled)| Candidate {
+                is_sampled,
                 id: &choice.target.id,
                 load: choice.load,
                 own_running: observed.own_running,
@@ -208,7 +215,6 @@
                 cached: choice.cached,
             })
             .collect();
-        let entries = platform_state.entries.len().max(1);
         let order = placement::rank(&candidates, prompt, incoming.salt(), entries);
         let mut choices: Vec<Option<TargetChoice>> = choices.into_iter().map(Some).collect();
         order
@@ -235,6 +241,29 @@
     }
 }
 
+/// Returns for each choice whether it is one of the open targets that a request
+/// compares. Targets that are no engines report their load with each answer, and are
+/// all compared.
+fn draw_open_sample(
+    choices: &[TargetChoice],
+    incoming: &IncomingRequest,
+    entries: usize,
+) -> Vec<bool> {
+    if incoming.head.prompt.is_none() {
+        return vec![true; choices.len()];
+    }
+    let is_open = |choice: &TargetChoice| choice.availability < Availability::Avoided;
+    let open = choices.iter().filter(|choice| is_open(choice));
+    let open_ids: Vec<&Name> = open.map(|choice| &choice.target.id).collect();
+    let size = sampling::sample_size(open_ids.len(), entries);
+    let seed = xxh3_64(incoming.id().as_bytes());
+    let mut drawn = sampling::draw_sample(open_ids.into_iter(), seed, size).into_iter();
+    choices
+        .iter()
+        .map(|choice| is_open(choice) && drawn.next().unwrap_or(false))
+        .collect()
+}
+
 /// Returns the latest reported version of a target's weights, `None` when unknown.
 fn latest_weights(
     record: &TargetRecord,
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -89,6 +89,9 @@
     pub is_outdated: bool,
     /// Tokens of the prompt that the target has cached or can import.
     pub cached: CachedTokens,
+    /// Whether the request compares this target even if it is neither a home of the
+    /// subject nor has its parts cached.
+    pub is_sampled: bool,
 }
 
 /// Tokens of a prompt's shared parts that an engine has cached or can import.
@@ -100,6 +103,14 @@
     pub importable_tokens: u64,
 }
 
+/// Cached tokens from which they decide where a request goes. Fewer are computed in
+/// the time of a few batch steps.
+const MIN_HELD_TOKENS: u64 = 1_024;
+
+/// Most entries that are assumed to send an engine what this one sends. In a larger
+/// fleet, one entry's own requests say little about those of the others.
+const MAX_ALIKE_ENTRIES: usize = 8;
+
 /// Cost of a request that is expected to still run when its target pauses, and so
 /// delays the load of weights. Counted as delay of the first token.
 const CLOSING_COST_MS: f64 = 80.0;
@@ -131,6 +142,7 @@
 ///     availability: Availability::Open,
 ///     is_outdated: false,
 ///     cached: CachedTokens::default(),
+///     is_sampled: true,
 /// }).collect();
 /// assert_eq!(rank(&candidates, None, 0, 1), [1, 0]);
 /// ```
@@ -141,16 +153,17 @@
     entries: usize,
 ) -> Vec<usize> {
     let homes = prompt.map(|prompt| find_homes(candidates, prompt, salt));
-    let mut costs: Vec<(Availability, f64, usize)> = candidates
+    let mut costs: Vec<(Availability, bool, f64, usize)> = candidates
         .iter()
         .enumerate()
         .map(|(at, candidate)| {
-            let cost = match (prompt, &homes) {
+            let (cost, is_preferred) = match (prompt, &homes) {
                 (Some(prompt), Some(homes)) => {
                     let home_index = homes.iter().position(|home| *home == at);
-                    engine_cost_ms(candidate, prompt, home_index, entries)
+                    let cost = engine_cost_ms(candidate, prompt, home_index, entries);
+                    (cost, home_index.is_some() || holds_parts(candidate, prompt))
                 }
-                _ => plain_target_cost_ms(candidate),
+                _ => (plain_target_cost_ms(candidate), false),
             };
             let closing_ms = match candidate.availability {
                 Availability::ClosingSoon => CLOSING_COST_MS,
@@ -159,11 +172,19 @@
             // A closing target only costs more. If it came after all open ones, the
             // few open engines would get all requests when most are about to load.
             let class = candidate.availability.max(Availability::ClosingSoon);
-            (class, cost + closing_ms, at)
+            let is_left_out = !candidate.is_sampled && !is_preferred;
+            (class, is_left_out, cost + closing_ms, at)
         })
         .collect();
-    costs.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-    costs.into_iter().map(|(_, _, at)| at).collect()
+    costs.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+    costs.into_iter().map(|(.., at)| at).collect()
+}
+
+/// Returns whether an engine has so much of a prompt cached that every request with
+/// these parts considers it. A preamble alone, which many engines have, is not enough.
+fn holds_parts(candidate: &Candidate<'_>, prompt: &Prompt) -> bool {
+    let leading = candidate.cached.leading_tokens.unwrap_or(0);
+    leading >= MIN_HELD_TOKENS && leading * 2 > prompt.shared_tokens()
 }
 
 /// Returns the positions of the home targets of a prompt's subject.
@@ -221,7 +242,8 @@
     };
     shared_parts_cost_ms(candidate.cached, prompt, home_index)
         + outdated_ms
-        + candidate.own_prefill_tokens as f64 * entries as f64 / PREFILL_TOKENS_PER_MS
+        + candidate.own_prefill_tokens as f64 * entries.min(MAX_ALIKE_ENTRIES) as f64
+            / PREFILL_TOKENS_PER_MS
         + f64::from(candidate.load.running.max(candidate.own_running)) * RUNNING_COST_MS
         + f64::from(candidate.load.waiting) * WAITING_COST_MS
         + candidate.failure_share * FAILURE_COST_MS
@@ -243,7 +265,9 @@
     let missing = shared.saturating_sub(leading + imported);
     let mut cost_ms = missing as f64 / PREFILL_TOKENS_PER_MS;
     if imported > 0 {
-        cost_ms += IMPORT_COST_MS + imported as f64 / IMPORT_TOKENS_PER_MS;
+        let import_ms = IMPORT_COST_MS + imported as f64 / IMPORT_TOKENS_PER_MS;
+        // Few tokens are computed before they would be imported.
+        cost_ms += import_ms.min(imported as f64 / PREFILL_TOKENS_PER_MS);
     }
     if missing > 0 && home_index != Some(0) {
         cost_ms += NOT_HOME_COST_MS;
--- a/tests/target_ranking.rs
+++ b/tests/target_ranking.rs
@@ -39,6 +39,7 @@
         availability: Availability::Open,
         is_outdated: false,
         cached: CachedTokens::default(),
+        is_sampled: true,
     }
 }
 
@@ -239,3 +240,22 @@
     outlier.record_answer(true);
     assert!(!outlier.is_avoided(avoided_us));
 }
+
+/// Few tokens are computed faster than they are imported. An engine that would import
+/// them must not cost more than one that computes them, or all requests would go to the
+/// first engine that has the preamble.
+#[test]
+fn an_import_never_costs_more_than_computing() {
+    let ids = ids(12);
+    let mut candidates: Vec<_> = ids.iter().map(candidate).collect();
+    let prompt = prompt(3);
+    let home = rendezvous_order(ids.iter(), &prompt, 0)[0];
+    let holder = (home + 1) % 12;
+    for (at, candidate) in candidates.iter_mut().enumerate() {
+        candidate.cached = CachedTokens {
+            leading_tokens: Some(if at == holder { 2_500 } else { 0 }),
+            importable_tokens: if at == holder { 0 } else { 2_500 },
+        };
+    }
+    assert_eq!(rank(&candidates, Some(&prompt), 0, 4)[0], home);
+}
