Bound the bytes that a target may send without an answer or an event

An event that grew after a whole one was not bounded either when both came in one read.

At most 64 KiB are read before the head of the final answer and between two events with an id. The call then fails as broken: the connection closes, the target counts as failed, and the caller gets 502 or another target's answer. Status lines, header fields, garbage and empty lines were bounded already.

--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -46,6 +46,10 @@
     time::timeout,
 };
 
+/// Most bytes that are read before the head of the final answer is complete. Interim
+/// answers (1xx) count, as a target may send them without end.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// A request to a target.
 #[derive(Clone, Debug)]
 pub struct CallRequest {
@@ -117,8 +121,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`CallError`] when no answer arrives. Only opening the connection has
-/// a time limit.
+/// Returns [`CallError`] when no answer arrives, or more than 64 KiB without one. Only
+/// opening the connection has a time limit.
 ///
 /// ```
 /// use std::{io::{Read, Write}, net::TcpListener, thread, time::Duration};
@@ -156,13 +160,13 @@
     stream.set_nodelay(true).map_err(unsent)?;
     let request = build_request(address, request)
         .map_err(|error| CallError::Unsent(format!("request cannot be encoded: {error}")))?;
-    let written = Rc::new(Cell::new(false));
-    let stream = WriteTracker {
+    let progress = Rc::new(Progress::default());
+    let stream = TrackedStream {
         stream,
-        is_written: Rc::clone(&written),
+        progress: Rc::clone(&progress),
     };
     let to_call_error = |error: hyper::Error| {
-        if written.get() {
+        if progress.is_written.get() {
             CallError::Broken(error.to_string())
         } else {
             CallError::Unsent(error.to_string())
@@ -176,6 +180,7 @@
         let _ = connection.await;
     }));
     let response = sender.send_request(request).await.map_err(to_call_error)?;
+    progress.has_head.set(true);
     let (head, body) = response.into_parts();
     Ok(CallAnswer {
         status: head.status,
@@ -202,32 +207,58 @@
     builder.body(Full::new(request.body))
 }
 
-/// TCP stream that records whether anything was written to it.
-struct WriteTracker {
+/// How far a call has come on its connection.
+#[derive(Default)]
+struct Progress {
+    /// Whether anything was written.
+    is_written: Cell<bool>,
+    /// Whether the head of the final answer was received.
+    has_head: Cell<bool>,
+    /// Bytes read before the head was complete.
+    head_bytes: Cell<usize>,
+}
+
+/// TCP stream that records the progress of its call. Reading fails when a target sends
+/// more than [`MAX_HEAD_BYTES`] without an answer.
+struct TrackedStream {
     stream: TcpStream,
-    is_written: Rc<Cell<bool>>,
+    progress: Rc<Progress>,
 }
 
-impl WriteTracker {
+impl TrackedStream {
     fn track_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
-            self.is_written.set(true);
+            self.progress.is_written.set(true);
         }
         written
     }
 }
 
-impl AsyncRead for WriteTracker {
+impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        if self.progress.has_head.get() {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let head_bytes = self.progress.head_bytes.get();
+        if head_bytes >= MAX_HEAD_BYTES {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "too many bytes without an answer",
+            )));
+        }
+        let filled = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let received = buf.filled().len() - filled;
+        self.progress.head_bytes.set(head_bytes + received);
+        read
     }
 }
 
-impl AsyncWrite for WriteTracker {
+impl AsyncWrite for TrackedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/src/direct/events.rs
+++ b/src/direct/events.rs
@@ -8,6 +8,10 @@
 /// Largest size of an incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Most bytes of complete events without an id, such as comments, between two events
+/// that have one. A target may send them without end.
+const MAX_UNNUMBERED_BYTES: usize = 64 << 10;
+
 /// Complete consecutive events of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EventBatch {
@@ -22,6 +26,8 @@
 pub enum SplitError {
     /// An incomplete event is larger than what is buffered.
     TooLong,
+    /// Too many bytes arrived without an event that has an id.
+    NoProgress,
     /// An event's id is not one more than the previous event's.
     OutOfOrder,
 }
@@ -43,6 +49,8 @@
 pub struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<u64>,
+    /// Bytes of complete events since the last one with an id.
+    unnumbered_bytes: usize,
 }
 
 impl EventSplitter {
@@ -52,6 +60,7 @@
         Self {
             buffer: BytesMut::new(),
             last_id,
+            unnumbered_bytes: 0,
         }
     }
 
@@ -59,13 +68,15 @@
     ///
     /// # Errors
     ///
-    /// Fails when an event is too long or out of order.
+    /// Fails when an event is too long or out of order, or when too many bytes arrive
+    /// without an event that has an id.
     pub fn push(&mut self, data: &[u8]) -> Result<Option<EventBatch>, SplitError> {
         self.buffer.extend_from_slice(data);
-        let Some(end) = end_of_last_event(&self.buffer) else {
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(SplitError::TooLong);
-            }
+        let end = end_of_last_event(&self.buffer);
+        if self.buffer.len() - end.unwrap_or(0) > MAX_EVENT_BYTES {
+            return Err(SplitError::TooLong);
+        }
+        let Some(end) = end else {
             return Ok(None);
         };
         let data = self.buffer.split_to(end).freeze();
@@ -77,6 +88,13 @@
             self.last_id = Some(id);
             batch_id = Some(id);
         }
+        self.unnumbered_bytes = match batch_id {
+            Some(_) => 0,
+            None => self.unnumbered_bytes + data.len(),
+        };
+        if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
+            return Err(SplitError::NoProgress);
+        }
         Ok(Some(EventBatch {
             data,
             last_id: batch_id,
