Resume streams that stall at another target

One that went silent, or sent a byte or a comment now and then, held its caller until the caller gave up, although another target could have continued it.

A stream whose route may be resumed counts as stalled after three quarters of the gap after which callers give up (2 s, four times the goal or eight times the desired gap, whichever is longest). Bytes that complete no event with an id do not count. Slower streams are left alone, and routes that cannot resume keep their deadline.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,7 +4,7 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`kv_store`],
-//! [`outlier`], [`placement`], [`quota`], [`routing`], [`sampling`], [`turns`]) use neither sockets nor
+//! [`outlier`], [`placement`], [`quota`], [`routing`], [`sampling`], [`stall`], [`turns`]) use neither sockets nor
 //! clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
@@ -31,6 +31,7 @@
 pub mod routing;
 pub mod sampling;
 mod serve;
+pub mod stall;
 pub mod target;
 pub mod turns;
 pub mod watchers;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -24,6 +24,7 @@
     reply,
     request_attempts::RequestAttempts,
     serve::us_to_seconds,
+    stall::stalled_at_us,
     worker::{
         RunningRequest,
         Worker, //
@@ -46,6 +47,9 @@
     events_bytes: usize,
     /// Time at which the first batch was read.
     first_at_us: u64,
+    /// Time at which the last event with an id was read, or another target was asked
+    /// to continue the stream.
+    event_at_us: u64,
     first_batch: Option<Bytes>,
     /// Value for the log line that is written when the relay is dropped.
     outcome: &'static str,
@@ -91,6 +95,7 @@
         let is_complete = first_batch.is_none();
         Self {
             first_at_us: worker.now_us(),
+            event_at_us: worker.now_us(),
             worker: Rc::clone(worker),
             incoming,
             attempts,
@@ -125,11 +130,18 @@
             self.events_bytes += first_batch.len();
             return Some(Ok(first_batch));
         }
-        let until = attempt::timer_instant(&self.worker, self.incoming.deadline_us);
         loop {
+            let stalled_at_us = stalled_at_us(&self.incoming.route, self.event_at_us);
+            let deadline_us = self.incoming.deadline_us;
+            let until_us = stalled_at_us.map_or(deadline_us, |at_us| at_us.min(deadline_us));
+            let until = attempt::timer_instant(&self.worker, until_us);
+            let last_id = self.splitter.last_id();
             let answer = self.answer.as_mut()?;
             match read_events(answer, &mut self.splitter, until).await {
                 Ok(Some(data)) => {
+                    if self.splitter.last_id() != last_id {
+                        self.event_at_us = self.worker.now_us();
+                    }
                     self.events_bytes += data.len();
                     return Some(Ok(data));
                 }
@@ -140,9 +152,10 @@
                 }
                 Err(failure) => {
                     self.answer = None;
-                    if failure != AttemptFailure::Silent {
+                    if self.worker.now_us() < deadline_us {
                         self.worker.observe_failure(&self.target);
                         if self.resume(failure).await {
+                            self.event_at_us = self.worker.now_us();
                             continue;
                         }
                     }
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -44,6 +44,8 @@
     pub timeout_ms: u64,
     /// Desired time to the answer, or to the first event of a stream.
     pub goal_ms: u64,
+    /// Desired longest gap between the events of a stream, 0 when none is stated.
+    pub gap_goal_ms: u64,
     /// Priority of requests; 0 is served first.
     pub priority: u8,
     /// Services that get the route's requests, and in which proportion.
--- a/tests/direct_routing.rs
+++ b/tests/direct_routing.rs
@@ -21,6 +21,7 @@
         can_resume: false,
         timeout_ms: 1_000,
         goal_ms: 100,
+        gap_goal_ms: 0,
         priority: 0,
         shares: vec![TrafficShare {
             service: "engines".into(),
