Watch the object store less, send lists of entries only when they changed

All 68 entries watched all topics until the first weights were wanted, 16 s after the start: an entry left the watching to others only once a rollout was known (log: StoreLeftToOthers at second 2 in all of 14 logged entries). Besides, each registration of an entry woke all 68 watches at once. Replies to agents carried 68 addresses and the use of 19 organisations, which agents do not need: most of 0.58 GB between data centres.

An entry follows watchers once the configuration, the targets and the weights were listed, even if none are wanted; changes of entries and targets are read in batches; lists of entries are sent when their digest differs, and the use of rates only to entries. Agents report twice as often for that (8 ms an entry). An agent also takes the entries that it reads from the store.

The messages between entries and agents changed: both have to be replaced together.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -363,6 +363,11 @@
                 }
             }
         }
+        let platform_state = self.platform_state.borrow();
+        let listed = platform_state.entries.values();
+        let addresses = listed.map(|entry| entry.control_address).collect();
+        drop(self.entries.replace(addresses));
+        drop(platform_state);
         self.update_turns();
     }
 
@@ -386,7 +391,9 @@
     fn apply_reply(&self, reply: peers::ExchangeReply) {
         let now_us = self.clock.now_us();
         self.entry_answered_at_us.set(now_us);
-        self.entries.borrow_mut().clone_from(&reply.entries);
+        if let Some(entries) = &reply.entries {
+            self.entries.borrow_mut().clone_from(entries);
+        }
         let fences = |platform_state: &PlatformState| -> Vec<u64> {
             let rollouts = platform_state.rollouts.values();
             rollouts.map(|rollout| rollout.weights.fence).collect()
@@ -443,6 +450,7 @@
                 // One entry is asked for the list of targets; it answers with the
                 // list only when that is later.
                 targets_revision: (position == 0).then_some(revision),
+                entries_digest: peers::entries_digest(&self.entries.borrow()),
                 engine: state.cloned(),
                 cache: Some(
                     self.cache
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -483,6 +483,14 @@
                     .as_ref()
                     .map_or(0, |known| known.version),
                 targets_revision: wants_targets.then_some(platform_state.targets_revision),
+                // Entries take the list of entries from the object store.
+                entries_digest: peers::entries_digest(
+                    &platform_state
+                        .entries
+                        .values()
+                        .map(|entry| entry.control_address)
+                        .collect::<Vec<_>>(),
+                ),
                 engine: None,
                 cache: None,
             }
@@ -495,17 +503,18 @@
         let now_us = self.context.clock.now_us();
         if is_assigned_watcher
             && reply.is_watching
-            && has_initial_state(&self.platform_state.borrow())
+            && self.platform_state.borrow().has_initial_state()
         {
             self.note_following_peers(now_us + watchers::FOLLOW_PEERS_US, address);
         }
-        let entry = &reply.entry;
-        self.context.quotas().charge_reported_use(
-            &entry.name,
-            entry.incarnation,
-            &entry.used,
-            now_us,
-        );
+        if let Some(entry) = &reply.entry {
+            self.context.quotas().charge_reported_use(
+                &entry.name,
+                entry.incarnation,
+                &entry.used,
+                now_us,
+            );
+        }
         let before = self.configuration_version();
         let is_new = peers::apply_reply(&mut self.platform_state.borrow_mut(), reply, now_us);
         if is_new {
@@ -514,12 +523,6 @@
     }
 }
 
-/// Returns whether the configuration, the targets and wanted weights have been
-/// received, so that only their changes are missing, which watchers supply.
-fn has_initial_state(platform_state: &PlatformState) -> bool {
-    platform_state.can_route() && !platform_state.rollouts.is_empty()
-}
-
 /// Returns the state that this entry reports to others.
 fn state(context: &Context) -> EntryState {
     let settings = context.settings.get();
@@ -563,7 +566,7 @@
     let platform_state = context.platform_state.load();
     let reply = peers::build_reply(
         &exchange_request,
-        state(context),
+        exchange_request.entry.is_some().then(|| state(context)),
         &platform_state,
         cache_position,
         context.is_watching(),
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -32,7 +32,7 @@
         // Changes of both have to be in force within two seconds.
         Topic::Configuration | Topic::Targets => 1_500,
         Topic::Weights => 3_000,
-        Topic::Entries => 20_000,
+        Topic::Entries => 30_000,
     }
 }
 
@@ -43,8 +43,17 @@
 /// Pause after a failed call; each call to the store is charged.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Pause after changes of the targets, so that one call brings many of them.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+/// Returns the pause after changes, so that one call brings many of them. Without it,
+/// each of the changes costs as many calls as there are watching processes.
+const fn batch_pause(topic: Topic) -> Duration {
+    match topic {
+        // In force within two seconds, of which other entries need a third.
+        Topic::Targets => Duration::from_millis(400),
+        // All entries register at the start, and all of them watch the entries.
+        Topic::Entries => Duration::from_millis(1_500),
+        Topic::Configuration | Topic::Weights => Duration::ZERO,
+    }
+}
 
 /// Availability of the object store as seen by this process.
 #[derive(Debug, Default)]
@@ -135,9 +144,7 @@
                         changes,
                         is_listing,
                     });
-                    if topic == Topic::Targets {
-                        tokio::time::sleep(BATCH_PAUSE).await;
-                    }
+                    tokio::time::sleep(batch_pause(topic)).await;
                 }
             }
             Err(StoreError::HistoryGone) => {
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -6,6 +6,10 @@
 
 use std::{
     collections::BTreeSet,
+    hash::{
+        Hash,
+        Hasher, //
+    },
     net::SocketAddr,
     sync::Arc,
     time::Duration, //
@@ -24,6 +28,7 @@
     Serialize, //
 };
 use tokio::time::timeout;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::{
     cache::{
@@ -62,7 +67,7 @@
 
 /// Interval between an agent's reports to one entry, per entry of the fleet, so
 /// that the work of an agent does not grow with the fleet.
-const REPORT_INTERVAL_PER_ENTRY_US: u64 = 16 * US_PER_MS;
+const REPORT_INTERVAL_PER_ENTRY_US: u64 = 8 * US_PER_MS;
 
 /// Shortest interval between an agent's reports to one entry. The engine's own
 /// report is as old as this.
@@ -92,6 +97,8 @@
     pub(super) configuration_version: u64,
     /// Revision of the sender's list of targets, `None` when the list is not needed.
     pub(super) targets_revision: Option<u64>,
+    /// Digest of the sender's list of entries, so that an unchanged list is not sent.
+    pub(super) entries_digest: u64,
     /// State of the engine beside the sending agent.
     pub(super) engine: Option<EngineState>,
     /// Changes of that engine's cache that the receiver lacks.
@@ -128,15 +135,16 @@
 /// Answer of an entry to an exchange request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct ExchangeReply {
-    pub(super) entry: EntryState,
+    /// State of the answering entry, `None` to an agent.
+    pub(super) entry: Option<EntryState>,
     /// Configuration, when it is later than the sender's.
     pub(super) configuration: Option<Configuration>,
     /// List of targets with its revision, when it is later than the sender's.
     pub(super) targets: Option<(u64, Vec<TargetRecord>)>,
     /// Wanted weights of all models.
     pub(super) weights: Vec<WantedWeights>,
-    /// Control addresses of all registered entries.
-    pub(super) entries: Vec<SocketAddr>,
+    /// Control addresses of all registered entries, `None` when the sender has them.
+    pub(super) entries: Option<Vec<SocketAddr>>,
     /// Whether the entry itself watches the object store, and the store answers it.
     pub(super) is_watching: bool,
     /// Position up to which the entry has the changes of the engine's cache.
@@ -146,7 +154,7 @@
 /// Builds the answer to an exchange request.
 pub(super) fn build_reply(
     exchange_request: &ExchangeRequest,
-    entry: EntryState,
+    entry: Option<EntryState>,
     platform_state: &PlatformState,
     cache_position: Option<CachePosition>,
     is_watching: bool,
@@ -168,6 +176,11 @@
                 .map(|record| (**record).clone());
             (platform_state.targets_revision, records.collect())
         });
+    let entries: Vec<SocketAddr> = platform_state
+        .entries
+        .values()
+        .map(|entry| entry.control_address)
+        .collect();
     ExchangeReply {
         cache_position,
         is_watching,
@@ -179,14 +192,17 @@
             .values()
             .map(|rollout| rollout.weights.clone())
             .collect(),
-        entries: platform_state
-            .entries
-            .values()
-            .map(|entry| entry.control_address)
-            .collect(),
+        entries: (entries_digest(&entries) != exchange_request.entries_digest).then_some(entries),
     }
 }
 
+/// Returns a digest of a list of entries.
+pub(super) fn entries_digest(entries: &[SocketAddr]) -> u64 {
+    let mut hasher = Xxh3::new();
+    entries.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Applies the platform objects of an answer. Returns whether any was new.
 pub(super) fn apply_reply(
     platform_state: &mut PlatformState,
--- a/src/direct/platform_state.rs
+++ b/src/direct/platform_state.rs
@@ -79,6 +79,8 @@
     pub targets: Targets,
     /// Whether a complete list of targets was ever received.
     pub has_targets: bool,
+    /// Whether the wanted weights were ever listed. There may be none yet.
+    pub has_weights: bool,
     /// Rollouts of weights by model.
     pub rollouts: BTreeMap<Name, WeightsRollout>,
     /// Registered entries by name.
@@ -101,6 +103,18 @@
         self.table.is_some() && self.has_targets
     }
 
+    /// Returns whether the configuration, the targets and the wanted weights have been
+    /// received, so that only their changes are missing.
+    ///
+    /// ```
+    /// use yuccalatch::direct::platform_state::PlatformState;
+    ///
+    /// assert!(!PlatformState::default().has_initial_state());
+    /// ```
+    pub const fn has_initial_state(&self) -> bool {
+        self.can_route() && self.has_weights
+    }
+
     /// Adopts a configuration unless the same or a later one is in force. Returns
     /// whether it was adopted.
     pub fn adopt_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
@@ -146,6 +160,9 @@
         recovered_at_us: Option<u64>,
         now_us: u64,
     ) {
+        if topic == Topic::Weights {
+            self.has_weights |= is_listing;
+        }
         if topic == Topic::Targets {
             self.has_targets |= is_listing;
             self.targets_revision = self.targets_revision.max(changes.revision);
--- a/tests/store_watchers.rs
+++ b/tests/store_watchers.rs
@@ -3,10 +3,22 @@
 use std::collections::BTreeMap;
 
 use yuccalatch::{
-    direct::watchers::{
-        MAX_WATCHERS,
-        sources,
-        watchers, //
+    direct::{
+        platform::{
+            ObjectChange,
+            ObjectChanges,
+            Topic, //
+        },
+        platform_state::PlatformState,
+        routing::{
+            CallerLimits,
+            Configuration, //
+        },
+        watchers::{
+            MAX_WATCHERS,
+            sources,
+            watchers, //
+        },
     },
     names::Name,
 };
@@ -74,3 +86,30 @@
         .filter(|name| !kept.contains(name));
     assert!(lost.count() <= 1);
 }
+
+/// Guards against a whole fleet that watches the store until the first weights are
+/// wanted, which may take all day.
+#[test]
+fn an_entry_without_wanted_weights_needs_only_changes() {
+    let configuration = Configuration {
+        version: 1,
+        routes: vec![],
+        services: vec![],
+        organisations: vec![],
+        limits: CallerLimits {
+            max_body_bytes: 1,
+            idle_timeout_ms: 1,
+        },
+    };
+    let mut platform_state = PlatformState::default();
+    let listing = |changes| ObjectChanges {
+        changes,
+        revision: 1,
+    };
+    let change = ObjectChange::Configuration(Box::new(configuration));
+    platform_state.apply(Topic::Configuration, listing(vec![change]), true, None, 0);
+    platform_state.apply(Topic::Targets, listing(vec![]), true, None, 0);
+    assert!(!platform_state.has_initial_state());
+    platform_state.apply(Topic::Weights, listing(vec![]), true, None, 0);
+    assert!(platform_state.has_initial_state());
+}
