Import from the store unless an engine has all shared parts of a prompt

An engine that had any tokens was the only source named, and usually it had just the preamble: the subject was then computed again although the store had it.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -31,7 +31,10 @@
         CallRequest, //
     },
     choice::TargetChoice,
-    kv_store::select_store,
+    kv_store::{
+        select_source,
+        select_store, //
+    },
     message::{
         Prompt,
         RequestHead,
@@ -208,7 +211,10 @@
             let down = worker.context.down_kv_stores();
             select_store(&incoming.kv_stores, &down, prompt)
         });
-    let import_from = choice.import_from.or(kv_store);
+    let import_from = prompt.and_then(|prompt| {
+        let engine = (choice.import_from, choice.cached.importable_tokens);
+        select_source(engine, kv_store, prompt)
+    });
     let has_uncached_tokens = prompt.is_some_and(|prompt| choice.uncached_tokens(prompt) > 0);
     let system_fields = SystemFields {
         remaining_ms: incoming.deadline_us.saturating_sub(now_us) / US_PER_MS,
--- a/src/direct/kv_store.rs
+++ b/src/direct/kv_store.rs
@@ -10,6 +10,35 @@
 
 use super::message::Prompt;
 
+/// Returns where a target imports parts of a prompt from: an engine that has all its
+/// shared parts, else the store, which keeps what any engine has computed, and without
+/// a store the engine that has most of them.
+///
+/// ```
+/// use yuccalatch::direct::{
+///     kv_store::select_source,
+///     message::{Prompt, PromptPart},
+/// };
+///
+/// let prompt = Prompt {
+///     model: "m".into(), input_tokens: 90, max_output_tokens: 1, expected_output_tokens: 1,
+///     parts: vec![PromptPart { id: 1, tokens: 30 }, PromptPart { id: 7, tokens: 50 }],
+/// };
+/// let engine = "10.0.0.1:80".parse().ok();
+/// let store = "10.0.0.2:80".parse().ok();
+/// assert_eq!(select_source((engine, 80), store, &prompt), engine);
+/// assert_eq!(select_source((engine, 30), store, &prompt), store);
+/// assert_eq!(select_source((engine, 30), None, &prompt), engine);
+/// ```
+pub fn select_source(
+    (engine, engine_tokens): (Option<SocketAddr>, u64),
+    store: Option<SocketAddr>,
+    prompt: &Prompt,
+) -> Option<SocketAddr> {
+    let is_whole = engine_tokens >= prompt.shared_tokens();
+    if is_whole { engine } else { store.or(engine) }
+}
+
 /// Returns the store of a prompt's subject among those that are up, by rendezvous
 /// hashing; `None` when there is no store, or the prompt has no shared parts.
 ///
--- a/tests/kv_stores.rs
+++ b/tests/kv_stores.rs
@@ -6,7 +6,10 @@
 };
 
 use yuccalatch::direct::{
-    kv_store::select_store,
+    kv_store::{
+        select_source,
+        select_store, //
+    },
     message::{
         Prompt,
         PromptPart, //
@@ -86,3 +89,21 @@
         assert!(before == after || before == Some(address(4)));
     }
 }
+
+/// Engines that have only the preamble are many. If they were the source, each engine
+/// would compute the subject again, though the store has it.
+#[test]
+fn a_subject_is_imported_from_the_store_while_engines_have_only_the_preamble() {
+    let (engine, store) = (Some(address(9)), Some(address(2)));
+    let prompt = prompt(7);
+    assert_eq!(select_source((engine, 2_500), store, &prompt), store);
+    assert_eq!(select_source((engine, 6_300), store, &prompt), engine);
+    assert_eq!(select_source((None, 0), store, &prompt), store);
+}
+
+#[test]
+fn without_a_store_the_best_engine_is_the_source() {
+    let engine = Some(address(9));
+    assert_eq!(select_source((engine, 2_500), None, &prompt(7)), engine);
+    assert_eq!(select_source((None, 0), None, &prompt(7)), None);
+}
