--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -144,6 +144,15 @@
     organisations_by_key: HashMap<Name, Arc<Organisation>>,
 }
 
+/// Returns a host without its port. The colons of an IPv6 address in brackets do not
+/// start a port.
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if !port.ends_with(']') => name,
+        _ => host,
+    }
+}
+
 impl RoutingTable {
     /// Indexes a configuration.
     ///
@@ -205,7 +214,7 @@
     /// Returns the route of a host with the longest prefix that matches the path. The
     /// host may have a port and capital letters.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let host = without_port(host);
         let routes = match self.routes_by_host.get(host) {
             Some(routes) => routes,
             None => self
--- a/tests/direct_routing.rs
+++ b/tests/direct_routing.rs
@@ -73,6 +73,26 @@
     assert!(table.route("b.example", "/x/").is_none());
 }
 
+/// The colons of an IPv6 address are no port.
+#[test]
+fn hosts_may_be_addresses() {
+    let configuration = |host| Configuration {
+        version: 1,
+        routes: vec![route(host, "/x/")],
+        services: vec![],
+        organisations: vec![],
+        limits: CallerLimits {
+            max_body_bytes: 1,
+            idle_timeout_ms: 1,
+        },
+    };
+    let table = RoutingTable::new(&configuration("[::1]"));
+    assert!(table.route("[::1]", "/x/").is_some());
+    assert!(table.route("[::1]:8080", "/x/").is_some());
+    let table = RoutingTable::new(&configuration("127.0.0.1"));
+    assert!(table.route("127.0.0.1:8080", "/x/").is_some());
+}
+
 #[test]
 fn only_known_keys_give_an_organisation() {
     let table = table();
