Import from engines first while weights are new

The store has nothing of new weights at first, and naming it instead of an engine that has the preamble made engines compute the preamble again.

The store is preferred from 8 s after the latest weights on.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -213,7 +213,9 @@
         });
     let import_from = prompt.and_then(|prompt| {
         let engine = (choice.import_from, choice.cached.importable_tokens);
-        select_source(engine, kv_store, prompt)
+        let platform_state = worker.context.platform_state.load();
+        let weights_age_us = platform_state.weights_age_us(&prompt.model, now_us);
+        select_source(engine, kv_store, prompt, weights_age_us)
     });
     let has_uncached_tokens = prompt.is_some_and(|prompt| choice.uncached_tokens(prompt) > 0);
     let system_fields = SystemFields {
--- a/src/direct/kv_store.rs
+++ b/src/direct/kv_store.rs
@@ -9,10 +9,15 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::message::Prompt;
+use crate::clock::US_PER_S;
+
+/// Age of weights at which the store has most subjects that were computed under them.
+const STORE_FILL_US: u64 = 8 * US_PER_S;
 
 /// Returns where a target imports parts of a prompt from: an engine that has all its
-/// shared parts, else the store, which keeps what any engine has computed, and without
-/// a store the engine that has most of them.
+/// shared parts, else the store if it is complete, else the engine that has most of
+/// them. A store is complete when the weights are so old (`weights_age_us`) that most
+/// subjects were computed under them and exported.
 ///
 /// ```
 /// use yuccalatch::direct::{
@@ -26,17 +31,24 @@
 /// };
 /// let engine = "10.0.0.1:80".parse().ok();
 /// let store = "10.0.0.2:80".parse().ok();
-/// assert_eq!(select_source((engine, 80), store, &prompt), engine);
-/// assert_eq!(select_source((engine, 30), store, &prompt), store);
-/// assert_eq!(select_source((engine, 30), None, &prompt), engine);
+/// let old_us = 60_000_000;
+/// assert_eq!(select_source((engine, 80), store, &prompt, old_us), engine);
+/// assert_eq!(select_source((engine, 30), store, &prompt, old_us), store);
+/// assert_eq!(select_source((engine, 30), store, &prompt, 0), engine);
+/// assert_eq!(select_source((engine, 30), None, &prompt, old_us), engine);
 /// ```
 pub fn select_source(
     (engine, engine_tokens): (Option<SocketAddr>, u64),
     store: Option<SocketAddr>,
     prompt: &Prompt,
+    weights_age_us: u64,
 ) -> Option<SocketAddr> {
     let is_whole = engine_tokens >= prompt.shared_tokens();
-    if is_whole { engine } else { store.or(engine) }
+    if is_whole || weights_age_us < STORE_FILL_US {
+        engine.or(store)
+    } else {
+        store.or(engine)
+    }
 }
 
 /// Returns the store of a prompt's subject among those that are up, by rendezvous
--- a/src/direct/platform_state.rs
+++ b/src/direct/platform_state.rs
@@ -115,6 +115,20 @@
         self.can_route() && self.has_weights
     }
 
+    /// Returns the time since this process received the latest wanted weights of a
+    /// model, [`u64::MAX`] when none were wanted yet.
+    ///
+    /// ```
+    /// use yuccalatch::direct::platform_state::PlatformState;
+    ///
+    /// assert_eq!(PlatformState::default().weights_age_us("m", 7), u64::MAX);
+    /// ```
+    pub fn weights_age_us(&self, model: &str, now_us: u64) -> u64 {
+        let rollout = self.rollouts.get(model);
+        let latest = rollout.and_then(|rollout| rollout.wanted_versions.last());
+        latest.map_or(u64::MAX, |(_, at_us)| now_us.saturating_sub(*at_us))
+    }
+
     /// Adopts a configuration unless the same or a later one is in force. Returns
     /// whether it was adopted.
     pub fn adopt_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -61,15 +61,18 @@
 impl<'de> DeserializeAs<'de, u64> for Seconds {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
         let value_s = f64::deserialize(deserializer)?;
-        if (0.0..=MAX_DURATION_MS as f64).contains(&value_s) {
+        if (0.0..=MAX_DURATION_S as f64).contains(&value_s) {
             return Ok((value_s * 1e3).ceil() as u64);
         }
         Err(D::Error::custom(format!(
-            "{value_s} is not a number of seconds (hint: write a number from 0 to {MAX_DURATION_MS})"
+            "{value_s} is not a number of seconds (hint: write a number from 0 to {MAX_DURATION_S})"
         )))
     }
 }
 
+/// Longest duration in seconds.
+const MAX_DURATION_S: u64 = MAX_DURATION_MS / 1_000;
+
 /// Default of `drain_ms` of entry and agent.
 pub(super) const fn default_drain_ms() -> u64 {
     30_000
--- a/tests/kv_stores.rs
+++ b/tests/kv_stores.rs
@@ -22,6 +22,9 @@
     },
 };
 
+/// Age of weights under which all subjects were computed.
+const OLD_US: u64 = 60_000_000;
+
 fn address(number: u8) -> SocketAddr {
     SocketAddr::from(([172, 20, 0, number], 8_342))
 }
@@ -96,14 +99,31 @@
 fn a_subject_is_imported_from_the_store_while_engines_have_only_the_preamble() {
     let (engine, store) = (Some(address(9)), Some(address(2)));
     let prompt = prompt(7);
-    assert_eq!(select_source((engine, 2_500), store, &prompt), store);
-    assert_eq!(select_source((engine, 6_300), store, &prompt), engine);
-    assert_eq!(select_source((None, 0), store, &prompt), store);
+    assert_eq!(
+        select_source((engine, 2_500), store, &prompt, OLD_US),
+        store
+    );
+    assert_eq!(
+        select_source((engine, 6_300), store, &prompt, OLD_US),
+        engine
+    );
+    assert_eq!(select_source((None, 0), store, &prompt, OLD_US), store);
 }
 
 #[test]
 fn without_a_store_the_best_engine_is_the_source() {
     let engine = Some(address(9));
-    assert_eq!(select_source((engine, 2_500), None, &prompt(7)), engine);
-    assert_eq!(select_source((None, 0), None, &prompt(7)), None);
+    assert_eq!(
+        select_source((engine, 2_500), None, &prompt(7), OLD_US),
+        engine
+    );
+    assert_eq!(select_source((None, 0), None, &prompt(7), OLD_US), None);
+}
+
+/// The store has nothing of new weights yet, while the first engines have the preamble.
+#[test]
+fn engines_come_before_the_store_while_weights_are_new() {
+    let (engine, store) = (Some(address(9)), Some(address(2)));
+    assert_eq!(select_source((engine, 2_500), store, &prompt(7), 0), engine);
+    assert_eq!(select_source((None, 0), store, &prompt(7), 0), store);
 }
