Send the list of entries to agents only, collect it in one place

Cause, from reading the change again: the list of entries in an exchange is used by agents alone, but an entry hashed its own list for each exchange so as not to get it, the answering entry built and hashed its list for that, and an agent hashed the same list once for each entry it reports to. The addresses were collected by the same lines in four places.

entries_digest is None when the list is not needed, as targets_revision beside it; the agent computes it once a round; PlatformState::entry_addresses is the only place that collects the addresses.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -363,11 +363,7 @@
                 }
             }
         }
-        let platform_state = self.platform_state.borrow();
-        let listed = platform_state.entries.values();
-        let addresses = listed.map(|entry| entry.control_address).collect();
-        drop(self.entries.replace(addresses));
-        drop(platform_state);
+        *self.entries.borrow_mut() = self.platform_state.borrow().entry_addresses().collect();
         self.update_turns();
     }
 
@@ -442,6 +438,7 @@
         let addresses = self.entry_addresses();
         let count = addresses.len();
         let revision = self.platform_state.borrow().targets_revision;
+        let entries_digest = peers::entries_digest(&self.entries.borrow());
         for (position, address) in addresses.into_iter().enumerate() {
             let agent = Rc::clone(self);
             let exchange_request = ExchangeRequest {
@@ -450,7 +447,7 @@
                 // One entry is asked for the list of targets; it answers with the
                 // list only when that is later.
                 targets_revision: (position == 0).then_some(revision),
-                entries_digest: peers::entries_digest(&self.entries.borrow()),
+                entries_digest: Some(entries_digest),
                 engine: state.cloned(),
                 cache: Some(
                     self.cache
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration, //
 };
 
@@ -76,10 +77,10 @@
     /// fields that the entry itself sets.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    pub(super) route: std::sync::Arc<Route>,
+    pub(super) route: Arc<Route>,
     pub(super) service: Name,
-    pub(super) organisation: Option<std::sync::Arc<Organisation>>,
-    pub(super) kv_stores: std::sync::Arc<[SocketAddr]>,
+    pub(super) organisation: Option<Arc<Organisation>>,
+    pub(super) kv_stores: Arc<[SocketAddr]>,
     pub(super) arrived_at_us: u64,
     pub(super) deadline_us: u64,
 }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -484,13 +484,7 @@
                     .map_or(0, |known| known.version),
                 targets_revision: wants_targets.then_some(platform_state.targets_revision),
                 // Entries take the list of entries from the object store.
-                entries_digest: peers::entries_digest(
-                    &platform_state
-                        .entries
-                        .values()
-                        .map(|entry| entry.control_address)
-                        .collect::<Vec<_>>(),
-                ),
+                entries_digest: None,
                 engine: None,
                 cache: None,
             }
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -97,8 +97,9 @@
     pub(super) configuration_version: u64,
     /// Revision of the sender's list of targets, `None` when the list is not needed.
     pub(super) targets_revision: Option<u64>,
-    /// Digest of the sender's list of entries, so that an unchanged list is not sent.
-    pub(super) entries_digest: u64,
+    /// Digest of the sender's list of entries, so that an unchanged list is not sent;
+    /// `None` when the list is not needed.
+    pub(super) entries_digest: Option<u64>,
     /// State of the engine beside the sending agent.
     pub(super) engine: Option<EngineState>,
     /// Changes of that engine's cache that the receiver lacks.
@@ -143,7 +144,8 @@
     pub(super) targets: Option<(u64, Vec<TargetRecord>)>,
     /// Wanted weights of all models.
     pub(super) weights: Vec<WantedWeights>,
-    /// Control addresses of all registered entries, `None` when the sender has them.
+    /// Control addresses of all registered entries, `None` when the sender has them or
+    /// does not need them.
     pub(super) entries: Option<Vec<SocketAddr>>,
     /// Whether the entry itself watches the object store, and the store answers it.
     pub(super) is_watching: bool,
@@ -176,11 +178,10 @@
                 .map(|record| (**record).clone());
             (platform_state.targets_revision, records.collect())
         });
-    let entries: Vec<SocketAddr> = platform_state
-        .entries
-        .values()
-        .map(|entry| entry.control_address)
-        .collect();
+    let entries = exchange_request.entries_digest.and_then(|digest| {
+        let entries: Vec<SocketAddr> = platform_state.entry_addresses().collect();
+        (entries_digest(&entries) != digest).then_some(entries)
+    });
     ExchangeReply {
         cache_position,
         is_watching,
@@ -192,7 +193,7 @@
             .values()
             .map(|rollout| rollout.weights.clone())
             .collect(),
-        entries: (entries_digest(&entries) != exchange_request.entries_digest).then_some(entries),
+        entries,
     }
 }
 
@@ -239,9 +240,7 @@
     own: Option<SocketAddr>,
 ) -> BTreeSet<SocketAddr> {
     platform_state
-        .entries
-        .values()
-        .map(|entry| entry.control_address)
+        .entry_addresses()
         .chain(peers.iter().copied())
         .filter(|address| Some(*address) != own)
         .collect()
--- a/src/direct/platform_state.rs
+++ b/src/direct/platform_state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::Arc, //
 };
 
@@ -115,6 +116,18 @@
         self.can_route() && self.has_weights
     }
 
+    /// Returns the control addresses of the registered entries, in the order of their
+    /// names.
+    ///
+    /// ```
+    /// use yuccalatch::direct::platform_state::PlatformState;
+    ///
+    /// assert_eq!(PlatformState::default().entry_addresses().count(), 0);
+    /// ```
+    pub fn entry_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.entries.values().map(|entry| entry.control_address)
+    }
+
     /// Returns the time since this process received the latest wanted weights of a
     /// model, [`u64::MAX`] when none were wanted yet.
     ///
