Rely on watchers of the object store only while their copy is current

Cause: an entry leaves the store alone while a watcher says that it watches. A watcher whose store has fallen silent said so until a call timed out, 2.5 s later, and that held for another 0.9 s. Freshness was taken from liveness.

Ruled out: full links (45 versions and two large ones within 0.7 s everywhere) and unreadable objects (no YL4002).

Why it works: an answer states for how long the copy is still current, which ends when the answer to the present watch is due, so that silence ends it without a failed call.

--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -7,6 +7,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
             AtomicBool,
+            AtomicU64,
             AtomicUsize,
             Ordering, //
         },
@@ -82,7 +83,9 @@
     is_closed: AtomicBool,
     /// Addresses of the KV cache stores that accept no connections.
     down_kv_stores: ArcSwap<Vec<SocketAddr>>,
-    is_watching: AtomicBool,
+    /// Until when what this entry itself has of the object store counts as current, 0
+    /// while other entries watch the store for it.
+    store_fresh_until_us: AtomicU64,
     /// Requests that have not been answered in full.
     pub(super) running: AtomicUsize,
 }
@@ -101,7 +104,7 @@
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             down_kv_stores: ArcSwap::default(),
-            is_watching: AtomicBool::new(false),
+            store_fresh_until_us: AtomicU64::new(0),
             running: AtomicUsize::new(0),
         }
     }
@@ -176,13 +179,17 @@
         self.down_kv_stores.swap(Arc::clone(&down)) != down
     }
 
-    /// Records whether this entry watches the object store and gets answers.
-    pub(super) fn set_watching(&self, is_watching: bool) {
-        self.is_watching.store(is_watching, Ordering::Relaxed);
+    /// Records until when what this entry itself has of the object store counts as
+    /// current.
+    pub(super) fn set_store_fresh_until(&self, until_us: u64) {
+        self.store_fresh_until_us.store(until_us, Ordering::Relaxed);
     }
 
-    pub(super) fn is_watching(&self) -> bool {
-        self.is_watching.load(Ordering::Relaxed)
+    /// Returns for how long what this entry itself has of the object store still counts
+    /// as current.
+    pub(super) fn store_fresh_for_us(&self) -> u64 {
+        let until_us = self.store_fresh_until_us.load(Ordering::Relaxed);
+        until_us.saturating_sub(self.clock.now_us())
     }
 
     pub(super) fn down_kv_stores(&self) -> Arc<Vec<SocketAddr>> {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -291,7 +291,8 @@
                 "event" => Event::StoreLeftToOthers,
                 "source" => %watcher);
         }
-        self.follow_peers_until_us.set(until_us);
+        let known_until_us = self.follow_peers_until_us.get();
+        self.follow_peers_until_us.set(until_us.max(known_until_us));
     }
 
     /// Returns the control addresses of the entries that watch the object store for
@@ -395,8 +396,12 @@
                 self.publish(self.configuration_version(), "expiry");
             }
             self.context.quotas().charge_assumed_use(now_us);
-            let is_watching = !self.is_following_peers() && !self.health.is_down();
-            self.context.set_watching(is_watching);
+            let fresh_until_us = if self.is_following_peers() {
+                0
+            } else {
+                self.health.fresh_until_us()
+            };
+            self.context.set_store_fresh_until(fresh_until_us);
             self.start_exchanges(&mut next_exchange_us, &mut urgent_at_us, now_us);
             tokio::time::sleep(CONTROL_INTERVAL).await;
         }
@@ -496,10 +501,11 @@
         };
         let now_us = self.context.clock.now_us();
         if is_assigned_watcher
-            && reply.is_watching
+            && reply.store_fresh_for_us > 0
             && self.platform_state.borrow().has_initial_state()
         {
-            self.note_following_peers(now_us + watchers::FOLLOW_PEERS_US, address);
+            let until_us = watchers::follow_until_us(now_us, reply.store_fresh_for_us);
+            self.note_following_peers(until_us, address);
         }
         if let Some(entry) = &reply.entry {
             self.context.quotas().charge_reported_use(
@@ -563,7 +569,7 @@
         exchange_request.entry.is_some().then(|| state(context)),
         &platform_state,
         cache_position,
-        context.is_watching(),
+        context.store_fresh_for_us(),
     );
     match postcard::to_stdvec(&reply) {
         Ok(body) => Response::build(StatusCode::OK).body(body),
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -12,15 +12,21 @@
     warn, //
 };
 
-use super::platform::{
-    ObjectChange,
-    ObjectChanges,
-    Store,
-    StoreError,
-    Topic, //
+use super::{
+    platform::{
+        ObjectChange,
+        ObjectChanges,
+        Store,
+        StoreError,
+        Topic, //
+    },
+    watchers::Freshness,
 };
 use crate::{
-    clock::Clock,
+    clock::{
+        Clock,
+        US_PER_MS, //
+    },
     event::Event, //
 };
 
@@ -61,6 +67,7 @@
     is_down: Cell<bool>,
     recovered_at_us: Cell<Option<u64>>,
     answered_at_us: Cell<u64>,
+    freshness: Cell<Freshness>,
 }
 
 impl StoreHealth {
@@ -75,7 +82,17 @@
         self.is_down.get()
     }
 
-    fn record_answer(&self, log: &Logger, now_us: u64) {
+    /// Returns until when what this process has of the store counts as current.
+    pub(super) fn fresh_until_us(&self) -> u64 {
+        self.freshness.get().until_us()
+    }
+
+    fn record_answer(&self, log: &Logger, topic: Topic, now_us: u64) {
+        let mut freshness = self.freshness.get();
+        let pause_us = u64::try_from(batch_pause(topic).as_micros()).unwrap_or(u64::MAX);
+        let next_answer_us = now_us + pause_us + watch_wait_ms(topic) * US_PER_MS;
+        freshness.record_answer(topic, next_answer_us);
+        self.freshness.set(freshness);
         if self.is_down.replace(false) {
             let silent_us = now_us.saturating_sub(self.answered_at_us.get());
             info!(log, "the object store answers again";
@@ -86,6 +103,7 @@
     }
 
     fn record_failure(&self, log: &Logger, topic: Topic, error: &StoreError) {
+        self.freshness.set(Freshness::default());
         if !self.is_down.replace(true) {
             warn!(log, "a call to the object store has failed";
                 "event" => Event::PlatformDown,
@@ -135,7 +153,7 @@
         };
         match result {
             Ok(changes) => {
-                health.record_answer(&log, clock.now_us());
+                health.record_answer(&log, topic, clock.now_us());
                 report_unreadable(&log, topic, &changes);
                 let is_listing = revision.replace(changes.revision).is_none();
                 if is_listing || !changes.changes.is_empty() {
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -147,8 +147,9 @@
     /// Control addresses of all registered entries, `None` when the sender has them or
     /// does not need them.
     pub(super) entries: Option<Vec<SocketAddr>>,
-    /// Whether the entry itself watches the object store, and the store answers it.
-    pub(super) is_watching: bool,
+    /// For how long the entry's own copy of the object store still counts as current, 0
+    /// when it does not watch the store itself.
+    pub(super) store_fresh_for_us: u64,
     /// Position up to which the entry has the changes of the engine's cache.
     pub(super) cache_position: Option<CachePosition>,
 }
@@ -159,7 +160,7 @@
     entry: Option<EntryState>,
     platform_state: &PlatformState,
     cache_position: Option<CachePosition>,
-    is_watching: bool,
+    store_fresh_for_us: u64,
 ) -> ExchangeReply {
     let configuration = platform_state
         .configuration
@@ -184,7 +185,7 @@
     });
     ExchangeReply {
         cache_position,
-        is_watching,
+        store_fresh_for_us,
         entry,
         configuration,
         targets,
--- a/src/direct/watchers.rs
+++ b/src/direct/watchers.rs
@@ -9,6 +9,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::platform::Topic;
 use crate::{
     clock::US_PER_MS,
     names::Name, //
@@ -25,10 +26,72 @@
 /// seconds after they were written, of which a watch takes a few milliseconds.
 pub const SOURCE_INTERVAL_US: u64 = 300 * US_PER_MS;
 
-/// Time after the last answer of a watcher for which an entry does not call the
+/// Longest time after an answer of a watcher for which an entry does not call the
 /// store itself. When it ends, three requests have failed.
 pub const FOLLOW_PEERS_US: u64 = 3 * SOURCE_INTERVAL_US;
 
+/// Time after the end of a watch's wait within which a working store answers. Slow
+/// answers take about a fifth of a second.
+const ANSWER_MARGIN_US: u64 = 400 * US_PER_MS;
+
+/// Until when a process's copy of the object store counts as current.
+///
+/// A watch whose connection is silent looks like one without changes until its call
+/// times out. A process that relies on another one's copy therefore needs to know when
+/// the store last answered, not whether calls have failed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Freshness {
+    configuration_until_us: u64,
+    targets_until_us: u64,
+}
+
+impl Freshness {
+    /// Records an answer of the store; the answer to the topic's next watch is due at
+    /// `next_answer_us`. Topics whose changes have more time to take effect do not
+    /// count.
+    pub const fn record_answer(&mut self, topic: Topic, next_answer_us: u64) {
+        let until_us = next_answer_us + ANSWER_MARGIN_US;
+        match topic {
+            Topic::Configuration => self.configuration_until_us = until_us,
+            Topic::Targets => self.targets_until_us = until_us,
+            Topic::Weights | Topic::Entries => {}
+        }
+    }
+
+    /// Returns until when the copy counts as current, 0 before the store has answered
+    /// for each topic.
+    ///
+    /// ```
+    /// use yuccalatch::direct::{platform::Topic, watchers::Freshness};
+    ///
+    /// let mut freshness = Freshness::default();
+    /// freshness.record_answer(Topic::Configuration, 1_500_000);
+    /// assert_eq!(freshness.until_us(), 0);
+    /// freshness.record_answer(Topic::Targets, 1_000_000);
+    /// assert_eq!(freshness.until_us(), 1_400_000);
+    /// ```
+    pub const fn until_us(self) -> u64 {
+        if self.configuration_until_us < self.targets_until_us {
+            self.configuration_until_us
+        } else {
+            self.targets_until_us
+        }
+    }
+}
+
+/// Returns until when an entry may leave the store to a watcher whose copy is current
+/// for another `fresh_for_us`.
+///
+/// ```
+/// use yuccalatch::direct::watchers::{FOLLOW_PEERS_US, follow_until_us};
+///
+/// assert_eq!(follow_until_us(100, 0), 100);
+/// assert_eq!(follow_until_us(100, u64::MAX), 100 + FOLLOW_PEERS_US);
+/// ```
+pub fn follow_until_us(now_us: u64, fresh_for_us: u64) -> u64 {
+    now_us + fresh_for_us.min(FOLLOW_PEERS_US)
+}
+
 /// Returns the watchers among the entries, by descending hash of their names.
 ///
 /// ```
