Quarantine prompt parts that crash the engines which answer them

Cause: a broken attempt counted against its target only, and at one entry only. The request went on to the next engine.

The attempts of the same few requests broke before their first event, also at idle engines, while the other streams of these engines had begun. Ruled out: retries alone (20 engines ended by first attempts), load.

Why it works: a part with three crashes and no begun answer in between is the cause or always comes with it; entries tell each other both within a second.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,8 +4,8 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`kv_store`],
-//! [`outlier`], [`placement`], [`quota`], [`routing`], [`sampling`], [`stall`], [`turns`]) use neither sockets nor
-//! clocks. The traits in [`platform`] hide the platform's names and formats.
+//! [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
+//! [`stall`], [`turns`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
 mod attempt;
@@ -24,6 +24,7 @@
 pub mod placement;
 pub mod platform;
 pub mod platform_state;
+pub mod quarantine;
 pub mod quota;
 mod relay;
 mod reply;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -81,6 +81,8 @@
     pub(super) service: Name,
     pub(super) organisation: Option<Arc<Organisation>>,
     pub(super) kv_stores: Arc<[SocketAddr]>,
+    /// Ids of the parts of the prompt that other requests share.
+    pub(super) shared_parts: Vec<u64>,
     pub(super) arrived_at_us: u64,
     pub(super) deadline_us: u64,
 }
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -15,7 +15,10 @@
 };
 
 use arc_swap::ArcSwap;
-use slog::Logger;
+use slog::{
+    Logger,
+    warn, //
+};
 
 use super::{
     cache::{
@@ -25,14 +28,17 @@
     },
     peers::{
         self,
-        EngineState, //
+        EngineState,
+        EntryState, //
     },
     platform_state::PlatformState,
+    quarantine::Quarantine,
     quota::Quotas,
     routing::RoutingTable, //
 };
 use crate::{
     clock::Clock,
+    event::Event,
     names::{
         Incarnation,
         Name, //
@@ -78,6 +84,7 @@
     pub(super) platform_state: ArcSwap<PlatformState>,
     pub(super) metrics: Metrics,
     quotas: Mutex<Quotas>,
+    quarantine: Mutex<Quarantine>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
@@ -100,6 +107,7 @@
             platform_state: ArcSwap::default(),
             metrics: Metrics::new(),
             quotas: Mutex::default(),
+            quarantine: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -115,6 +123,31 @@
         self.quotas.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the observations of prompt parts.
+    pub(super) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds what another entry has observed of prompt parts.
+    pub(super) fn merge_parts_report(&self, entry: &EntryState) {
+        let now_us = self.clock.now_us();
+        let quarantined = self.quarantine().merge(&entry.parts, now_us);
+        self.log_quarantined(&quarantined, &entry.name);
+    }
+
+    /// Logs parts that are quarantined from now on. `source` is the entry that observed
+    /// the last crash.
+    pub(super) fn log_quarantined(&self, parts: &[u64], source: &str) {
+        for part in parts {
+            warn!(self.log, "prompt part is quarantined: engines crashed on it";
+                "event" => Event::PartQuarantined,
+                "part" => format!("{part:x}"),
+                "source" => source);
+        }
+    }
+
     /// Sets the rates of organisations from a configuration.
     pub(super) fn configure_quotas(&self, table: &RoutingTable, now_us: u64) {
         let tolerance_tokens = self.settings.get().quota_tolerance_tokens;
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -134,6 +134,9 @@
     fn metrics(&self) -> String {
         let running = i64::try_from(self.running()).unwrap_or(i64::MAX);
         self.metrics.running.set(running);
+        let quarantined = self.quarantine().quarantined_count();
+        let quarantined = i64::try_from(quarantined).unwrap_or(i64::MAX);
+        self.metrics.quarantined_parts.set(quarantined);
         self.metrics.render()
     }
 }
@@ -508,6 +511,7 @@
             self.note_following_peers(until_us, address);
         }
         if let Some(entry) = &reply.entry {
+            self.context.merge_parts_report(entry);
             self.context.quotas().charge_reported_use(
                 &entry.name,
                 entry.incarnation,
@@ -531,6 +535,7 @@
         incarnation: context.incarnation,
         control_address: settings.control_address,
         used: context.quotas().used(),
+        parts: context.quarantine().report(context.clock.now_us()),
     }
 }
 
@@ -553,8 +558,11 @@
     let Ok(exchange_request) = postcard::from_bytes::<ExchangeRequest>(&body) else {
         return Response::new(StatusCode::BAD_REQUEST);
     };
+    let mut begun = Vec::new();
     if let Some(entry) = &exchange_request.entry {
+        context.merge_parts_report(entry);
         let now_us = context.clock.now_us();
+        begun = context.quarantine().begun_answers(&entry.parts, now_us);
         context
             .quotas()
             .charge_reported_use(&entry.name, entry.incarnation, &entry.used, now_us);
@@ -564,9 +572,14 @@
         .clone()
         .and_then(|engine| context.record_engine_report(engine, exchange_request.cache.as_ref()));
     let platform_state = context.platform_state.load();
+    let own_state = exchange_request.entry.is_some().then(|| {
+        let mut own_state = state(context);
+        own_state.parts.begun = begun;
+        own_state
+    });
     let reply = peers::build_reply(
         &exchange_request,
-        exchange_request.entry.is_some().then(|| state(context)),
+        own_state,
         &platform_state,
         cache_position,
         context.store_fresh_for_us(),
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -36,6 +36,7 @@
         CacheUpdate, //
     },
     platform_state::PlatformState,
+    quarantine::PartsReport,
     routing::Configuration,
     target::{
         TargetRecord,
@@ -131,6 +132,8 @@
     pub(super) control_address: SocketAddr,
     /// Use of each organisation's rate by the entry since its start.
     pub(super) used: Vec<(Name, u64)>,
+    /// Parts of prompts on which engines may have crashed.
+    pub(super) parts: PartsReport,
 }
 
 /// Answer of an entry to an exchange request.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -47,6 +47,8 @@
     events_bytes: usize,
     /// Time at which the first batch was read.
     first_at_us: u64,
+    /// When the present attempt was sent, `None` once its answer has begun.
+    unbegun_sent_at_us: Option<u64>,
     /// Time at which the last event with an id was read, or another target was asked
     /// to continue the stream.
     event_at_us: u64,
@@ -96,6 +98,7 @@
         Self {
             first_at_us: worker.now_us(),
             event_at_us: worker.now_us(),
+            unbegun_sent_at_us: None,
             worker: Rc::clone(worker),
             incoming,
             attempts,
@@ -139,6 +142,9 @@
             let answer = self.answer.as_mut()?;
             match read_events(answer, &mut self.splitter, until).await {
                 Ok(Some(data)) => {
+                    if let Some(sent_at_us) = self.unbegun_sent_at_us.take() {
+                        self.worker.note_begun_answer(&self.incoming, sent_at_us);
+                    }
                     if self.splitter.last_id() != last_id {
                         self.event_at_us = self.worker.now_us();
                     }
@@ -152,6 +158,10 @@
                 }
                 Err(failure) => {
                     self.answer = None;
+                    if self.unbegun_sent_at_us.is_some() {
+                        self.worker
+                            .note_unbegun_answer(&self.incoming, &self.target, failure);
+                    }
                     if self.worker.now_us() < deadline_us {
                         self.worker.observe_failure(&self.target);
                         if self.resume(failure).await {
@@ -192,6 +202,7 @@
                 "last_event_id" => last_event_id,
                 "cause" => failure.name());
             let until_us = self.incoming.deadline_us;
+            let sent_at_us = self.worker.now_us();
             let sent = attempt::send(
                 &self.worker,
                 &self.incoming,
@@ -205,10 +216,15 @@
                     self.splitter = EventSplitter::new(last_event_id);
                     self.target = target.id.clone();
                     self.answer = Some(answer);
+                    self.unbegun_sent_at_us = Some(sent_at_us);
                     return true;
                 }
                 Ok(_) => return false,
-                Err(failure) => self.attempts.record_failure(failure),
+                Err(failure) => {
+                    self.worker
+                        .note_unbegun_answer(&self.incoming, &target.id, failure);
+                    self.attempts.record_failure(failure);
+                }
             }
         }
     }
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -14,6 +14,7 @@
     choice::TargetChoice,
     placement::Availability,
     platform::Platform,
+    quarantine::Admission,
     worker::Worker, //
 };
 use crate::{
@@ -87,6 +88,10 @@
         if !may_attempt {
             return None;
         }
+        // A trial has one attempt, and what the first attempt showed counts.
+        if !is_first && worker.admit_parts(incoming) != Admission::Open {
+            return None;
+        }
         let choice = self.choose_target(worker, incoming).await?;
         if is_first {
             worker.note_first_attempt(&incoming.service);
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -31,6 +31,11 @@
     choice::TargetChoice,
     events::EventSplitter,
     platform::Platform,
+    quarantine::{
+        Admission,
+        retry_after_ms,
+        shared_part_ids, //
+    },
     relay::{
         Relay,
         read_events, //
@@ -125,6 +130,15 @@
         arrived_at_us,
         table,
     );
+    if let Admission::Refused { part, trial_at_us } = worker.admit_parts(&incoming) {
+        info!(worker.context.log, "request has a quarantined prompt part";
+            "event" => Event::RequestRefused,
+            "request_id" => incoming.id(),
+            "part" => format!("{part:x}"));
+        let wait_ms = retry_after_ms(trial_at_us, arrived_at_us);
+        let label = incoming.label();
+        return refuse(ErrorKind::PromptQuarantined, Some(wait_ms), label);
+    }
     if let Some(organisation) = &incoming.organisation {
         let taken = worker
             .context
@@ -231,6 +245,11 @@
             .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
         deadline_us: (arrived_at_us + time_limit_ms.saturating_mul(US_PER_MS))
             .saturating_sub(ANSWER_MARGIN_US),
+        shared_parts: head
+            .prompt
+            .as_ref()
+            .map(shared_part_ids)
+            .unwrap_or_default(),
         head,
         headers,
         body,
@@ -290,9 +309,13 @@
         let target = &choice.target;
         log.target = Some(target.id.clone());
         log.attempts = attempts.count();
+        let sent_at_us = worker.now_us();
         let until_us = attempt_end_us(&worker, &incoming, &attempts);
         match run_attempt(&worker, &incoming, &choice, until_us).await {
             Ok(ReceivedAnswer::Stream(answer, splitter, first_batch)) => {
+                if first_batch.is_some() {
+                    worker.note_begun_answer(&incoming, sent_at_us);
+                }
                 log.is_relayed = true;
                 let (status, headers) = (answer.status(), answer.headers().clone());
                 let parts = (answer, splitter, first_batch);
@@ -308,6 +331,9 @@
             }
             Ok(ReceivedAnswer::Collected(answer, body)) => {
                 let is_failure = answer.status().is_server_error();
+                if !is_failure {
+                    worker.note_begun_answer(&incoming, sent_at_us);
+                }
                 last_answer = Some((answer, body));
                 if !is_failure {
                     break;
@@ -316,6 +342,7 @@
             Err(failure) => {
                 attempts.record_failure(failure);
                 last_failure = Some(failure);
+                worker.note_unbegun_answer(&incoming, &target.id, failure);
                 info!(worker.context.log, "attempt failed";
                     "event" => Event::AttemptRetried,
                     "request_id" => incoming.id(),
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -20,6 +20,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
+    attempt::{
+        AttemptFailure,
+        IncomingRequest, //
+    },
     context::Context,
     message::{
         AnswerHead,
@@ -27,6 +31,7 @@
     },
     outlier::OutlierDetector,
     platform_state::PlatformState,
+    quarantine::Admission,
 };
 use crate::{
     clock::US_PER_MS,
@@ -265,6 +270,40 @@
             .record_unreachable(now_us);
     }
 
+    /// Decides whether a request may be sent, by the parts of its prompt.
+    pub(super) fn admit_parts(&self, incoming: &IncomingRequest) -> Admission {
+        let entries = self.context.platform_state.load().entries.len();
+        let now_us = self.now_us();
+        let quarantine = self.context.quarantine();
+        quarantine.admit(&incoming.shared_parts, now_us, entries)
+    }
+
+    /// Records that the answer began to an attempt that was sent at `sent_at_us`.
+    pub(super) fn note_begun_answer(&self, incoming: &IncomingRequest, sent_at_us: u64) {
+        let mut quarantine = self.context.quarantine();
+        quarantine.record_begun(&incoming.shared_parts, sent_at_us);
+    }
+
+    /// Records the failure of an attempt whose answer had not begun.
+    pub(super) fn note_unbegun_answer(
+        &self,
+        incoming: &IncomingRequest,
+        target: &Name,
+        failure: AttemptFailure,
+    ) {
+        if failure != AttemptFailure::Broken {
+            return;
+        }
+        let parts = &incoming.shared_parts;
+        let now_us = self.now_us();
+        let quarantined = self
+            .context
+            .quarantine()
+            .record_crash(parts, target, now_us);
+        let source = &self.context.settings.get().name;
+        self.context.log_quarantined(&quarantined, source);
+    }
+
     /// Counts the first attempt of a request, which adds to the service's retry budget.
     pub(super) fn note_first_attempt(&self, service: &Name) {
         self.with_budget(service, |budget, _| budget.note_first_attempt());
--- a/src/error.rs
+++ b/src/error.rs
@@ -95,6 +95,8 @@
     Overloaded => "overloaded", 503, NotRun, Some(1);
     /// No live target serves the route.
     NoTarget => "no_target", 503, NotRun, Some(2);
+    /// A part of the prompt has crashed several engines.
+    PromptQuarantined => "prompt_quarantined", 503, NotRun, Some(10);
     /// The process is stopping.
     Stopping => "stopping", 503, NotRun, Some(1);
     /// No configuration has been received yet.
--- a/src/event.rs
+++ b/src/event.rs
@@ -57,6 +57,9 @@
     AttemptRetried = 2004;
     /// A target was chosen for a request.
     TargetChosen = 2005;
+    /// Requests with a part of their prompts are refused, because engines crashed on
+    /// it.
+    PartQuarantined = 2006;
     /// A stream was resumed on a new connection.
     StreamResumed = 3001;
     /// A stream was continued on another target.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -108,6 +108,8 @@
     pub running: Gauge,
     /// Parts of prompts that the engine has cached.
     pub cached_parts: Gauge,
+    /// Parts of prompts that are quarantined because engines crashed on them.
+    pub quarantined_parts: Gauge,
     /// Times that the engine beside an agent stopped answering.
     pub engine_losses: Counter,
 }
@@ -162,6 +164,7 @@
             revision: Gauge::default(),
             running: Gauge::default(),
             cached_parts: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             engine_losses: Counter::default(),
             registry: Registry::default(),
         };
@@ -251,6 +254,12 @@
             self.revision.clone(),
         );
         registry.register("running", "Requests that are running", self.running.clone());
+        let quarantined_parts = self.quarantined_parts.clone();
+        registry.register(
+            "quarantined_parts",
+            "Prompt parts that are quarantined because engines crashed on them",
+            quarantined_parts,
+        );
         let cached_parts = self.cached_parts.clone();
         registry.register(
             "cached_parts",
