Send nothing to a target whose answer states that it is leaving

Entries knew leaving targets from the list alone.

Change: the start of the target that stated it is kept with what the entry observed of it; the target is no candidate until a later start is listed.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -296,11 +296,11 @@
         } else {
             OTHER_WEIGHTS_PAUSE_US
         };
-        worker.observe_refusal(&target.id, &head, pause_us);
+        worker.observe_refusal(target, &head, pause_us);
         return Err(AttemptFailure::Misdirected);
     }
     if head.is_not_run {
-        worker.observe_refusal(&target.id, &head, REFUSED_PAUSE_US);
+        worker.observe_refusal(target, &head, REFUSED_PAUSE_US);
         return Err(AttemptFailure::NotRun);
     }
     let is_other_request = head.request_id.is_some() && head.request_id != incoming.head.id;
@@ -308,7 +308,7 @@
         worker.observe_failure(&target.id);
         return Err(AttemptFailure::Broken);
     }
-    worker.observe(&target.id, &head, !status.is_server_error());
+    worker.observe(target, &head, !status.is_server_error());
     Ok(Answer {
         in_flight,
         response,
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -127,6 +127,9 @@
                 continue;
             }
             let observed = observations.get(&record.id).unwrap_or(&no_observations);
+            if observed.is_closed(record) {
+                continue;
+            }
             let reported_engine = engines
                 .get(&record.id)
                 .filter(|engine| now_us < engine.valid_until_us);
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -111,6 +111,8 @@
     pub load: Option<TargetLoad>,
     /// Version of the weights that made the answer.
     pub weights_version: Option<u64>,
+    /// Whether the target states that it is leaving and wants no new requests.
+    pub is_leaving: bool,
 }
 
 /// State of an engine, as it reports it on request.
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -32,6 +32,7 @@
     outlier::OutlierDetector,
     platform_state::PlatformState,
     quarantine::Admission,
+    target::TargetRecord,
 };
 use crate::{
     clock::US_PER_MS,
@@ -111,6 +112,9 @@
     pub(super) outlier: OutlierDetector,
     /// Highest version of the weights in its answers.
     pub(super) weights: Option<u64>,
+    /// Start of the target, in Unix milliseconds, after which it stated that it is
+    /// leaving. A target that starts again may have the same id.
+    left_started_at_ms: Option<u64>,
 }
 
 impl TargetObservations {
@@ -121,11 +125,21 @@
         (age_us < MAX_LOAD_AGE_US).then_some(age_us)
     }
 
-    fn update_load(&mut self, load: Option<TargetLoad>, now_us: u64) {
-        if let Some(load) = load {
+    /// Returns whether the target wants no new requests.
+    pub(super) fn is_closed(&self, target: &TargetRecord) -> bool {
+        self.left_started_at_ms == Some(target.started_at_ms)
+    }
+
+    /// Records what the head of an answer reports about its target.
+    fn update(&mut self, target: &TargetRecord, head: &AnswerHead, now_us: u64) {
+        if let Some(load) = head.load {
             self.load = load;
             self.load_at_us = Some(now_us);
         }
+        self.weights = self.weights.max(head.weights_version);
+        if head.is_leaving {
+            self.left_started_at_ms = Some(target.started_at_ms);
+        }
     }
 }
 
@@ -239,22 +253,20 @@
     }
 
     /// Records what an answer reports about its target.
-    pub(super) fn observe(&self, id: &Name, head: &AnswerHead, is_good: bool) {
+    pub(super) fn observe(&self, target: &TargetRecord, head: &AnswerHead, is_good: bool) {
         let now_us = self.now_us();
         let mut observations = self.observations.borrow_mut();
-        let observed = observations.entry(id.clone()).or_default();
-        observed.update_load(head.load, now_us);
-        observed.weights = observed.weights.max(head.weights_version);
+        let observed = observations.entry(target.id.clone()).or_default();
+        observed.update(target, head, now_us);
         observed.outlier.record_answer(is_good);
     }
 
     /// Records that a target refused a request; it is avoided for `pause_us`.
-    pub(super) fn observe_refusal(&self, id: &Name, head: &AnswerHead, pause_us: u64) {
+    pub(super) fn observe_refusal(&self, target: &TargetRecord, head: &AnswerHead, pause_us: u64) {
         let now_us = self.now_us();
         let mut observations = self.observations.borrow_mut();
-        let observed = observations.entry(id.clone()).or_default();
-        observed.update_load(head.load, now_us);
-        observed.weights = observed.weights.max(head.weights_version);
+        let observed = observations.entry(target.id.clone()).or_default();
+        observed.update(target, head, now_us);
         observed.outlier.record_refusal(now_us, pause_us);
     }
 
