Send nothing to a target for the time that its refusal states

Entries avoided such a target for 0.1 s and used it again when no other was left.

Change: the end of the stated time is kept with what the entry observed of the target, which is no candidate until then.

--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -127,7 +127,7 @@
                 continue;
             }
             let observed = observations.get(&record.id).unwrap_or(&no_observations);
-            if observed.is_closed(record) {
+            if observed.is_closed(record, now_us) {
                 continue;
             }
             let reported_engine = engines
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -113,6 +113,8 @@
     pub weights_version: Option<u64>,
     /// Whether the target states that it is leaving and wants no new requests.
     pub is_leaving: bool,
+    /// Time for which a target that refused a request wants none from this entry.
+    pub retry_after_ms: Option<u64>,
 }
 
 /// State of an engine, as it reports it on request.
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -115,6 +115,8 @@
     /// Start of the target, in Unix milliseconds, after which it stated that it is
     /// leaving. A target that starts again may have the same id.
     left_started_at_ms: Option<u64>,
+    /// Until when the target wants no requests from this entry.
+    refuses_until_us: u64,
 }
 
 impl TargetObservations {
@@ -125,9 +127,9 @@
         (age_us < MAX_LOAD_AGE_US).then_some(age_us)
     }
 
-    /// Returns whether the target wants no new requests.
-    pub(super) fn is_closed(&self, target: &TargetRecord) -> bool {
-        self.left_started_at_ms == Some(target.started_at_ms)
+    /// Returns whether the target has stated that it wants no requests now.
+    pub(super) fn is_closed(&self, target: &TargetRecord, now_us: u64) -> bool {
+        self.left_started_at_ms == Some(target.started_at_ms) || now_us < self.refuses_until_us
     }
 
     /// Records what the head of an answer reports about its target.
@@ -140,6 +142,10 @@
         if head.is_leaving {
             self.left_started_at_ms = Some(target.started_at_ms);
         }
+        if let Some(retry_after_ms) = head.retry_after_ms {
+            let until_us = now_us.saturating_add(retry_after_ms.saturating_mul(US_PER_MS));
+            self.refuses_until_us = self.refuses_until_us.max(until_us);
+        }
     }
 }
 
