Move services to other releases by evidence, take bad ones back

Cause: the path that users run never read the operator's orders. Evidence and rollouts existed for the path through agents only.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -5,7 +5,7 @@
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`kv_store`],
 //! [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
-//! [`stall`], [`turns`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
+//! [`service_rollout`], [`stall`], [`turns`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
 mod attempt;
@@ -32,6 +32,7 @@
 pub mod routing;
 pub mod sampling;
 mod serve;
+pub mod service_rollout;
 pub mod stall;
 pub mod target;
 pub mod turns;
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -6,7 +6,10 @@
     sync::Arc, //
 };
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use super::{
     attempt::IncomingRequest,
@@ -35,13 +38,18 @@
 };
 use crate::{
     clock::US_PER_MS,
-    names::Name, //
+    names::Name,
+    version::evidence::Side, //
 };
 
 /// Time in which a busy engine generates one token. An idle engine takes 4.4 ms,
 /// and one that prefills prompts takes 20 ms.
 const TOKEN_US: u64 = 8 * US_PER_MS;
 
+/// Seed of the hash that draws the release of a request, so that it does not depend on
+/// what else is drawn by the request's id.
+const RELEASE_SEED: u64 = 1;
+
 /// Estimated time to the first token of a request at an engine.
 const FIRST_TOKEN_US: u64 = 250 * US_PER_MS;
 
@@ -119,6 +127,7 @@
         let observations = self.observations.borrow();
         let engines = self.context.engines();
         let no_observations = TargetObservations::default();
+        let releases = self.choose_release(platform_state, incoming, tried);
         let mut all_sources: Vec<ImportSources> = Vec::new();
         let mut choice_observations = Vec::new();
         let mut choices: Vec<TargetChoice> = Vec::new();
@@ -168,7 +177,10 @@
                 }
                 leading_tokens = (reported_tokens.is_some() || sent > 0).then(|| present.max(sent));
             }
-            if tried.contains(&record.id) {
+            let is_other_release = releases.as_ref().is_some_and(|(release, side)| {
+                (record.release == *release) != (*side == Side::New)
+            });
+            if is_other_release || tried.contains(&record.id) {
                 continue;
             }
             choice_observations.push(observed);
@@ -226,6 +238,36 @@
             .collect()
     }
 
+    /// Returns the new release of the request's service and the side that the request is
+    /// sent to, `None` when any target will do. A request that is tried again goes to the
+    /// old release.
+    fn choose_release(
+        &self,
+        platform_state: &PlatformState,
+        incoming: &IncomingRequest,
+        tried: &HashSet<Name>,
+    ) -> Option<(Name, Side)> {
+        let point = xxh3_64_with_seed(incoming.id().as_bytes(), RELEASE_SEED);
+        let choice = self
+            .context
+            .service_rollouts()
+            .choose(&incoming.service, point)?;
+        let has_targets = |side: Side| {
+            platform_state.targets.values().any(|record| {
+                record.service == incoming.service
+                    && record.state == TargetState::Ready
+                    && (record.release == choice.release) == (side == Side::New)
+                    && !tried.contains(&record.id)
+            })
+        };
+        let is_retry = !tried.is_empty() && has_targets(Side::Old);
+        let side = if is_retry { Side::Old } else { choice.side };
+        if has_targets(side) || !choice.has_fallback {
+            return Some((choice.release, side));
+        }
+        None
+    }
+
     /// Returns whether an engine's weights have been outdated for so long that no
     /// request may start on them.
     fn has_expired_weights(
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -34,10 +34,14 @@
     platform_state::PlatformState,
     quarantine::Quarantine,
     quota::Quotas,
-    routing::RoutingTable, //
+    routing::RoutingTable,
+    service_rollout::ServiceRollouts, //
 };
 use crate::{
-    clock::Clock,
+    clock::{
+        Clock,
+        US_PER_MS, //
+    },
     event::Event,
     names::{
         Incarnation,
@@ -85,6 +89,7 @@
     pub(super) metrics: Metrics,
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
+    service_rollouts: Mutex<ServiceRollouts>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
@@ -108,6 +113,7 @@
             metrics: Metrics::new(),
             quotas: Mutex::default(),
             quarantine: Mutex::default(),
+            service_rollouts: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -130,6 +136,19 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the progress of the rollouts of services.
+    pub(super) fn service_rollouts(&self) -> MutexGuard<'_, ServiceRollouts> {
+        self.service_rollouts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the wall-clock time in microseconds, by which entries number the blocks of
+    /// answers that they count.
+    pub(super) fn wall_us(&self) -> u64 {
+        self.clock.unix_ms() * US_PER_MS
+    }
+
     /// Adds what another entry has observed of prompt parts.
     pub(super) fn merge_parts_report(&self, entry: &EntryState) {
         let now_us = self.clock.now_us();
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -69,6 +69,10 @@
     platform_state::PlatformState,
     quota,
     serve,
+    service_rollout::{
+        RolloutOrder,
+        RolloutState, //
+    },
     watchers,
     worker::Worker, //
 };
@@ -82,6 +86,7 @@
         Result, //
     },
     event::Event,
+    names::Name,
     process::{
         admin::Observed,
         client,
@@ -222,6 +227,50 @@
     .await;
 }
 
+/// Pause between the writes of different entries that store the same state.
+const ROLLOUT_WRITE_DELAY_US: u64 = 300 * US_PER_MS;
+
+/// Pause until an entry writes a state again that is still not stored.
+const ROLLOUT_REWRITE_US: u64 = 500 * US_PER_MS;
+
+/// Times at which this entry may write the states of rollouts.
+#[derive(Default)]
+struct RolloutWrites(Vec<(Name, RolloutState, u64)>);
+
+impl RolloutWrites {
+    /// Forgets writes that are no longer due.
+    fn retain_due(&mut self, due: &[(RolloutOrder, RolloutState)]) {
+        self.0.retain(|(service, state, _)| {
+            let mut due = due.iter();
+            due.any(|(order, wanted)| order.service == *service && wanted == state)
+        });
+    }
+
+    /// Returns whether this entry writes a state now. It leaves the first `delay_us` to
+    /// others.
+    fn is_turn(
+        &mut self,
+        order: &RolloutOrder,
+        state: RolloutState,
+        delay_us: u64,
+        now_us: u64,
+    ) -> bool {
+        let mut planned = self.0.iter_mut();
+        let known =
+            planned.find(|(service, wanted, _)| *service == order.service && *wanted == state);
+        let Some((_, _, at_us)) = known else {
+            let at_us = now_us + delay_us;
+            self.0.push((order.service.clone(), state, at_us));
+            return false;
+        };
+        if now_us < *at_us {
+            return false;
+        }
+        *at_us = now_us + ROLLOUT_REWRITE_US;
+        true
+    }
+}
+
 /// State of the control thread.
 struct Control<P: Platform> {
     context: Arc<Context>,
@@ -262,6 +311,7 @@
         Topic::Targets,
         Topic::Weights,
         Topic::Entries,
+        Topic::Rollouts,
     ] {
         let applying = Rc::clone(&control);
         let following = Rc::clone(&control);
@@ -390,6 +440,7 @@
         let mut next_exchange_us = BTreeMap::new();
         let mut urgent_at_us = 0;
         let mut register_at_us = 0;
+        let mut rollout_writes = RolloutWrites::default();
         loop {
             let now_us = self.context.clock.now_us();
             if now_us >= register_at_us && !self.health.is_down() {
@@ -399,6 +450,7 @@
                 self.publish(self.configuration_version(), "expiry");
             }
             self.context.quotas().charge_assumed_use(now_us);
+            self.advance_rollouts(&mut rollout_writes, now_us);
             let fresh_until_us = if self.is_following_peers() {
                 0
             } else {
@@ -410,6 +462,63 @@
         }
     }
 
+    /// Derives the shares of new releases and writes the states of rollouts that are due.
+    fn advance_rollouts(self: &Rc<Self>, writes: &mut RolloutWrites, now_us: u64) {
+        let orders = self.platform_state.borrow().service_rollouts.clone();
+        if orders.is_empty() {
+            return;
+        }
+        let due = {
+            let mut rollouts = self.context.service_rollouts();
+            rollouts.sync(orders.values(), now_us);
+            let own = self.context.incarnation;
+            for (service, verdict) in rollouts.advance(own, now_us, self.context.wall_us()) {
+                warn!(self.context.log, "release is taken back";
+                    "event" => Event::VersionCut,
+                    "service" => &*service,
+                    "verdict" => ?verdict);
+            }
+            rollouts.due_writes(now_us)
+        };
+        writes.retain_due(&due);
+        for (order, state) in due {
+            if writes.is_turn(&order, state, self.write_delay_us(), now_us) {
+                let control = Rc::clone(self);
+                ntex::rt::spawn(async move { control.write_rollout_state(order, state).await });
+            }
+        }
+    }
+
+    /// Returns how long this entry leaves a write to others: entries write in the order
+    /// of their hashes, so that usually one of them calls the store.
+    fn write_delay_us(&self) -> u64 {
+        let platform_state = self.platform_state.borrow();
+        let own_name = &self.context.settings.get().name;
+        let watchers = watchers::watchers(platform_state.entries.keys());
+        let position = watchers.iter().position(|name| *name == own_name);
+        let position = position.unwrap_or(watchers::MAX_WATCHERS);
+        u64::try_from(position).unwrap_or(u64::MAX) * ROLLOUT_WRITE_DELAY_US
+    }
+
+    async fn write_rollout_state(&self, order: RolloutOrder, state: RolloutState) {
+        let written = self
+            .store
+            .write_rollout_state(&order, state, REGISTER_TIMEOUT_MS)
+            .await;
+        match written {
+            Ok(()) => info!(self.context.log, "state of a rollout is stored";
+                "event" => Event::MoveChanged,
+                "service" => &*order.service,
+                "release" => &*order.release,
+                "state" => ?state),
+            Err(error) => warn!(self.context.log, "state of a rollout could not be stored";
+                "event" => Event::PlatformDown,
+                "service" => &*order.service,
+                "state" => ?state,
+                "error" => %error),
+        }
+    }
+
     /// Registers this entry unless it is already listed as registered. Returns when
     /// to check again.
     async fn register(&self, now_us: u64) -> u64 {
@@ -512,6 +621,9 @@
         }
         if let Some(entry) = &reply.entry {
             self.context.merge_parts_report(entry);
+            self.context
+                .service_rollouts()
+                .merge(entry.incarnation, &entry.rollouts, now_us);
             self.context.quotas().charge_reported_use(
                 &entry.name,
                 entry.incarnation,
@@ -536,6 +648,9 @@
         control_address: settings.control_address,
         used: context.quotas().used(),
         parts: context.quarantine().report(context.clock.now_us()),
+        rollouts: context
+            .service_rollouts()
+            .report(context.clock.now_us(), context.wall_us()),
     }
 }
 
@@ -563,6 +678,9 @@
         context.merge_parts_report(entry);
         let now_us = context.clock.now_us();
         begun = context.quarantine().begun_answers(&entry.parts, now_us);
+        context
+            .service_rollouts()
+            .merge(entry.incarnation, &entry.rollouts, now_us);
         context
             .quotas()
             .charge_reported_use(&entry.name, entry.incarnation, &entry.used, now_us);
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -37,7 +37,7 @@
     match topic {
         // Changes of both have to be in force within two seconds.
         Topic::Configuration | Topic::Targets => 1_500,
-        Topic::Weights => 3_000,
+        Topic::Weights | Topic::Rollouts => 3_000,
         Topic::Entries => 30_000,
     }
 }
@@ -57,7 +57,7 @@
         Topic::Targets => Duration::from_millis(400),
         // All entries register at the start, and all of them watch the entries.
         Topic::Entries => Duration::from_millis(1_500),
-        Topic::Configuration | Topic::Weights => Duration::ZERO,
+        Topic::Configuration | Topic::Weights | Topic::Rollouts => Duration::ZERO,
     }
 }
 
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -38,6 +38,10 @@
     platform_state::PlatformState,
     quarantine::PartsReport,
     routing::Configuration,
+    service_rollout::{
+        RolloutOrder,
+        RolloutReport, //
+    },
     target::{
         TargetRecord,
         WantedWeights, //
@@ -134,6 +138,8 @@
     pub(super) used: Vec<(Name, u64)>,
     /// Parts of prompts on which engines may have crashed.
     pub(super) parts: PartsReport,
+    /// Progress of the rollouts of services.
+    pub(super) rollouts: Vec<RolloutReport>,
 }
 
 /// Answer of an entry to an exchange request.
@@ -147,6 +153,8 @@
     pub(super) targets: Option<(u64, Vec<TargetRecord>)>,
     /// Wanted weights of all models.
     pub(super) weights: Vec<WantedWeights>,
+    /// Orders to move services to other releases.
+    pub(super) service_rollouts: Vec<RolloutOrder>,
     /// Control addresses of all registered entries, `None` when the sender has them or
     /// does not need them.
     pub(super) entries: Option<Vec<SocketAddr>>,
@@ -197,6 +205,7 @@
             .values()
             .map(|rollout| rollout.weights.clone())
             .collect(),
+        service_rollouts: platform_state.service_rollouts.values().cloned().collect(),
         entries,
     }
 }
@@ -233,6 +242,9 @@
     for weights in reply.weights {
         is_new |= platform_state.adopt_weights(weights, now_us);
     }
+    for order in reply.service_rollouts {
+        is_new |= platform_state.adopt_rollout(order);
+    }
     is_new
 }
 
--- a/src/direct/platform.rs
+++ b/src/direct/platform.rs
@@ -21,6 +21,10 @@
         WeightsOrder, //
     },
     routing::Configuration,
+    service_rollout::{
+        RolloutOrder,
+        RolloutState, //
+    },
     target::{
         TargetRecord,
         WantedWeights, //
@@ -42,6 +46,8 @@
     Weights,
     /// The entries of the system.
     Entries,
+    /// Orders to move services to other releases.
+    Rollouts,
 }
 
 /// An entry that has registered itself.
@@ -68,6 +74,8 @@
     Entry(EntryRecord),
     /// The entry of this name is no longer registered.
     EntryRemoved(Name),
+    /// An order to move a service to another release, as it is stored now.
+    Rollout(RolloutOrder),
     /// The object of this name cannot be read, with the reason.
     Unreadable(Name, String),
 }
@@ -131,6 +139,15 @@
         entry: &EntryRecord,
         timeout_ms: u64,
     ) -> impl Future<Output = std::result::Result<(), StoreError>>;
+
+    /// Stores the state of a rollout unless its object has changed since the revision of
+    /// the order.
+    fn write_rollout_state(
+        &self,
+        order: &RolloutOrder,
+        state: RolloutState,
+        timeout_ms: u64,
+    ) -> impl Future<Output = std::result::Result<(), StoreError>>;
 }
 
 /// A platform that the direct path runs on.
--- a/src/direct/platform_state.rs
+++ b/src/direct/platform_state.rs
@@ -17,6 +17,7 @@
         Configuration,
         RoutingTable, //
     },
+    service_rollout::RolloutOrder,
     target::{
         TargetRecord,
         Targets,
@@ -84,6 +85,8 @@
     pub has_weights: bool,
     /// Rollouts of weights by model.
     pub rollouts: BTreeMap<Name, WeightsRollout>,
+    /// Orders to move services to other releases, by service.
+    pub service_rollouts: BTreeMap<Name, RolloutOrder>,
     /// Registered entries by name.
     pub entries: BTreeMap<Name, EntryRecord>,
     /// Revision of the store up to which `targets` is complete.
@@ -177,6 +180,17 @@
         true
     }
 
+    /// Adopts an order to move a service unless the same or a later one is known. Returns
+    /// whether it was adopted.
+    pub fn adopt_rollout(&mut self, order: RolloutOrder) -> bool {
+        let known = self.service_rollouts.get(&order.service);
+        if known.is_some_and(|known| known.revision >= order.revision) {
+            return false;
+        }
+        self.service_rollouts.insert(order.service.clone(), order);
+        true
+    }
+
     /// Applies changes of a topic; a listing holds all its objects. `recovered_at_us`
     /// is when the store last answered again after an outage.
     pub fn apply(
@@ -213,6 +227,9 @@
                 ObjectChange::EntryRemoved(name) => {
                     self.entries.remove(&name);
                 }
+                ObjectChange::Rollout(order) => {
+                    self.adopt_rollout(order);
+                }
                 ObjectChange::Unreadable(..) => {}
             }
         }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -1,6 +1,9 @@
 //! Relays event streams to callers and resumes broken ones at other targets.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    sync::Arc, //
+};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -25,6 +28,7 @@
     request_attempts::RequestAttempts,
     serve::us_to_seconds,
     stall::stalled_at_us,
+    target::TargetRecord,
     worker::{
         RunningRequest,
         Worker, //
@@ -33,9 +37,13 @@
 use crate::{
     error::ErrorKind,
     event::Event,
-    names::Name, //
+    version::evidence::counts::Sample, //
 };
 
+/// Batches of events after the first one from which a stream shows the pace of its
+/// target.
+const MIN_PACE_BATCHES: u64 = 4;
+
 /// An event stream that is relayed from a target to a caller.
 pub(super) struct Relay<P: Platform> {
     worker: Rc<Worker<P>>,
@@ -43,8 +51,10 @@
     attempts: RequestAttempts,
     answer: Option<Answer<P>>,
     splitter: EventSplitter,
-    target: Name,
+    target: Arc<TargetRecord>,
     events_bytes: usize,
+    /// Batches of events after the first one.
+    batches: u64,
     /// Time at which the first batch was read.
     first_at_us: u64,
     /// When the present attempt was sent, `None` once its answer has begun.
@@ -90,7 +100,7 @@
         worker: &Rc<Worker<P>>,
         incoming: IncomingRequest,
         attempts: RequestAttempts,
-        target: Name,
+        target: Arc<TargetRecord>,
         (answer, splitter, first_batch): (Answer<P>, EventSplitter, Option<Bytes>),
         running: RunningRequest,
     ) -> Self {
@@ -106,6 +116,7 @@
             splitter,
             target,
             events_bytes: 0,
+            batches: 0,
             first_batch,
             outcome: if is_complete {
                 "complete"
@@ -149,9 +160,11 @@
                         self.event_at_us = self.worker.now_us();
                     }
                     self.events_bytes += data.len();
+                    self.batches += 1;
                     return Some(Ok(data));
                 }
                 Ok(None) => {
+                    self.record_pace();
                     self.answer = None;
                     self.outcome = "complete";
                     return None;
@@ -160,10 +173,16 @@
                     self.answer = None;
                     if self.unbegun_sent_at_us.is_some() {
                         self.worker
-                            .note_unbegun_answer(&self.incoming, &self.target, failure);
+                            .note_unbegun_answer(&self.incoming, &self.target.id, failure);
                     }
                     if self.worker.now_us() < deadline_us {
-                        self.worker.observe_failure(&self.target);
+                        let sample = Sample {
+                            failed: true,
+                            ..Sample::default()
+                        };
+                        self.worker
+                            .record_sample(&self.incoming, &self.target, sample);
+                        self.worker.observe_failure(&self.target.id);
                         if self.resume(failure).await {
                             self.event_at_us = self.worker.now_us();
                             continue;
@@ -177,6 +196,22 @@
         }
     }
 
+    /// Records the time between the events of a stream that one target sent whole. Its
+    /// first event was recorded when it came.
+    fn record_pace(&self) {
+        let is_resumed = self.attempts.count() > 1;
+        if is_resumed || self.batches < MIN_PACE_BATCHES {
+            return;
+        }
+        let total_us = self.event_at_us.saturating_sub(self.first_at_us);
+        let sample = Sample {
+            between_tokens_us: Some(total_us / self.batches),
+            ..Sample::default()
+        };
+        self.worker
+            .record_sample(&self.incoming, &self.target, sample);
+    }
+
     /// Continues the stream at another target after the last whole event. Returns
     /// whether one accepted it.
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
@@ -197,7 +232,7 @@
             info!(self.worker.context.log, "resuming stream at another target";
                 "event" => Event::StreamContinued,
                 "request_id" => self.incoming.id(),
-                "failed_target" => &*self.target,
+                "failed_target" => &*self.target.id,
                 "target" => &*target.id,
                 "last_event_id" => last_event_id,
                 "cause" => failure.name());
@@ -214,7 +249,7 @@
             match sent {
                 Ok(answer) if answer.status().is_success() => {
                     self.splitter = EventSplitter::new(last_event_id);
-                    self.target = target.id.clone();
+                    self.target = Arc::clone(target);
                     self.answer = Some(answer);
                     self.unbegun_sent_at_us = Some(sent_at_us);
                     return true;
@@ -250,7 +285,7 @@
             "request_id" => self.incoming.id(),
             "organisation" => self.incoming.organisation_name().map(|name| &**name),
             "route" => &*self.incoming.route.name,
-            "target" => &*self.target,
+            "target" => &*self.target.id,
             "tries" => self.attempts.count(),
             "outcome" => self.outcome,
             "bytes" => self.events_bytes,
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -65,6 +65,7 @@
         Direction,
         HeaderFilter, //
     },
+    version::evidence::counts::Sample,
 };
 
 /// Time before the caller's deadline at which the entry answers at the latest, so
@@ -313,6 +314,11 @@
         let until_us = attempt_end_us(&worker, &incoming, &attempts);
         match run_attempt(&worker, &incoming, &choice, until_us).await {
             Ok(ReceivedAnswer::Stream(answer, splitter, first_batch)) => {
+                let sample = Sample {
+                    first_token_us: Some(worker.now_us().saturating_sub(sent_at_us)),
+                    ..Sample::default()
+                };
+                worker.record_sample(&incoming, target, sample);
                 if first_batch.is_some() {
                     worker.note_begun_answer(&incoming, sent_at_us);
                 }
@@ -323,7 +329,7 @@
                     &worker,
                     incoming,
                     attempts,
-                    target.id.clone(),
+                    Arc::clone(target),
                     parts,
                     running,
                 );
@@ -331,6 +337,12 @@
             }
             Ok(ReceivedAnswer::Collected(answer, body)) => {
                 let is_failure = answer.status().is_server_error();
+                let sample = Sample {
+                    failed: is_failure,
+                    first_token_us: Some(worker.now_us().saturating_sub(sent_at_us)),
+                    ..Sample::default()
+                };
+                worker.record_sample(&incoming, target, sample);
                 if !is_failure {
                     worker.note_begun_answer(&incoming, sent_at_us);
                 }
@@ -343,6 +355,13 @@
                 attempts.record_failure(failure);
                 last_failure = Some(failure);
                 worker.note_unbegun_answer(&incoming, &target.id, failure);
+                if !failure.is_not_run() {
+                    let sample = Sample {
+                        failed: true,
+                        ..Sample::default()
+                    };
+                    worker.record_sample(&incoming, target, sample);
+                }
                 info!(worker.context.log, "attempt failed";
                     "event" => Event::AttemptRetried,
                     "request_id" => incoming.id(),
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -46,6 +46,7 @@
         RetryRate, //
     },
     settings::DirectEntrySettings,
+    version::evidence::counts::Sample,
 };
 
 /// Smallest number of entries that the spare retries are divided among. A safe
@@ -322,6 +323,23 @@
         self.context.log_quarantined(&quarantined, source);
     }
 
+    /// Records how a target answered, as evidence about its release.
+    pub(super) fn record_sample(
+        &self,
+        incoming: &IncomingRequest,
+        target: &TargetRecord,
+        sample: Sample,
+    ) {
+        let wall_us = self.context.wall_us();
+        self.context.service_rollouts().record(
+            &incoming.service,
+            &target.release,
+            &incoming.route.name,
+            sample,
+            wall_us,
+        );
+    }
+
     /// Counts the first attempt of a request, which adds to the service's retry budget.
     pub(super) fn note_first_attempt(&self, service: &Name) {
         self.with_budget(service, |budget, _| budget.note_first_attempt());
