--- a/src/direct.rs
+++ b/src/direct.rs
@@ -29,6 +29,7 @@
 mod relay;
 mod reply;
 mod request_attempts;
+pub mod rollout_writes;
 pub mod routing;
 pub mod sampling;
 mod serve;
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -68,6 +68,10 @@
     },
     platform_state::PlatformState,
     quota,
+    rollout_writes::{
+        RolloutWrites,
+        write_delay_us, //
+    },
     serve,
     service_rollout::{
         RolloutOrder,
@@ -86,7 +90,6 @@
         Result, //
     },
     event::Event,
-    names::Name,
     process::{
         admin::Observed,
         client,
@@ -227,50 +230,6 @@
     .await;
 }
 
-/// Pause between the writes of different entries that store the same state.
-const ROLLOUT_WRITE_DELAY_US: u64 = 300 * US_PER_MS;
-
-/// Pause until an entry writes a state again that is still not stored.
-const ROLLOUT_REWRITE_US: u64 = 500 * US_PER_MS;
-
-/// Times at which this entry may write the states of rollouts.
-#[derive(Default)]
-struct RolloutWrites(Vec<(Name, RolloutState, u64)>);
-
-impl RolloutWrites {
-    /// Forgets writes that are no longer due.
-    fn retain_due(&mut self, due: &[(RolloutOrder, RolloutState)]) {
-        self.0.retain(|(service, state, _)| {
-            let mut due = due.iter();
-            due.any(|(order, wanted)| order.service == *service && wanted == state)
-        });
-    }
-
-    /// Returns whether this entry writes a state now. It leaves the first `delay_us` to
-    /// others.
-    fn is_turn(
-        &mut self,
-        order: &RolloutOrder,
-        state: RolloutState,
-        delay_us: u64,
-        now_us: u64,
-    ) -> bool {
-        let mut planned = self.0.iter_mut();
-        let known =
-            planned.find(|(service, wanted, _)| *service == order.service && *wanted == state);
-        let Some((_, _, at_us)) = known else {
-            let at_us = now_us + delay_us;
-            self.0.push((order.service.clone(), state, at_us));
-            return false;
-        };
-        if now_us < *at_us {
-            return false;
-        }
-        *at_us = now_us + ROLLOUT_REWRITE_US;
-        true
-    }
-}
-
 /// State of the control thread.
 struct Control<P: Platform> {
     context: Arc<Context>,
@@ -496,8 +455,7 @@
         let own_name = &self.context.settings.get().name;
         let watchers = watchers::watchers(platform_state.entries.keys());
         let position = watchers.iter().position(|name| *name == own_name);
-        let position = position.unwrap_or(watchers::MAX_WATCHERS);
-        u64::try_from(position).unwrap_or(u64::MAX) * ROLLOUT_WRITE_DELAY_US
+        write_delay_us(position.unwrap_or(watchers::MAX_WATCHERS))
     }
 
     async fn write_rollout_state(&self, order: RolloutOrder, state: RolloutState) {
