End short rollouts in time, retry at the release that stays

Found by reading the diff: a rollout of less than 9 s was done up to 1.2 s late, and a request that was tried again after the end of a rollout went to old targets that had stopped, as long as their records were listed.

Tests: service_rollouts a_short_rollout_is_done_by_the_deadline and retries_go_to_the_release_that_stays; they were not run without the change.

--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -239,8 +239,7 @@
     }
 
     /// Returns the new release of the request's service and the side that the request is
-    /// sent to, `None` when any target will do. A request that is tried again goes to the
-    /// old release.
+    /// sent to, `None` when any target will do.
     fn choose_release(
         &self,
         platform_state: &PlatformState,
@@ -260,8 +259,12 @@
                     && !tried.contains(&record.id)
             })
         };
-        let is_retry = !tried.is_empty() && has_targets(Side::Old);
-        let side = if is_retry { Side::Old } else { choice.side };
+        let is_retry = !tried.is_empty() && has_targets(choice.retry_side);
+        let side = if is_retry {
+            choice.retry_side
+        } else {
+            choice.side
+        };
         if has_targets(side) || !choice.has_fallback {
             return Some((choice.release, side));
         }
--- a/src/direct/service_rollout.rs
+++ b/src/direct/service_rollout.rs
@@ -49,9 +49,9 @@
 /// Part of the rollout after which it is done. The rest is for the write of its state.
 const DONE_AT_PERCENT: u64 = 94;
 
-/// Time for which a new release has all requests before the rollout is done, so that
-/// requests on the old release end and late faults show.
-const SETTLE_US: u64 = 1_200 * US_PER_MS;
+/// Longest time for which a new release has all requests before the rollout is done, so
+/// that requests on the old release end and late faults show.
+const MAX_SETTLE_US: u64 = 1_200 * US_PER_MS;
 
 /// Outcome of a rollout as far as it is stored.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -110,6 +110,8 @@
     pub side: Side,
     /// Whether the other side is used when this one has no targets.
     pub has_fallback: bool,
+    /// Side of a request that is tried again.
+    pub retry_side: Side,
 }
 
 /// Progress of one rollout at this entry.
@@ -185,9 +187,11 @@
         if self.is_cut {
             return RolloutState::RolledBack;
         }
+        let planned_us = self.at_percent_us(DONE_AT_PERCENT) - self.at_percent_us(FULL_AT_PERCENT);
+        let settle_us = planned_us.min(MAX_SETTLE_US);
         let is_settled = self
             .full_since_us
-            .is_some_and(|since_us| now_us >= since_us + SETTLE_US);
+            .is_some_and(|since_us| now_us >= since_us + settle_us);
         let is_due = now_us >= self.at_percent_us(DONE_AT_PERCENT);
         if is_due && is_settled && self.verdict == Verdict::Clear {
             RolloutState::Done
@@ -250,6 +254,12 @@
             release: progress.order.release.clone(),
             side: if is_new { Side::New } else { Side::Old },
             has_fallback: is_new || !progress.is_cut,
+            // Old targets stop when the new release has all requests.
+            retry_side: if progress.share_permille == FULL_PERMILLE {
+                Side::New
+            } else {
+                Side::Old
+            },
         })
     }
 
--- a/tests/service_rollouts.rs
+++ b/tests/service_rollouts.rs
@@ -132,6 +132,42 @@
     assert!(outcome.decided_at_s < DURATION_S as f64);
 }
 
+/// Guards against a short rollout that is done late because the new release keeps all
+/// requests for a fixed time before.
+#[test]
+fn a_short_rollout_is_done_by_the_deadline() {
+    let short = RolloutOrder {
+        duration_ms: 4_000,
+        ..order()
+    };
+    let mut rollouts = ServiceRollouts::default();
+    let mut now_us = 0;
+    while now_us < 4 * US_PER_S {
+        rollouts.sync([&short].into_iter(), 0);
+        rollouts.advance(Incarnation(0), now_us, now_us);
+        if rollouts.due_writes(now_us)[0].1 == RolloutState::Done {
+            return;
+        }
+        now_us += US_PER_S / 20;
+    }
+    panic!("not done by the deadline");
+}
+
+/// Guards against requests that are tried again at old targets which have stopped.
+#[test]
+fn retries_go_to_the_release_that_stays() {
+    let mut rollouts = ServiceRollouts::default();
+    rollouts.sync([&order()].into_iter(), 0);
+    assert_eq!(rollouts.choose("app", 0).unwrap().retry_side, Side::Old);
+    let done = RolloutOrder {
+        state: Some(RolloutState::Done),
+        ..order()
+    };
+    rollouts.sync([&done].into_iter(), 1);
+    rollouts.advance(Incarnation(0), 2, 2);
+    assert_eq!(rollouts.choose("app", 0).unwrap().retry_side, Side::New);
+}
+
 /// Guards against an entry that goes on with a release which another one has taken back,
 /// and against one that starts late and gives the release a share of its own.
 #[test]
