--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -27,6 +27,7 @@
     },
     platform_state::PlatformState,
     sampling,
+    service_rollout::ReleaseChoice,
     target::{
         TargetRecord,
         TargetState, //
@@ -177,9 +178,9 @@
                 }
                 leading_tokens = (reported_tokens.is_some() || sent > 0).then(|| present.max(sent));
             }
-            let is_other_release = releases.as_ref().is_some_and(|(release, side)| {
-                (record.release == *release) != (*side == Side::New)
-            });
+            let is_other_release = releases
+                .as_ref()
+                .is_some_and(|choice| choice.side_of(&record.release) != choice.side);
             if is_other_release || tried.contains(&record.id) {
                 continue;
             }
@@ -238,16 +239,16 @@
             .collect()
     }
 
-    /// Returns the new release of the request's service and the side that the request is
-    /// sent to, `None` when any target will do.
+    /// Returns the side that a request of a service with a rollout is sent to, `None` when
+    /// any target will do.
     fn choose_release(
         &self,
         platform_state: &PlatformState,
         incoming: &IncomingRequest,
         tried: &HashSet<Name>,
-    ) -> Option<(Name, Side)> {
+    ) -> Option<ReleaseChoice> {
         let point = xxh3_64_with_seed(incoming.id().as_bytes(), RELEASE_SEED);
-        let choice = self
+        let mut choice = self
             .context
             .service_rollouts()
             .choose(&incoming.service, point)?;
@@ -255,7 +256,7 @@
             platform_state.targets.values().any(|record| {
                 record.service == incoming.service
                     && record.state == TargetState::Ready
-                    && (record.release == choice.release) == (side == Side::New)
+                    && choice.side_of(&record.release) == side
                     && !tried.contains(&record.id)
             })
         };
@@ -265,10 +266,9 @@
         } else {
             choice.side
         };
-        if has_targets(side) || !choice.has_fallback {
-            return Some((choice.release, side));
-        }
-        None
+        let is_kept = has_targets(side) || !choice.has_fallback;
+        choice.side = side;
+        is_kept.then_some(choice)
     }
 
     /// Returns whether an engine's weights have been outdated for so long that no
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -149,11 +149,16 @@
         self.clock.unix_ms() * US_PER_MS
     }
 
-    /// Adds what another entry has observed of prompt parts.
-    pub(super) fn merge_parts_report(&self, entry: &EntryState) {
+    /// Adds what another entry reports: its use of the rates, and its observations of
+    /// prompt parts and of the releases of services.
+    pub(super) fn merge_entry_state(&self, entry: &EntryState) {
         let now_us = self.clock.now_us();
+        self.quotas()
+            .charge_reported_use(&entry.name, entry.incarnation, &entry.used, now_us);
         let quarantined = self.quarantine().merge(&entry.parts, now_us);
         self.log_quarantined(&quarantined, &entry.name);
+        self.service_rollouts()
+            .merge(entry.incarnation, &entry.rollouts, now_us);
     }
 
     /// Logs parts that are quarantined from now on. `source` is the entry that observed
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -22,21 +22,16 @@
     time::Duration, //
 };
 
-use futures_util::{
-    StreamExt,
-    future::join_all, //
-};
+use futures_util::future::join_all;
 use ntex::{
     SharedCfg,
     http::{
         HttpServiceConfig,
         Request,
-        Response,
-        StatusCode, //
+        Response, //
     },
     service::fn_service,
-    time::Seconds,
-    util::BytesMut, //
+    time::Seconds, //
 };
 use slog::{
     Logger,
@@ -50,6 +45,7 @@
 
 use super::{
     context::Context,
+    exchange,
     follow::{
         StoreHealth,
         TopicChanges,
@@ -57,7 +53,6 @@
     },
     peers::{
         self,
-        EntryState,
         ExchangeRequest, //
     },
     platform::{
@@ -85,10 +80,7 @@
         US_PER_MS,
         US_PER_S, //
     },
-    error::{
-        ErrorKind,
-        Result, //
-    },
+    error::Result,
     event::Event,
     process::{
         admin::Observed,
@@ -153,7 +145,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::Io`] when a listener cannot be opened.
+/// Returns [`ErrorKind::Io`](crate::error::ErrorKind::Io) when a listener cannot be opened.
 pub fn run<P: Platform>(settings: LiveSettings<DirectEntrySettings>, log: &Logger) -> Result<()> {
     let addresses = settings.get();
     let caller = stop::bind(addresses.caller_address)?;
@@ -252,9 +244,7 @@
         let context = Arc::clone(&server_context);
         fn_service(move |request: Request| {
             let context = Arc::clone(&context);
-            async move {
-                Ok::<Response, std::io::Error>(answer_exchange_request(&context, request).await)
-            }
+            async move { Ok::<Response, std::io::Error>(exchange::answer(&context, request).await) }
         })
     })?;
     let control = Rc::new(Control::<P> {
@@ -390,6 +380,9 @@
                 self.context.configure_quotas(table, now_us);
             }
         }
+        let now_us = self.context.clock.now_us();
+        let orders = platform_state.service_rollouts.values();
+        self.context.service_rollouts().sync(orders, now_us);
         self.context.platform_state.store(Arc::new(platform_state));
     }
 
@@ -423,13 +416,8 @@
 
     /// Derives the shares of new releases and writes the states of rollouts that are due.
     fn advance_rollouts(self: &Rc<Self>, writes: &mut RolloutWrites, now_us: u64) {
-        let orders = self.platform_state.borrow().service_rollouts.clone();
-        if orders.is_empty() {
-            return;
-        }
         let due = {
             let mut rollouts = self.context.service_rollouts();
-            rollouts.sync(orders.values(), now_us);
             let own = self.context.incarnation;
             for (service, verdict) in rollouts.advance(own, now_us, self.context.wall_us()) {
                 warn!(self.context.log, "release is taken back";
@@ -501,10 +489,6 @@
         self.context.clock.now_us() + REGISTER_INTERVAL_US
     }
 
-    fn state(&self) -> EntryState {
-        state(&self.context)
-    }
-
     /// Starts the exchanges with other entries that are due, or all of them when an
     /// organisation has used much since the last urgent report.
     fn start_exchanges(
@@ -552,7 +536,7 @@
             let wants_targets =
                 is_assigned_watcher || self.health.is_down() || !platform_state.has_targets;
             ExchangeRequest {
-                entry: Some(self.state()),
+                entry: Some(exchange::own_state(&self.context)),
                 configuration_version: platform_state
                     .configuration
                     .as_ref()
@@ -578,16 +562,7 @@
             self.note_following_peers(until_us, address);
         }
         if let Some(entry) = &reply.entry {
-            self.context.merge_parts_report(entry);
-            self.context
-                .service_rollouts()
-                .merge(entry.incarnation, &entry.rollouts, now_us);
-            self.context.quotas().charge_reported_use(
-                &entry.name,
-                entry.incarnation,
-                &entry.used,
-                now_us,
-            );
+            self.context.merge_entry_state(entry);
         }
         let before = self.configuration_version();
         let is_new = peers::apply_reply(&mut self.platform_state.borrow_mut(), reply, now_us);
@@ -596,78 +571,3 @@
         }
     }
 }
-
-/// Returns the state that this entry reports to others.
-fn state(context: &Context) -> EntryState {
-    let settings = context.settings.get();
-    EntryState {
-        name: settings.name.clone(),
-        incarnation: context.incarnation,
-        control_address: settings.control_address,
-        used: context.quotas().used(),
-        parts: context.quarantine().report(context.clock.now_us()),
-        rollouts: context
-            .service_rollouts()
-            .report(context.clock.now_us(), context.wall_us()),
-    }
-}
-
-/// Answers an exchange request of another entry or of an agent.
-async fn answer_exchange_request(context: &Context, mut request: Request) -> Response {
-    if request.uri().path() != peers::PATH {
-        return Response::new(StatusCode::NOT_FOUND);
-    }
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let Ok(part) = part else {
-            return Response::new(StatusCode::BAD_REQUEST);
-        };
-        if body.len() + part.len() > peers::MAX_MESSAGE_BYTES {
-            return Response::new(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        body.extend_from_slice(&part);
-    }
-    let Ok(exchange_request) = postcard::from_bytes::<ExchangeRequest>(&body) else {
-        return Response::new(StatusCode::BAD_REQUEST);
-    };
-    let mut begun = Vec::new();
-    if let Some(entry) = &exchange_request.entry {
-        context.merge_parts_report(entry);
-        let now_us = context.clock.now_us();
-        begun = context.quarantine().begun_answers(&entry.parts, now_us);
-        context
-            .service_rollouts()
-            .merge(entry.incarnation, &entry.rollouts, now_us);
-        context
-            .quotas()
-            .charge_reported_use(&entry.name, entry.incarnation, &entry.used, now_us);
-    }
-    let cache_position = exchange_request
-        .engine
-        .clone()
-        .and_then(|engine| context.record_engine_report(engine, exchange_request.cache.as_ref()));
-    let platform_state = context.platform_state.load();
-    let own_state = exchange_request.entry.is_some().then(|| {
-        let mut own_state = state(context);
-        own_state.parts.begun = begun;
-        own_state
-    });
-    let reply = peers::build_reply(
-        &exchange_request,
-        own_state,
-        &platform_state,
-        cache_position,
-        context.store_fresh_for_us(),
-    );
-    match postcard::to_stdvec(&reply) {
-        Ok(body) => Response::build(StatusCode::OK).body(body),
-        Err(error) => {
-            warn!(context.log, "answer to an entry or agent cannot be encoded";
-                "event" => Event::RevisionRejected,
-                "kind" => ErrorKind::Internal.name(),
-                "error" => %error);
-            Response::new(StatusCode::INTERNAL_SERVER_ERROR)
-        }
-    }
-}
--- /dev/null
+++ b/src/direct/exchange.rs
@@ -0,0 +1,94 @@
+//! Answers of an entry to the exchange requests of other entries and of agents.
+
+use futures_util::StreamExt;
+use ntex::{
+    http::{
+        Request,
+        Response,
+        StatusCode, //
+    },
+    util::BytesMut,
+};
+use slog::warn;
+
+use super::{
+    context::Context,
+    peers::{
+        self,
+        EntryState,
+        ExchangeRequest, //
+    },
+};
+use crate::{
+    error::ErrorKind,
+    event::Event, //
+};
+
+/// Returns the state that this entry reports to others.
+pub(super) fn own_state(context: &Context) -> EntryState {
+    let settings = context.settings.get();
+    EntryState {
+        name: settings.name.clone(),
+        incarnation: context.incarnation,
+        control_address: settings.control_address,
+        used: context.quotas().used(),
+        parts: context.quarantine().report(context.clock.now_us()),
+        rollouts: context
+            .service_rollouts()
+            .report(context.clock.now_us(), context.wall_us()),
+    }
+}
+
+/// Answers an exchange request of another entry or of an agent.
+pub(super) async fn answer(context: &Context, mut request: Request) -> Response {
+    if request.uri().path() != peers::PATH {
+        return Response::new(StatusCode::NOT_FOUND);
+    }
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let Ok(part) = part else {
+            return Response::new(StatusCode::BAD_REQUEST);
+        };
+        if body.len() + part.len() > peers::MAX_MESSAGE_BYTES {
+            return Response::new(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        body.extend_from_slice(&part);
+    }
+    let Ok(exchange_request) = postcard::from_bytes::<ExchangeRequest>(&body) else {
+        return Response::new(StatusCode::BAD_REQUEST);
+    };
+    let mut begun = Vec::new();
+    if let Some(entry) = &exchange_request.entry {
+        context.merge_entry_state(entry);
+        let now_us = context.clock.now_us();
+        begun = context.quarantine().begun_answers(&entry.parts, now_us);
+    }
+    let cache_position = exchange_request
+        .engine
+        .clone()
+        .and_then(|engine| context.record_engine_report(engine, exchange_request.cache.as_ref()));
+    let platform_state = context.platform_state.load();
+    let entry = exchange_request.entry.is_some().then(|| {
+        let mut entry = own_state(context);
+        entry.parts.begun = begun;
+        entry
+    });
+    let reply = peers::build_reply(
+        &exchange_request,
+        entry,
+        &platform_state,
+        cache_position,
+        context.store_fresh_for_us(),
+    );
+    match postcard::to_stdvec(&reply) {
+        Ok(body) => Response::build(StatusCode::OK).body(body),
+        Err(error) => {
+            warn!(context.log, "answer to an entry or agent cannot be encoded";
+                "event" => Event::RevisionRejected,
+                "kind" => ErrorKind::Internal.name(),
+                "error" => %error);
+            Response::new(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- a/src/direct/quarantine.rs
+++ b/src/direct/quarantine.rs
@@ -180,10 +180,11 @@
 /// Returns the ids of the parts that requests share: all but the last, which belongs to
 /// the request or its session.
 pub fn shared_part_ids(prompt: &Prompt) -> Vec<u64> {
-    let ids: Vec<u64> = prompt.parts.iter().map(|part| part.id).collect();
-    ids.split_last()
-        .map(|(_, shared)| shared.to_vec())
-        .unwrap_or_default()
+    let shared = prompt
+        .parts
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id).collect()
 }
 
 impl Quarantine {
@@ -202,10 +203,12 @@
     /// Records that the answer began to an attempt with these parts that was sent at
     /// `sent_at_us`, so none of them crashes engines.
     pub fn record_begun(&mut self, parts: &[u64], sent_at_us: u64) {
+        let mut has_crashes = false;
         for part in parts {
+            has_crashes |= self.has_crashes(*part);
             self.note_begun(*part, sent_at_us);
         }
-        if !self.crashes.is_empty() {
+        if has_crashes {
             self.update();
         }
     }
@@ -309,6 +312,17 @@
         self.crashes.push(crash);
     }
 
+    /// Returns whether there are crashes of a part since its last begun answer.
+    fn has_crashes(&self, part: u64) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| crash.parts.contains(&part) && self.is_uncleared(crash, part))
+    }
+
+    fn is_uncleared(&self, crash: &Crash, part: u64) -> bool {
+        let begun_at_us = self.begun_at_us.peek(&part);
+        begun_at_us.is_none_or(|at_us| crash.at_us > *at_us)
+    }
+
     fn note_begun(&mut self, part: u64, sent_at_us: u64) {
         let known_at_us = self.begun_at_us.get(&part).copied().unwrap_or(0);
         self.begun_at_us.put(part, sent_at_us.max(known_at_us));
@@ -337,10 +351,10 @@
         let mut suspects: BTreeMap<u64, Suspect<'_>> = BTreeMap::new();
         for crash in &self.crashes {
             for (position, part) in crash.parts.iter().enumerate() {
-                let begun_at_us = self.begun_at_us.peek(part).copied().unwrap_or(0);
-                if begun_at_us > 0 && crash.at_us <= begun_at_us {
+                if !self.is_uncleared(crash, *part) {
                     continue;
                 }
+                let begun_at_us = self.begun_at_us.peek(part).copied().unwrap_or(0);
                 let suspect = suspects.entry(*part).or_insert_with(|| Suspect {
                     part: *part,
                     crashes: Vec::new(),
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -26,7 +26,7 @@
     platform::Platform,
     reply,
     request_attempts::RequestAttempts,
-    serve::us_to_seconds,
+    request_log::us_to_seconds,
     stall::stalled_at_us,
     target::TargetRecord,
     worker::{
@@ -176,12 +176,8 @@
                             .note_unbegun_answer(&self.incoming, &self.target.id, failure);
                     }
                     if self.worker.now_us() < deadline_us {
-                        let sample = Sample {
-                            failed: true,
-                            ..Sample::default()
-                        };
                         self.worker
-                            .record_sample(&self.incoming, &self.target, sample);
+                            .record_sample(&self.incoming, &self.target, Sample::FAILURE);
                         self.worker.observe_failure(&self.target.id);
                         if self.resume(failure).await {
                             self.event_at_us = self.worker.now_us();
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -42,6 +42,7 @@
     },
     reply,
     request_attempts::RequestAttempts,
+    request_log::RequestLog,
     routing::{
         Organisation,
         Route,
@@ -53,10 +54,7 @@
     },
 };
 use crate::{
-    clock::{
-        US_PER_MS,
-        US_PER_S, //
-    },
+    clock::US_PER_MS,
     error::ErrorKind,
     event::Event,
     names::Name,
@@ -356,11 +354,7 @@
                 last_failure = Some(failure);
                 worker.note_unbegun_answer(&incoming, &target.id, failure);
                 if !failure.is_not_run() {
-                    let sample = Sample {
-                        failed: true,
-                        ..Sample::default()
-                    };
-                    worker.record_sample(&incoming, target, sample);
+                    worker.record_sample(&incoming, target, Sample::FAILURE);
                 }
                 info!(worker.context.log, "attempt failed";
                     "event" => Event::AttemptRetried,
@@ -448,77 +442,3 @@
     let body = body.inspect_err(|_| worker.observe_failure(&target.id))?;
     Ok(ReceivedAnswer::Collected(answer, body))
 }
-
-/// Logs the end of a request when dropped, which includes a caller that leaves early.
-struct RequestLog<P: Platform> {
-    worker: Rc<Worker<P>>,
-    request_id: Name,
-    organisation: Option<Name>,
-    route: Name,
-    target: Option<Name>,
-    attempts: u32,
-    status: u16,
-    kind: Option<ErrorKind>,
-    arrived_at_us: u64,
-    /// Whether a [`Relay`] streams the answer and logs its end instead.
-    is_relayed: bool,
-}
-
-impl<P: Platform> RequestLog<P> {
-    fn new(worker: &Rc<Worker<P>>, incoming: &IncomingRequest) -> Self {
-        Self {
-            worker: Rc::clone(worker),
-            request_id: incoming.id().into(),
-            organisation: incoming.organisation_name().cloned(),
-            route: incoming.route.name.clone(),
-            target: None,
-            attempts: 0,
-            status: 0,
-            kind: None,
-            arrived_at_us: incoming.arrived_at_us,
-            is_relayed: false,
-        }
-    }
-}
-
-impl<P: Platform> Drop for RequestLog<P> {
-    fn drop(&mut self) {
-        if self.is_relayed {
-            return;
-        }
-        let total_us = self.worker.now_us().saturating_sub(self.arrived_at_us);
-        let metrics = &self.worker.context.metrics;
-        let label = self.organisation.as_deref().unwrap_or(PUBLIC_LABEL);
-        metrics.count_answer(label, self.kind);
-        metrics
-            .organisation(label)
-            .total
-            .observe(us_to_seconds(total_us));
-        let outcome = match self.status {
-            0 => "caller_left",
-            200..400 => "complete",
-            _ => "failed",
-        };
-        let event = if outcome == "complete" {
-            Event::RequestDone
-        } else {
-            Event::RequestFailed
-        };
-        info!(self.worker.context.log, "request ended";
-            "event" => event,
-            "request_id" => &*self.request_id,
-            "organisation" => self.organisation.as_deref(),
-            "route" => &*self.route,
-            "target" => self.target.as_deref(),
-            "tries" => self.attempts,
-            "outcome" => outcome,
-            "status" => self.status,
-            "kind" => self.kind.map(ErrorKind::name),
-            "total_us" => total_us);
-    }
-}
-
-/// Converts a time into seconds, the unit of the histograms.
-pub(super) fn us_to_seconds(time_us: u64) -> f64 {
-    time_us as f64 / US_PER_S as f64
-}
--- a/src/direct/service_rollout.rs
+++ b/src/direct/service_rollout.rs
@@ -114,6 +114,21 @@
     pub retry_side: Side,
 }
 
+impl ReleaseChoice {
+    /// Returns the side of the targets of a release.
+    pub fn side_of(&self, release: &Name) -> Side {
+        side_of(&self.release, release)
+    }
+}
+
+fn side_of(new_release: &Name, release: &Name) -> Side {
+    if release == new_release {
+        Side::New
+    } else {
+        Side::Old
+    }
+}
+
 /// Progress of one rollout at this entry.
 #[derive(Debug)]
 struct Progress {
@@ -156,15 +171,24 @@
         }
     }
 
-    fn advance(&mut self, now_us: u64, wall_us: u64) {
+    fn is_final(&self) -> bool {
+        self.order.state.is_some_and(RolloutState::is_final)
+    }
+
+    fn advance(&mut self, own: Incarnation, now_us: u64, wall_us: u64) {
         match self.order.state {
             Some(RolloutState::Done) => {
                 self.share_permille = FULL_PERMILLE;
                 return;
             }
-            Some(RolloutState::RolledBack) => self.is_cut = true,
+            Some(RolloutState::RolledBack) => {
+                self.is_cut = true;
+                self.share_permille = 0;
+                return;
+            }
             Some(RolloutState::Running) | None => {}
         }
+        self.fleet.absorb(own, &self.own.message(wall_us));
         let worst = self.fleet.evidence().worst(wall_us);
         self.verdict = worst.map_or(Verdict::Clear, |(_, score)| score.verdict());
         self.is_cut |= matches!(self.verdict, Verdict::Strong(_));
@@ -172,14 +196,11 @@
             self.share_permille = 0;
             return;
         }
-        let planned_permille = self.planned_permille(now_us);
-        if planned_permille <= self.share_permille || self.verdict == Verdict::Clear {
-            self.share_permille = planned_permille;
+        if self.verdict == Verdict::Clear {
+            self.share_permille = self.planned_permille(now_us);
         }
-        if self.share_permille < FULL_PERMILLE {
-            self.full_since_us = None;
-        } else if self.full_since_us.is_none() {
-            self.full_since_us = Some(now_us);
+        if self.share_permille == FULL_PERMILLE {
+            self.full_since_us.get_or_insert(now_us);
         }
     }
 
@@ -199,14 +220,6 @@
             RolloutState::Running
         }
     }
-
-    fn side(&self, release: &str) -> Side {
-        if *self.order.release == *release {
-            Side::New
-        } else {
-            Side::Old
-        }
-    }
 }
 
 /// Rollouts of all services.
@@ -267,7 +280,7 @@
     pub fn record(
         &mut self,
         service: &str,
-        release: &str,
+        release: &Name,
         route: &Name,
         sample: Sample,
         wall_us: u64,
@@ -275,10 +288,10 @@
         let Some(progress) = self.by_service.get_mut(service) else {
             return;
         };
-        if progress.order.state.is_some_and(RolloutState::is_final) {
+        if progress.is_final() {
             return;
         }
-        let side = progress.side(release);
+        let side = side_of(&progress.order.release, release);
         progress.own.route(route).record(side, sample, wall_us);
     }
 
@@ -288,9 +301,7 @@
         let mut cut = Vec::new();
         for (service, progress) in &mut self.by_service {
             let was_cut = progress.is_cut;
-            let message = progress.own.message(wall_us);
-            progress.fleet.absorb(own, &message);
-            progress.advance(now_us, wall_us);
+            progress.advance(own, now_us, wall_us);
             if progress.is_cut && !was_cut {
                 cut.push((service.clone(), progress.verdict));
             }
@@ -302,10 +313,7 @@
     pub fn due_writes(&self, now_us: u64) -> Vec<(RolloutOrder, RolloutState)> {
         let due = |progress: &Progress| {
             let wanted = progress.wanted_state(now_us);
-            let is_due = match progress.order.state {
-                None => true,
-                Some(stored) => !stored.is_final() && stored != wanted,
-            };
+            let is_due = !progress.is_final() && progress.order.state != Some(wanted);
             is_due.then(|| (progress.order.clone(), wanted))
         };
         self.by_service.values().filter_map(due).collect()
@@ -315,7 +323,7 @@
     pub fn report(&self, now_us: u64, wall_us: u64) -> Vec<RolloutReport> {
         self.by_service
             .values()
-            .filter(|progress| !progress.order.state.is_some_and(RolloutState::is_final))
+            .filter(|progress| !progress.is_final())
             .map(|progress| RolloutReport {
                 service: progress.order.service.clone(),
                 release: progress.order.release.clone(),
--- a/src/direct/watchers.rs
+++ b/src/direct/watchers.rs
@@ -70,12 +70,8 @@
     /// freshness.record_answer(Topic::Targets, 1_000_000);
     /// assert_eq!(freshness.until_us(), 1_400_000);
     /// ```
-    pub const fn until_us(self) -> u64 {
-        if self.configuration_until_us < self.targets_until_us {
-            self.configuration_until_us
-        } else {
-            self.targets_until_us
-        }
+    pub fn until_us(self) -> u64 {
+        self.configuration_until_us.min(self.targets_until_us)
     }
 }
 
--- a/src/version/evidence/counts.rs
+++ b/src/version/evidence/counts.rs
@@ -25,6 +25,15 @@
     pub between_tokens_us: Option<u64>,
 }
 
+impl Sample {
+    /// An answer that failed.
+    pub const FAILURE: Self = Self {
+        failed: true,
+        first_token_us: None,
+        between_tokens_us: None,
+    };
+}
+
 /// Histogram of a latency in half octaves.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Latency {
--- a/tests/service_rollouts.rs
+++ b/tests/service_rollouts.rs
@@ -69,7 +69,7 @@
                 } else {
                     ("v1", answer(50_000 + point * 20))
                 };
-                entry.record("app", release, &route, sample, now_us);
+                entry.record("app", &release.into(), &route, sample, now_us);
             }
             entry.advance(Incarnation(number as u64), now_us, now_us);
         }
