Show that a request which has run is run again after a server's 408

The adapter takes any 408 of a server as the statement that the request has not run, though the pages give that meaning to Yuccalatch-Not-Executed and to 421 only. The entry then sends the request to another server, also on a route whose requests run at most once. review/5 has one of seven servers fail 0.4 of its requests with 408 after running them.

--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -48,7 +48,8 @@
     let is_kept = match name.as_str() {
         "crashing-part" => crashing_part::run(&case),
         "spoiled-event" => spoiled_event::run(&case),
-        "refused" => refused::run(&case),
+        "refused" => refused::run(&case, 503),
+        "run-twice" => refused::run(&case, 408),
         "two-models" => two_models::run(&case),
         _ => {
             eprintln!("no such case: {name}");
--- a/review/kit/refused.rs
+++ b/review/kit/refused.rs
@@ -1,7 +1,8 @@
-//! A plain server fails part of its requests after it has run them.
+//! A plain server fails part of its requests after it has run them, with a status that
+//! to callers means "not run" and without the statement that it has not run them.
 
 use std::{
-    collections::HashSet,
+    collections::HashMap,
     sync::{Arc, Mutex},
     thread,
     time::Duration,
@@ -15,11 +16,12 @@
 const REQUESTS: u64 = 500;
 const DEADLINE_MS: u64 = 4_000;
 
-pub fn run(case: &Case) -> bool {
+/// `status` is that of the failures.
+pub fn run(case: &Case, status: u16) -> bool {
     let record = &case.record;
     let (store, store_address) = Store::start(&system::new_ip());
     store.put("config", "main", &client::configuration(7));
-    let run_ids: Arc<Mutex<HashSet<String>>> = Arc::default();
+    let run_ids: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
     let mut servers = Vec::new();
     for at in 0..SERVERS {
         let id = format!("i-{at:02}");
@@ -28,12 +30,12 @@
         if case.has_trouble && at == 0 {
             // The dose 0.4 of the kind `srv_grey`.
             options.push("fail-permille=400".to_owned());
-            options.push("fail-status=503".to_owned());
+            options.push(format!("fail-status={status}"));
         }
         let (owner, run_ids) = (Arc::clone(record), Arc::clone(&run_ids));
         let started = system::start_server("plain", &id, address, &options, move |line| {
             if let Some(id) = line.strip_prefix("run ").and_then(|rest| rest.split(' ').next()) {
-                run_ids.lock().unwrap().insert(id.to_owned());
+                *run_ids.lock().unwrap().entry(id.to_owned()).or_default() += 1;
             }
             owner.add(format!("server: {line}"));
         });
@@ -69,8 +71,10 @@
     drop(servers);
     let run_ids = run_ids.lock().unwrap();
     let refused = refused.lock().unwrap();
-    let broken: Vec<_> = refused.iter().filter(|id| run_ids.contains(*id)).collect();
+    let broken: Vec<_> = refused.iter().filter(|id| run_ids.contains_key(*id)).collect();
     record.add(format!("{} requests have run, {} were refused", run_ids.len(), refused.len()));
     record.add(format!("REFUSED: {} were refused and have run: {broken:?}", broken.len()));
-    broken.is_empty()
+    let twice: Vec<_> = run_ids.iter().filter(|(_, runs)| **runs > 1).collect();
+    record.add(format!("TWICE: {} ran more than once: {twice:?}", twice.len()));
+    broken.is_empty() && twice.is_empty()
 }
