--- a/review/kit/crashing_part.rs
+++ b/review/kit/crashing_part.rs
@@ -23,7 +23,8 @@
 const ENGINES: usize = 12;
 /// Sound requests a second; the site's sheet has 28.
 const SOUND_PER_S: u64 = 28;
-/// Requests with the deadly part that come within a quarter of a second; then one each 0.5 s.
+/// Requests with the deadly part that come within a quarter of a second. With those that
+/// follow they are under 0.05 of the requests, the share of the kind `poison`.
 const DEADLY: usize = 12;
 /// Time between two of them.
 const DEADLY_GAP_MS: u64 = 20;
@@ -32,6 +33,8 @@
 /// `heartbeat-ms` of the site; an entry goes after three.
 const LAPSE_MS: u64 = 3 * 1_200;
 const CALM_MS: u64 = 10_000;
+/// Time between the ones that follow.
+const LATER_GAP_MS: u64 = 1_500;
 const TROUBLED_MS: u64 = 20_000;
 const DEADLINE_MS: u64 = 5_000;
 
@@ -170,7 +173,7 @@
     let until_ms = trouble_ms + TROUBLED_MS;
     let mut number = DEADLY;
     while record.now_ms() < until_ms {
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(LATER_GAP_MS));
         if case.has_trouble {
             calls.push(send(format!("d{number}"), number, true));
             number += 1;
@@ -212,8 +215,7 @@
     record.add(format!("before: {calm_begun} of {calm} sound requests begin at the first attempt"));
     record.add(format!("from two stable windows after the fifth crash: {late_begun} of {late}"));
     if calm < 20 || late < 20 {
-        eprintln!("cannot run: too few requests");
-        std::process::exit(2);
+        system::give_up("too few requests");
     }
     // Less than half as often breaks the rule.
     late_begun * calm * 2 >= calm_begun * late
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -47,7 +47,8 @@
     let record = Arc::clone(&case.record);
     let is_kept = match name.as_str() {
         "crashing-part" => crashing_part::run(&case),
-        "spoiled-event" => spoiled_event::run(&case),
+        "spoiled-event" => spoiled_event::run(&case, spoiled_event::Wrong::LaterId),
+        "spoiled-first-event" => spoiled_event::run(&case, spoiled_event::Wrong::FirstId),
         "refused" => refused::run(&case, 503),
         "run-twice" => refused::run(&case, 408),
         "two-models" => two_models::run(&case),
--- a/review/kit/server.rs
+++ b/review/kit/server.rs
@@ -293,6 +293,15 @@
         // A write carries as many events as have become ready.
         let end = (next + stride - 1).min(last);
         let mut data: String = (next..=end).map(|number| event(&id, number)).collect();
+        if is_spoiled && next == 1 && options.has("spoil-first") {
+            // One wrong byte: the digit of the first event's id.
+            let data = event(&id, 1).replace("id: 1\n", "id: 9\n") + &data[event(&id, 1).len()..];
+            say(format!("spoiled {id} at {}: event 1", server.id));
+            write_chunk(&mut exchange.stream, &data);
+            next = end + 1;
+            thread::sleep(gap);
+            continue;
+        }
         if is_spoiled && end > last / 2 && options.has("spoil-id") {
             // One wrong byte: a digit of the id of the last event of this write.
             let wrong = event(&id, end).replace(&format!("id: {end}\n"), &format!("id: {}\n", end ^ 8));
--- a/review/kit/spoiled_event.rs
+++ b/review/kit/spoiled_event.rs
@@ -18,7 +18,16 @@
 const REQUESTS: u64 = 1_200;
 const DEADLINE_MS: u64 = 5_000;
 
-pub fn run(case: &Case) -> bool {
+/// The wrong byte of a spoiled answer.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Wrong {
+    /// In the id of the last of four events that are written at once.
+    LaterId,
+    /// In the id of the first event. Each event is written by itself.
+    FirstId,
+}
+
+pub fn run(case: &Case, wrong: Wrong) -> bool {
     let record = &case.record;
     let (store, store_address) = Store::start(&system::new_ip());
     store.put("versions", "oak", "{\"model\":\"oak\",\"version\":1}");
@@ -28,11 +37,13 @@
         let id = format!("i-{at:02}");
         let address = system::free_address();
         let mut options: Vec<String> =
-            ["slots=96", "first-ms=100", "stride=4", "gap-ms=20"].map(str::to_owned).to_vec();
+            ["slots=96", "first-ms=100", "gap-ms=20"].map(str::to_owned).to_vec();
+        options.push(format!("stride={}", if wrong == Wrong::LaterId { 4 } else { 1 }));
         options.push(format!("events={EVENTS}"));
         if case.has_trouble && at < SPOILING {
             options.push(format!("spoil-every={SPOIL_EVERY}"));
-            options.push("spoil-id=1".to_owned());
+            let kind = if wrong == Wrong::LaterId { "spoil-id" } else { "spoil-first" };
+            options.push(format!("{kind}=1"));
         }
         let owner = Arc::clone(record);
         let started = system::start_server("engine", &id, address, &options, move |line| {
@@ -69,18 +80,29 @@
             let bytes = client::request(&id, "POST", "/verdict/1", DEADLINE_MS, &fields, "");
             let outcome = client::send(front, &bytes, DEADLINE_MS);
             let wanted: String = (1..=EVENTS).map(|number| server::event(&id, number)).collect();
+            // The first event of a spoiled answer is passed on as the server sent it; only
+            // the others are judged.
+            let numbers: Vec<u64> = outcome
+                .body
+                .lines()
+                .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+                .collect();
             let is_complete = outcome.status == 200 && outcome.is_whole;
             // A broken-off stream has to be a beginning of the whole one.
-            let is_sound = if is_complete { outcome.body == wanted } else { wanted.starts_with(&outcome.body) };
+            let is_sound = match wrong {
+                Wrong::LaterId if is_complete => outcome.body == wanted,
+                Wrong::LaterId => wanted.starts_with(&outcome.body),
+                Wrong::FirstId => {
+                    let rest = numbers.get(1..).unwrap_or_default();
+                    let has_gap = rest.iter().zip(2..).any(|(number, wanted)| *number != wanted);
+                    !has_gap && (!is_complete || numbers.len() as u64 == EVENTS)
+                }
+            };
             let mut counts = counts.lock().unwrap();
             counts.0 += u64::from(is_complete);
             counts.1 += u64::from(outcome.status != 200 || !outcome.is_whole);
             if outcome.status == 200 && !is_sound {
-                let numbers: Vec<&str> = outcome.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
-                let line = format!(
-                    "ORDER: {id} complete {is_complete}, events received: {}",
-                    numbers.join(" ")
-                );
+                let line = format!("ORDER: {id} complete {is_complete}, events received: {numbers:?}");
                 record.add(&line);
                 broken.lock().unwrap().push(line);
             }
@@ -95,8 +117,7 @@
     let broken = broken.lock().unwrap();
     record.add(format!("{} streams have a piece missing or twice", broken.len()));
     if complete * 2 < REQUESTS {
-        eprintln!("cannot run: most streams fail");
-        std::process::exit(2);
+        system::give_up("most streams fail");
     }
     broken.is_empty()
 }
--- a/review/kit/system.rs
+++ b/review/kit/system.rs
@@ -50,6 +50,18 @@
 
 static NEXT_HOST: AtomicU32 = AtomicU32::new(0);
 
+/// Ids of the running child processes.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the script because the case cannot run, and all processes that it started.
+pub fn give_up(what: &str) -> ! {
+    eprintln!("cannot run: {what}");
+    for id in CHILDREN.lock().unwrap().iter() {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+    }
+    std::process::exit(2);
+}
+
 /// Returns a loopback IP of its own for a machine; it differs between runs.
 pub fn new_ip() -> String {
     let process = std::process::id();
@@ -69,14 +81,15 @@
 }
 
 impl Process {
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+    fn new(child: Child) -> Process {
+        CHILDREN.lock().unwrap().push(child.id());
+        Process { child }
     }
 
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        CHILDREN.lock().unwrap().retain(|id| *id != self.child.id());
     }
 }
 
@@ -135,15 +148,20 @@
     let settings = scratch.0.join(format!("{name}.json"));
     fs::write(&settings, render(&template, values)).expect("settings");
     let log = fs::File::create(scratch.0.join(format!("{name}.log"))).expect("log");
+    // The platform passes these variables on and no others.
+    let passed = ["PATH", "HOME", "JAVA_HOME", "LANG"];
+    let passed = passed.iter().filter_map(|name| Some((name, std::env::var(name).ok()?)));
     let child = Command::new(root.join(role_command(root, role)))
         .current_dir(root)
+        .env_clear()
+        .envs(passed)
         .env("YUCCALATCH_BOOT", &settings)
         .stdin(Stdio::null())
         .stderr(log.try_clone().expect("log"))
         .stdout(log)
         .spawn()
         .expect("the program of the deploy file is built");
-    Process { child }
+    Process::new(child)
 }
 
 /// Starts entries, one machine each, in the zones a, b and c.
@@ -205,8 +223,7 @@
     let started = Instant::now();
     while !condition() {
         if started.elapsed() > Duration::from_millis(limit_ms) {
-            eprintln!("cannot run: {what}");
-            std::process::exit(2);
+            give_up(what);
         }
         thread::sleep(Duration::from_millis(20));
     }
@@ -250,7 +267,7 @@
     Server {
         id: id.to_owned(),
         address,
-        process: Process { child },
+        process: Process::new(child),
     }
 }
 
--- a/review/kit/two_models.rs
+++ b/review/kit/two_models.rs
@@ -72,8 +72,7 @@
     drop(servers);
     let fences = fences.lock().unwrap();
     if fences.len() < ENGINES {
-        eprintln!("cannot run: not all servers got an order");
-        std::process::exit(2);
+        system::give_up("not all servers got an order");
     }
     let mut is_kept = true;
     for (id, fences) in fences.iter() {
