Believe only the target's own statement that a request has not run

What callers saw: nothing, which is the harm.

Hypotheses: (1) the status 408 passes for the statement "not run"; (2) a retry after an unknown outcome; (3) the answer of the first target is lost on its way.

Cause: the adapter counted 408 and 421 as "not run" by their status alone. 408 promises that to callers of an entry; of a target, only its header field states it, or a refusal as misdirected.

Change: the adapter reports what the head states; direct/answer.rs decides what it proves (not run, misdirected, invalid, answered), without network. Log lines of failed attempts name the verdict (other_target, other_weights, other_request, unsigned). An answer to another request or without a signature no longer counts as a crash of the engine for the quarantine of prompt parts: the engine has not ended.

The path through agents never tries again because of a target's status.

--- /dev/null
+++ b/src/direct/answer.rs
@@ -0,0 +1,116 @@
+//! Decides what the head of an answer proves about the request that it answers.
+//!
+//! Targets fail in any way after they have run a request, also with statuses that mean
+//! "not run" to callers. Only the statement of the target itself, or its refusal of a
+//! request that was meant for another target or for other weights, proves that a request
+//! has not run.
+
+use ntex::http::StatusCode;
+
+use super::message::AnswerHead;
+use crate::names::Name;
+
+/// What the head of an answer proves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The target states that it has not run the request.
+    NotRun,
+    /// The request was meant for another target or for other weights, and has not run.
+    Misdirected(Misdirection),
+    /// The answer is not one of the target to this request. The request may have run.
+    Invalid(InvalidAnswer),
+    /// The target has answered the request, with a success or a failure of its own.
+    Answered,
+}
+
+/// Why a target refused a request that it was not meant for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Misdirection {
+    /// Another target has the address.
+    OtherTarget,
+    /// The engine has other weights than the request names.
+    OtherWeights,
+}
+
+/// Why an answer is not passed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum InvalidAnswer {
+    /// It names another request.
+    OtherRequest,
+    /// It is a success without the target's signature.
+    Unsigned,
+}
+
+impl Misdirection {
+    /// Returns the value for log lines.
+    ///
+    /// ```
+    /// use yuccalatch::direct::answer::Misdirection;
+    ///
+    /// assert_eq!(Misdirection::OtherTarget.name(), "other_target");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::OtherTarget => "other_target",
+            Self::OtherWeights => "other_weights",
+        }
+    }
+}
+
+impl InvalidAnswer {
+    /// Returns the value for log lines.
+    ///
+    /// ```
+    /// use yuccalatch::direct::answer::InvalidAnswer;
+    ///
+    /// assert_eq!(InvalidAnswer::Unsigned.name(), "unsigned");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::OtherRequest => "other_request",
+            Self::Unsigned => "unsigned",
+        }
+    }
+}
+
+/// Judges the head of an answer to a request with the given id that was sent to `target`.
+///
+/// ```
+/// use ntex::http::StatusCode;
+/// use yuccalatch::direct::{
+///     answer::{Verdict, judge},
+///     message::AnswerHead,
+/// };
+///
+/// let signed = AnswerHead { has_signature: true, ..AnswerHead::default() };
+/// let verdict = judge(StatusCode::REQUEST_TIMEOUT, &signed, None, &"t-1".into());
+/// assert_eq!(verdict, Verdict::Answered);
+/// let refused = AnswerHead { states_not_run: true, ..AnswerHead::default() };
+/// let verdict = judge(StatusCode::SERVICE_UNAVAILABLE, &refused, None, &"t-1".into());
+/// assert_eq!(verdict, Verdict::NotRun);
+/// ```
+pub fn judge(
+    status: StatusCode,
+    head: &AnswerHead,
+    request_id: Option<&Name>,
+    target: &Name,
+) -> Verdict {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        let is_other_target = head.target.as_ref().is_some_and(|id| id != target);
+        return Verdict::Misdirected(if is_other_target {
+            Misdirection::OtherTarget
+        } else {
+            Misdirection::OtherWeights
+        });
+    }
+    if head.states_not_run {
+        return Verdict::NotRun;
+    }
+    if head.request_id.is_some() && head.request_id.as_ref() != request_id {
+        return Verdict::Invalid(InvalidAnswer::OtherRequest);
+    }
+    if status.is_success() && !head.has_signature {
+        return Verdict::Invalid(InvalidAnswer::Unsigned);
+    }
+    Verdict::Answered
+}
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -24,6 +24,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    answer::{
+        self,
+        InvalidAnswer,
+        Misdirection,
+        Verdict, //
+    },
     cache::prompt_keys,
     call::{
         self,
@@ -141,17 +147,19 @@
     /// The target states that it did not run the request.
     NotRun,
     /// Another target has the address, or the engine has other weights.
-    Misdirected,
+    Misdirected(Misdirection),
     /// The target did not answer within the time of the attempt.
     Silent,
-    /// The connection broke, or the answer is not a valid one to this request.
+    /// The connection broke, or the body is not a valid one.
     Broken,
+    /// The answer is not one of the target to this request.
+    Invalid(InvalidAnswer),
 }
 
 impl AttemptFailure {
     /// Returns whether the request certainly did not run.
     pub(super) const fn is_not_run(self) -> bool {
-        matches!(self, Self::Unsent | Self::NotRun | Self::Misdirected)
+        matches!(self, Self::Unsent | Self::NotRun | Self::Misdirected(_))
     }
 
     /// Returns the value for log lines.
@@ -159,9 +167,10 @@
         match self {
             Self::Unsent => "unsent",
             Self::NotRun => "not_run",
-            Self::Misdirected => "misdirected",
+            Self::Misdirected(misdirection) => misdirection.name(),
             Self::Silent => "silent",
             Self::Broken => "broken",
+            Self::Invalid(invalid) => invalid.name(),
         }
     }
 }
@@ -289,30 +298,32 @@
 ) -> Result<Answer<P>, AttemptFailure> {
     let status = response.status;
     let head = P::read_answer(status.as_u16(), &response.headers);
-    if head.is_misdirected {
-        let is_other_target = head.target.as_ref().is_some_and(|id| *id != target.id);
-        let pause_us = if is_other_target {
-            MISDIRECTED_PAUSE_US
-        } else {
-            OTHER_WEIGHTS_PAUSE_US
-        };
-        worker.observe_refusal(target, &head, pause_us);
-        return Err(AttemptFailure::Misdirected);
-    }
-    if head.is_not_run {
-        worker.observe_refusal(target, &head, REFUSED_PAUSE_US);
-        return Err(AttemptFailure::NotRun);
-    }
-    let is_other_request = head.request_id.is_some() && head.request_id != incoming.head.id;
-    if is_other_request || (status.is_success() && !head.has_signature) {
-        worker.observe_failure(&target.id);
-        return Err(AttemptFailure::Broken);
+    let verdict = answer::judge(status, &head, incoming.head.id.as_ref(), &target.id);
+    match verdict {
+        Verdict::NotRun => {
+            worker.observe_refusal(target, &head, REFUSED_PAUSE_US);
+            Err(AttemptFailure::NotRun)
+        }
+        Verdict::Misdirected(misdirection) => {
+            let pause_us = match misdirection {
+                Misdirection::OtherTarget => MISDIRECTED_PAUSE_US,
+                Misdirection::OtherWeights => OTHER_WEIGHTS_PAUSE_US,
+            };
+            worker.observe_refusal(target, &head, pause_us);
+            Err(AttemptFailure::Misdirected(misdirection))
+        }
+        Verdict::Invalid(invalid) => {
+            worker.observe_failure(&target.id);
+            Err(AttemptFailure::Invalid(invalid))
+        }
+        Verdict::Answered => {
+            worker.observe(target, &head, !status.is_server_error());
+            Ok(Answer {
+                in_flight,
+                response,
+            })
+        }
     }
-    worker.observe(target, &head, !status.is_server_error());
-    Ok(Answer {
-        in_flight,
-        response,
-    })
 }
 
 /// Converts a time of the entry's clock into an instant of the timer.
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -101,10 +101,7 @@
     /// verified.
     pub has_signature: bool,
     /// Whether the target states that it did not run the request.
-    pub is_not_run: bool,
-    /// Whether the target refused the request because the request was meant for
-    /// another target or for other weights.
-    pub is_misdirected: bool,
+    pub states_not_run: bool,
     /// Id of the target that answered, when it states one.
     pub target: Option<Name>,
     /// Load of the target, when it states it.
