Move a stream's position only with the events that are passed on

Hypotheses: (1) the entry drops sound events that arrive in one read with a spoiled one; (2) it resumes behind what the caller has; (3) the target that continues begins too late. What tells them apart: the request of the second target names the last event that the entry counts (line YL3002, last_event_id), the caller's bytes name the last one it got. They differ by just the sound events of the read: (1) and (2) together; the second target sent what it was asked for, which rules out (3).

Cause: EventSplitter moved its last id event by event while it checked a read, and dropped the whole read when a later event was out of order. The id that it had reached was then the place to resume from. Class: what was checked passed for what was passed on.

Change: the splitter returns the events before a wrong one, then the error. The bytes of a batch can be taken only with StreamPosition::pass_on, which moves the position; the relay resumes from that position, and the splitter no longer tells its own.

Tests of the splitter call push and then next_batch; their assertions are as before, but for a wrong event behind a sound one in the same read: the sound one was asserted lost, now it has to be returned before the error. Blank lines between events belong to no event, as before, with a test.

The path through agents: an error of a stream's parser ends the stream there and is never followed by a continuation, so this cause is not found there.

--- a/src/direct/events.rs
+++ b/src/direct/events.rs
@@ -12,13 +12,67 @@
 /// that have one. A target may send them without end.
 const MAX_UNNUMBERED_BYTES: usize = 64 << 10;
 
-/// Complete consecutive events of a stream.
+/// Complete consecutive events of a stream that are in order. [`StreamPosition::pass_on`]
+/// returns their bytes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EventBatch {
-    /// Bytes of the events, unchanged.
-    pub data: Bytes,
+    data: Bytes,
     /// Id of the last of these events that has one.
-    pub last_id: Option<u64>,
+    last_id: Option<u64>,
+}
+
+impl EventBatch {
+    /// Returns the size in bytes.
+    ///
+    /// ```
+    /// use yuccalatch::direct::events::EventSplitter;
+    ///
+    /// let mut splitter = EventSplitter::new(None);
+    /// splitter.push(b"id: 0\n\n");
+    /// assert_eq!(splitter.next_batch().unwrap().unwrap().size_bytes(), 7);
+    /// ```
+    pub fn size_bytes(&self) -> usize {
+        self.data.len()
+    }
+}
+
+/// Last event of a stream that was passed on to the caller, which is where another target
+/// continues the stream. It moves only when the bytes of events are taken to pass them on.
+///
+/// ```
+/// use yuccalatch::direct::events::{EventSplitter, StreamPosition};
+///
+/// let mut splitter = EventSplitter::new(None);
+/// let mut position = StreamPosition::new(None);
+/// splitter.push(b"id: 0\ndata: a\n\nid: 7\ndata: b\n\n");
+/// let sound = splitter.next_batch().unwrap().unwrap();
+/// assert_eq!(position.last_id(), None);
+/// assert_eq!(&position.pass_on(sound)[..], b"id: 0\ndata: a\n\n");
+/// assert_eq!(position.last_id(), Some(0));
+/// assert!(splitter.next_batch().is_err());
+/// ```
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StreamPosition {
+    last_id: Option<u64>,
+}
+
+impl StreamPosition {
+    /// Creates the position of a caller that has received the events up to the one with
+    /// the given id, or none.
+    pub const fn new(last_id: Option<u64>) -> Self {
+        Self { last_id }
+    }
+
+    /// Moves past the events of a batch and returns their bytes, unchanged.
+    pub fn pass_on(&mut self, batch: EventBatch) -> Bytes {
+        self.last_id = batch.last_id.or(self.last_id);
+        batch.data
+    }
+
+    /// Returns the id of the last event that was passed on and has one.
+    pub const fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
 }
 
 /// Failure to split a stream.
@@ -40,88 +94,122 @@
 /// use yuccalatch::direct::events::EventSplitter;
 ///
 /// let mut splitter = EventSplitter::new(None);
-/// let batch = splitter.push(b"id: 0\ndata: a\n\nid: 1\nda").unwrap().unwrap();
-/// assert_eq!(&batch.data[..], b"id: 0\ndata: a\n\n");
-/// assert_eq!(batch.last_id, Some(0));
+/// splitter.push(b"id: 0\ndata: a\n\nid: 1\nda");
+/// assert!(splitter.next_batch().unwrap().is_some());
+/// assert_eq!(splitter.next_batch(), Ok(None));
 /// assert!(splitter.has_partial_event());
 /// ```
 #[derive(Debug)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    progress: Progress,
+}
+
+/// How far a stream was split.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
     last_id: Option<u64>,
     /// Bytes of complete events since the last one with an id.
     unnumbered_bytes: usize,
 }
 
+impl Progress {
+    /// Moves past a complete event.
+    fn accept(&mut self, event: &[u8]) -> Result<(), SplitError> {
+        let Some(id) = event_id(event) else {
+            self.unnumbered_bytes += event.len();
+            if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
+                return Err(SplitError::NoProgress);
+            }
+            return Ok(());
+        };
+        if self
+            .last_id
+            .is_some_and(|last| last.checked_add(1) != Some(id))
+        {
+            return Err(SplitError::OutOfOrder);
+        }
+        self.last_id = Some(id);
+        self.unnumbered_bytes = 0;
+        Ok(())
+    }
+}
+
 impl EventSplitter {
     /// Creates a splitter for a stream that resumes after the event with the given id,
     /// or starts at its first event.
     pub fn new(last_id: Option<u64>) -> Self {
         Self {
             buffer: BytesMut::new(),
-            last_id,
-            unnumbered_bytes: 0,
+            progress: Progress {
+                last_id,
+                unnumbered_bytes: 0,
+            },
         }
     }
 
-    /// Appends bytes and returns the events that they complete, if any.
+    /// Appends bytes that a target sent.
+    pub fn push(&mut self, data: &[u8]) {
+        self.buffer.extend_from_slice(data);
+    }
+
+    /// Returns the complete events that are in order, `None` when more bytes are needed.
     ///
     /// # Errors
     ///
-    /// Fails when an event is too long or out of order, or when too many bytes arrive
-    /// without an event that has an id.
-    pub fn push(&mut self, data: &[u8]) -> Result<Option<EventBatch>, SplitError> {
-        self.buffer.extend_from_slice(data);
-        let end = end_of_last_event(&self.buffer);
-        if self.buffer.len() - end.unwrap_or(0) > MAX_EVENT_BYTES {
-            return Err(SplitError::TooLong);
-        }
-        let Some(end) = end else {
-            return Ok(None);
-        };
-        let data = self.buffer.split_to(end).freeze();
-        let mut batch_id = None;
-        for id in event_ids(&data) {
-            if self.last_id.is_some_and(|last| id != last + 1) {
-                return Err(SplitError::OutOfOrder);
+    /// Fails when the next event is too long or out of order, or when too many bytes
+    /// arrive without an event that has an id. The events before it have been returned.
+    pub fn next_batch(&mut self) -> Result<Option<EventBatch>, SplitError> {
+        let mut length = 0;
+        let first_progress = self.progress;
+        while let Some(event_length) = first_event_length(&self.buffer[length..]) {
+            let mut progress = self.progress;
+            let end = length + event_length;
+            match progress.accept(&self.buffer[length..end]) {
+                Ok(()) => self.progress = progress,
+                Err(error) if length == 0 => return Err(error),
+                Err(_) => break,
             }
-            self.last_id = Some(id);
-            batch_id = Some(id);
+            length = end;
         }
-        self.unnumbered_bytes = match batch_id {
-            Some(_) => 0,
-            None => self.unnumbered_bytes + data.len(),
-        };
-        if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
-            return Err(SplitError::NoProgress);
+        if length == 0 {
+            let is_too_long = self.buffer.len() > MAX_EVENT_BYTES;
+            return if is_too_long {
+                Err(SplitError::TooLong)
+            } else {
+                Ok(None)
+            };
         }
+        let is_numbered = self.progress.last_id != first_progress.last_id;
         Ok(Some(EventBatch {
-            data,
-            last_id: batch_id,
+            data: self.buffer.split_to(length).freeze(),
+            last_id: self.progress.last_id.filter(|_| is_numbered),
         }))
     }
 
-    /// Returns the id of the last complete event that has one.
-    pub const fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
     }
 }
 
-/// Returns the position after the last empty line, which ends an event.
-fn end_of_last_event(data: &[u8]) -> Option<usize> {
-    let lf = data.windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf = data.windows(4).rposition(|part| part == b"\r\n\r\n");
-    lf.map(|at| at + 2).max(crlf.map(|at| at + 4))
+/// Returns the length of the first complete event. A blank line that follows the end of an
+/// event counts as an event without lines.
+fn first_event_length(data: &[u8]) -> Option<usize> {
+    let blank_line = [&b"\n"[..], b"\r\n"];
+    if let Some(line) = blank_line.iter().find(|line| data.starts_with(line)) {
+        return Some(line.len());
+    }
+    let lf = data.windows(2).position(|pair| pair == b"\n\n");
+    let crlf = data.windows(4).position(|part| part == b"\r\n\r\n");
+    let ends = [lf.map(|at| at + 2), crlf.map(|at| at + 4)];
+    ends.into_iter().flatten().min()
 }
 
-/// Returns the ids of the events that have one.
-fn event_ids(data: &[u8]) -> impl Iterator<Item = u64> {
-    data.split(|byte| *byte == b'\n').filter_map(|line| {
+/// Returns the id of an event that has one.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     })
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -22,7 +22,11 @@
         AttemptFailure,
         IncomingRequest, //
     },
-    events::EventSplitter,
+    events::{
+        EventBatch,
+        EventSplitter,
+        StreamPosition, //
+    },
     platform::Platform,
     reply,
     request_attempts::RequestAttempts,
@@ -51,6 +55,7 @@
     attempts: RequestAttempts,
     answer: Option<Answer<P>>,
     splitter: EventSplitter,
+    position: StreamPosition,
     target: Arc<TargetRecord>,
     events_bytes: usize,
     /// Batches of events after the first one.
@@ -62,7 +67,7 @@
     /// Time at which the last event with an id was read, or another target was asked
     /// to continue the stream.
     event_at_us: u64,
-    first_batch: Option<Bytes>,
+    first_batch: Option<EventBatch>,
     /// Value for the log line that is written when the relay is dropped.
     outcome: &'static str,
     running: RunningRequest,
@@ -74,17 +79,17 @@
     answer: &mut Answer<P>,
     splitter: &mut EventSplitter,
     until: tokio::time::Instant,
-) -> Result<Option<Bytes>, AttemptFailure> {
+) -> Result<Option<EventBatch>, AttemptFailure> {
     let read = async {
         loop {
+            let batch = splitter.next_batch();
+            if let Some(batch) = batch.map_err(|_| AttemptFailure::Broken)? {
+                return Ok(Some(batch));
+            }
             match answer.next().await? {
                 None if splitter.has_partial_event() => return Err(AttemptFailure::Broken),
                 None => return Ok(None),
-                Some(part) => {
-                    if let Some(batch) = splitter.push(&part).map_err(|_| AttemptFailure::Broken)? {
-                        return Ok(Some(batch.data));
-                    }
-                }
+                Some(part) => splitter.push(&part),
             }
         }
     };
@@ -101,7 +106,7 @@
         incoming: IncomingRequest,
         attempts: RequestAttempts,
         target: Arc<TargetRecord>,
-        (answer, splitter, first_batch): (Answer<P>, EventSplitter, Option<Bytes>),
+        (answer, splitter, first_batch): (Answer<P>, EventSplitter, Option<EventBatch>),
         running: RunningRequest,
     ) -> Self {
         let is_complete = first_batch.is_none();
@@ -110,6 +115,7 @@
             event_at_us: worker.now_us(),
             unbegun_sent_at_us: None,
             worker: Rc::clone(worker),
+            position: StreamPosition::new(incoming.head.last_event_id),
             incoming,
             attempts,
             answer: (!is_complete).then_some(answer),
@@ -141,25 +147,24 @@
     /// Returns the next batch of events, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
         if let Some(first_batch) = self.first_batch.take() {
-            self.events_bytes += first_batch.len();
-            return Some(Ok(first_batch));
+            return Some(Ok(self.pass_on(first_batch)));
         }
         loop {
             let stalled_at_us = stalled_at_us(&self.incoming.route, self.event_at_us);
             let deadline_us = self.incoming.deadline_us;
             let until_us = stalled_at_us.map_or(deadline_us, |at_us| at_us.min(deadline_us));
             let until = attempt::timer_instant(&self.worker, until_us);
-            let last_id = self.splitter.last_id();
             let answer = self.answer.as_mut()?;
             match read_events(answer, &mut self.splitter, until).await {
-                Ok(Some(data)) => {
+                Ok(Some(batch)) => {
                     if let Some(sent_at_us) = self.unbegun_sent_at_us.take() {
                         self.worker.note_begun_answer(&self.incoming, sent_at_us);
                     }
-                    if self.splitter.last_id() != last_id {
+                    let last_id = self.position.last_id();
+                    let data = self.pass_on(batch);
+                    if self.position.last_id() != last_id {
                         self.event_at_us = self.worker.now_us();
                     }
-                    self.events_bytes += data.len();
                     self.batches += 1;
                     return Some(Ok(data));
                 }
@@ -192,6 +197,11 @@
         }
     }
 
+    fn pass_on(&mut self, batch: EventBatch) -> Bytes {
+        self.events_bytes += batch.size_bytes();
+        self.position.pass_on(batch)
+    }
+
     /// Records the time between the events of a stream that one target sent whole. Its
     /// first event was recorded when it came.
     fn record_pace(&self) {
@@ -208,7 +218,7 @@
             .record_sample(&self.incoming, &self.target, sample);
     }
 
-    /// Continues the stream at another target after the last whole event. Returns
+    /// Continues the stream at another target after the last event that was passed on. Returns
     /// whether one accepted it.
     async fn resume(&mut self, failure: AttemptFailure) -> bool {
         if !self.incoming.route.can_resume {
@@ -223,7 +233,7 @@
                 return false;
             };
             let target = &choice.target;
-            let last_event_id = self.splitter.last_id();
+            let last_event_id = self.position.last_id();
             self.worker.context.metrics.resumed_streams.inc();
             info!(self.worker.context.log, "resuming stream at another target";
                 "event" => Event::StreamContinued,
@@ -285,7 +295,7 @@
             "tries" => self.attempts.count(),
             "outcome" => self.outcome,
             "bytes" => self.events_bytes,
-            "last_event_id" => self.splitter.last_id(),
+            "last_event_id" => self.position.last_id(),
             "first_us" => first_us,
             "total_us" => total_us);
     }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -29,7 +29,10 @@
         PUBLIC_LABEL, //
     },
     choice::TargetChoice,
-    events::EventSplitter,
+    events::{
+        EventBatch,
+        EventSplitter, //
+    },
     platform::Platform,
     quarantine::{
         Admission,
@@ -287,7 +290,7 @@
     /// Answer with its whole body.
     Collected(Answer<P>, Bytes),
     /// Event stream with its first batch, `None` when it ended without an event.
-    Stream(Answer<P>, EventSplitter, Option<Bytes>),
+    Stream(Answer<P>, EventSplitter, Option<EventBatch>),
 }
 
 /// Sends a request to targets until one answers or no attempt is left.
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -129,9 +129,13 @@
 #[test]
 fn comments_in_a_stream() {
     let mut splitter = EventSplitter::new(None);
-    splitter.push(b"id: 0\ndata: a\n\n").unwrap();
+    splitter.push(b"id: 0\ndata: a\n\n");
+    assert!(splitter.next_batch().unwrap().is_some());
     let comment = ": still here\n\n";
-    let failed_after = (0..100_000).find(|_| splitter.push(comment.as_bytes()).is_err());
+    let failed_after = (0..100_000).find(|_| {
+        splitter.push(comment.as_bytes());
+        splitter.next_batch().is_err()
+    });
     let bytes = failed_after.expect("comments are accepted without end") * comment.len();
     assert!(bytes <= 64 << 10, "{bytes}");
 }
@@ -142,7 +146,8 @@
     let mut splitter = EventSplitter::new(None);
     for id in 0..10_000 {
         let data = format!(": still here\n\nid: {id}\ndata: a\n\n");
-        assert!(splitter.push(data.as_bytes()).unwrap().is_some());
+        splitter.push(data.as_bytes());
+        assert!(splitter.next_batch().unwrap().is_some());
     }
 }
 
@@ -151,5 +156,7 @@
     let mut splitter = EventSplitter::new(None);
     let mut data = b"id: 0\ndata: a\n\nid: 1\ndata: ".to_vec();
     data.resize(data.len() + (2 << 20), b'a');
-    assert_eq!(splitter.push(&data), Err(SplitError::TooLong));
+    splitter.push(&data);
+    assert!(splitter.next_batch().unwrap().is_some());
+    assert_eq!(splitter.next_batch(), Err(SplitError::TooLong));
 }
--- a/tests/event_splitting.rs
+++ b/tests/event_splitting.rs
@@ -4,9 +4,36 @@
 use quickcheck::quickcheck;
 use yuccalatch::direct::events::{
     EventSplitter,
-    SplitError, //
+    SplitError,
+    StreamPosition, //
 };
 
+/// Passes on the events that are complete and in order. Returns their bytes and why no
+/// more follow, `None` when more bytes are needed.
+fn pass_on(
+    splitter: &mut EventSplitter,
+    position: &mut StreamPosition,
+) -> (Vec<u8>, Option<SplitError>) {
+    let mut passed = Vec::new();
+    loop {
+        match splitter.next_batch() {
+            Ok(Some(batch)) => passed.extend_from_slice(&position.pass_on(batch)),
+            Ok(None) => return (passed, None),
+            Err(error) => return (passed, Some(error)),
+        }
+    }
+}
+
+/// Splits bytes that arrive in one read, after the event with the given id. Returns the
+/// bytes that are passed on, the last id among them, and the error, if any.
+fn split(last_id: Option<u64>, data: &[u8]) -> (Vec<u8>, Option<u64>, Option<SplitError>) {
+    let mut splitter = EventSplitter::new(last_id);
+    let mut position = StreamPosition::new(last_id);
+    splitter.push(data);
+    let (passed, error) = pass_on(&mut splitter, &mut position);
+    (passed, position.last_id(), error)
+}
+
 fn stream(count: u64) -> Vec<u8> {
     (0..count)
         .flat_map(|id| format!("id: {id}\ndata: {}\n\n", "x".repeat(id as usize % 7)).into_bytes())
@@ -17,6 +44,7 @@
     fn cuts_do_not_change_the_events(cuts: Vec<u8>) -> bool {
         let whole = stream(20);
         let mut splitter = EventSplitter::new(None);
+        let mut position = StreamPosition::new(None);
         let mut passed = Vec::new();
         let mut rest = whole.as_slice();
         let mut cuts = cuts.into_iter();
@@ -24,32 +52,93 @@
             let length = usize::from(cuts.next().unwrap_or(u8::MAX)).clamp(1, rest.len());
             let (part, after) = rest.split_at(length);
             rest = after;
-            if let Some(batch) = splitter.push(part).unwrap() {
-                passed.extend_from_slice(&batch.data);
-            }
+            splitter.push(part);
+            let (events, error) = pass_on(&mut splitter, &mut position);
+            assert_eq!(error, None);
+            passed.extend_from_slice(&events);
         }
-        passed == whole && splitter.last_id() == Some(19) && !splitter.has_partial_event()
+        passed == whole && position.last_id() == Some(19) && !splitter.has_partial_event()
+    }
+}
+
+quickcheck! {
+    /// Guards against sound events that are lost because a later event of the same read is
+    /// not in order, and against a position behind events that were not passed on.
+    fn events_before_one_out_of_order_are_passed_on(cuts: Vec<u8>, sound: u8, wrong: u64) -> bool {
+        let sound = u64::from(sound % 20);
+        if wrong == sound || sound == 0 {
+            return true;
+        }
+        let mut whole = stream(sound);
+        whole.extend(format!("id: {wrong}\ndata: a\n\n").into_bytes());
+        let mut splitter = EventSplitter::new(None);
+        let mut position = StreamPosition::new(None);
+        let mut passed = Vec::new();
+        let mut rest = whole.as_slice();
+        let mut cuts = cuts.into_iter();
+        let mut last_error = None;
+        while !rest.is_empty() && last_error.is_none() {
+            let length = usize::from(cuts.next().unwrap_or(u8::MAX)).clamp(1, rest.len());
+            let (part, after) = rest.split_at(length);
+            rest = after;
+            splitter.push(part);
+            let (events, error) = pass_on(&mut splitter, &mut position);
+            passed.extend_from_slice(&events);
+            last_error = error;
+        }
+        // The error stays.
+        passed == stream(sound)
+            && position.last_id() == Some(sound - 1)
+            && last_error == Some(SplitError::OutOfOrder)
+            && splitter.next_batch() == Err(SplitError::OutOfOrder)
     }
 }
 
 #[test]
 fn an_incomplete_event_is_held_back() {
     let mut splitter = EventSplitter::new(None);
-    let batch = splitter.push(b"id: 4\ndata: a\n\nid: 5\ndata").unwrap();
-    assert_eq!(&batch.unwrap().data[..], b"id: 4\ndata: a\n\n");
-    assert_eq!(splitter.last_id(), Some(4));
+    let mut position = StreamPosition::new(None);
+    splitter.push(b"id: 4\ndata: a\n\nid: 5\ndata");
+    let (passed, error) = pass_on(&mut splitter, &mut position);
+    assert_eq!((&passed[..], error), (&b"id: 4\ndata: a\n\n"[..], None));
+    assert_eq!(position.last_id(), Some(4));
     assert!(splitter.has_partial_event());
 }
 
 #[test]
 fn a_missing_or_repeated_event_is_an_error() {
     for wrong in [3, 5, 4] {
-        let mut splitter = EventSplitter::new(Some(4));
         let event = format!("id: {wrong}\ndata: a\n\n");
-        let result = splitter.push(event.as_bytes());
-        assert_eq!(result.is_err(), wrong != 5, "event {wrong}");
+        let (_, _, error) = split(Some(4), event.as_bytes());
+        assert_eq!(error.is_some(), wrong != 5, "event {wrong}");
+    }
+    let (passed, last_id, error) = split(None, b"id: 1\ndata: a\n\nid: 3\ndata: b\n\n");
+    assert_eq!(passed, b"id: 1\ndata: a\n\n");
+    assert_eq!(last_id, Some(1));
+    assert_eq!(error, Some(SplitError::OutOfOrder));
+    let (_, _, error) = split(Some(u64::MAX), b"id: 0\ndata: a\n\n");
+    assert_eq!(error, Some(SplitError::OutOfOrder));
+}
+
+/// Guards against blank lines between events that pass for the start of another event, so
+/// that a whole stream seems to end inside one.
+#[test]
+fn blank_lines_between_events_belong_to_no_event() {
+    for blank in ["\n", "\n\n", "\r\n"] {
+        let data = format!("id: 1\ndata: a\n\n{blank}id: 2\ndata: b\n\n{blank}");
+        for cut in 0..data.len() {
+            let mut splitter = EventSplitter::new(None);
+            let mut position = StreamPosition::new(None);
+            let mut passed = Vec::new();
+            for part in [&data[..cut], &data[cut..]] {
+                splitter.push(part.as_bytes());
+                let (events, error) = pass_on(&mut splitter, &mut position);
+                assert_eq!(error, None);
+                passed.extend_from_slice(&events);
+            }
+            assert_eq!(passed, data.as_bytes(), "{blank:?}, {cut}");
+            assert!(!splitter.has_partial_event());
+            assert_eq!(position.last_id(), Some(2));
+        }
     }
-    let mut splitter = EventSplitter::new(None);
-    let result = splitter.push(b"id: 1\ndata: a\n\nid: 3\ndata: b\n\n");
-    assert_eq!(result, Err(SplitError::OutOfOrder));
 }
