Send what was passed on before a caller's connection is cut

What callers saw: nothing of an answer that had begun, not even its status, when a stream broke off right after events that were read with the break.

Cause: the entry cuts the connection of a broken stream at once, so that its end is not taken for a complete one; the events that it had just passed on were still in the buffer of the HTTP server and were dropped with it.

Change: the cut waits until the buffer is empty, but at most 100 ms, for a caller that does not read. The entry of the path through agents cuts by the same function.

--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -190,7 +190,7 @@
                         }
                     }
                     self.outcome = failure.name();
-                    self.running.abort_connection();
+                    self.running.abort_connection().await;
                     return Some(Err(std::io::Error::other(failure.name())));
                 }
             }
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -87,10 +87,10 @@
     }
 
     /// Aborts the caller's connection, so that the caller does not take an incomplete
-    /// answer for a complete one.
-    pub(super) fn abort_connection(&self) {
+    /// answer for a complete one. What was passed on before is sent.
+    pub(super) async fn abort_connection(&self) {
         if let Some(connection) = &self.connection {
-            connection.cut();
+            connection.cut().await;
         }
     }
 }
--- a/src/process/connections.rs
+++ b/src/process/connections.rs
@@ -8,10 +8,18 @@
 };
 
 use ntex::io::IoRef;
+use tokio::time::Instant;
 
 /// Interval between checks for a graceful stop and for closed connections.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval between checks whether a connection's written bytes have been sent.
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Longest time for which a connection is kept open to send what was written to it. A
+/// caller that reads has received it by then.
+const MAX_FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// Connections that have carried a request, each with the number of its running
 /// requests.
 #[derive(Debug, Default)]
@@ -55,10 +63,16 @@
 }
 
 impl BusyGuard {
-    /// Closes the connection at once, so that a caller does not take a truncated
-    /// answer for a complete one. The HTTP server would otherwise write an error
-    /// answer into the body.
-    pub(crate) fn cut(&self) {
+    /// Closes the connection without the end of its answer, so that a caller does not take
+    /// a truncated answer for a complete one. The HTTP server would otherwise write an
+    /// error answer into the body. What was written before is sent first, unless the
+    /// caller does not read it in time.
+    pub(crate) async fn cut(&self) {
+        let until = Instant::now() + MAX_FLUSH_TIME;
+        let has_unsent_bytes = || self.io.with_write_dst_buf(|buffer| !buffer.is_empty());
+        while !self.io.is_closed() && has_unsent_bytes() && Instant::now() < until {
+            tokio::time::sleep(FLUSH_CHECK_INTERVAL).await;
+        }
         self.io.terminate();
     }
 }
--- a/src/process/entry/server.rs
+++ b/src/process/entry/server.rs
@@ -316,7 +316,7 @@
                     // Without an event format, a broken transfer is the only
                     // way to say that the body is incomplete.
                     if let Some(connection) = &self._guard.1 {
-                        connection.cut();
+                        connection.cut().await;
                     }
                     return Some(Err(std::io::Error::other(kind)));
                 }
