Tell callers "not run" only with a proof

A caller that trusts the promise sends a request again that may run once.

Hypotheses: (1) the target's status is passed on although the target does not state that nothing ran; (2) the entry refuses by itself after an attempt that may have run. What tells them apart: the answers have the target's signature and body, which rules out (2); reading showed that only may_have_run guards (2), by hand at one place.

Cause: a target's status went to the caller unchanged, also where callers take it as the promise that the request has not run (408, 421, 429, 503). Class: a status has one meaning from targets and another one to callers, and nothing translated between them.

Change: a status that is passed on is a ForwardedStatus, which these four cannot be; an answer with one of them and without the statement ends the attempt as unstated_refusal. The caller gets 502 without a signature unless another target answers. Answers of the entry itself with these statuses need a NotRun, which only a request gives that was sent to no target (Unsent) or whose attempts all ended without a run; failures of requests that may have run have a type of their own without such a status. An answer of this kind to an idempotent request is replaced too: 503 would tell its caller something untrue.

The path through agents passes a target's status on as well.

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -19,8 +19,57 @@
     Misdirected(Misdirection),
     /// The answer is not one of the target to this request. The request may have run.
     Invalid(InvalidAnswer),
-    /// The target has answered the request, with a success or a failure of its own.
-    Answered,
+    /// The target failed the request with a status that tells callers that it has not run,
+    /// and does not state that. The request may have run.
+    UnstatedRefusal,
+    /// The target has answered the request, with a success or a failure of its own that
+    /// is passed on with this status.
+    Answered(ForwardedStatus),
+}
+
+/// Status of a target's answer that is passed on to a caller. It never means "not run".
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ForwardedStatus(StatusCode);
+
+impl ForwardedStatus {
+    /// Returns `None` for a status that [means "not run"](means_not_run) to callers.
+    ///
+    /// ```
+    /// use ntex::http::StatusCode;
+    /// use yuccalatch::direct::answer::ForwardedStatus;
+    ///
+    /// assert!(ForwardedStatus::new(StatusCode::SERVICE_UNAVAILABLE).is_none());
+    /// let status = ForwardedStatus::new(StatusCode::OK).unwrap();
+    /// assert_eq!(status.code(), StatusCode::OK);
+    /// ```
+    pub fn new(status: StatusCode) -> Option<Self> {
+        (!means_not_run(status)).then_some(Self(status))
+    }
+
+    /// Returns the status code.
+    pub const fn code(self) -> StatusCode {
+        self.0
+    }
+}
+
+/// Returns whether callers take a status as a promise that the request has not run and
+/// never will.
+///
+/// ```
+/// use ntex::http::StatusCode;
+/// use yuccalatch::direct::answer::means_not_run;
+///
+/// assert!(means_not_run(StatusCode::TOO_MANY_REQUESTS));
+/// assert!(!means_not_run(StatusCode::BAD_GATEWAY));
+/// ```
+pub fn means_not_run(status: StatusCode) -> bool {
+    [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ]
+    .contains(&status)
 }
 
 /// Why a target refused a request that it was not meant for.
@@ -84,7 +133,7 @@
 ///
 /// let signed = AnswerHead { has_signature: true, ..AnswerHead::default() };
 /// let verdict = judge(StatusCode::REQUEST_TIMEOUT, &signed, None, &"t-1".into());
-/// assert_eq!(verdict, Verdict::Answered);
+/// assert_eq!(verdict, Verdict::UnstatedRefusal);
 /// let refused = AnswerHead { states_not_run: true, ..AnswerHead::default() };
 /// let verdict = judge(StatusCode::SERVICE_UNAVAILABLE, &refused, None, &"t-1".into());
 /// assert_eq!(verdict, Verdict::NotRun);
@@ -112,5 +161,5 @@
     if status.is_success() && !head.has_signature {
         return Verdict::Invalid(InvalidAnswer::Unsigned);
     }
-    Verdict::Answered
+    ForwardedStatus::new(status).map_or(Verdict::UnstatedRefusal, Verdict::Answered)
 }
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -13,8 +13,7 @@
 };
 use ntex::http::{
     HeaderMap,
-    Method,
-    StatusCode, //
+    Method, //
 };
 use slog::info;
 use tokio::time::{
@@ -26,6 +25,7 @@
 use super::{
     answer::{
         self,
+        ForwardedStatus,
         InvalidAnswer,
         Misdirection,
         Verdict, //
@@ -154,6 +154,8 @@
     Broken,
     /// The answer is not one of the target to this request.
     Invalid(InvalidAnswer),
+    /// The target failed the request, with a status that means "not run" to callers.
+    UnstatedRefusal,
 }
 
 impl AttemptFailure {
@@ -171,6 +173,7 @@
             Self::Silent => "silent",
             Self::Broken => "broken",
             Self::Invalid(invalid) => invalid.name(),
+            Self::UnstatedRefusal => "unstated_refusal",
         }
     }
 }
@@ -179,6 +182,7 @@
 pub(super) struct Answer<P> {
     /// Counts the request at its target until the answer is dropped.
     pub(super) in_flight: InFlightGuard<P>,
+    pub(super) status: ForwardedStatus,
     response: CallAnswer,
 }
 
@@ -281,7 +285,7 @@
         Ok(Ok(response)) => response,
     };
     let answer = check_head(worker, incoming, target, in_flight, response)?;
-    if answer.status().is_success() {
+    if answer.status.code().is_success() {
         worker.record_sent_parts(&target.id, &keys, true);
     }
     Ok(answer)
@@ -316,10 +320,15 @@
             worker.observe_failure(&target.id);
             Err(AttemptFailure::Invalid(invalid))
         }
-        Verdict::Answered => {
+        Verdict::UnstatedRefusal => {
+            worker.observe(target, &head, false);
+            Err(AttemptFailure::UnstatedRefusal)
+        }
+        Verdict::Answered(forwarded) => {
             worker.observe(target, &head, !status.is_server_error());
             Ok(Answer {
                 in_flight,
+                status: forwarded,
                 response,
             })
         }
@@ -332,10 +341,6 @@
 }
 
 impl<P> Answer<P> {
-    pub(super) const fn status(&self) -> StatusCode {
-        self.response.status
-    }
-
     pub(super) const fn headers(&self) -> &HeaderMap {
         &self.response.headers
     }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -9,13 +9,13 @@
 use futures_util::stream;
 use ntex::http::{
     HeaderMap,
-    Response,
-    StatusCode, //
+    Response, //
 };
 use slog::info;
 use tokio::time::timeout_at;
 
 use super::{
+    answer::ForwardedStatus,
     attempt::{
         self,
         Answer,
@@ -134,7 +134,7 @@
     }
 
     /// Returns the answer to the caller, whose body is the stream.
-    pub(super) fn into_response(self, status: StatusCode, headers: &HeaderMap) -> Response {
+    pub(super) fn into_response(self, status: ForwardedStatus, headers: &HeaderMap) -> Response {
         let is_leaving = self.worker.context.is_leaving();
         let mut builder = reply::forwarded_builder(status, headers, is_leaving);
         let body = stream::unfold(self, |mut relay| async move {
@@ -253,7 +253,7 @@
             )
             .await;
             match sent {
-                Ok(answer) if answer.status().is_success() => {
+                Ok(answer) if answer.status.code().is_success() => {
                     self.splitter = EventSplitter::new(last_event_id);
                     self.target = Arc::clone(target);
                     self.answer = Some(answer);
--- a/src/direct/reply.rs
+++ b/src/direct/reply.rs
@@ -9,6 +9,10 @@
 };
 use serde_json::json;
 
+use super::{
+    answer::ForwardedStatus,
+    request_attempts::NotRun, //
+};
 use crate::{
     error::ErrorKind,
     request::headers::{
@@ -17,13 +21,40 @@
     },
 };
 
-/// Returns an error answer of the entry itself. `retry_after_ms` overrides the
+/// Failure of a request that may have run. None has a status that means "not run" to
+/// callers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Failure {
+    DeadlineExceeded,
+    OutcomeUnknown,
+}
+
+impl Failure {
+    pub(super) const fn kind(self) -> ErrorKind {
+        match self {
+            Self::DeadlineExceeded => ErrorKind::DeadlineExceeded,
+            Self::OutcomeUnknown => ErrorKind::OutcomeUnknown,
+        }
+    }
+}
+
+/// Returns the answer to a request that may have run and has no answer of a target.
+pub(super) fn failure_answer(failure: Failure, is_leaving: bool) -> Response {
+    error_answer(failure.kind(), None, is_leaving)
+}
+
+/// Returns the answer to a request that has not run. `retry_after_ms` overrides the
 /// value that belongs to the error kind.
-pub(super) fn error_answer(
+pub(super) fn refusal_answer(
     kind: ErrorKind,
     retry_after_ms: Option<u64>,
     is_leaving: bool,
+    _: NotRun,
 ) -> Response {
+    error_answer(kind, retry_after_ms, is_leaving)
+}
+
+fn error_answer(kind: ErrorKind, retry_after_ms: Option<u64>, is_leaving: bool) -> Response {
     let answer = kind.answer();
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = Response::build(status);
@@ -47,7 +78,7 @@
 /// Starts an answer with the status of a target's answer and those of its header
 /// fields that may be forwarded.
 pub(super) fn forwarded_builder(
-    status: StatusCode,
+    status: ForwardedStatus,
     headers: &HeaderMap,
     is_leaving: bool,
 ) -> ResponseBuilder {
@@ -56,7 +87,7 @@
         Direction::ToCaller,
         connection.map(|value| value.as_bytes()),
     );
-    let mut builder = Response::build(status);
+    let mut builder = Response::build(status.code());
     for (name, value) in headers {
         if filter.forwards(name.as_str()) && name.as_str() != "date" {
             builder.header(name.clone(), value.clone());
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -35,6 +35,33 @@
 /// Interval of the checks for an engine that takes requests.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Proof that no target has run a request, and none will. Only a request that was sent to
+/// no target, or whose attempts all ended without a run, gives one.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NotRun(());
+
+/// A request that was sent to no target yet.
+pub(super) struct Unsent(());
+
+impl Unsent {
+    pub(super) const fn new() -> Self {
+        Self(())
+    }
+
+    pub(super) const fn not_run(&self) -> NotRun {
+        NotRun(())
+    }
+
+    /// Begins the attempts of the request.
+    pub(super) fn begin(self) -> RequestAttempts {
+        RequestAttempts {
+            tried_targets: HashSet::new(),
+            count: 0,
+            maybe_run_count: 0,
+        }
+    }
+}
+
 /// The attempts of one request so far.
 pub(super) struct RequestAttempts {
     tried_targets: HashSet<Name>,
@@ -45,14 +72,6 @@
 }
 
 impl RequestAttempts {
-    pub(super) fn new() -> Self {
-        Self {
-            tried_targets: HashSet::new(),
-            count: 0,
-            maybe_run_count: 0,
-        }
-    }
-
     pub(super) const fn count(&self) -> u32 {
         self.count
     }
@@ -64,9 +83,10 @@
         }
     }
 
-    /// Returns whether any attempt ran or may have run.
-    pub(super) const fn may_have_run(&self) -> bool {
-        self.maybe_run_count > 0
+    /// Returns the proof that the request has not run, `None` when any attempt may have
+    /// run it.
+    pub(super) fn not_run(&self) -> Option<NotRun> {
+        (self.maybe_run_count == 0).then_some(NotRun(()))
     }
 
     /// Chooses the target of the next attempt and counts the attempt. Returns `None`
@@ -80,7 +100,7 @@
     ) -> Option<TargetChoice> {
         let route = &incoming.route;
         let is_first = self.count == 0;
-        let may_run_again = !has_run && !self.may_have_run() || route.may_repeat();
+        let may_run_again = !has_run && self.not_run().is_some() || route.may_repeat();
         let has_attempts_left =
             self.count < MAX_ATTEMPTS && self.maybe_run_count < route.max_targets;
         let has_time = worker.now_us() + MIN_ATTEMPT_US < incoming.deadline_us;
--- a/src/direct/request_log.rs
+++ b/src/direct/request_log.rs
@@ -28,7 +28,7 @@
     pub(super) target: Option<Name>,
     pub(super) attempts: u32,
     pub(super) status: u16,
-    pub(super) kind: Option<ErrorKind>,
+    kind: Option<ErrorKind>,
     arrived_at_us: u64,
     /// Whether a [`Relay`](super::relay::Relay) streams the answer and logs its end instead.
     pub(super) is_relayed: bool,
@@ -51,6 +51,14 @@
     }
 }
 
+impl<P: Platform> RequestLog<P> {
+    /// Records the error kind that the request ends with.
+    pub(super) const fn end(&mut self, kind: ErrorKind) {
+        self.status = kind.answer().status;
+        self.kind = Some(kind);
+    }
+}
+
 impl<P: Platform> Drop for RequestLog<P> {
     fn drop(&mut self) {
         if self.is_relayed {
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -43,8 +43,14 @@
         Relay,
         read_events, //
     },
-    reply,
-    request_attempts::RequestAttempts,
+    reply::{
+        self,
+        Failure, //
+    },
+    request_attempts::{
+        RequestAttempts,
+        Unsent, //
+    },
     request_log::RequestLog,
     routing::{
         Organisation,
@@ -89,6 +95,7 @@
     let mut payload = request.take_payload();
     let head = P::read_request(request.headers());
     let id = head.id.clone();
+    let unsent = Unsent::new();
     let refuse = |kind: ErrorKind, retry_after_ms: Option<u64>, label: &str| {
         let is_leaving = worker.context.is_leaving();
         info!(worker.context.log, "request refused";
@@ -98,7 +105,7 @@
             "config_version" => platform_state.table.as_ref().map(|table| table.version),
             "retry_after_ms" => retry_after_ms);
         worker.context.metrics.count_answer(label, Some(kind));
-        reply::error_answer(kind, retry_after_ms, is_leaving)
+        reply::refusal_answer(kind, retry_after_ms, is_leaving, unsent.not_run())
     };
     if worker.context.is_closed() {
         upload::discard(&mut payload).await;
@@ -158,7 +165,7 @@
             return refuse(ErrorKind::RateLimited, Some(wait_ms), &organisation.name);
         }
     }
-    forward(worker, incoming, cost, running).await
+    forward(worker, incoming, unsent, cost, running).await
 }
 
 async fn read_body(payload: &mut Payload, limit_bytes: usize) -> Result<Bytes, ErrorKind> {
@@ -297,11 +304,12 @@
 async fn forward<P: Platform>(
     worker: Rc<Worker<P>>,
     incoming: IncomingRequest,
+    unsent: Unsent,
     cost: u64,
     running: RunningRequest,
 ) -> Response {
     let mut log = RequestLog::new(&worker, &incoming);
-    let mut attempts = RequestAttempts::new();
+    let mut attempts = unsent.begin();
     let mut last_answer: Option<(Answer<P>, Bytes)> = None;
     let mut last_failure = None;
     while let Some(choice) = attempts
@@ -324,7 +332,7 @@
                     worker.note_begun_answer(&incoming, sent_at_us);
                 }
                 log.is_relayed = true;
-                let (status, headers) = (answer.status(), answer.headers().clone());
+                let (status, headers) = (answer.status, answer.headers().clone());
                 let parts = (answer, splitter, first_batch);
                 let relay = Relay::new(
                     &worker,
@@ -337,7 +345,7 @@
                 return relay.into_response(status, &headers);
             }
             Ok(ReceivedAnswer::Collected(answer, body)) => {
-                let is_failure = answer.status().is_server_error();
+                let is_failure = answer.status.code().is_server_error();
                 let sample = Sample {
                     failed: is_failure,
                     first_token_us: Some(worker.now_us().saturating_sub(sent_at_us)),
@@ -370,38 +378,27 @@
     }
     let is_leaving = worker.context.is_leaving();
     if let Some((answer, body)) = last_answer {
-        log.status = answer.status().as_u16();
-        let mut builder = reply::forwarded_builder(answer.status(), answer.headers(), is_leaving);
+        log.status = answer.status.code().as_u16();
+        let mut builder = reply::forwarded_builder(answer.status, answer.headers(), is_leaving);
         return builder.body(reply::to_ntex_bytes(body));
     }
-    let (kind, retry_after_ms) = failure_answer(&attempts, last_failure);
-    if kind.is_not_run()
-        && let Some(organisation) = &incoming.organisation
-    {
-        worker.context.quotas().refund(&organisation.name, cost);
-    }
-    log.status = kind.answer().status;
-    log.kind = Some(kind);
-    reply::error_answer(kind, retry_after_ms, is_leaving)
-}
-
-/// Returns the error kind and the retry time for a request that no target has
-/// answered.
-fn failure_answer(
-    attempts: &RequestAttempts,
-    failure: Option<AttemptFailure>,
-) -> (ErrorKind, Option<u64>) {
-    if attempts.may_have_run() {
-        let kind = match failure {
-            Some(AttemptFailure::Silent) => ErrorKind::DeadlineExceeded,
-            _ => ErrorKind::OutcomeUnknown,
+    let Some(not_run) = attempts.not_run() else {
+        let failure = match last_failure {
+            Some(AttemptFailure::Silent) => Failure::DeadlineExceeded,
+            _ => Failure::OutcomeUnknown,
         };
-        return (kind, None);
-    }
-    match failure {
-        None => (ErrorKind::NoTarget, Some(NO_TARGET_RETRY_MS)),
-        Some(_) => (ErrorKind::Overloaded, Some(NO_TARGET_RETRY_MS)),
+        log.end(failure.kind());
+        return reply::failure_answer(failure, is_leaving);
+    };
+    if let Some(organisation) = &incoming.organisation {
+        worker.context.quotas().refund(&organisation.name, cost);
     }
+    let kind = match last_failure {
+        None => ErrorKind::NoTarget,
+        Some(_) => ErrorKind::Overloaded,
+    };
+    log.end(kind);
+    reply::refusal_answer(kind, Some(NO_TARGET_RETRY_MS), is_leaving, not_run)
 }
 
 /// Returns when an attempt ends. For a request that may be repeated, this leaves
@@ -433,7 +430,7 @@
     let after = incoming.head.last_event_id;
     let mut answer = attempt::send(worker, incoming, choice, after, until_us).await?;
     let until = attempt::timer_instant(worker, incoming.deadline_us);
-    if incoming.route.is_stream && answer.status() == StatusCode::OK {
+    if incoming.route.is_stream && answer.status.code() == StatusCode::OK {
         let until = attempt::timer_instant(worker, until_us);
         let mut splitter = EventSplitter::new(after);
         let first_batch = read_events(&mut answer, &mut splitter, until).await;
