Take nothing from an answer that names another request

But a target that answers in the name of another request was believed: its refusal (Not-Executed, 421) was judged before the id was compared. Shown by the test below: 503 to the caller of a request that the target had received, and two targets that received it.

Cause: the order of the checks. Class: a statement is taken from an answer before it is known to be one to this request.

Change: the id is compared first; an answer that names another request is invalid, and neither its load nor its weights, its pause or its leaving are recorded. Such a request may have run. An answer that names no request is still one to this request, since the connection carries no other.

Test: answer_statements::a_refusal_of_another_request_states_nothing (before: 503).

Related paths: orders of agents to engines have a connection each; their reports reuse connections, where an earlier report is only an older state, confirmed by the count of orders before an order is carried out.

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -144,6 +144,11 @@
     request_id: Option<&Name>,
     target: &Name,
 ) -> Verdict {
+    // Nothing that an answer to another request states holds for this one. An answer that
+    // names no request is one to this one, as a connection carries one request.
+    if head.request_id.is_some() && head.request_id.as_ref() != request_id {
+        return Verdict::Invalid(InvalidAnswer::OtherRequest);
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         let is_other_target = head.target.as_ref().is_some_and(|id| id != target);
         return Verdict::Misdirected(if is_other_target {
@@ -155,9 +160,6 @@
     if head.states_not_run {
         return Verdict::NotRun;
     }
-    if head.request_id.is_some() && head.request_id.as_ref() != request_id {
-        return Verdict::Invalid(InvalidAnswer::OtherRequest);
-    }
     if status.is_success() && !head.has_signature {
         return Verdict::Invalid(InvalidAnswer::Unsigned);
     }
