Accept a success only if nothing in its head speaks against it

What callers saw: (1) 503 "not run" after a success with Yuccalatch-Not-Executed, one of whose statements is wrong, and for routes that may repeat a second run; (2) a success whose body had been encoded on the way ("a response that has a Content-Encoding is not the server's body").

Cause: the statement "not run" was taken whatever the status; the encoding of a success was not looked at.

Change: both are invalid answers; the request may have run.

Tests (both failed before): answer_statements:: a_success_that_states_that_nothing_ran_is_not_relied_on (503 instead of 502), an_encoded_success_is_not_passed_on (200 instead of 502).

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -88,6 +88,10 @@
     OtherRequest,
     /// It is a success without the target's signature.
     Unsigned,
+    /// It is a success and states that the request has not run.
+    Contradictory,
+    /// It is a success with an encoded body, which is not the target's.
+    Encoded,
 }
 
 impl Misdirection {
@@ -118,6 +122,8 @@
         match self {
             Self::OtherRequest => "other_request",
             Self::Unsigned => "unsigned",
+            Self::Contradictory => "contradictory",
+            Self::Encoded => "encoded",
         }
     }
 }
@@ -157,11 +163,19 @@
             Misdirection::OtherWeights
         });
     }
+    if status.is_success() {
+        return if head.states_not_run {
+            Verdict::Invalid(InvalidAnswer::Contradictory)
+        } else if !head.has_signature {
+            Verdict::Invalid(InvalidAnswer::Unsigned)
+        } else if head.is_encoded {
+            Verdict::Invalid(InvalidAnswer::Encoded)
+        } else {
+            Verdict::Answered(ForwardedStatus(status))
+        };
+    }
     if head.states_not_run {
         return Verdict::NotRun;
     }
-    if status.is_success() && !head.has_signature {
-        return Verdict::Invalid(InvalidAnswer::Unsigned);
-    }
     ForwardedStatus::new(status).map_or(Verdict::UnstatedRefusal, Verdict::Answered)
 }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -102,6 +102,8 @@
     pub has_signature: bool,
     /// Whether the target states that it did not run the request.
     pub states_not_run: bool,
+    /// Whether the body is encoded, which callers do not ask for.
+    pub is_encoded: bool,
     /// Id of the target that answered, when it states one.
     pub target: Option<Name>,
     /// Load of the target, when it states it.
