Pass on only events whose place in the stream is known

Cause: an event without a readable id counted as one without an id, like a comment, and was passed on without moving the position.

Change: in a stream whose events have ids, an event with an id that cannot be read, with two ids or with content and no id ends the stream before it; comments and "retry" pass. After content without an id at the start of a stream there is no place to resume from (StreamPosition::resume_point), so that it is not sent twice.

--- a/src/direct/events.rs
+++ b/src/direct/events.rs
@@ -19,6 +19,8 @@
     data: Bytes,
     /// Id of the last of these events that has one.
     last_id: Option<u64>,
+    /// Whether one of these events has content and no id.
+    has_unnumbered_content: bool,
 }
 
 impl EventBatch {
@@ -54,21 +56,53 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StreamPosition {
     last_id: Option<u64>,
+    /// Whether content without an id was passed on after the last event that has one.
+    has_unnumbered_content: bool,
+}
+
+/// Place from which another target continues a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ResumePoint {
+    /// Id of the last event that the caller has received, `None` before the first one.
+    pub last_id: Option<u64>,
 }
 
 impl StreamPosition {
     /// Creates the position of a caller that has received the events up to the one with
     /// the given id, or none.
     pub const fn new(last_id: Option<u64>) -> Self {
-        Self { last_id }
+        Self {
+            last_id,
+            has_unnumbered_content: false,
+        }
     }
 
     /// Moves past the events of a batch and returns their bytes, unchanged.
     pub fn pass_on(&mut self, batch: EventBatch) -> Bytes {
         self.last_id = batch.last_id.or(self.last_id);
+        self.has_unnumbered_content =
+            batch.has_unnumbered_content || self.has_unnumbered_content && batch.last_id.is_none();
         batch.data
     }
 
+    /// Returns where another target continues the stream, `None` when the caller has
+    /// received content whose place in the stream is not known.
+    ///
+    /// ```
+    /// use yuccalatch::direct::events::{EventSplitter, StreamPosition};
+    ///
+    /// let mut splitter = EventSplitter::new(None);
+    /// let mut position = StreamPosition::new(None);
+    /// assert_eq!(position.resume_point().unwrap().last_id, None);
+    /// splitter.push(b"data: a\n\n");
+    /// position.pass_on(splitter.next_batch().unwrap().unwrap());
+    /// assert_eq!(position.resume_point(), None);
+    /// ```
+    pub fn resume_point(&self) -> Option<ResumePoint> {
+        let last_id = self.last_id;
+        (!self.has_unnumbered_content).then_some(ResumePoint { last_id })
+    }
+
     /// Returns the id of the last event that was passed on and has one.
     pub const fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -84,6 +118,9 @@
     NoProgress,
     /// An event's id is not one more than the previous event's.
     OutOfOrder,
+    /// An event has an id that cannot be read, several ids, or content without an id in a
+    /// stream whose events have ids.
+    Malformed,
 }
 
 /// Splits the bytes of a stream into complete events. An incomplete event is held
@@ -111,12 +148,19 @@
     last_id: Option<u64>,
     /// Bytes of complete events since the last one with an id.
     unnumbered_bytes: usize,
+    /// Whether one of these events has content.
+    has_unnumbered_content: bool,
 }
 
 impl Progress {
     /// Moves past a complete event.
     fn accept(&mut self, event: &[u8]) -> Result<(), SplitError> {
-        let Some(id) = event_id(event) else {
+        let lines = read_lines(event)?;
+        let Some(id) = lines.id else {
+            if lines.has_content && self.last_id.is_some() {
+                return Err(SplitError::Malformed);
+            }
+            self.has_unnumbered_content |= lines.has_content;
             self.unnumbered_bytes += event.len();
             if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
                 return Err(SplitError::NoProgress);
@@ -130,6 +174,7 @@
             return Err(SplitError::OutOfOrder);
         }
         self.last_id = Some(id);
+        self.has_unnumbered_content = false;
         self.unnumbered_bytes = 0;
         Ok(())
     }
@@ -144,6 +189,7 @@
             progress: Progress {
                 last_id,
                 unnumbered_bytes: 0,
+                has_unnumbered_content: false,
             },
         }
     }
@@ -157,8 +203,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when the next event is too long or out of order, or when too many bytes
-    /// arrive without an event that has an id. The events before it have been returned.
+    /// Fails when the next event is too long, malformed or out of order, or when too many
+    /// bytes arrive without an event that has an id. The events before it have been
+    /// returned.
     pub fn next_batch(&mut self) -> Result<Option<EventBatch>, SplitError> {
         let mut length = 0;
         let first_progress = self.progress;
@@ -184,6 +231,7 @@
         Ok(Some(EventBatch {
             data: self.buffer.split_to(length).freeze(),
             last_id: self.progress.last_id.filter(|_| is_numbered),
+            has_unnumbered_content: self.progress.has_unnumbered_content,
         }))
     }
 
@@ -206,11 +254,37 @@
     ends.into_iter().flatten().min()
 }
 
-/// Returns the id of an event that has one.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    lines.find_map(|line| {
-        let value = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(value).ok()?.trim().parse().ok()
-    })
+/// What the lines of an event say about its place in the stream.
+struct EventLines {
+    id: Option<u64>,
+    /// Whether there are lines other than the id, comments and the pause before a caller
+    /// connects again.
+    has_content: bool,
+}
+
+/// Reads the lines of an event. Fails when it has an id that cannot be read, or several.
+fn read_lines(event: &[u8]) -> Result<EventLines, SplitError> {
+    let mut lines = EventLines {
+        id: None,
+        has_content: false,
+    };
+    for line in event.split(|byte| *byte == b'\n') {
+        let line = line.trim_ascii_end();
+        let colon = line.iter().position(|byte| *byte == b':');
+        let (name, value) = line.split_at(colon.unwrap_or(line.len()));
+        match name {
+            b"" | b"retry" => {}
+            b"id" => {
+                let value = value.strip_prefix(b":").unwrap_or_default();
+                let id = std::str::from_utf8(value.trim_ascii()).ok();
+                let id = id.and_then(|id| id.parse().ok());
+                if id.is_none() || lines.id.is_some() {
+                    return Err(SplitError::Malformed);
+                }
+                lines.id = id;
+            }
+            _ => lines.has_content = true,
+        }
+    }
+    Ok(lines)
 }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -224,6 +224,9 @@
         if !self.incoming.route.can_resume {
             return false;
         }
+        let Some(point) = self.position.resume_point() else {
+            return false;
+        };
         loop {
             let Some(choice) = self
                 .attempts
@@ -233,14 +236,13 @@
                 return false;
             };
             let target = &choice.target;
-            let last_event_id = self.position.last_id();
             self.worker.context.metrics.resumed_streams.inc();
             info!(self.worker.context.log, "resuming stream at another target";
                 "event" => Event::StreamContinued,
                 "request_id" => self.incoming.id(),
                 "failed_target" => &*self.target.id,
                 "target" => &*target.id,
-                "last_event_id" => last_event_id,
+                "last_event_id" => point.last_id,
                 "cause" => failure.name());
             let until_us = self.incoming.deadline_us;
             let sent_at_us = self.worker.now_us();
@@ -248,13 +250,13 @@
                 &self.worker,
                 &self.incoming,
                 &choice,
-                last_event_id,
+                point.last_id,
                 until_us,
             )
             .await;
             match sent {
                 Ok(answer) if answer.status.code().is_success() => {
-                    self.splitter = EventSplitter::new(last_event_id);
+                    self.splitter = EventSplitter::new(point.last_id);
                     self.target = Arc::clone(target);
                     self.answer = Some(answer);
                     self.unbegun_sent_at_us = Some(sent_at_us);
--- a/tests/event_splitting.rs
+++ b/tests/event_splitting.rs
@@ -142,3 +142,54 @@
         }
     }
 }
+
+/// Guards against content whose place in the stream is not known and that is passed on
+/// between events with ids: a resumed stream would repeat it, and text that is no event
+/// would pass for a part of the stream.
+#[test]
+fn content_without_a_readable_id_ends_a_numbered_stream() {
+    let malformed = [
+        "id: 5x\ndata: a\n\n",
+        "id: -5\ndata: a\n\n",
+        "id\ndata: a\n\n",
+        "id: 5\nid: 6\ndata: a\n\n",
+        "id: 99999999999999999999\ndata: a\n\n",
+        "ie: 5\ndata: a\n\n",
+        "data: a\n\n",
+        "event: error\ndata: a\n\n",
+        "no saw\n\n",
+        "HTTP/1.1 500 Broken\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for event in malformed {
+        let data = format!("id: 4\ndata: a\n\n{event}id: 5\ndata: b\n\n");
+        let (passed, last_id, error) = split(None, data.as_bytes());
+        assert_eq!(passed, b"id: 4\ndata: a\n\n", "{event:?}");
+        assert_eq!((last_id, error), (Some(4), Some(SplitError::Malformed)));
+    }
+    for event in [
+        ": wait\n\n",
+        "retry: 10\n\n",
+        "\n",
+        "id:5\ndata: a\n\n",
+        "x: y\nid: 5\n\n",
+    ] {
+        let (passed, _, error) = split(Some(4), event.as_bytes());
+        assert_eq!((&passed[..], error), (event.as_bytes(), None));
+    }
+}
+
+/// Guards against resuming a stream whose caller has received content without an id.
+#[test]
+fn a_stream_without_ids_has_no_place_to_resume_from() {
+    let mut splitter = EventSplitter::new(None);
+    let mut position = StreamPosition::new(None);
+    splitter.push(b": wait\n\n");
+    pass_on(&mut splitter, &mut position);
+    assert!(position.resume_point().is_some());
+    splitter.push(b"data: a\n\n");
+    pass_on(&mut splitter, &mut position);
+    assert_eq!(position.resume_point(), None);
+    splitter.push(b": wait\n\n");
+    pass_on(&mut splitter, &mut position);
+    assert_eq!(position.resume_point(), None);
+}
