Continue a stream only with an answer that is its rest

(2) A sealed 200 without a length whose connection was lost before its first event ended the stream as complete. Besides, the first answer that is no stream ended the attempts, where another target might have continued it.

Change: only 200 continues a stream. Another answer ends the attempt (not_continued) and the next target is tried, within the attempts of the route. An answer that continues a stream and ends before its first event counts as complete only if it states its end by a length or in chunks.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -156,6 +156,8 @@
     Invalid(InvalidAnswer),
     /// The target failed the request, with a status that means "not run" to callers.
     UnstatedRefusal,
+    /// The target did not answer with the rest of the stream that it was to continue.
+    NotContinued,
 }
 
 impl AttemptFailure {
@@ -174,6 +176,7 @@
             Self::Broken => "broken",
             Self::Invalid(invalid) => invalid.name(),
             Self::UnstatedRefusal => "unstated_refusal",
+            Self::NotContinued => "not_continued",
         }
     }
 }
@@ -353,6 +356,11 @@
             .map_err(|_| AttemptFailure::Broken)
     }
 
+    /// Returns whether the answer states its end, by a length or in chunks.
+    pub(super) fn states_end(&self) -> bool {
+        self.response.states_end()
+    }
+
     /// Reads the whole body. Fails with [`AttemptFailure::Broken`] when it exceeds
     /// [`MAX_ANSWER_BYTES`].
     pub(super) async fn collect(&mut self, until: Instant) -> Result<Bytes, AttemptFailure> {
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -84,6 +84,13 @@
 }
 
 impl CallAnswer {
+    /// Returns whether the answer states its end, by a length or in chunks. Otherwise a
+    /// connection that is lost looks like its end.
+    pub fn states_end(&self) -> bool {
+        let mut fields = ["content-length", "transfer-encoding"].into_iter();
+        fields.any(|name| self.headers.contains_key(name))
+    }
+
     /// Returns the next part of the body, or `None` at its regular end.
     ///
     /// # Errors
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -9,7 +9,8 @@
 use futures_util::stream;
 use ntex::http::{
     HeaderMap,
-    Response, //
+    Response,
+    StatusCode, //
 };
 use slog::info;
 use tokio::time::timeout_at;
@@ -168,6 +169,11 @@
                     self.batches += 1;
                     return Some(Ok(data));
                 }
+                Ok(None) if self.is_cut_before_event() => {
+                    if !self.recover(AttemptFailure::NotContinued).await {
+                        return Some(self.fail(AttemptFailure::NotContinued).await);
+                    }
+                }
                 Ok(None) => {
                     self.record_pace();
                     self.answer = None;
@@ -175,28 +181,49 @@
                     return None;
                 }
                 Err(failure) => {
-                    self.answer = None;
-                    if self.unbegun_sent_at_us.is_some() {
-                        self.worker
-                            .note_unbegun_answer(&self.incoming, &self.target.id, failure);
+                    if !self.recover(failure).await {
+                        return Some(self.fail(failure).await);
                     }
-                    if self.worker.now_us() < deadline_us {
-                        self.worker
-                            .record_sample(&self.incoming, &self.target, Sample::FAILURE);
-                        self.worker.observe_failure(&self.target.id);
-                        if self.resume(failure).await {
-                            self.event_at_us = self.worker.now_us();
-                            continue;
-                        }
-                    }
-                    self.outcome = failure.name();
-                    self.running.abort_connection().await;
-                    return Some(Err(std::io::Error::other(failure.name())));
                 }
             }
         }
     }
 
+    /// Returns whether an answer that was to continue the stream has ended with its
+    /// connection before its first event. That is no statement that no events are left.
+    fn is_cut_before_event(&self) -> bool {
+        let states_end = self.answer.as_ref().is_some_and(Answer::states_end);
+        self.unbegun_sent_at_us.is_some() && !states_end
+    }
+
+    /// Continues the stream at another target after the present one has failed. Returns
+    /// whether one accepted it.
+    async fn recover(&mut self, failure: AttemptFailure) -> bool {
+        self.answer = None;
+        if self.unbegun_sent_at_us.is_some() {
+            self.worker
+                .note_unbegun_answer(&self.incoming, &self.target.id, failure);
+        }
+        if self.worker.now_us() >= self.incoming.deadline_us {
+            return false;
+        }
+        self.worker
+            .record_sample(&self.incoming, &self.target, Sample::FAILURE);
+        self.worker.observe_failure(&self.target.id);
+        let is_resumed = self.resume(failure).await;
+        if is_resumed {
+            self.event_at_us = self.worker.now_us();
+        }
+        is_resumed
+    }
+
+    /// Ends the stream without its end.
+    async fn fail(&mut self, failure: AttemptFailure) -> Result<Bytes, std::io::Error> {
+        self.outcome = failure.name();
+        self.running.abort_connection().await;
+        Err(std::io::Error::other(failure.name()))
+    }
+
     fn pass_on(&mut self, batch: EventBatch) -> Bytes {
         self.events_bytes += batch.size_bytes();
         self.position.pass_on(batch)
@@ -220,7 +247,7 @@
 
     /// Continues the stream at another target after the last event that was passed on. Returns
     /// whether one accepted it.
-    async fn resume(&mut self, failure: AttemptFailure) -> bool {
+    async fn resume(&mut self, mut failure: AttemptFailure) -> bool {
         if !self.incoming.route.can_resume {
             return false;
         }
@@ -255,15 +282,16 @@
             )
             .await;
             match sent {
-                Ok(answer) if answer.status.code().is_success() => {
+                Ok(answer) if answer.status.code() == StatusCode::OK => {
                     self.splitter = EventSplitter::new(point.last_id);
                     self.target = Arc::clone(target);
                     self.answer = Some(answer);
                     self.unbegun_sent_at_us = Some(sent_at_us);
                     return true;
                 }
-                Ok(_) => return false,
-                Err(failure) => {
+                Ok(_) => failure = AttemptFailure::NotContinued,
+                Err(cause) => {
+                    failure = cause;
                     self.worker
                         .note_unbegun_answer(&self.incoming, &target.id, failure);
                     self.attempts.record_failure(failure);
