--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -180,7 +180,9 @@
 
 fn report_unreadable(log: &Logger, topic: Topic, changes: &ObjectChanges) {
     for change in &changes.changes {
-        if let ObjectChange::Unreadable(name, reason) = change {
+        if let ObjectChange::Unreadable(name, reason)
+        | ObjectChange::UnreadableTarget(name, reason) = change
+        {
             warn!(log, "an object in the object store cannot be read";
                 "event" => Event::RevisionRejected,
                 "topic" => ?topic,
--- a/src/direct/platform.rs
+++ b/src/direct/platform.rs
@@ -66,8 +66,10 @@
     Configuration(Box<Configuration>),
     /// A target as it is now.
     Target(TargetRecord),
-    /// The target with this id was removed, or its record cannot be read.
+    /// The target with this id was removed.
     TargetRemoved(Name),
+    /// The record of this id names no usable target, with the reason.
+    UnreadableTarget(Name, String),
     /// The weights that engines of a model have to load now.
     Weights(WantedWeights),
     /// An entry as it is registered now.
--- a/src/direct/platform_state.rs
+++ b/src/direct/platform_state.rs
@@ -217,7 +217,9 @@
                     self.adopt_configuration(Arc::from(configuration));
                 }
                 ObjectChange::Target(record) => self.upsert_target(record, is_listing),
-                ObjectChange::TargetRemoved(id) => self.remove_target(&id, recovered_at_us, now_us),
+                ObjectChange::TargetRemoved(id) | ObjectChange::UnreadableTarget(id, _) => {
+                    self.remove_target(&id, recovered_at_us, now_us);
+                }
                 ObjectChange::Weights(weights) => {
                     self.adopt_weights(weights, now_us);
                 }
