Give an engine that fails an order the order again

What operators would see: after one failed order (any status but 200, 202 and 409) an engine keeps its old weights until the list of targets changes.

Cause: every such status counted as the statement that another engine has the address (421), so the agent removed its engine from its copy of the list, and entries send the list again only when it is newer.

Change: only 421 says so. After another status the agent waits 300 ms, in which the engine may take requests, and sends the order again.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -114,6 +114,9 @@
 /// Time without an answer from any entry after which the object store is read.
 const MAX_ENTRY_SILENCE_US: u64 = 1_500 * US_PER_MS;
 
+/// Pause after an order that the engine refused or failed; each order is charged.
+const REFUSED_ORDER_PAUSE_US: u64 = 300 * US_PER_MS;
+
 /// Interval between reads of the object store while no entry answers.
 const STORE_READ_INTERVAL_US: u64 = US_PER_S;
 
@@ -152,6 +155,8 @@
     entry_answered_at_us: Cell<u64>,
     platform_state: RefCell<PlatformState>,
     is_engine_silent: Cell<bool>,
+    /// Until when the engine gets no further order, after it refused one.
+    next_order_at_us: Cell<u64>,
     /// Prompt parts that the engine has cached, with their recent changes.
     cache: RefCell<CacheLog>,
     /// Position in the cache changes that each entry has confirmed.
@@ -188,6 +193,7 @@
             clock: Clock::start(),
             platform_state: RefCell::default(),
             is_engine_silent: Cell::new(false),
+            next_order_at_us: Cell::new(0),
             cache: RefCell::default(),
             confirmed_positions: RefCell::default(),
             log: log.clone(),
@@ -244,7 +250,13 @@
             let id = self.engine_id();
             let step = match (&report, &rollout, &id) {
                 (Some(report), Some(rollout), Some(id)) => {
-                    next_step(rollout, report, id, self.clock.now_us())
+                    let now_us = self.clock.now_us();
+                    match next_step(rollout, report, id, now_us) {
+                        LoadStep::Order if now_us < self.next_order_at_us.get() => {
+                            LoadStep::WaitUntil(self.next_order_at_us.get())
+                        }
+                        step => step,
+                    }
                 }
                 _ => LoadStep::Done,
             };
@@ -493,9 +505,16 @@
         let answer = P::send_order(&self.order_client, engine, &order, ENGINE_TIMEOUT_MS).await;
         self.metrics.0.orders.inc();
         self.log_order(&order, &answer);
-        if let Ok(OrderAnswer::Refused(_)) = answer {
+        match answer {
             // The engine has restarted with another id.
-            self.platform_state.borrow_mut().targets.remove(id);
+            Ok(OrderAnswer::Misdirected) => {
+                self.platform_state.borrow_mut().targets.remove(id);
+            }
+            Ok(OrderAnswer::Refused(_)) => {
+                let next_order_at_us = self.clock.now_us() + REFUSED_ORDER_PAUSE_US;
+                self.next_order_at_us.set(next_order_at_us);
+            }
+            _ => {}
         }
     }
 
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -197,6 +197,8 @@
     AlreadyLoaded,
     /// Another order is in progress, or the count of orders differs.
     Conflict,
-    /// The engine refused the order with this HTTP status.
+    /// The engine at the address is another one than the order is for.
+    Misdirected,
+    /// The engine failed or refused the order with this HTTP status.
     Refused(u16),
 }
