Blame the narrowest part that explains crashes of engines

Cause: a crash breaks off sound requests beside the deadly one, and each broken request was weighed by itself; the common first part, which all of them have, counted as explained by the deadly one only if every record named both. While it was held back, nothing could clear it, and the pause to the trial grew with each crash of the same moment.

Change: direct/blame.rs groups broken attempts by crash and blames the narrowest part that explains at least three of them; its crashes count for no other part. A part that was answered within 30 s is held only after a second without an answer; one that was answered at least four times as often as broken is tried at once. Entries report the likeliest causes first.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,12 +4,13 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`answer`],
-//! [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
+//! [`blame`], [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
 //! [`service_rollout`], [`stall`], [`turns`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
 pub mod answer;
 mod attempt;
+pub mod blame;
 pub mod cache;
 pub mod call;
 mod choice;
--- a/src/direct/quarantine.rs
+++ b/src/direct/quarantine.rs
@@ -1,11 +1,11 @@
 //! Quarantine of prompt parts that crash the engines which answer them.
 //!
 //! Load pattern: requests that share one part of their prompts break off one engine
-//! after the other, from any entry, while requests with the same caller and the same
-//! other parts are answered. Retries spread the damage. A crash also breaks off the
-//! other requests of its engine, and every request has several parts. So a part counts
-//! as the cause only while no answer to a request with it begins anywhere, and of the
-//! parts that were in the same crashes only the most likely one counts.
+//! after the other, or many at once, from any entry, while requests with the same caller
+//! and the same other parts are answered. Retries spread the damage. [`blame`] finds the
+//! parts that explain the crashes since their last begun answers. A part that was answered
+//! shortly before is refused only if no answer begins within a second, and one that was
+//! answered often is tried again at once.
 //!
 //! Entries exchange what they have observed. Times are those of the entry's clock;
 //! reports state ages, because the clocks of entries differ.
@@ -26,25 +26,40 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::message::Prompt;
+use super::{
+    blame::{
+        BlamedPart,
+        BrokenAttempt,
+        CRASH_LIMIT,
+        blame, //
+    },
+    message::Prompt, //
+};
 use crate::clock::{
     US_PER_MS,
     US_PER_S, //
 };
 
-/// Crashes of engines, without a begun answer in between, from which a part is
-/// quarantined.
-pub const CRASH_LIMIT: usize = 3;
-
-/// Time within which broken attempts at one engine belong to the same crash.
-const SAME_CRASH_US: u64 = US_PER_S;
-
 /// Time after which a crash is forgotten unless it is the reason of a quarantine.
 const CRASH_LIFETIME_US: u64 = 30 * US_PER_S;
 
 /// Time from the crash that causes a quarantine to the first trial.
 const FIRST_TRIAL_US: u64 = 10 * US_PER_S;
 
+/// Time after the crash that causes a quarantine in which a part that was answered before
+/// is not refused: an answer that begins clears it. Engines take less to the first token.
+const ANSWER_TIME_US: u64 = US_PER_S;
+
+/// Time for which an answer counts as one shortly before a crash.
+const ANSWERED_BEFORE_US: u64 = 30 * US_PER_S;
+
+/// Answers for each broken attempt from which a part counts as one that was answered
+/// often.
+const ANSWERS_PER_BROKEN: usize = 4;
+
+/// Time that is stated to callers while a trial is under way.
+const TRIAL_RETRY_MS: u64 = 300;
+
 /// Factor by which the time to the next trial grows with each further crash.
 const TRIAL_BACKOFF: u64 = 4;
 
@@ -52,29 +67,70 @@
 const MAX_TRIAL_US: u64 = 600 * US_PER_S;
 
 /// Most broken attempts that are kept, the latest ones.
-const MAX_CRASHES: usize = 128;
+const MAX_CRASHES: usize = 256;
 
 /// Most broken attempts in a report, so that a failure of many engines does not fill
 /// links.
 const MAX_REPORTED_CRASHES: usize = 16;
 
-/// Most parts whose last begun answer is remembered.
-const MAX_BEGUN_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+/// Most parts whose history is remembered.
+const MAX_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
-/// An attempt whose connection the engine ended before it began the answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct Crash {
-    /// Hash of the target's id.
-    target: u64,
-    at_us: u64,
-    /// Shared parts of the request in their order.
-    parts: Vec<u64>,
+/// What became of requests with a part.
+#[derive(Clone, Copy, Debug, Default)]
+struct PartHistory {
+    /// When the last attempt was sent whose answer began, 0 when none did.
+    begun_at_us: u64,
+    /// Window of the counts, in units of [`ANSWERED_BEFORE_US`].
+    window: u64,
+    /// Answers to this entry in this window and in the one before it.
+    answers: [usize; 2],
+    /// Attempts of this entry that were broken, in the same windows.
+    broken: [usize; 2],
 }
 
-impl Crash {
-    fn is_same_crash(&self, other: &Self) -> bool {
-        self.target == other.target && self.at_us.abs_diff(other.at_us) < SAME_CRASH_US
+impl PartHistory {
+    fn note_answer(&mut self, sent_at_us: u64) {
+        self.begun_at_us = self.begun_at_us.max(sent_at_us);
+        self.advance(sent_at_us);
+        self.answers[0] += 1;
+    }
+
+    fn note_broken(&mut self, at_us: u64) {
+        self.advance(at_us);
+        self.broken[0] += 1;
+    }
+
+    fn advance(&mut self, at_us: u64) {
+        let window = at_us / ANSWERED_BEFORE_US;
+        match window.saturating_sub(self.window) {
+            0 => return,
+            1 => {
+                self.answers = [0, self.answers[0]];
+                self.broken = [0, self.broken[0]];
+            }
+            _ => {
+                self.answers = [0, 0];
+                self.broken = [0, 0];
+            }
+        }
+        self.window = window;
     }
+
+    /// Returns whether so many more attempts were answered than broken that the part is
+    /// an unlikely cause of crashes.
+    fn is_answered_often(&self) -> bool {
+        let answers: usize = self.answers.iter().sum();
+        let broken: usize = self.broken.iter().sum();
+        answers > 0 && answers >= ANSWERS_PER_BROKEN * broken
+    }
+}
+
+/// When requests with a part are refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Hold {
+    from_us: u64,
+    trial_at_us: u64,
 }
 
 /// A broken attempt as entries report it to each other.
@@ -130,53 +186,22 @@
 /// ```
 #[derive(Debug)]
 pub struct Quarantine {
-    crashes: Vec<Crash>,
-    /// When the last attempt with a part was sent whose answer began.
-    begun_at_us: LruCache<u64, u64>,
-    /// Quarantined parts with the time of their next trial.
-    trials_at_us: BTreeMap<u64, u64>,
+    crashes: Vec<BrokenAttempt>,
+    histories: LruCache<u64, PartHistory>,
+    /// Quarantined parts.
+    holds: BTreeMap<u64, Hold>,
 }
 
 impl Default for Quarantine {
     fn default() -> Self {
         Self {
             crashes: Vec::new(),
-            begun_at_us: LruCache::new(MAX_BEGUN_PARTS),
-            trials_at_us: BTreeMap::new(),
+            histories: LruCache::new(MAX_PARTS),
+            holds: BTreeMap::new(),
         }
     }
 }
 
-/// Crashes of one part since the last begun answer.
-struct Suspect<'a> {
-    part: u64,
-    crashes: Vec<&'a Crash>,
-    /// Crashes of engines, each of which may have broken several attempts.
-    crash_count: usize,
-    begun_at_us: u64,
-    /// Position of the part in the prompts.
-    position: usize,
-}
-
-impl Suspect<'_> {
-    /// Returns whether all crashes of this part can be due to another one that is more
-    /// likely: no answer has begun with it for longer, or else it is shared by fewer
-    /// requests, because it comes later in their prompts.
-    fn is_explained_by(&self, other: &Self) -> bool {
-        let rank = |suspect: &Self| (Reverse(suspect.begun_at_us), suspect.position);
-        let has_other = |crash: &&Crash| crash.parts.contains(&other.part);
-        rank(other) > rank(self) && self.crashes.iter().all(has_other)
-    }
-
-    fn trial_at_us(&self) -> u64 {
-        let surplus = self.crash_count.saturating_sub(CRASH_LIMIT);
-        let exponent = u32::try_from(surplus).unwrap_or(u32::MAX);
-        let pause_us = FIRST_TRIAL_US.saturating_mul(TRIAL_BACKOFF.saturating_pow(exponent));
-        let last_us = self.crashes.iter().map(|crash| crash.at_us).max();
-        last_us.unwrap_or(0) + pause_us.min(MAX_TRIAL_US)
-    }
-}
-
 /// Returns the ids of the parts that requests share: all but the last, which belongs to
 /// the request or its session.
 pub fn shared_part_ids(prompt: &Prompt) -> Vec<u64> {
@@ -192,7 +217,10 @@
     /// it began an answer. Returns the parts that are quarantined from now on.
     pub fn record_crash(&mut self, parts: &[u64], target: &str, now_us: u64) -> Vec<u64> {
         self.forget(now_us);
-        self.add_crash(Crash {
+        for part in parts {
+            self.history(*part).note_broken(now_us);
+        }
+        self.add_crash(BrokenAttempt {
             target: xxh3_64(target.as_bytes()),
             at_us: now_us,
             parts: parts.to_vec(),
@@ -206,7 +234,7 @@
         let mut has_crashes = false;
         for part in parts {
             has_crashes |= self.has_crashes(*part);
-            self.note_begun(*part, sent_at_us);
+            self.history(*part).note_answer(sent_at_us);
         }
         if has_crashes {
             self.update();
@@ -227,33 +255,38 @@
         now_us: u64,
         is_drawn: impl FnOnce() -> bool,
     ) -> Admission {
-        let quarantined = parts
+        let holds = parts
             .iter()
-            .filter_map(|part| self.trials_at_us.get_key_value(part));
-        let Some((part, trial_at_us)) = quarantined.max_by_key(|(_, at_us)| **at_us) else {
+            .filter_map(|part| self.holds.get_key_value(part))
+            .filter(|(_, hold)| now_us >= hold.from_us);
+        let Some((part, hold)) = holds.max_by_key(|(_, hold)| hold.trial_at_us) else {
             return Admission::Open;
         };
-        if now_us >= *trial_at_us && is_drawn() {
+        if now_us >= hold.trial_at_us && is_drawn() {
             return Admission::Trial;
         }
         Admission::Refused {
             part: *part,
-            trial_at_us: *trial_at_us,
+            trial_at_us: hold.trial_at_us,
         }
     }
 
     /// Returns the number of quarantined parts.
     pub fn quarantined_count(&self) -> usize {
-        self.trials_at_us.len()
+        self.holds.len()
     }
 
-    /// Returns the broken attempts that other entries need to know, those of quarantined
-    /// parts first, then the latest.
+    /// Returns the broken attempts that other entries need to know: those of quarantined
+    /// parts first, then those that most likely caused their crashes, then the latest.
     pub fn report(&mut self, now_us: u64) -> PartsReport {
         self.forget(now_us);
-        let mut crashes: Vec<&Crash> = self.crashes.iter().collect();
-        crashes.sort_by_key(|crash| (!self.is_reason(crash), Reverse(crash.at_us)));
-        let report = |crash: &Crash| CrashReport {
+        let mut crashes: Vec<&BrokenAttempt> = self.crashes.iter().collect();
+        crashes.sort_by_cached_key(|crash| {
+            let parts = crash.parts.iter();
+            let begun_at_us = parts.map(|part| self.begun_at_us(*part).unwrap_or(0)).min();
+            (!self.is_reason(crash), begun_at_us, Reverse(crash.at_us))
+        });
+        let report = |crash: &BrokenAttempt| CrashReport {
             target: crash.target,
             age_us: now_us.saturating_sub(crash.at_us),
             parts: crash.parts.clone(),
@@ -271,20 +304,22 @@
     /// Adds what another entry has observed. Returns the parts that are quarantined from
     /// now on.
     pub fn merge(&mut self, report: &PartsReport, now_us: u64) -> Vec<u64> {
-        if report.crashes.is_empty() && report.begun.is_empty() {
-            return Vec::new();
-        }
+        let mut is_changed = false;
         for (part, age_us) in &report.begun {
-            self.note_begun(*part, now_us.saturating_sub(*age_us));
+            is_changed |= self.note_begun(*part, now_us.saturating_sub(*age_us));
         }
         for crash in &report.crashes {
-            self.add_crash(Crash {
+            is_changed |= self.add_crash(BrokenAttempt {
                 target: crash.target,
                 at_us: now_us.saturating_sub(crash.age_us),
                 parts: crash.parts.clone(),
             });
         }
-        self.update()
+        if is_changed {
+            self.update()
+        } else {
+            Vec::new()
+        }
     }
 
     /// Returns the begun answers to requests with a part of a report.
@@ -295,89 +330,98 @@
             .flat_map(|crash| crash.parts.iter().copied())
             .collect();
         let begun = |part| {
-            let at_us = self.begun_at_us.peek(&part)?;
-            Some((part, now_us.saturating_sub(*at_us)))
+            let at_us = self.begun_at_us(part)?;
+            Some((part, now_us.saturating_sub(at_us)))
         };
         parts.into_iter().filter_map(begun).collect()
     }
 
-    fn add_crash(&mut self, crash: Crash) {
-        let is_known = |known: &Crash| known.is_same_crash(&crash) && known.parts == crash.parts;
+    /// Adds a broken attempt. Returns whether it was new.
+    fn add_crash(&mut self, crash: BrokenAttempt) -> bool {
+        let is_known =
+            |known: &BrokenAttempt| known.is_same_crash(&crash) && known.parts == crash.parts;
         if crash.parts.is_empty() || self.crashes.iter().any(is_known) {
-            return;
+            return false;
         }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(0);
         }
         self.crashes.push(crash);
+        true
     }
 
     /// Returns whether there are crashes of a part since its last begun answer.
     fn has_crashes(&self, part: u64) -> bool {
-        let mut crashes = self.crashes.iter();
-        crashes.any(|crash| crash.parts.contains(&part) && self.is_uncleared(crash, part))
+        let begun_at_us = self.begun_at_us(part);
+        self.crashes.iter().any(|crash| {
+            crash.parts.contains(&part) && begun_at_us.is_none_or(|at_us| crash.at_us > at_us)
+        })
+    }
+
+    fn begun_at_us(&self, part: u64) -> Option<u64> {
+        let history = self.histories.peek(&part)?;
+        (history.begun_at_us > 0).then_some(history.begun_at_us)
     }
 
-    fn is_uncleared(&self, crash: &Crash, part: u64) -> bool {
-        let begun_at_us = self.begun_at_us.peek(&part);
-        begun_at_us.is_none_or(|at_us| crash.at_us > *at_us)
+    fn history(&mut self, part: u64) -> &mut PartHistory {
+        self.histories.get_or_insert_mut(part, PartHistory::default)
     }
 
-    fn note_begun(&mut self, part: u64, sent_at_us: u64) {
-        let known_at_us = self.begun_at_us.get(&part).copied().unwrap_or(0);
-        self.begun_at_us.put(part, sent_at_us.max(known_at_us));
+    /// Notes an answer that another entry has seen. Returns whether it is the last one.
+    fn note_begun(&mut self, part: u64, sent_at_us: u64) -> bool {
+        let history = self.history(part);
+        let is_later = sent_at_us > history.begun_at_us;
+        history.begun_at_us = history.begun_at_us.max(sent_at_us);
+        is_later
     }
 
     /// Derives the quarantined parts from the observations. Returns those that are new.
     fn update(&mut self) -> Vec<u64> {
-        let suspects = self.suspects();
-        let is_cause = |suspect: &&Suspect<'_>| {
-            let mut others = suspects.iter();
-            !others.any(|other| suspect.is_explained_by(other))
-        };
-        let trials_at_us: BTreeMap<u64, u64> = suspects
+        let blamed = blame(&self.crashes, |part| self.begun_at_us(part));
+        let holds: BTreeMap<u64, Hold> = blamed
             .iter()
-            .filter(is_cause)
-            .map(|suspect| (suspect.part, suspect.trial_at_us()))
+            .map(|blamed| (blamed.part, self.hold(blamed)))
             .collect();
-        let is_new = |part: &&u64| !self.trials_at_us.contains_key(part);
-        let new = trials_at_us.keys().filter(is_new).copied().collect();
-        self.trials_at_us = trials_at_us;
+        let is_new = |part: &&u64| !self.holds.contains_key(part);
+        let new = holds.keys().filter(is_new).copied().collect();
+        self.holds = holds;
         new
     }
 
-    /// Returns the parts with enough crashes since the last begun answer.
-    fn suspects(&self) -> Vec<Suspect<'_>> {
-        let mut suspects: BTreeMap<u64, Suspect<'_>> = BTreeMap::new();
-        for crash in &self.crashes {
-            for (position, part) in crash.parts.iter().enumerate() {
-                if !self.is_uncleared(crash, *part) {
-                    continue;
-                }
-                let begun_at_us = self.begun_at_us.peek(part).copied().unwrap_or(0);
-                let suspect = suspects.entry(*part).or_insert_with(|| Suspect {
-                    part: *part,
-                    crashes: Vec::new(),
-                    crash_count: 0,
-                    begun_at_us,
-                    position,
-                });
-                let is_counted = suspect
-                    .crashes
-                    .iter()
-                    .any(|known| known.is_same_crash(crash));
-                suspect.crash_count += usize::from(!is_counted);
-                suspect.crashes.push(crash);
-            }
+    /// Returns when requests with a blamed part are refused.
+    fn hold(&self, blamed: &BlamedPart) -> Hold {
+        let begun_at_us = self.begun_at_us(blamed.part);
+        let is_answered =
+            begun_at_us.is_some_and(|at_us| blamed.first_us < at_us + ANSWERED_BEFORE_US);
+        let history = self.histories.peek(&blamed.part);
+        let is_answered_often = is_answered && history.is_some_and(PartHistory::is_answered_often);
+        let backoff = |exponent| {
+            let pause_us = FIRST_TRIAL_US.saturating_mul(TRIAL_BACKOFF.saturating_pow(exponent));
+            pause_us.min(MAX_TRIAL_US)
+        };
+        let pause_us = if is_answered_often {
+            // A crash of several engines at once is more likely than a part that crashes
+            // engines after it was answered often.
+            let failed_trials = blamed.series - 1;
+            failed_trials.checked_sub(1).map_or(ANSWER_TIME_US, backoff)
+        } else {
+            let surplus = blamed.crashes.saturating_sub(CRASH_LIMIT);
+            backoff(u32::try_from(surplus).unwrap_or(u32::MAX))
+        };
+        Hold {
+            from_us: if is_answered {
+                blamed.blamed_at_us + ANSWER_TIME_US
+            } else {
+                0
+            },
+            trial_at_us: blamed.last_us.saturating_add(pause_us),
         }
-        suspects.retain(|_, suspect| suspect.crash_count >= CRASH_LIMIT);
-        suspects.into_values().collect()
     }
 
     /// Returns whether an attempt is a reason of a quarantine.
-    fn is_reason(&self, crash: &Crash) -> bool {
+    fn is_reason(&self, crash: &BrokenAttempt) -> bool {
         let mut parts = crash.parts.iter();
-        parts.any(|part| self.trials_at_us.contains_key(part))
+        parts.any(|part| self.holds.contains_key(part))
     }
 
     fn forget(&mut self, now_us: u64) {
@@ -387,11 +431,14 @@
     }
 }
 
-/// Returns the time in milliseconds until a trial, at least one.
+/// Returns the time in milliseconds until the result of a trial may be known.
 ///
 /// ```
-/// assert_eq!(yuccalatch::direct::quarantine::retry_after_ms(5_000, 2_000), 3);
+/// use yuccalatch::direct::quarantine::retry_after_ms;
+///
+/// assert_eq!(retry_after_ms(5_000_000, 2_000), 5_298);
+/// assert_eq!(retry_after_ms(2_000, 5_000_000), 300);
 /// ```
 pub fn retry_after_ms(trial_at_us: u64, now_us: u64) -> u64 {
-    (trial_at_us.saturating_sub(now_us) / US_PER_MS).max(1)
+    trial_at_us.saturating_sub(now_us) / US_PER_MS + TRIAL_RETRY_MS
 }
--- a/tests/deadly_parts.rs
+++ b/tests/deadly_parts.rs
@@ -2,10 +2,12 @@
 
 use yuccalatch::{
     clock::US_PER_S,
-    direct::quarantine::{
-        Admission,
-        CRASH_LIMIT,
-        Quarantine, //
+    direct::{
+        blame::CRASH_LIMIT,
+        quarantine::{
+            Admission,
+            Quarantine, //
+        },
     },
 };
 
