Resume no stream from a first id that the next one contradicts

In short: one event with a wrong id was enough for a position, and the event that contradicted it only made the entry ask another target to go on behind it.

Change: StreamPosition knows whether an id confirms it. After a wrong id behind an unconfirmed one there is no place to resume from and the stream is cut; if both come in one read, nothing of it is passed on. Failed attempts name the cause out_of_order.

Tests: stream_breaks::a_stream_is_cut_when_its_first_two_ids_contradict_each_other, event_splitting (two).

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -38,6 +38,7 @@
         CallRequest, //
     },
     choice::TargetChoice,
+    events::SplitError,
     kv_store::{
         select_source,
         select_store, //
@@ -158,6 +159,17 @@
     UnstatedRefusal,
     /// The target did not answer with the rest of the stream that it was to continue.
     NotContinued,
+    /// An event of the stream has another id than the one that follows.
+    OutOfOrder,
+}
+
+impl From<SplitError> for AttemptFailure {
+    fn from(error: SplitError) -> Self {
+        match error {
+            SplitError::OutOfOrder => Self::OutOfOrder,
+            SplitError::Malformed | SplitError::NoProgress | SplitError::TooLong => Self::Broken,
+        }
+    }
 }
 
 impl AttemptFailure {
@@ -177,6 +189,7 @@
             Self::Invalid(invalid) => invalid.name(),
             Self::UnstatedRefusal => "unstated_refusal",
             Self::NotContinued => "not_continued",
+            Self::OutOfOrder => "out_of_order",
         }
     }
 }
--- a/src/direct/events.rs
+++ b/src/direct/events.rs
@@ -21,6 +21,8 @@
     last_id: Option<u64>,
     /// Whether one of these events has content and no id.
     has_unnumbered_content: bool,
+    /// Whether the last id follows another one.
+    is_confirmed: bool,
 }
 
 impl EventBatch {
@@ -44,13 +46,13 @@
 /// ```
 /// use yuccalatch::direct::events::{EventSplitter, StreamPosition};
 ///
-/// let mut splitter = EventSplitter::new(None);
-/// let mut position = StreamPosition::new(None);
-/// splitter.push(b"id: 0\ndata: a\n\nid: 7\ndata: b\n\n");
+/// let mut splitter = EventSplitter::new(Some(0));
+/// let mut position = StreamPosition::new(Some(0));
+/// splitter.push(b"id: 1\ndata: a\n\nid: 7\ndata: b\n\n");
 /// let sound = splitter.next_batch().unwrap().unwrap();
-/// assert_eq!(position.last_id(), None);
-/// assert_eq!(&position.pass_on(sound)[..], b"id: 0\ndata: a\n\n");
 /// assert_eq!(position.last_id(), Some(0));
+/// assert_eq!(&position.pass_on(sound)[..], b"id: 1\ndata: a\n\n");
+/// assert_eq!(position.last_id(), Some(1));
 /// assert!(splitter.next_batch().is_err());
 /// ```
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,6 +60,8 @@
     last_id: Option<u64>,
     /// Whether content without an id was passed on after the last event that has one.
     has_unnumbered_content: bool,
+    /// Whether the last id follows another one.
+    is_confirmed: bool,
 }
 
 /// Place from which another target continues a stream.
@@ -74,33 +78,38 @@
         Self {
             last_id,
             has_unnumbered_content: false,
+            is_confirmed: last_id.is_some(),
         }
     }
 
     /// Moves past the events of a batch and returns their bytes, unchanged.
     pub fn pass_on(&mut self, batch: EventBatch) -> Bytes {
         self.last_id = batch.last_id.or(self.last_id);
+        self.is_confirmed |= batch.is_confirmed;
         self.has_unnumbered_content =
             batch.has_unnumbered_content || self.has_unnumbered_content && batch.last_id.is_none();
         batch.data
     }
 
     /// Returns where another target continues the stream, `None` when the caller has
-    /// received content whose place in the stream is not known.
+    /// received content whose place in the stream is not known. `is_contradicted` is
+    /// whether an event with another id than the next one has followed: of two ids that
+    /// contradict each other, nobody knows which one is right.
     ///
     /// ```
     /// use yuccalatch::direct::events::{EventSplitter, StreamPosition};
     ///
     /// let mut splitter = EventSplitter::new(None);
     /// let mut position = StreamPosition::new(None);
-    /// assert_eq!(position.resume_point().unwrap().last_id, None);
+    /// assert_eq!(position.resume_point(false).unwrap().last_id, None);
     /// splitter.push(b"data: a\n\n");
     /// position.pass_on(splitter.next_batch().unwrap().unwrap());
-    /// assert_eq!(position.resume_point(), None);
+    /// assert_eq!(position.resume_point(false), None);
     /// ```
-    pub fn resume_point(&self) -> Option<ResumePoint> {
+    pub fn resume_point(&self, is_contradicted: bool) -> Option<ResumePoint> {
         let last_id = self.last_id;
-        (!self.has_unnumbered_content).then_some(ResumePoint { last_id })
+        let is_doubtful = is_contradicted && last_id.is_some() && !self.is_confirmed;
+        (!self.has_unnumbered_content && !is_doubtful).then_some(ResumePoint { last_id })
     }
 
     /// Returns the id of the last event that was passed on and has one.
@@ -150,6 +159,8 @@
     unnumbered_bytes: usize,
     /// Whether one of these events has content.
     has_unnumbered_content: bool,
+    /// Whether the last id follows another one.
+    is_confirmed: bool,
 }
 
 impl Progress {
@@ -173,6 +184,7 @@
         {
             return Err(SplitError::OutOfOrder);
         }
+        self.is_confirmed |= self.last_id.is_some();
         self.last_id = Some(id);
         self.has_unnumbered_content = false;
         self.unnumbered_bytes = 0;
@@ -190,6 +202,7 @@
                 last_id,
                 unnumbered_bytes: 0,
                 has_unnumbered_content: false,
+                is_confirmed: last_id.is_some(),
             },
         }
     }
@@ -214,7 +227,11 @@
             let end = length + event_length;
             match progress.accept(&self.buffer[length..end]) {
                 Ok(()) => self.progress = progress,
-                Err(error) if length == 0 => return Err(error),
+                // Of a first id and one that contradicts it, either may be wrong.
+                Err(error) if length == 0 || !self.progress.is_confirmed => {
+                    self.progress = first_progress;
+                    return Err(error);
+                }
                 Err(_) => break,
             }
             length = end;
@@ -232,6 +249,7 @@
             data: self.buffer.split_to(length).freeze(),
             last_id: self.progress.last_id.filter(|_| is_numbered),
             has_unnumbered_content: self.progress.has_unnumbered_content,
+            is_confirmed: self.progress.is_confirmed,
         }))
     }
 
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -83,8 +83,7 @@
 ) -> Result<Option<EventBatch>, AttemptFailure> {
     let read = async {
         loop {
-            let batch = splitter.next_batch();
-            if let Some(batch) = batch.map_err(|_| AttemptFailure::Broken)? {
+            if let Some(batch) = splitter.next_batch()? {
                 return Ok(Some(batch));
             }
             match answer.next().await? {
@@ -251,7 +250,8 @@
         if !self.incoming.route.can_resume {
             return false;
         }
-        let Some(point) = self.position.resume_point() else {
+        let is_contradicted = failure == AttemptFailure::OutOfOrder;
+        let Some(point) = self.position.resume_point(is_contradicted) else {
             return false;
         };
         loop {
