Use one fencing token for the orders of all models

Hypotheses: (1) the token is the revision of one model's object, and orders of two models are in no order with them; (2) an order arrives late and is counted where it arrives.

Change: the token is the highest revision of all wanted weights that the agent knows (PlatformState::order_fence).

Not covered: two agents on different machines that order one engine in turn use the same token if nothing was named between them; a restart while the store is away, with an entry that lags. Neither was seen.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -2,8 +2,10 @@
 //! the engine's state to the entries.
 //!
 //! Only the agent beside an engine gives it orders, so an engine has a single
-//! order holder without a lease. The fencing token is the revision of the
-//! operator's request in the object store, which never decreases.
+//! order holder without a lease. The fencing token is the highest revision of the
+//! operator's requests in the object store, which never decreases. An agent that has
+//! started reads them from the store before its first order, because the entry that it
+//! asks may not know the latest one, which the process before it has used.
 
 use std::{
     cell::{
@@ -157,6 +159,8 @@
     is_engine_silent: Cell<bool>,
     /// Until when the engine gets no further order, after it refused one.
     next_order_at_us: Cell<u64>,
+    /// Whether the wanted weights were read from the object store.
+    has_read_weights: Cell<bool>,
     /// Prompt parts that the engine has cached, with their recent changes.
     cache: RefCell<CacheLog>,
     /// Position in the cache changes that each entry has confirmed.
@@ -194,6 +198,7 @@
             platform_state: RefCell::default(),
             is_engine_silent: Cell::new(false),
             next_order_at_us: Cell::new(0),
+            has_read_weights: Cell::new(false),
             cache: RefCell::default(),
             confirmed_positions: RefCell::default(),
             log: log.clone(),
@@ -490,14 +495,30 @@
             .map(|record| record.id.clone())
     }
 
+    /// Reads the wanted weights from the object store once. Without an answer, the orders
+    /// are based on what entries know.
+    async fn read_weights(&self) {
+        if self.has_read_weights.replace(true) {
+            return;
+        }
+        match self.store.list(Topic::Weights, LIST_TIMEOUT_MS).await {
+            Ok(changes) => self.apply_changes(Topic::Weights, changes),
+            Err(error) => warn!(self.log, "the object store does not list the wanted weights";
+                "event" => Event::PlatformDown,
+                "topic" => ?Topic::Weights,
+                "error" => %error),
+        }
+    }
+
     /// Orders the engine to load weights.
     async fn order_weights(&self, rollout: &WeightsRollout, report: &EngineReport, id: &Name) {
+        self.read_weights().await;
         let order = WeightsOrder {
             model: rollout.weights.model.clone(),
             version: rollout.weights.version,
             in_flight: in_flight_policy(report),
             issuer: self.settings.name.clone(),
-            fence: rollout.weights.fence,
+            fence: self.platform_state.borrow().order_fence(),
             accepted_orders: report.accepted_orders,
             target: id.clone(),
         };
--- a/src/direct/platform_state.rs
+++ b/src/direct/platform_state.rs
@@ -145,6 +145,25 @@
         latest.map_or(u64::MAX, |(_, at_us)| now_us.saturating_sub(*at_us))
     }
 
+    /// Returns the fencing token of orders to engines: the highest of all wanted weights.
+    /// Those of one model alone are in no order with those of another one, and an engine
+    /// may have several models.
+    ///
+    /// ```
+    /// use yuccalatch::direct::{platform_state::PlatformState, target::WantedWeights};
+    ///
+    /// let mut state = PlatformState::default();
+    /// for (model, fence) in [("oak", 9), ("elm", 7)] {
+    ///     state.adopt_weights(WantedWeights { model: model.into(), version: 1, fence }, 0);
+    /// }
+    /// assert_eq!(state.order_fence(), 9);
+    /// ```
+    pub fn order_fence(&self) -> u64 {
+        let rollouts = self.rollouts.values();
+        let fences = rollouts.map(|rollout| rollout.weights.fence);
+        fences.max().unwrap_or(0)
+    }
+
     /// Adopts a configuration unless the same or a later one is in force. Returns
     /// whether it was adopted.
     pub fn adopt_configuration(&mut self, configuration: Arc<Configuration>) -> bool {
