Divide engines between short and long prompts under overload control

Cause: a long prompt is read in pieces between the steps that produce tokens. Several pieces in a row stretch the gap between two events of all streams at the engine beyond the gap that their route states.

Change: the engines of a service are ordered by a hash of their ids. Short prompts prefer the first of them, as many as they need at a quarter of the slots, and long prompts avoid these. It is a cost, and only with overload control, which the settings or the platform's features turn on. Each choice of a target carries a forecast of the time to the first token, filled from the cost of the ranking, for the capacity model and admission.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,8 +4,8 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`answer`],
-//! [`blame`], [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
-//! [`service_rollout`], [`stall`], [`turns`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
+//! [`blame`], [`capacity`], [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`],
+//! [`sampling`], [`service_rollout`], [`stall`], [`steering`], [`turns`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
 pub mod answer;
@@ -13,6 +13,7 @@
 pub mod blame;
 pub mod cache;
 pub mod call;
+pub mod capacity;
 mod choice;
 mod context;
 pub mod entry;
@@ -39,6 +40,7 @@
 mod serve;
 pub mod service_rollout;
 pub mod stall;
+pub mod steering;
 pub mod target;
 pub mod turns;
 pub mod watchers;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -270,6 +270,8 @@
         "waiting" => choice.load.waiting,
         "load_age_us" => choice.load_age_us,
         "weights" => choice.weights,
+        "suits_length" => choice.suits_length,
+        "forecast_us" => choice.forecast.first_token_us,
         "prompt_tokens" => prompt.map(|prompt| prompt.input_tokens),
         "shared_tokens" => prompt.map(Prompt::shared_tokens),
         "cached_tokens" => choice.cached.leading_tokens,
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -14,6 +14,7 @@
 use super::{
     attempt::IncomingRequest,
     cache::prompt_keys,
+    capacity::Forecast,
     context::ReportedEngine,
     message::{
         Prompt,
@@ -28,6 +29,11 @@
     platform_state::PlatformState,
     sampling,
     service_rollout::ReleaseChoice,
+    steering::{
+        self,
+        PromptLength,
+        prompt_length, //
+    },
     target::{
         TargetRecord,
         TargetState, //
@@ -73,6 +79,10 @@
     pub(super) cached: CachedTokens,
     /// Engine with the same weights from which parts of the prompt can be imported.
     pub(super) import_from: Option<SocketAddr>,
+    /// Whether the target is one that prompts of the request's length prefer.
+    pub(super) suits_length: bool,
+    /// When the target is expected to answer.
+    pub(super) forecast: Forecast,
 }
 
 impl TargetChoice {
@@ -197,6 +207,8 @@
                     importable_tokens: 0,
                 },
                 import_from: None,
+                suits_length: true,
+                forecast: Forecast::default(),
             });
         }
         for choice in &mut choices {
@@ -211,34 +223,100 @@
             }
         }
         let entries = platform_state.entries.len().max(1);
-        let is_sampled = draw_open_sample(&choices, incoming, entries);
+        let steering_costs_ms = self.steering_costs_ms(platform_state, &choices, incoming);
+        let is_sampled = draw_open_sample(&choices, &steering_costs_ms, incoming, entries);
+        for (choice, cost_ms) in choices.iter_mut().zip(&steering_costs_ms) {
+            choice.suits_length = *cost_ms == 0.0;
+        }
         let candidates: Vec<Candidate<'_>> = choices
             .iter()
             .zip(choice_observations)
-            .zip(is_sampled)
-            .map(|((choice, observed), is_sampled)| Candidate {
-                is_sampled,
-                id: &choice.target.id,
-                load: choice.load,
-                own_running: observed.own_running,
-                own_prefill_tokens: observed.own_prefill_tokens,
-                failure_share: observed.outlier.failure_share(),
-                availability: choice.availability,
-                is_outdated: prompt.is_some_and(|prompt| {
-                    let rollout = platform_state.rollouts.get(&prompt.model);
-                    rollout.is_some_and(|rollout| choice.weights < Some(rollout.weights.version))
-                }),
-                cached: choice.cached,
-            })
+            .zip(is_sampled.into_iter().zip(steering_costs_ms))
+            .map(
+                |((choice, observed), (is_sampled, steering_cost_ms))| Candidate {
+                    is_sampled,
+                    steering_cost_ms,
+                    id: &choice.target.id,
+                    load: choice.load,
+                    own_running: observed.own_running,
+                    own_prefill_tokens: observed.own_prefill_tokens,
+                    failure_share: observed.outlier.failure_share(),
+                    availability: choice.availability,
+                    is_outdated: prompt.is_some_and(|prompt| {
+                        let rollout = platform_state.rollouts.get(&prompt.model);
+                        rollout
+                            .is_some_and(|rollout| choice.weights < Some(rollout.weights.version))
+                    }),
+                    cached: choice.cached,
+                },
+            )
             .collect();
-        let order = placement::rank(&candidates, prompt, incoming.salt(), entries);
+        let order = placement::rank_with_costs(&candidates, prompt, incoming.salt(), entries);
         let mut choices: Vec<Option<TargetChoice>> = choices.into_iter().map(Some).collect();
         order
             .into_iter()
-            .filter_map(|at| choices[at].take())
+            .filter_map(|(at, cost_ms)| {
+                let mut choice = choices[at].take()?;
+                choice.forecast = Forecast::from_cost_ms(cost_ms, has_free_place(&choice));
+                Some(choice)
+            })
+            .collect()
+    }
+
+    /// Returns for each choice the cost of the prompt's length there, 0 where engines are
+    /// not divided between short and long prompts.
+    fn steering_costs_ms(
+        &self,
+        platform_state: &PlatformState,
+        choices: &[TargetChoice],
+        incoming: &IncomingRequest,
+    ) -> Vec<f64> {
+        let length = self.prompt_length(platform_state, incoming);
+        let (Some(length), Some(first)) = (length, choices.first()) else {
+            return vec![0.0; choices.len()];
+        };
+        let ids = choices.iter().map(|choice| &choice.target.id);
+        let entries = platform_state.entries.len();
+        let slots = first.target.slots;
+        let is_short =
+            self.context
+                .steering()
+                .divide(&incoming.service, ids, (slots, entries), self.now_us());
+        is_short
+            .into_iter()
+            .map(|is_short| steering::cost_ms(length, is_short))
             .collect()
     }
 
+    /// Returns whether a prompt is long for the streams of its service, `None` when the
+    /// service's engines are not divided by that.
+    fn prompt_length(
+        &self,
+        platform_state: &PlatformState,
+        incoming: &IncomingRequest,
+    ) -> Option<PromptLength> {
+        if !self.context.has_overload_control {
+            return None;
+        }
+        let prompt = incoming.head.prompt.as_ref()?;
+        let table = platform_state.table.as_ref()?;
+        let gap_ms = table.gap_goal_ms(&incoming.service)?;
+        let gap_tokens = gap_ms as f64 * placement::PREFILL_TOKENS_PER_MS;
+        Some(prompt_length(prompt, gap_tokens as u64))
+    }
+
+    /// Counts a request in the traffic that divides the engines of its service.
+    pub(super) fn record_length(&self, incoming: &IncomingRequest) {
+        let platform_state = self.context.platform_state.load();
+        let length = self.prompt_length(&platform_state, incoming);
+        if let (Some(length), Some(prompt)) = (length, &incoming.head.prompt) {
+            let now_us = self.now_us();
+            let run_us = expected_end_us(prompt, now_us) - now_us;
+            let mut steering = self.context.steering();
+            steering.record(&incoming.service, length, run_us, now_us);
+        }
+    }
+
     /// Returns the side that a request of a service with a rollout is sent to, `None` when
     /// any target will do.
     fn choose_release(
@@ -292,8 +370,12 @@
 /// Returns for each choice whether it is one of the open targets that a request
 /// compares. Targets that are no engines report their load with each answer, and are
 /// all compared.
+///
+/// Where the engines are divided by the length of prompts, the sample is drawn from those
+/// that suit the request, with one of the others in case all of them are too busy.
 fn draw_open_sample(
     choices: &[TargetChoice],
+    steering_costs_ms: &[f64],
     incoming: &IncomingRequest,
     entries: usize,
 ) -> Vec<bool> {
@@ -301,15 +383,31 @@
         return vec![true; choices.len()];
     }
     let is_open = |choice: &TargetChoice| choice.availability < Availability::Avoided;
-    let open = choices.iter().filter(|choice| is_open(choice));
-    let open_ids: Vec<&Name> = open.map(|choice| &choice.target.id).collect();
-    let size = sampling::sample_size(open_ids.len(), entries);
     let seed = xxh3_64(incoming.id().as_bytes());
-    let mut drawn = sampling::draw_sample(open_ids.into_iter(), seed, size).into_iter();
-    choices
-        .iter()
-        .map(|choice| is_open(choice) && drawn.next().unwrap_or(false))
-        .collect()
+    let draw = |suits: bool, size: Option<usize>| {
+        let positions: Vec<usize> = (0..choices.len())
+            .filter(|at| is_open(&choices[*at]) && (steering_costs_ms[*at] == 0.0) == suits)
+            .collect();
+        let size = size.unwrap_or_else(|| sampling::sample_size(positions.len(), entries));
+        let ids = positions.iter().map(|at| &choices[*at].target.id);
+        let drawn = sampling::draw_sample(ids, seed, size);
+        let chosen = positions.into_iter().zip(drawn);
+        chosen.filter_map(|(at, is_drawn)| is_drawn.then_some(at))
+    };
+    let mut is_sampled = vec![false; choices.len()];
+    for at in draw(true, None).chain(draw(false, Some(1))) {
+        is_sampled[at] = true;
+    }
+    is_sampled
+}
+
+/// Returns whether a recent report of a target's load shows a free place.
+fn has_free_place(choice: &TargetChoice) -> bool {
+    let load = choice.load;
+    choice.load_age_us.is_some()
+        && choice.availability == Availability::Open
+        && load.waiting == 0
+        && load.running < load.slots
 }
 
 /// Returns the latest reported version of a target's weights, `None` when unknown.
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -35,7 +35,8 @@
     quarantine::Quarantine,
     quota::Quotas,
     routing::RoutingTable,
-    service_rollout::ServiceRollouts, //
+    service_rollout::ServiceRollouts,
+    steering::Steering, //
 };
 use crate::{
     clock::{
@@ -90,7 +91,11 @@
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
     service_rollouts: Mutex<ServiceRollouts>,
+    steering: Mutex<Steering>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
+    /// Whether the entry decides which requests go first when targets are short of
+    /// capacity.
+    pub(super) has_overload_control: bool,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
     /// Addresses of the KV cache stores that accept no connections.
@@ -103,8 +108,13 @@
 }
 
 impl Context {
-    pub(super) fn new(settings: LiveSettings<DirectEntrySettings>, log: Logger) -> Self {
+    pub(super) fn new(
+        settings: LiveSettings<DirectEntrySettings>,
+        has_overload_control: bool,
+        log: Logger,
+    ) -> Self {
         Self {
+            has_overload_control,
             settings: Arc::new(settings),
             incarnation: Incarnation::random(),
             clock: Clock::start(),
@@ -114,6 +124,7 @@
             quotas: Mutex::default(),
             quarantine: Mutex::default(),
             service_rollouts: Mutex::default(),
+            steering: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -143,6 +154,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the division of engines between short and long prompts.
+    pub(super) fn steering(&self) -> MutexGuard<'_, Steering> {
+        self.steering.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the wall-clock time in microseconds, by which entries number the blocks of
     /// answers that they count.
     pub(super) fn wall_us(&self) -> u64 {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -154,10 +154,14 @@
     if let Some(address) = addresses.metrics_address {
         admin.push(stop::bind(address)?);
     }
-    let context = Arc::new(Context::new(settings, log.clone()));
+    let has_overload_control = addresses
+        .overload_control
+        .unwrap_or_else(|| P::uses_overload_control(&addresses.platform_features));
+    let context = Arc::new(Context::new(settings, has_overload_control, log.clone()));
     info!(log, "entry listens";
         "event" => Event::Started,
         "incarnation" => %context.incarnation,
+        "overload_control" => has_overload_control,
         "caller_address" => %stop::local(&caller)?,
         "control_address" => %stop::local(&control)?,
         "admin_address" => %stop::local(&admin[0])?,
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -19,7 +19,7 @@
 
 /// Prompt tokens that an engine prefills in a millisecond, a low estimate between
 /// the 41 and 70 of the two deployments.
-const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+pub(super) const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 
 /// Time by which each running request delays the first token of another one: its
 /// share of a batch step and of the context that the step reads.
@@ -89,6 +89,9 @@
     pub is_outdated: bool,
     /// Tokens of the prompt that the target has cached or can import.
     pub cached: CachedTokens,
+    /// Cost of the prompt's length at an engine that prompts of other length prefer, 0
+    /// when the engine suits it.
+    pub steering_cost_ms: f64,
     /// Whether the request compares this target even if it is neither a home of the
     /// subject nor has its parts cached.
     pub is_sampled: bool,
@@ -142,6 +145,7 @@
 ///     availability: Availability::Open,
 ///     is_outdated: false,
 ///     cached: CachedTokens::default(),
+///     steering_cost_ms: 0.0,
 ///     is_sampled: true,
 /// }).collect();
 /// assert_eq!(rank(&candidates, None, 0, 1), [1, 0]);
@@ -152,6 +156,24 @@
     salt: u64,
     entries: usize,
 ) -> Vec<usize> {
+    let ranked = rank_with_costs(candidates, prompt, salt, entries);
+    ranked.into_iter().map(|(at, _)| at).collect()
+}
+
+/// Returns the positions of the candidates in the order in which to try them, each with
+/// its cost in milliseconds, as [`rank`] does.
+///
+/// ```
+/// use yuccalatch::direct::placement::rank_with_costs;
+///
+/// assert_eq!(rank_with_costs(&[], None, 0, 1), []);
+/// ```
+pub fn rank_with_costs(
+    candidates: &[Candidate<'_>],
+    prompt: Option<&Prompt>,
+    salt: u64,
+    entries: usize,
+) -> Vec<(usize, f64)> {
     let homes = prompt.map(|prompt| find_homes(candidates, prompt, salt));
     let mut costs: Vec<(Availability, bool, f64, usize)> = candidates
         .iter()
@@ -177,7 +199,10 @@
         })
         .collect();
     costs.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-    costs.into_iter().map(|(.., at)| at).collect()
+    costs
+        .into_iter()
+        .map(|(.., cost_ms, at)| (at, cost_ms))
+        .collect()
 }
 
 /// Returns whether an engine has so much of a prompt cached that every request with
@@ -189,10 +214,15 @@
 
 /// Returns the positions of the home targets of a prompt's subject.
 fn find_homes(candidates: &[Candidate<'_>], prompt: &Prompt, salt: u64) -> Vec<usize> {
-    let ids = candidates.iter().map(|candidate| candidate.id);
-    let mut homes = rendezvous_order(ids, prompt, salt);
-    homes.truncate(HOMES_PER_SUBJECT);
-    homes
+    let suits = |candidate: &Candidate<'_>| candidate.steering_cost_ms == 0.0;
+    let has_suitable = candidates.iter().any(suits);
+    let positions: Vec<usize> = (0..candidates.len())
+        .filter(|at| !has_suitable || suits(&candidates[*at]))
+        .collect();
+    let ids = positions.iter().map(|at| candidates[*at].id);
+    let homes = rendezvous_order(ids, prompt, salt);
+    let homes = homes.into_iter().take(HOMES_PER_SUBJECT);
+    homes.map(|home| positions[home]).collect()
 }
 
 /// Returns the positions of all targets, the best home of a prompt's subject first.
@@ -242,6 +272,7 @@
     };
     shared_parts_cost_ms(candidate.cached, prompt, home_index)
         + outdated_ms
+        + candidate.steering_cost_ms
         + candidate.own_prefill_tokens as f64 * entries.min(MAX_ALIKE_ENTRIES) as f64
             / PREFILL_TOKENS_PER_MS
         + f64::from(candidate.load.running.max(candidate.own_running)) * RUNNING_COST_MS
--- a/src/direct/platform.rs
+++ b/src/direct/platform.rs
@@ -164,6 +164,10 @@
     /// Fails when the HTTP client cannot be built.
     fn build_store_client(address: SocketAddr) -> impl Future<Output = Result<Self::Store>>;
 
+    /// Returns whether features of the platform, given by its own names, call for
+    /// overload control.
+    fn uses_overload_control(platform_features: &[Name]) -> bool;
+
     /// Reads the header fields of a request.
     fn read_request(headers: &HeaderMap) -> RequestHead;
 
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -115,6 +115,7 @@
         let choice = self.choose_target(worker, incoming).await?;
         if is_first {
             worker.note_first_attempt(&incoming.service);
+            worker.record_length(incoming);
         } else if !worker.take_retry(&incoming.service) {
             return None;
         }
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -139,6 +139,8 @@
     /// Routes by host, those with the longest prefix first.
     routes_by_host: HashMap<Name, Vec<Arc<Route>>>,
     services: HashMap<Name, Service>,
+    /// Shortest desired gap between events of the streams of each service.
+    gap_goals_ms: HashMap<Name, u64>,
     kv_stores: Arc<[SocketAddr]>,
     organisations: Vec<Arc<Organisation>>,
     organisations_by_key: HashMap<Name, Arc<Organisation>>,
@@ -200,7 +202,20 @@
             .iter()
             .map(|service| (service.name.clone(), service.clone()))
             .collect();
+        let mut gap_goals_ms: HashMap<Name, u64> = HashMap::new();
+        for route in &configuration.routes {
+            if route.gap_goal_ms == 0 {
+                continue;
+            }
+            for share in &route.shares {
+                let goal_ms = gap_goals_ms
+                    .entry(share.service.clone())
+                    .or_insert(u64::MAX);
+                *goal_ms = route.gap_goal_ms.min(*goal_ms);
+            }
+        }
         Self {
+            gap_goals_ms,
             version: configuration.version,
             limits: configuration.limits,
             routes_by_host,
@@ -240,6 +255,12 @@
         self.services.get(name)
     }
 
+    /// Returns the shortest desired gap between events of a service's streams, `None` when
+    /// no route states one.
+    pub fn gap_goal_ms(&self, service: &str) -> Option<u64> {
+        self.gap_goals_ms.get(service).copied()
+    }
+
     /// Returns the addresses of the KV cache stores, in ascending order.
     pub const fn kv_stores(&self) -> &Arc<[SocketAddr]> {
         &self.kv_stores
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -61,6 +61,13 @@
     /// Time after new weights were requested in which requests may still start on
     /// engines with older ones.
     pub old_weights_ms: u64,
+    /// Optional features of the platform that are in force, by the platform's names.
+    #[serde(default)]
+    pub platform_features: Vec<Name>,
+    /// Whether the entry decides which requests go first when targets are short of
+    /// capacity; `None` when `platform_features` decide that.
+    #[serde(default)]
+    pub overload_control: Option<bool>,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -100,6 +107,11 @@
   // Time after new weights were requested in which requests may still start on
   // engines with older ones, in milliseconds.
   "old_weights_ms": 6000,
+  // Optional features of the platform that are in force, by the platform's names.
+  "platform_features": [],
+  // Whether the entry decides which requests go first when targets are short of
+  // capacity, or null for what "platform_features" say.
+  "overload_control": null,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "json", "level": "info"}
--- a/tests/stale_loads.rs
+++ b/tests/stale_loads.rs
@@ -89,6 +89,7 @@
             availability: Availability::Open,
             is_outdated: outdated(at),
             cached: CachedTokens::default(),
+            steering_cost_ms: 0.0,
             is_sampled: is_sampled[at],
         };
         (0..ENGINES).map(candidate).collect()
--- a/tests/target_ranking.rs
+++ b/tests/target_ranking.rs
@@ -39,6 +39,7 @@
         availability: Availability::Open,
         is_outdated: false,
         cached: CachedTokens::default(),
+        steering_cost_ms: 0.0,
         is_sampled: true,
     }
 }
