Tell engines how urgent a request is, under overload control

Cause: engines admitted requests in the order of their arrival, whatever their rank and the time left until their goal.

Change: the platform's urgency field follows the configured rank and the slack until the route's goal. A request that has missed its goal gives way and becomes urgent again with age. docs/load-features.md describes the work on load that this belongs to.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -5,7 +5,7 @@
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`answer`],
 //! [`blame`], [`capacity`], [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`],
-//! [`sampling`], [`service_rollout`], [`stall`], [`steering`], [`turns`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
+//! [`sampling`], [`service_rollout`], [`stall`], [`steering`], [`turns`], [`urgency`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
 pub mod answer;
@@ -43,5 +43,6 @@
 pub mod steering;
 pub mod target;
 pub mod turns;
+pub mod urgency;
 pub mod watchers;
 mod worker;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -54,6 +54,10 @@
         Route, //
     },
     target::TargetRecord,
+    urgency::{
+        Timing,
+        urgency, //
+    },
     worker::{
         InFlightGuard,
         Worker, //
@@ -129,6 +133,13 @@
         }
     }
 
+    /// Returns the configured priority of the request; 0 is served first.
+    pub(super) fn rank(&self) -> u8 {
+        let organisation = self.organisation.as_ref();
+        let priority = organisation.and_then(|organisation| organisation.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
     /// Returns the label of the request's metrics.
     pub(super) fn label(&self) -> &str {
         self.organisation_name()
@@ -258,7 +269,14 @@
         import_from,
         export_to: kv_store.filter(|_| has_uncached_tokens),
         weights_version: choice.weights,
-        urgency: None,
+        urgency: worker.context.has_overload_control.then(|| {
+            let timing = Timing {
+                arrived_at_us: incoming.arrived_at_us,
+                goal_at_us: incoming.arrived_at_us + incoming.route.goal_ms * US_PER_MS,
+                work_us: choice.forecast.first_token_us,
+            };
+            urgency(incoming.rank(), timing, now_us)
+        }),
         last_event_id,
     };
     info!(worker.context.log, "target chosen";
@@ -277,6 +295,7 @@
         "cached_tokens" => choice.cached.leading_tokens,
         "importable_tokens" => choice.cached.importable_tokens,
         "import_from" => import_from.map(|address| address.to_string()),
+        "urgency" => system_fields.urgency,
         "remaining_ms" => system_fields.remaining_ms);
     let mut headers = incoming.headers.clone();
     P::set_system_fields(&mut headers, &system_fields);
--- a/src/direct/steering.rs
+++ b/src/direct/steering.rs
@@ -31,7 +31,7 @@
 const SLOTS_PER_STREAM: f64 = 4.0;
 
 /// Engines that are held for short prompts beyond the average need, for bursts.
-const HEADROOM: f64 = 1.5;
+const HEADROOM: f64 = 1.0;
 
 /// Largest share of the engines that short prompts are given.
 const MAX_SHARE: f64 = 0.5;
