Divide engines by the traffic that all entries report

Cause: each entry multiplied its own traffic by the number of entries, and entries of different size divided the engines differently. Short prompts got up to half of the engines, also while long ones needed more.

Change: entries report how many short prompts run and how many long ones are read at once.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -237,11 +237,7 @@
     let now_us = worker.now_us();
     let target = &*choice.target;
     let prompt = incoming.head.prompt.as_ref();
-    let prefill_tokens = prompt.map_or(0, |prompt| {
-        let cached_tokens = choice.cached.leading_tokens.unwrap_or(0);
-        let cached_tokens = cached_tokens.max(choice.cached.importable_tokens);
-        prompt.input_tokens.saturating_sub(cached_tokens)
-    });
+    let prefill_tokens = prompt.map_or(0, |prompt| choice.uncached_input_tokens(prompt));
     let in_flight = worker.track_in_flight(&target.id, prefill_tokens);
     let keys = match (prompt, &choice.namespace) {
         (Some(prompt), Some(namespace)) => prompt_keys(namespace, prompt),
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -86,6 +86,14 @@
 }
 
 impl TargetChoice {
+    /// Returns the number of tokens of the whole prompt that the target has to read, as
+    /// far as this entry knows.
+    pub(super) fn uncached_input_tokens(&self, prompt: &Prompt) -> u64 {
+        let leading = self.cached.leading_tokens.unwrap_or(0);
+        let known = leading.max(self.cached.importable_tokens);
+        prompt.input_tokens.saturating_sub(known)
+    }
+
     /// Returns the number of tokens of shared parts that neither the target has
     /// cached nor another engine can supply, as far as this entry knows.
     pub(super) fn uncached_tokens(&self, prompt: &Prompt) -> u64 {
@@ -306,12 +314,18 @@
     }
 
     /// Counts a request in the traffic that divides the engines of its service.
-    pub(super) fn record_length(&self, incoming: &IncomingRequest) {
+    pub(super) fn record_length(&self, incoming: &IncomingRequest, choice: &TargetChoice) {
         let platform_state = self.context.platform_state.load();
         let length = self.prompt_length(&platform_state, incoming);
         if let (Some(length), Some(prompt)) = (length, &incoming.head.prompt) {
             let now_us = self.now_us();
-            let run_us = expected_end_us(prompt, now_us) - now_us;
+            let run_us = match length {
+                PromptLength::Short => expected_end_us(prompt, now_us) - now_us,
+                PromptLength::Long => {
+                    let tokens = choice.uncached_input_tokens(prompt) as f64;
+                    (tokens / placement::PREFILL_TOKENS_PER_MS * US_PER_MS as f64) as u64
+                }
+            };
             let mut steering = self.context.steering();
             steering.record(&incoming.service, length, run_us, now_us);
         }
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -175,6 +175,8 @@
         self.log_quarantined(&quarantined, &entry.name);
         self.service_rollouts()
             .merge(entry.incarnation, &entry.rollouts, now_us);
+        self.steering()
+            .merge(&entry.name, &entry.running_prompts, now_us);
     }
 
     /// Logs parts that are quarantined from now on. `source` is the entry that observed
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -42,6 +42,7 @@
         RolloutOrder,
         RolloutReport, //
     },
+    steering::RunningPrompts,
     target::{
         TargetRecord,
         WantedWeights, //
@@ -140,6 +141,8 @@
     pub(super) parts: PartsReport,
     /// Progress of the rollouts of services.
     pub(super) rollouts: Vec<RolloutReport>,
+    /// Traffic of each service whose engines are divided by the length of prompts.
+    pub(super) running_prompts: Vec<(Name, RunningPrompts)>,
 }
 
 /// Answer of an entry to an exchange request.
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -115,7 +115,7 @@
         let choice = self.choose_target(worker, incoming).await?;
         if is_first {
             worker.note_first_attempt(&incoming.service);
-            worker.record_length(incoming);
+            worker.record_length(incoming, &choice);
         } else if !worker.take_retry(&incoming.service) {
             return None;
         }
