Rank plain targets that state their pace by expected time

Cause: plain targets were ranked by the load of their last answer, however fast they are. An entry of a large fleet hears of each target about once a second, mostly knows no load and sends to the first target of its list.

Change: the load field has a fourth figure, the time that work takes at this moment in percent of the usual time. Where targets state it, an entry learns the pace, the load and the time of a request at each target, as averages that near the average of the service as they age, and ranks two targets drawn by the id of the request by (busy / slots + 1) x time x pace / 100. The forecast of the choice is the expected time without that caution, with the mean deviation as its spread. Services whose targets state no pace are ranked as before.

--- a/src/direct/capacity.rs
+++ b/src/direct/capacity.rs
@@ -1,9 +1,24 @@
-//! Forecasts when a target answers a request.
+//! Forecasts when a target answers a request, from what its answers report and how long
+//! earlier requests took.
 //!
-//! Designed for targets that differ in speed and whose load is known late: placement,
-//! admission and log lines use one forecast, with what is uncertain about it.
+//! Designed for targets that differ in speed by more than two to one and change many
+//! times a second, while each of many entries hears of a target only with its own
+//! answers. What a target last stated counts for less and less as it ages, and the
+//! averages of the target and then of its service take its place. Placement, admission
+//! and log lines use one forecast, with what is uncertain about it.
+//!
+//! The learned times decide only for services whose targets state their pace.
+
+use std::collections::HashMap;
 
-use crate::clock::US_PER_MS;
+use super::message::TargetLoad;
+use crate::{
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
+    names::Name,
+};
 
 /// What is expected of a request that is sent to a target now.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -27,9 +42,309 @@
     /// ```
     pub fn from_cost_ms(cost_ms: f64, has_free_place: bool) -> Self {
         Self {
-            first_token_us: (cost_ms.max(0.0) * US_PER_MS as f64) as u64,
+            first_token_us: ms_to_us(cost_ms),
             spread_us: 0,
             has_free_place,
         }
     }
 }
+
+/// Time constant with which samples lose weight. A target that is no longer chosen
+/// because it was slow is tried again some seconds later.
+const LEARNING_US: f64 = 8.0 * US_PER_S as f64;
+
+/// Samples of a target that weigh as much as the average of its service.
+const PRIOR_SAMPLES: f64 = 2.0;
+
+/// Time constant with which a stated load or pace gives way to the target's average.
+/// Speeds change about twice a second.
+const STATEMENT_US: f64 = 400.0 * US_PER_MS as f64;
+
+/// Age from which a stated load or pace no longer counts.
+const MAX_STATEMENT_AGE_US: u64 = US_PER_S;
+
+/// Time for which a service counts as one whose targets state their pace.
+const PACED_US: u64 = 60 * US_PER_S;
+
+/// Assumed time of a request at a plain target while none has been measured.
+const REQUEST_MS: f64 = 50.0;
+
+/// Pace of a target that works as usual.
+const USUAL_PACE: f64 = 100.0;
+
+/// Paces outside these bounds are taken for the bound, so that one wrong statement
+/// neither attracts nor repels all requests.
+const PACE_BOUNDS: (f64, f64) = (20.0, 500.0);
+
+/// Relative deviation of a forecast that is assumed while none has been measured.
+const SPREAD: f64 = 0.5;
+
+/// Average of samples that lose weight with their age.
+#[derive(Clone, Copy, Debug, Default)]
+struct Average {
+    sum: f64,
+    weight: f64,
+    updated_at_us: u64,
+}
+
+impl Average {
+    fn add(&mut self, value: f64, now_us: u64) {
+        let factor = self.remaining(now_us);
+        self.sum = self.sum * factor + value;
+        self.weight = self.weight * factor + 1.0;
+        self.updated_at_us = self.updated_at_us.max(now_us);
+    }
+
+    fn remaining(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.updated_at_us) as f64;
+        (-age_us / LEARNING_US).exp()
+    }
+
+    /// Returns the average, which nears `prior` as the samples age.
+    fn value(&self, prior: f64, now_us: u64) -> f64 {
+        let factor = self.remaining(now_us);
+        let sum = self.sum * factor + prior * PRIOR_SAMPLES;
+        sum / (self.weight * factor + PRIOR_SAMPLES)
+    }
+}
+
+/// A figure that targets state now and then.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stated {
+    last: f64,
+    stated_at_us: Option<u64>,
+    average: Average,
+}
+
+impl Stated {
+    fn state(&mut self, value: f64, now_us: u64) {
+        self.last = value;
+        self.stated_at_us = Some(now_us);
+        self.average.add(value, now_us);
+    }
+
+    /// Returns the expected figure, which nears the average as the last statement ages.
+    fn expected(&self, prior: f64, now_us: u64) -> f64 {
+        let average = self.average.value(prior, now_us);
+        let age_us = self.stated_at_us.map(|at_us| now_us.saturating_sub(at_us));
+        match age_us {
+            Some(age_us) if age_us < MAX_STATEMENT_AGE_US => {
+                let trust = (-(age_us as f64) / STATEMENT_US).exp();
+                average + (self.last - average) * trust
+            }
+            _ => average,
+        }
+    }
+}
+
+/// What is known of one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct TargetCapacity {
+    pace: Stated,
+    /// Running and waiting requests, by slot.
+    busy_share: Stated,
+    slots: f64,
+    /// Time of a request at the usual pace that does not wait.
+    request_ms: Average,
+}
+
+/// What is known of the targets of a service together.
+#[derive(Clone, Debug, Default)]
+struct ServiceCapacity {
+    paced_until_us: u64,
+    pace: Average,
+    busy_share: Average,
+    request_ms: Average,
+    /// Deviations of measured times from the expected ones, relative to these.
+    deviation: Average,
+    targets: HashMap<Name, TargetCapacity>,
+}
+
+/// Requests of this entry at a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OwnRequests {
+    /// Requests that run there.
+    pub running: u32,
+    /// Those of them that its last reported load does not contain.
+    pub unreported: u32,
+}
+
+/// Expected times of a request at a target that is no engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlainTimes {
+    /// Time by which targets are ranked. It counts every busy slot as some delay, because
+    /// other entries send requests at the same time.
+    pub rank_ms: f64,
+    /// Expected time to the answer.
+    pub answer_us: u64,
+    /// Typical deviation from it.
+    pub spread_us: u64,
+}
+
+/// Speeds and loads of the targets of each service, as this entry has learned them.
+///
+/// ```
+/// use yuccalatch::direct::{
+///     capacity::{Capacity, OwnRequests},
+///     message::TargetLoad,
+/// };
+///
+/// let mut capacity = Capacity::default();
+/// let (service, fast, slow) = ("s".into(), "fast".into(), "slow".into());
+/// let load = |pace| TargetLoad { running: 1, waiting: 0, slots: 6, pace_percent: Some(pace) };
+/// capacity.record_load(&service, &fast, &load(70), 0);
+/// capacity.record_load(&service, &slow, &load(170), 0);
+/// let rank_ms = |target| {
+///     let own = OwnRequests::default();
+///     capacity.plain_times(&service, target, own, 0).map(|times| times.rank_ms)
+/// };
+/// assert!(rank_ms(&fast) < rank_ms(&slow));
+/// ```
+#[derive(Debug, Default)]
+pub struct Capacity {
+    services: HashMap<Name, ServiceCapacity>,
+}
+
+impl Capacity {
+    /// Records the load and the pace that a target states in an answer.
+    ///
+    /// ```
+    /// use yuccalatch::direct::{capacity::Capacity, message::TargetLoad};
+    ///
+    /// let mut capacity = Capacity::default();
+    /// let (service, target) = ("s".into(), "t".into());
+    /// capacity.record_load(&service, &target, &TargetLoad::default(), 0);
+    /// assert!(!capacity.states_pace(&service, 0));
+    /// ```
+    pub fn record_load(&mut self, service: &Name, target: &Name, load: &TargetLoad, now_us: u64) {
+        let Some(pace) = load.pace_percent else {
+            return;
+        };
+        let pace = f64::from(pace).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        let service = self.services.entry(service.clone()).or_default();
+        service.paced_until_us = now_us + PACED_US;
+        service.pace.add(pace, now_us);
+        let slots = f64::from(load.slots.max(1));
+        let busy_share = f64::from(load.running.saturating_add(load.waiting)) / slots;
+        service.busy_share.add(busy_share, now_us);
+        let known = service.targets.entry(target.clone()).or_default();
+        known.pace.state(pace, now_us);
+        known.busy_share.state(busy_share, now_us);
+        known.slots = slots;
+    }
+
+    /// Returns whether targets of a service have stated their pace in the last minute.
+    ///
+    /// ```
+    /// use yuccalatch::direct::capacity::Capacity;
+    ///
+    /// assert!(!Capacity::default().states_pace(&"s".into(), 0));
+    /// ```
+    pub fn states_pace(&self, service: &Name, now_us: u64) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|known| now_us < known.paced_until_us)
+    }
+
+    /// Records how long a request took at a target that is no engine, at least when it
+    /// was not answered. Ignored for services without a pace.
+    ///
+    /// ```
+    /// use yuccalatch::direct::{
+    ///     capacity::{Capacity, OwnRequests},
+    ///     message::TargetLoad,
+    /// };
+    ///
+    /// let mut capacity = Capacity::default();
+    /// let (service, target) = ("s".into(), "t".into());
+    /// let load = TargetLoad { slots: 6, pace_percent: Some(100), ..TargetLoad::default() };
+    /// capacity.record_load(&service, &target, &load, 0);
+    /// (0..50).for_each(|_| capacity.record_request(&service, &target, 80_000, 0));
+    /// let times = capacity.plain_times(&service, &target, OwnRequests::default(), 0).unwrap();
+    /// assert!((70_000..=80_000).contains(&times.answer_us));
+    /// ```
+    pub fn record_request(&mut self, service: &Name, target: &Name, took_us: u64, now_us: u64) {
+        let Some(service) = self.paced(service, now_us) else {
+            return;
+        };
+        let took_ms = took_us as f64 / US_PER_MS as f64;
+        let mean_pace = service.pace.value(USUAL_PACE, now_us);
+        let mean_busy = service.busy_share.value(0.0, now_us);
+        let mean_ms = service.request_ms.value(REQUEST_MS, now_us);
+        let known = service.targets.entry(target.clone()).or_default();
+        let pace = known.pace.expected(mean_pace, now_us) / USUAL_PACE;
+        let rounds = wait_rounds(known.busy_share.expected(mean_busy, now_us));
+        let expected_ms = known.request_ms.value(mean_ms, now_us) * pace * rounds;
+        let request_ms = took_ms / (pace * rounds);
+        known.request_ms.add(request_ms, now_us);
+        service.request_ms.add(request_ms, now_us);
+        let deviation = (took_ms - expected_ms).abs() / expected_ms.max(1.0);
+        service.deviation.add(deviation, now_us);
+    }
+
+    /// Returns the expected times of a request at a target that is no engine, `None` when
+    /// the targets of its service state no pace.
+    ///
+    /// ```
+    /// use yuccalatch::direct::capacity::{Capacity, OwnRequests};
+    ///
+    /// let own = OwnRequests::default();
+    /// assert_eq!(Capacity::default().plain_times(&"s".into(), &"t".into(), own, 0), None);
+    /// ```
+    pub fn plain_times(
+        &self,
+        service: &Name,
+        target: &Name,
+        own: OwnRequests,
+        now_us: u64,
+    ) -> Option<PlainTimes> {
+        let service = self.services.get(service)?;
+        if now_us >= service.paced_until_us {
+            return None;
+        }
+        let known = service.targets.get(target).copied().unwrap_or_default();
+        let mean_pace = service.pace.value(USUAL_PACE, now_us);
+        let mean_busy = service.busy_share.value(0.0, now_us);
+        let mean_ms = service.request_ms.value(REQUEST_MS, now_us);
+        let pace = known.pace.expected(mean_pace, now_us) / USUAL_PACE;
+        let slots = known.slots.max(1.0);
+        let reported_share = known.busy_share.expected(mean_busy, now_us);
+        let busy_share = (reported_share + f64::from(own.unreported) / slots)
+            .max(f64::from(own.running) / slots);
+        let request_ms = known.request_ms.value(mean_ms, now_us) * pace;
+        let answer_ms = request_ms * wait_rounds(busy_share);
+        Some(PlainTimes {
+            rank_ms: (busy_share + 1.0) * request_ms,
+            answer_us: ms_to_us(answer_ms),
+            spread_us: ms_to_us(answer_ms * service.deviation.value(SPREAD, now_us)),
+        })
+    }
+
+    /// Forgets targets that `is_present` rejects.
+    ///
+    /// ```
+    /// use yuccalatch::direct::capacity::Capacity;
+    ///
+    /// Capacity::default().retain(|target| **target == *"t");
+    /// ```
+    pub fn retain(&mut self, is_present: impl Fn(&Name) -> bool) {
+        self.services.retain(|_, service| {
+            service.targets.retain(|target, _| is_present(target));
+            !service.targets.is_empty()
+        });
+    }
+
+    fn paced(&mut self, service: &Name, now_us: u64) -> Option<&mut ServiceCapacity> {
+        let known = self.services.get_mut(service)?;
+        (now_us < known.paced_until_us).then_some(known)
+    }
+}
+
+/// Returns how many requests, one after the other, a slot runs until a new request has
+/// its answer.
+fn wait_rounds(busy_share: f64) -> f64 {
+    busy_share.max(1.0)
+}
+
+fn ms_to_us(ms: f64) -> u64 {
+    (ms.max(0.0) * US_PER_MS as f64) as u64
+}
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -14,7 +14,10 @@
 use super::{
     attempt::IncomingRequest,
     cache::prompt_keys,
-    capacity::Forecast,
+    capacity::{
+        Forecast,
+        PlainTimes, //
+    },
     context::ReportedEngine,
     message::{
         Prompt,
@@ -224,7 +227,22 @@
         }
         let entries = platform_state.entries.len().max(1);
         let steering_costs_ms = self.steering_costs_ms(platform_state, &choices, incoming);
-        let is_sampled = draw_open_sample(&choices, &steering_costs_ms, incoming, entries);
+        let capacity = self.context.capacity();
+        let is_paced = capacity.states_pace(&incoming.service, now_us);
+        let is_sampled =
+            draw_open_sample(&choices, &steering_costs_ms, incoming, entries, is_paced);
+        let plain_times: Vec<Option<PlainTimes>> = choices
+            .iter()
+            .zip(&choice_observations)
+            .map(|(choice, observed)| {
+                if prompt.is_some() {
+                    return None;
+                }
+                let own = observed.own_requests();
+                capacity.plain_times(&incoming.service, &choice.target.id, own, now_us)
+            })
+            .collect();
+        drop(capacity);
         for (choice, cost_ms) in choices.iter_mut().zip(&steering_costs_ms) {
             choice.suits_length = *cost_ms == 0.0;
         }
@@ -232,9 +250,11 @@
             .iter()
             .zip(choice_observations)
             .zip(is_sampled.into_iter().zip(steering_costs_ms))
+            .zip(&plain_times)
             .map(
-                |((choice, observed), (is_sampled, steering_cost_ms))| Candidate {
+                |(((choice, observed), (is_sampled, steering_cost_ms)), times)| Candidate {
                     is_sampled,
+                    expected_ms: times.map(|times| times.rank_ms),
                     steering_cost_ms,
                     id: &choice.target.id,
                     load: choice.load,
@@ -258,6 +278,10 @@
             .filter_map(|(at, cost_ms)| {
                 let mut choice = choices[at].take()?;
                 choice.forecast = Forecast::from_cost_ms(cost_ms, has_free_place(&choice));
+                if let Some(times) = plain_times[at] {
+                    choice.forecast.first_token_us = times.answer_us;
+                    choice.forecast.spread_us = times.spread_us;
+                }
                 Some(choice)
             })
             .collect()
@@ -369,7 +393,8 @@
 
 /// Returns for each choice whether it is one of the open targets that a request
 /// compares. Targets that are no engines report their load with each answer, and are
-/// all compared.
+/// all compared, except where they state their pace: many entries would choose the
+/// fastest one until they hear that it is busy.
 ///
 /// Where the engines are divided by the length of prompts, the sample is drawn from those
 /// that suit the request, with one of the others in case all of them are too busy.
@@ -378,8 +403,10 @@
     steering_costs_ms: &[f64],
     incoming: &IncomingRequest,
     entries: usize,
+    is_paced: bool,
 ) -> Vec<bool> {
-    if incoming.head.prompt.is_none() {
+    let is_drawn = incoming.head.prompt.is_some() || is_paced && incoming.head.id.is_some();
+    if !is_drawn {
         return vec![true; choices.len()];
     }
     let is_open = |choice: &TargetChoice| choice.availability < Availability::Avoided;
@@ -438,6 +465,7 @@
             running: engine.state.running,
             waiting: engine.state.waiting,
             slots: record.slots,
+            pace_percent: None,
         };
         return (load, Some(now_us.saturating_sub(engine.reported_at_us)));
     }
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -90,6 +90,9 @@
     pub waiting: u32,
     /// Number of requests that can run at once.
     pub slots: u32,
+    /// Time that work takes at this moment, in percent of the usual time. `None` when the
+    /// target does not state it.
+    pub pace_percent: Option<u32>,
 }
 
 /// Values of the platform's header fields of an answer.
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -92,6 +92,9 @@
     /// Cost of the prompt's length at an engine that prompts of other length prefer, 0
     /// when the engine suits it.
     pub steering_cost_ms: f64,
+    /// Expected time of the request at a target that is no engine, `None` when the targets
+    /// of its service state no pace; they are then compared by load.
+    pub expected_ms: Option<f64>,
     /// Whether the request compares this target even if it is neither a home of the
     /// subject nor has its parts cached.
     pub is_sampled: bool,
@@ -138,7 +141,7 @@
 /// let ids = ["a".into(), "b".into()];
 /// let candidates: Vec<Candidate<'_>> = ids.iter().zip([3, 0]).map(|(id, running)| Candidate {
 ///     id,
-///     load: TargetLoad { running, waiting: 0, slots: 6 },
+///     load: TargetLoad { running, slots: 6, ..TargetLoad::default() },
 ///     own_running: 0,
 ///     own_prefill_tokens: 0,
 ///     failure_share: 0.0,
@@ -146,6 +149,7 @@
 ///     is_outdated: false,
 ///     cached: CachedTokens::default(),
 ///     steering_cost_ms: 0.0,
+///     expected_ms: None,
 ///     is_sampled: true,
 /// }).collect();
 /// assert_eq!(rank(&candidates, None, 0, 1), [1, 0]);
@@ -306,10 +310,14 @@
     cost_ms
 }
 
-/// Returns the cost of a target that is no engine, by its load.
+/// Returns the cost of a target that is no engine, by the expected time or else by load.
 fn plain_target_cost_ms(candidate: &Candidate<'_>) -> f64 {
+    let failure_ms = candidate.failure_share * FAILURE_COST_MS;
+    if let Some(expected_ms) = candidate.expected_ms {
+        return expected_ms + failure_ms;
+    }
     let slots = f64::from(candidate.load.slots.max(1));
     let busy = f64::from(candidate.load.running + candidate.load.waiting);
     let own = f64::from(candidate.own_running);
-    busy.max(own) / slots * 100.0 + own + candidate.failure_share * FAILURE_COST_MS
+    busy.max(own) / slots * 100.0 + own + failure_ms
 }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -355,6 +355,9 @@
                 if !is_failure {
                     worker.note_begun_answer(&incoming, sent_at_us);
                 }
+                if answer.status.code().is_success() && incoming.head.prompt.is_none() {
+                    worker.record_request(target, sent_at_us);
+                }
                 last_answer = Some((answer, body));
                 if !is_failure {
                     break;
@@ -364,6 +367,9 @@
                 attempts.record_failure(failure);
                 last_failure = Some(failure);
                 worker.note_unbegun_answer(&incoming, &target.id, failure);
+                if failure == AttemptFailure::Silent && incoming.head.prompt.is_none() {
+                    worker.record_request(target, sent_at_us);
+                }
                 if !failure.is_not_run() {
                     worker.record_sample(&incoming, target, Sample::FAILURE);
                 }
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -5,7 +5,10 @@
         Cell,
         RefCell, //
     },
-    collections::HashMap,
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
     marker::PhantomData,
     num::NonZeroUsize,
     rc::Rc,
@@ -24,6 +27,7 @@
         AttemptFailure,
         IncomingRequest, //
     },
+    capacity::OwnRequests,
     context::Context,
     message::{
         AnswerHead,
@@ -35,7 +39,10 @@
     target::TargetRecord,
 };
 use crate::{
-    clock::US_PER_MS,
+    clock::{
+        US_PER_MS,
+        US_PER_S, //
+    },
     names::Name,
     process::connections::{
         BusyGuard,
@@ -63,6 +70,13 @@
 /// reported it: its events are about 100 ms late, its messages a quarter of a second.
 const SENT_PART_LIFETIME_US: u64 = 600 * US_PER_MS;
 
+/// Time for which own requests are remembered that a target's reported load may not
+/// contain. Reports of this age are not used.
+const SENT_REQUEST_LIFETIME_US: u64 = US_PER_S;
+
+/// Most such requests that are remembered for a target, so that a burst takes no memory.
+const MAX_SENT_REQUESTS: usize = 64;
+
 /// A cacheable part of a prompt that this entry has sent to a target.
 struct SentPart {
     expires_at_us: u64,
@@ -108,6 +122,8 @@
     load_at_us: Option<u64>,
     /// Requests of this entry that run there.
     pub(super) own_running: u32,
+    /// Times at which this entry sent its latest requests.
+    sent_at_us: VecDeque<u64>,
     /// Prompt tokens of these requests that are probably not computed yet.
     pub(super) own_prefill_tokens: u64,
     pub(super) outlier: OutlierDetector,
@@ -128,6 +144,30 @@
         (age_us < MAX_LOAD_AGE_US).then_some(age_us)
     }
 
+    /// Returns the requests of this entry, with those that it sent after the last report of
+    /// the load in an answer.
+    pub(super) fn own_requests(&self) -> OwnRequests {
+        let reported_at_us = self.load_at_us.unwrap_or(0);
+        let unreported = self.sent_at_us.iter().rev();
+        let unreported = unreported.take_while(|at_us| **at_us > reported_at_us);
+        let unreported = u32::try_from(unreported.count()).unwrap_or(u32::MAX);
+        OwnRequests {
+            running: self.own_running,
+            unreported: unreported.min(self.own_running),
+        }
+    }
+
+    /// Records that this entry sends a request.
+    fn record_sent(&mut self, now_us: u64) {
+        let is_old = |at_us: &u64| at_us.saturating_add(SENT_REQUEST_LIFETIME_US) <= now_us;
+        while self.sent_at_us.len() >= MAX_SENT_REQUESTS
+            || self.sent_at_us.front().is_some_and(is_old)
+        {
+            self.sent_at_us.pop_front();
+        }
+        self.sent_at_us.push_back(now_us);
+    }
+
     /// Returns whether the target has stated that it wants no requests now.
     pub(super) fn is_closed(&self, target: &TargetRecord, now_us: u64) -> bool {
         self.left_started_at_ms == Some(target.started_at_ms) || now_us < self.refuses_until_us
@@ -195,6 +235,9 @@
         self.observations.borrow_mut().retain(|id, observed| {
             observed.own_running > 0 || platform_state.targets.contains_key(id)
         });
+        self.context
+            .capacity()
+            .retain(|id| platform_state.targets.contains_key(id));
     }
 
     /// Returns how many tokens at the start of a prompt are in a target's cache due to
@@ -248,9 +291,11 @@
         id: &Name,
         prefill_tokens: u64,
     ) -> InFlightGuard<P> {
+        let now_us = self.now_us();
         let mut observations = self.observations.borrow_mut();
         let observed = observations.entry(id.clone()).or_default();
         observed.own_running += 1;
+        observed.record_sent(now_us);
         observed.own_prefill_tokens += prefill_tokens;
         InFlightGuard {
             worker: Rc::clone(self),
@@ -266,6 +311,23 @@
         let observed = observations.entry(target.id.clone()).or_default();
         observed.update(target, head, now_us);
         observed.outlier.record_answer(is_good);
+        self.record_load(target, head, now_us);
+    }
+
+    fn record_load(&self, target: &TargetRecord, head: &AnswerHead, now_us: u64) {
+        if let Some(load) = &head.load {
+            let mut capacity = self.context.capacity();
+            capacity.record_load(&target.service, &target.id, load, now_us);
+        }
+    }
+
+    /// Records how long a target took to answer a request that is for no model, or did not
+    /// answer it.
+    pub(super) fn record_request(&self, target: &TargetRecord, sent_at_us: u64) {
+        let now_us = self.now_us();
+        let took_us = now_us.saturating_sub(sent_at_us);
+        let mut capacity = self.context.capacity();
+        capacity.record_request(&target.service, &target.id, took_us, now_us);
     }
 
     /// Records that a target refused a request; it is avoided for `pause_us`.
@@ -275,6 +337,7 @@
         let observed = observations.entry(target.id.clone()).or_default();
         observed.update(target, head, now_us);
         observed.outlier.record_refusal(now_us, pause_us);
+        self.record_load(target, head, now_us);
     }
 
     /// Records that a target was unreachable, did not answer in time or sent a broken
--- a/tests/stale_loads.rs
+++ b/tests/stale_loads.rs
@@ -82,6 +82,7 @@
                 running: self.reported[at],
                 waiting: 0,
                 slots: 24,
+                ..TargetLoad::default()
             },
             own_running: 0,
             own_prefill_tokens: 0,
@@ -90,6 +91,7 @@
             is_outdated: outdated(at),
             cached: CachedTokens::default(),
             steering_cost_ms: 0.0,
+            expected_ms: None,
             is_sampled: is_sampled[at],
         };
         (0..ENGINES).map(candidate).collect()
--- a/tests/target_ranking.rs
+++ b/tests/target_ranking.rs
@@ -32,6 +32,7 @@
             running: 0,
             waiting: 0,
             slots: 6,
+            ..TargetLoad::default()
         },
         own_running: 0,
         own_prefill_tokens: 0,
@@ -40,6 +41,7 @@
         is_outdated: false,
         cached: CachedTokens::default(),
         steering_cost_ms: 0.0,
+        expected_ms: None,
         is_sampled: true,
     }
 }
