--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -37,6 +37,7 @@
             .service_rollouts()
             .report(context.clock.now_us(), context.wall_us()),
         running_prompts: context.steering().report(context.clock.now_us()),
+        statements: context.capacity().report(context.clock.now_us()),
     }
 }
 
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -35,6 +35,7 @@
         CachePosition,
         CacheUpdate, //
     },
+    capacity::TargetStatement,
     platform_state::PlatformState,
     quarantine::PartsReport,
     routing::Configuration,
@@ -143,6 +144,8 @@
     pub(super) rollouts: Vec<RolloutReport>,
     /// Traffic of each service whose engines are divided by the length of prompts.
     pub(super) running_prompts: Vec<(Name, RunningPrompts)>,
+    /// Loads and paces that targets have stated to the entry.
+    pub(super) statements: Vec<TargetStatement>,
 }
 
 /// Answer of an entry to an exchange request.
