Decide at the entry which requests wait under overload

Cause: entries send every request to the best engine and let its queue decide, so requests of all ranks become late together when engines are short of capacity.

Change: direct::admission decides from the forecast of the best target. Requests of the highest rank present are sent; of lower ranks, every second one of a route and of an organisation waits for up to an eighth of its goal and is then refused with a retry time that a hash of its id spreads. What cannot start before its deadline is refused at once. A late forecast counts only with a fresh report of a full target. Nothing uses the module yet.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -3,10 +3,11 @@
 //! Used on platforms that list their targets in an object store and whose
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
-//! load weights and reports its state. Decision modules ([`answer`],
+//! load weights and reports its state. Decision modules ([`admission`], [`answer`],
 //! [`blame`], [`capacity`], [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`],
 //! [`sampling`], [`service_rollout`], [`stall`], [`steering`], [`turns`], [`urgency`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
+pub mod admission;
 pub mod agent;
 pub mod answer;
 mod attempt;
