Refuse late requests of lower ranks at the entry

Cause: with engines short of capacity, entries sent all requests to the best engine; its queue made urgent ones late, and refusals after the last attempt all named the same retry time.

Change: with overload control, the first attempt of a request with a prompt passes admission. Refusals are overloaded with a spread Retry-After, counted by reason and logged with the forecast, its inputs and the age of the report. Metrics also count waits by outcome and the urgency sent. Refusals after the last attempt are spread too.

The effect under load is not measured.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -23,6 +23,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    admission::{
+        Demand,
+        id_hash, //
+    },
     answer::{
         self,
         ForwardedStatus,
@@ -66,7 +70,8 @@
 use crate::{
     clock::US_PER_MS,
     event::Event,
-    names::Name, //
+    names::Name,
+    process::metrics::UrgencyLabels, //
 };
 
 /// Longest time to open a connection to a target. Targets are a few milliseconds
@@ -133,6 +138,20 @@
         }
     }
 
+    /// Returns what admission has to know of the request.
+    pub(super) fn demand(&self) -> Demand<'_> {
+        Demand {
+            route: &self.route.name,
+            organisation: self.organisation_name(),
+            service: &self.service,
+            rank: self.rank(),
+            arrived_at_us: self.arrived_at_us,
+            goal_at_us: self.arrived_at_us + self.route.goal_ms * US_PER_MS,
+            deadline_at_us: self.deadline_us,
+            id_hash: id_hash(self.id(), self.arrived_at_us),
+        }
+    }
+
     /// Returns the configured priority of the request; 0 is served first.
     pub(super) fn rank(&self) -> u8 {
         let organisation = self.organisation.as_ref();
@@ -279,6 +298,16 @@
         }),
         last_event_id,
     };
+    if let Some(urgency) = system_fields.urgency {
+        let urgency = u32::from(urgency);
+        let labels = UrgencyLabels { urgency };
+        worker
+            .context
+            .metrics
+            .urgencies
+            .get_or_create(&labels)
+            .inc();
+    }
     info!(worker.context.log, "target chosen";
         "event" => Event::TargetChosen,
         "request_id" => incoming.id(),
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{
+    admission::Offer,
     attempt::IncomingRequest,
     cache::prompt_keys,
     capacity::Forecast,
@@ -93,6 +94,15 @@
         let known = leading.max(self.cached.importable_tokens);
         prompt.shared_tokens().saturating_sub(known)
     }
+
+    /// Returns what admission has to know of the target.
+    pub(super) fn offer(&self) -> Offer {
+        Offer {
+            forecast: self.forecast,
+            load_age_us: self.load_age_us,
+            is_full: self.load.waiting > 0 || self.load.running >= self.load.slots,
+        }
+    }
 }
 
 /// Shared parts of a prompt under one namespace, and the engines that have cached
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -21,6 +21,7 @@
 };
 
 use super::{
+    admission::AdmissionControl,
     cache::{
         CachePosition,
         CacheUpdate,
@@ -92,6 +93,7 @@
     quarantine: Mutex<Quarantine>,
     service_rollouts: Mutex<ServiceRollouts>,
     steering: Mutex<Steering>,
+    admission: Mutex<AdmissionControl>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     /// Whether the entry decides which requests go first when targets are short of
     /// capacity.
@@ -125,6 +127,7 @@
             quarantine: Mutex::default(),
             service_rollouts: Mutex::default(),
             steering: Mutex::default(),
+            admission: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -159,6 +162,13 @@
         self.steering.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the state of admission.
+    pub(super) fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
+        self.admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the wall-clock time in microseconds, by which entries number the blocks of
     /// answers that they count.
     pub(super) fn wall_us(&self) -> u64 {
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -6,7 +6,16 @@
     time::Duration, //
 };
 
+use slog::info;
+
 use super::{
+    admission::{
+        Decision,
+        Offer,
+        Refusal,
+        Wait,
+        select_offer, //
+    },
     attempt::{
         AttemptFailure,
         IncomingRequest, //
@@ -19,7 +28,13 @@
 };
 use crate::{
     clock::US_PER_MS,
-    names::Name, //
+    error::ErrorKind,
+    event::Event,
+    names::Name,
+    process::metrics::{
+        ReasonLabels,
+        WaitLabels, //
+    },
 };
 
 /// Largest number of attempts of one request, including those that were refused.
@@ -58,6 +73,7 @@
             tried_targets: HashSet::new(),
             count: 0,
             maybe_run_count: 0,
+            refusal: None,
         }
     }
 }
@@ -69,6 +85,8 @@
     count: u32,
     /// Number of attempts that ran or may have run.
     maybe_run_count: u32,
+    /// Why no target was chosen, when admission refused the request.
+    refusal: Option<Refusal>,
 }
 
 impl RequestAttempts {
@@ -76,6 +94,11 @@
         self.count
     }
 
+    /// Returns the refusal by admission, `None` when the request was admitted.
+    pub(super) const fn refusal(&self) -> Option<Refusal> {
+        self.refusal
+    }
+
     /// Records that the last attempt failed.
     pub(super) fn record_failure(&mut self, failure: AttemptFailure) {
         if failure.is_not_run() {
@@ -92,6 +115,8 @@
     /// Chooses the target of the next attempt and counts the attempt. Returns `None`
     /// when no further attempt is allowed or no target is left. `has_run` is whether
     /// the request has run at a target that answered.
+    ///
+    /// Before the first attempt, admission may make the request wait, or refuse it.
     pub(super) async fn next_target<P: Platform>(
         &mut self,
         worker: &Rc<Worker<P>>,
@@ -126,29 +151,112 @@
     }
 
     /// Returns the best target. The first attempt waits for an engine while all of them
-    /// load weights.
+    /// load weights, and for capacity when admission says so.
     async fn choose_target<P: Platform>(
-        &self,
+        &mut self,
         worker: &Rc<Worker<P>>,
         incoming: &IncomingRequest,
     ) -> Option<TargetChoice> {
         let goal_us = incoming.route.goal_ms * US_PER_MS;
         let until_us = incoming.arrived_at_us + goal_us.max(MIN_LOAD_WAIT_US);
         let until_us = until_us.min(incoming.deadline_us);
+        let is_resumed = self.count > 0 || incoming.head.last_event_id.is_some();
+        let is_admitted = is_resumed || !worker.has_admission(incoming);
+        let mut wait = None;
         loop {
             let platform_state = worker.context.platform_state.load_full();
-            let best = worker
-                .rank_targets(&platform_state, incoming, &self.tried_targets)
-                .into_iter()
-                .next()?;
-            if best.availability != Availability::Paused {
-                return Some(best);
+            let mut choices = worker.rank_targets(&platform_state, incoming, &self.tried_targets);
+            let best = choices.first()?;
+            if best.availability == Availability::Paused {
+                let may_wait = self.count == 0 && incoming.head.prompt.is_some();
+                if !may_wait || worker.now_us() >= until_us {
+                    return None;
+                }
+                tokio::time::sleep(CHECK_INTERVAL).await;
+                continue;
             }
-            let may_wait = self.count == 0 && incoming.head.prompt.is_some();
-            if !may_wait || worker.now_us() >= until_us {
-                return None;
+            let demand = incoming.demand();
+            let now_us = worker.now_us();
+            if is_admitted {
+                if worker.has_admission(incoming) {
+                    let mut admission = worker.context.admission();
+                    admission.note_present(demand.service, demand.rank, now_us);
+                }
+                return choices.into_iter().next();
             }
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            // Targets that failed or pause come last and are no alternative to the best.
+            let class = best.availability.max(Availability::ClosingSoon);
+            choices.retain(|choice| choice.availability <= class);
+            let offers: Vec<Offer> = choices.iter().map(TargetChoice::offer).collect();
+            let at = select_offer(&offers, &demand, now_us);
+            let choice = choices.swap_remove(at);
+            let decision = worker
+                .context
+                .admission()
+                .decide(&demand, choice.offer(), wait, now_us);
+            match decision {
+                Decision::Send => {
+                    worker.count_wait(wait, "sent");
+                    return Some(choice);
+                }
+                Decision::Refuse(refusal) => {
+                    worker.count_wait(wait, "refused");
+                    worker.log_admission_refusal(incoming, &choice, refusal);
+                    self.refusal = Some(refusal);
+                    return None;
+                }
+                Decision::Wait(next) => {
+                    wait = Some(next);
+                    let check_in_us = next.check_at_us.saturating_sub(now_us);
+                    tokio::time::sleep(Duration::from_micros(check_in_us)).await;
+                }
+            }
+        }
+    }
+}
+
+impl<P> Worker<P> {
+    /// Returns whether admission decides about a request. The forecast of a target that
+    /// is no engine is a rank and not a time, so its requests are not decided about.
+    fn has_admission(&self, incoming: &IncomingRequest) -> bool {
+        self.context.has_overload_control && incoming.head.prompt.is_some()
+    }
+
+    /// Counts a request that waited for capacity, by what the wait ended with.
+    fn count_wait(&self, wait: Option<Wait>, outcome: &'static str) {
+        if wait.is_some() {
+            let waits = &self.context.metrics.admission_waits;
+            waits.get_or_create(&WaitLabels { outcome }).inc();
         }
     }
+
+    fn log_admission_refusal(
+        &self,
+        incoming: &IncomingRequest,
+        choice: &TargetChoice,
+        refusal: Refusal,
+    ) {
+        let reason = refusal.reason.name();
+        let now_us = self.now_us();
+        let refusals = &self.context.metrics.admission_refusals;
+        refusals.get_or_create(&ReasonLabels { reason }).inc();
+        info!(self.context.log, "request refused by admission";
+            "event" => Event::RequestRefused,
+            "request_id" => incoming.id(),
+            "kind" => ErrorKind::Overloaded.name(),
+            "reason" => reason,
+            "rank" => incoming.rank(),
+            "route" => &*incoming.route.name,
+            "organisation" => incoming.label(),
+            "target" => &*choice.target.id,
+            "forecast_us" => choice.forecast.first_token_us,
+            "spread_us" => choice.forecast.spread_us,
+            "running" => choice.load.running,
+            "waiting" => choice.load.waiting,
+            "load_age_us" => choice.load_age_us,
+            "goal_ms" => incoming.route.goal_ms,
+            "remaining_ms" => incoming.deadline_us.saturating_sub(now_us) / US_PER_MS,
+            "waited_us" => now_us.saturating_sub(incoming.arrived_at_us),
+            "retry_after_ms" => refusal.retry_after_ms);
+    }
 }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -21,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    admission::jittered_ms,
     attempt::{
         self,
         Answer,
@@ -393,12 +394,22 @@
     if let Some(organisation) = &incoming.organisation {
         worker.context.quotas().refund(&organisation.name, cost);
     }
-    let kind = match last_failure {
-        None => ErrorKind::NoTarget,
-        Some(_) => ErrorKind::Overloaded,
+    let refusal = attempts.refusal();
+    let kind = if refusal.is_some() || last_failure.is_some() {
+        ErrorKind::Overloaded
+    } else {
+        ErrorKind::NoTarget
     };
     log.end(kind);
-    reply::refusal_answer(kind, Some(NO_TARGET_RETRY_MS), is_leaving, not_run)
+    let retry_after_ms = match refusal {
+        Some(refusal) => refusal.retry_after_ms,
+        // Many requests are refused at once when the targets are short of capacity.
+        None if worker.context.has_overload_control => {
+            jittered_ms(NO_TARGET_RETRY_MS, incoming.demand().id_hash)
+        }
+        None => NO_TARGET_RETRY_MS,
+    };
+    reply::refusal_answer(kind, Some(retry_after_ms), is_leaving, not_run)
 }
 
 /// Returns when an attempt ends. For a request that may be repeated, this leaves
--- a/src/error.rs
+++ b/src/error.rs
@@ -91,7 +91,7 @@
     RateLimited => "rate_limited", 429, NotRun, Some(1);
     /// The request costs more tokens than the burst of the organisation.
     CostAboveBurst => "cost_above_burst", 413, NotRun, None;
-    /// The queue of every candidate target is full.
+    /// The queue of every candidate target is full, or is expected to be too long.
     Overloaded => "overloaded", 503, NotRun, Some(1);
     /// No live target serves the route.
     NoTarget => "no_target", 503, NotRun, Some(2);
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -58,6 +58,27 @@
     pub kind: String,
 }
 
+/// Labels of the counter of refusals by admission.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ReasonLabels {
+    /// Why the requests were refused.
+    pub reason: &'static str,
+}
+
+/// Labels of the counter of requests that waited at the entry.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WaitLabels {
+    /// What the wait ended with, `sent` or `refused`.
+    pub outcome: &'static str,
+}
+
+/// Labels of the counter of urgencies that engines were told.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct UrgencyLabels {
+    /// Urgency from 0 (runs first) to 9.
+    pub urgency: u32,
+}
+
 type HistogramFamily = Family<OrganisationLabels, Histogram, fn() -> Histogram>;
 
 fn latency_histogram() -> Histogram {
@@ -112,6 +133,12 @@
     pub quarantined_parts: Gauge,
     /// Times that the engine beside an agent stopped answering.
     pub engine_losses: Counter,
+    /// Requests that admission refused, by reason.
+    pub admission_refusals: Family<ReasonLabels, Counter>,
+    /// Requests that waited at the entry for capacity, by outcome.
+    pub admission_waits: Family<WaitLabels, Counter>,
+    /// Attempts by the urgency that the engine was told.
+    pub urgencies: Family<UrgencyLabels, Counter>,
 }
 
 /// Histograms of one organisation, looked up once for each request.
@@ -166,6 +193,9 @@
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
             engine_losses: Counter::default(),
+            admission_refusals: Family::default(),
+            admission_waits: Family::default(),
+            urgencies: Family::default(),
             registry: Registry::default(),
         };
         metrics.register(&mut registry);
@@ -248,6 +278,21 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register(
+            "admission_refusals",
+            "Requests that admission refused",
+            self.admission_refusals.clone(),
+        );
+        registry.register(
+            "admission_waits",
+            "Requests that waited at the entry for capacity",
+            self.admission_waits.clone(),
+        );
+        registry.register(
+            "urgency_sent",
+            "Attempts by the urgency that the engine was told",
+            self.urgencies.clone(),
+        );
         registry.register(
             "revision",
             "Configuration revision in use",
