--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -21,6 +21,7 @@
 };
 
 use super::{
+    admission::AdmissionControl,
     cache::{
         CachePosition,
         CacheUpdate,
@@ -94,6 +95,7 @@
     service_rollouts: Mutex<ServiceRollouts>,
     steering: Mutex<Steering>,
     capacity: Mutex<Capacity>,
+    admission: Mutex<AdmissionControl>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     /// Whether the entry decides which requests go first when targets are short of
     /// capacity.
@@ -128,6 +130,7 @@
             service_rollouts: Mutex::default(),
             steering: Mutex::default(),
             capacity: Mutex::default(),
+            admission: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -165,6 +168,11 @@
     /// Locks what is known of the speeds of targets.
     pub(super) fn capacity(&self) -> MutexGuard<'_, Capacity> {
         self.capacity.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Locks the state of admission.
+    pub(super) fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
+        self.admission
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the wall-clock time in microseconds, by which entries number the blocks of
