Send nothing new to evacuated data centres

Operators evacuate a data centre by an object of the store, and nothing read it: its targets went on to get requests, retries, resumed streams and imports.

Entries follow the topic and pass the complete set, with its revision, in the answers of their exchanges, so that an entry without the store learns of it from others. The module `constraint` is the only way from the list of targets and KV cache stores to candidates. An entry serves no request before it knows the set; a store that refuses the kind with 400, 404 or 405 has none and does not count as down. The watch waits 2 s, so that a silent connection is noticed after 3 of the 5 s within which an evacuation is in force.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod capacity;
 mod choice;
+pub mod constraint;
 mod context;
 pub mod entry;
 pub mod events;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -38,6 +38,7 @@
         CallRequest, //
     },
     choice::TargetChoice,
+    constraint::Constraint,
     events::SplitError,
     kv_store::{
         select_source,
@@ -248,15 +249,17 @@
         _ => Vec::new(),
     };
     worker.record_sent_parts(&target.id, &keys, false);
+    let platform_state = worker.context.platform_state.load();
     let kv_store = prompt
         .filter(|_| choice.weights.is_some())
         .and_then(|prompt| {
             let down = worker.context.down_kv_stores();
-            select_store(&incoming.kv_stores, &down, prompt)
+            let constraint = Constraint::new(&platform_state);
+            let stores = constraint.kv_stores(&platform_state, &incoming.kv_stores);
+            select_store(&stores, &down, prompt)
         });
     let import_from = prompt.and_then(|prompt| {
         let engine = (choice.import_from, choice.cached.importable_tokens);
-        let platform_state = worker.context.platform_state.load();
         let weights_age_us = platform_state.weights_age_us(&prompt.model, now_us);
         select_source(engine, kv_store, prompt, weights_age_us)
     });
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -15,6 +15,7 @@
     attempt::IncomingRequest,
     cache::prompt_keys,
     capacity::Forecast,
+    constraint::Constraint,
     context::ReportedEngine,
     message::{
         Prompt,
@@ -34,10 +35,7 @@
         PromptLength,
         prompt_length, //
     },
-    target::{
-        TargetRecord,
-        TargetState, //
-    },
+    target::TargetRecord,
     worker::{
         TargetObservations,
         Worker, //
@@ -138,14 +136,12 @@
         let observations = self.observations.borrow();
         let engines = self.context.engines();
         let no_observations = TargetObservations::default();
+        let constraint = Constraint::new(platform_state);
         let releases = self.choose_release(platform_state, incoming, tried);
         let mut all_sources: Vec<ImportSources> = Vec::new();
         let mut choice_observations = Vec::new();
         let mut choices: Vec<TargetChoice> = Vec::new();
-        for record in platform_state.targets.values() {
-            if record.service != incoming.service || record.state != TargetState::Ready {
-                continue;
-            }
+        for record in constraint.targets(platform_state, &incoming.service) {
             let observed = observations.get(&record.id).unwrap_or(&no_observations);
             if observed.is_closed(record, now_us) {
                 continue;
@@ -330,12 +326,11 @@
             .context
             .service_rollouts()
             .choose(&incoming.service, point)?;
+        let constraint = Constraint::new(platform_state);
         let has_targets = |side: Side| {
-            platform_state.targets.values().any(|record| {
-                record.service == incoming.service
-                    && record.state == TargetState::Ready
-                    && choice.side_of(&record.release) == side
-                    && !tried.contains(&record.id)
+            let mut targets = constraint.targets(platform_state, &incoming.service);
+            targets.any(|record| {
+                choice.side_of(&record.release) == side && !tried.contains(&record.id)
             })
         };
         let is_retry = !tried.is_empty() && has_targets(choice.retry_side);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -82,6 +82,7 @@
     },
     error::Result,
     event::Event,
+    names::Name,
     process::{
         admin::Observed,
         client,
@@ -128,7 +129,7 @@
 
 impl Observed for Context {
     fn is_ready(&self) -> bool {
-        self.platform_state.load().can_route() && !self.is_leaving()
+        self.platform_state.load().can_serve() && !self.is_leaving()
     }
 
     fn metrics(&self) -> String {
@@ -265,6 +266,7 @@
         Topic::Weights,
         Topic::Entries,
         Topic::Rollouts,
+        Topic::Evacuations,
     ] {
         let applying = Rc::clone(&control);
         let following = Rc::clone(&control);
@@ -384,12 +386,48 @@
                 self.context.configure_quotas(table, now_us);
             }
         }
+        self.log_evacuations(&platform_state);
         let now_us = self.context.clock.now_us();
         let orders = platform_state.service_rollouts.values();
         self.context.service_rollouts().sync(orders, now_us);
         self.context.platform_state.store(Arc::new(platform_state));
     }
 
+    /// Logs which data centres are evacuated or restored by the state to be published.
+    fn log_evacuations(&self, platform_state: &PlatformState) {
+        let published = self.context.platform_state.load();
+        let set = |state: &PlatformState| {
+            let evacuations = state.evacuations.as_ref();
+            evacuations.map(|evacuations| evacuations.data_centres.clone())
+        };
+        let before = set(&published).unwrap_or_default();
+        let after = set(platform_state).unwrap_or_default();
+        let revision = platform_state
+            .evacuations
+            .as_ref()
+            .map(|evacuations| evacuations.revision);
+        let targets = |name: &Name| {
+            let records = platform_state.targets.values();
+            records.filter(|record| record.data_centre == *name).count()
+        };
+        for name in after.difference(&before) {
+            warn!(self.context.log, "data centre is evacuated: its targets get no new requests";
+                "event" => Event::DataCentreEvacuated,
+                "data_centre" => &**name,
+                "targets" => targets(name),
+                "revision" => revision);
+        }
+        for name in before.difference(&after) {
+            info!(self.context.log, "data centre is restored";
+                "event" => Event::DataCentreRestored,
+                "data_centre" => &**name,
+                "targets" => targets(name),
+                "revision" => revision);
+        }
+        let count = i64::try_from(after.len()).unwrap_or(i64::MAX);
+        self.context.metrics.evacuated_data_centres.set(count);
+    }
+
     /// Registers this entry, exchanges state with other entries and removes targets
     /// whose records have not come back.
     async fn run_control_loop(self: Rc<Self>) -> Result<()> {
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -38,6 +38,9 @@
         // Changes of both have to be in force within two seconds.
         Topic::Configuration | Topic::Targets => 1_500,
         Topic::Weights | Topic::Rollouts => 3_000,
+        // In force within five seconds, also when the first watch has lost its connection
+        // and ends only with its time limit.
+        Topic::Evacuations => 2_000,
         Topic::Entries => 30_000,
     }
 }
@@ -57,7 +60,9 @@
         Topic::Targets => Duration::from_millis(400),
         // All entries register at the start, and all of them watch the entries.
         Topic::Entries => Duration::from_millis(1_500),
-        Topic::Configuration | Topic::Weights | Topic::Rollouts => Duration::ZERO,
+        Topic::Configuration | Topic::Weights | Topic::Rollouts | Topic::Evacuations => {
+            Duration::ZERO
+        }
     }
 }
 
@@ -137,6 +142,7 @@
     mut take: impl FnMut(TopicChanges),
 ) {
     let mut revision = None;
+    let mut is_refused = false;
     loop {
         while is_following_peers() {
             // The next call is a listing, as changes may have been missed.
@@ -170,6 +176,22 @@
                     "event" => Event::PlatformUp, "topic" => ?topic, "revision" => revision);
                 revision = None;
             }
+            Err(StoreError::Refused(status))
+                if topic == Topic::Evacuations && is_unknown(status) =>
+            {
+                if !is_refused {
+                    info!(log, "the object store has no such objects; none are assumed";
+                        "event" => Event::RevisionRejected, "topic" => ?topic, "status" => status);
+                }
+                is_refused = true;
+                revision = None;
+                take(TopicChanges {
+                    topic,
+                    changes: ObjectChanges::default(),
+                    is_listing: true,
+                });
+                tokio::time::sleep(Duration::from_millis(watch_wait_ms(topic))).await;
+            }
             Err(error) => {
                 health.record_failure(&log, topic, &error);
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -178,6 +200,12 @@
     }
 }
 
+/// Returns whether a store that refuses a kind of objects with a status does not have it.
+/// Some deployments have stores without evacuations; they are not down.
+const fn is_unknown(status: u16) -> bool {
+    matches!(status, 400 | 404 | 405)
+}
+
 fn report_unreadable(log: &Logger, topic: Topic, changes: &ObjectChanges) {
     for change in &changes.changes {
         if let ObjectChange::Unreadable(name, reason)
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -35,6 +35,7 @@
         CachePosition,
         CacheUpdate, //
     },
+    constraint::Evacuations,
     platform_state::PlatformState,
     quarantine::PartsReport,
     routing::Configuration,
@@ -163,6 +164,8 @@
     pub(super) store_fresh_for_us: u64,
     /// Position up to which the entry has the changes of the engine's cache.
     pub(super) cache_position: Option<CachePosition>,
+    /// Evacuated data centres, `None` to an agent or when unknown.
+    pub(super) evacuations: Option<Evacuations>,
 }
 
 /// Builds the answer to an exchange request.
@@ -194,7 +197,9 @@
         let entries: Vec<SocketAddr> = platform_state.entry_addresses().collect();
         (entries_digest(&entries) != digest).then_some(entries)
     });
+    let evacuations = platform_state.evacuations.clone();
     ExchangeReply {
+        evacuations: evacuations.filter(|_| exchange_request.entry.is_some()),
         cache_position,
         store_fresh_for_us,
         entry,
@@ -242,6 +247,9 @@
     for weights in reply.weights {
         is_new |= platform_state.adopt_weights(weights, now_us);
     }
+    if let Some(evacuations) = reply.evacuations {
+        is_new |= platform_state.adopt_evacuations(evacuations);
+    }
     for order in reply.service_rollouts {
         is_new |= platform_state.adopt_rollout(order);
     }
--- a/src/direct/platform.rs
+++ b/src/direct/platform.rs
@@ -48,6 +48,8 @@
     Entries,
     /// Orders to move services to other releases.
     Rollouts,
+    /// Data centres whose targets get no new work.
+    Evacuations,
 }
 
 /// An entry that has registered itself.
@@ -78,6 +80,10 @@
     EntryRemoved(Name),
     /// An order to move a service to another release, as it is stored now.
     Rollout(RolloutOrder),
+    /// The data centre of this name is evacuated.
+    Evacuated(Name),
+    /// The data centre of this name is no longer evacuated.
+    EvacuationEnded(Name),
     /// The object of this name cannot be read, with the reason.
     Unreadable(Name, String),
 }
--- a/src/direct/platform_state.rs
+++ b/src/direct/platform_state.rs
@@ -1,12 +1,16 @@
 //! A process's copy of the objects in the platform's store.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     sync::Arc, //
 };
 
 use super::{
+    constraint::Evacuations,
     platform::{
         EntryRecord,
         ObjectChange,
@@ -98,6 +102,8 @@
     /// in Unix milliseconds. Their records stay in the store for seconds after they
     /// have ended.
     pub replaced: BTreeMap<Name, u64>,
+    /// Evacuated data centres, `None` until a complete set was received.
+    pub evacuations: Option<Evacuations>,
 }
 
 impl PlatformState {
@@ -119,6 +125,18 @@
         self.can_route() && self.has_weights
     }
 
+    /// Returns whether requests can be routed and it is known which data centres are
+    /// evacuated. Without that, an entry that has just started would send to them.
+    ///
+    /// ```
+    /// use yuccalatch::direct::platform_state::PlatformState;
+    ///
+    /// assert!(!PlatformState::default().can_serve());
+    /// ```
+    pub const fn can_serve(&self) -> bool {
+        self.can_route() && self.evacuations.is_some()
+    }
+
     /// Returns the control addresses of the registered entries, in the order of their
     /// names.
     ///
@@ -210,6 +228,52 @@
         true
     }
 
+    /// Adopts a complete set of evacuated data centres unless the same or a later one is
+    /// known. Returns whether it was adopted.
+    ///
+    /// ```
+    /// use yuccalatch::direct::{constraint::Evacuations, platform_state::PlatformState};
+    ///
+    /// let mut state = PlatformState::default();
+    /// assert!(state.adopt_evacuations(Evacuations::default()));
+    /// assert!(!state.adopt_evacuations(Evacuations::default()));
+    /// ```
+    pub fn adopt_evacuations(&mut self, evacuations: Evacuations) -> bool {
+        let known = self.evacuations.as_ref();
+        if known.is_some_and(|known| known.revision >= evacuations.revision) {
+            return false;
+        }
+        self.evacuations = Some(evacuations);
+        true
+    }
+
+    /// Applies changes of the evacuations, unless another entry has reported a later set.
+    fn apply_evacuations(&mut self, changes: ObjectChanges, is_listing: bool) {
+        let known = self.evacuations.as_ref();
+        if known.is_some_and(|known| known.revision > changes.revision) {
+            return;
+        }
+        let mut data_centres = match known {
+            Some(known) if !is_listing => known.data_centres.clone(),
+            _ => BTreeSet::new(),
+        };
+        for change in changes.changes {
+            match change {
+                ObjectChange::Evacuated(name) => {
+                    data_centres.insert(name);
+                }
+                ObjectChange::EvacuationEnded(name) => {
+                    data_centres.remove(&name);
+                }
+                _ => {}
+            }
+        }
+        self.evacuations = Some(Evacuations {
+            revision: changes.revision,
+            data_centres,
+        });
+    }
+
     /// Applies changes of a topic; a listing holds all its objects. `recovered_at_us`
     /// is when the store last answered again after an outage.
     pub fn apply(
@@ -220,6 +284,10 @@
         recovered_at_us: Option<u64>,
         now_us: u64,
     ) {
+        if topic == Topic::Evacuations {
+            self.apply_evacuations(changes, is_listing);
+            return;
+        }
         if topic == Topic::Weights {
             self.has_weights |= is_listing;
         }
@@ -251,7 +319,9 @@
                 ObjectChange::Rollout(order) => {
                     self.adopt_rollout(order);
                 }
-                ObjectChange::Unreadable(..) => {}
+                ObjectChange::Evacuated(_)
+                | ObjectChange::EvacuationEnded(_)
+                | ObjectChange::Unreadable(..) => {}
             }
         }
     }
@@ -301,7 +371,7 @@
         if topic != Topic::Targets {
             return;
         }
-        let listed: std::collections::BTreeSet<&Name> = changes
+        let listed: BTreeSet<&Name> = changes
             .changes
             .iter()
             .filter_map(|change| match change {
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -82,6 +82,8 @@
     pub engine: Option<EngineSpec>,
     /// Address of the KV cache store, when the service is one.
     pub kv_store_address: Option<SocketAddr>,
+    /// Data centre of the KV cache store, `None` when it is not stated.
+    pub kv_store_data_centre: Option<Name>,
 }
 
 /// An organisation whose callers send requests, with its API keys and rate.
@@ -142,6 +144,8 @@
     /// Shortest desired gap between events of the streams of each service.
     gap_goals_ms: HashMap<Name, u64>,
     kv_stores: Arc<[SocketAddr]>,
+    /// Data centres of the KV cache stores that state one.
+    kv_store_data_centres: HashMap<SocketAddr, Name>,
     organisations: Vec<Arc<Organisation>>,
     organisations_by_key: HashMap<Name, Arc<Organisation>>,
 }
@@ -197,6 +201,14 @@
             .iter()
             .filter_map(|service| service.kv_store_address)
             .collect();
+        let kv_store_data_centres = configuration
+            .services
+            .iter()
+            .filter_map(|service| {
+                let data_centre = service.kv_store_data_centre.clone();
+                service.kv_store_address.zip(data_centre)
+            })
+            .collect();
         let services = configuration
             .services
             .iter()
@@ -221,6 +233,7 @@
             routes_by_host,
             services,
             kv_stores: kv_stores.into_iter().collect(),
+            kv_store_data_centres,
             organisations,
             organisations_by_key,
         }
@@ -266,6 +279,11 @@
         &self.kv_stores
     }
 
+    /// Returns the data centre of a KV cache store, `None` when it is not stated.
+    pub fn kv_store_data_centre(&self, address: SocketAddr) -> Option<&Name> {
+        self.kv_store_data_centres.get(&address)
+    }
+
     /// Returns all organisations, in the order of the configuration.
     pub fn organisations(&self) -> &[Arc<Organisation>] {
         &self.organisations
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -114,7 +114,7 @@
     let Some(table) = platform_state
         .table
         .as_ref()
-        .filter(|_| platform_state.has_targets)
+        .filter(|_| platform_state.can_serve())
     else {
         upload::discard(&mut payload).await;
         return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS), PUBLIC_LABEL);
--- a/src/direct/watchers.rs
+++ b/src/direct/watchers.rs
@@ -54,7 +54,7 @@
         match topic {
             Topic::Configuration => self.configuration_until_us = until_us,
             Topic::Targets => self.targets_until_us = until_us,
-            Topic::Weights | Topic::Entries | Topic::Rollouts => {}
+            Topic::Weights | Topic::Entries | Topic::Rollouts | Topic::Evacuations => {}
         }
     }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -94,6 +94,10 @@
     EngineSilent = 6006;
     /// An engine answers the agent beside it again.
     EngineAnswers = 6007;
+    /// A data centre is evacuated: its targets get no new requests.
+    DataCentreEvacuated = 6008;
+    /// A data centre is no longer evacuated.
+    DataCentreRestored = 6009;
     /// A move changed its state.
     MoveChanged = 7001;
     /// A version was removed from traffic.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -110,6 +110,8 @@
     pub cached_parts: Gauge,
     /// Parts of prompts that are quarantined because engines crashed on them.
     pub quarantined_parts: Gauge,
+    /// Data centres whose targets get no new requests.
+    pub evacuated_data_centres: Gauge,
     /// Times that the engine beside an agent stopped answering.
     pub engine_losses: Counter,
 }
@@ -165,6 +167,7 @@
             running: Gauge::default(),
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            evacuated_data_centres: Gauge::default(),
             engine_losses: Counter::default(),
             registry: Registry::default(),
         };
@@ -260,6 +263,11 @@
             "Prompt parts that are quarantined because engines crashed on them",
             quarantined_parts,
         );
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres whose targets get no new requests",
+            self.evacuated_data_centres.clone(),
+        );
         let cached_parts = self.cached_parts.clone();
         registry.register(
             "cached_parts",
--- a/tests/kv_stores.rs
+++ b/tests/kv_stores.rs
@@ -34,6 +34,7 @@
         name: format!("store-{number}").into(),
         engine: None,
         kv_store_address: Some(address(*number)),
+        kv_store_data_centre: None,
     };
     RoutingTable::new(&Configuration {
         version: 1,
