--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -131,6 +131,8 @@
     pub cached_parts: Gauge,
     /// Parts of prompts that are quarantined because engines crashed on them.
     pub quarantined_parts: Gauge,
+    /// Data centres whose targets get no new requests.
+    pub evacuated_data_centres: Gauge,
     /// Times that the engine beside an agent stopped answering.
     pub engine_losses: Counter,
     /// Requests that admission refused, by reason.
@@ -192,6 +194,7 @@
             running: Gauge::default(),
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            evacuated_data_centres: Gauge::default(),
             engine_losses: Counter::default(),
             admission_refusals: Family::default(),
             admission_waits: Family::default(),
@@ -305,6 +308,11 @@
             "Prompt parts that are quarantined because engines crashed on them",
             quarantined_parts,
         );
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres whose targets get no new requests",
+            self.evacuated_data_centres.clone(),
+        );
         let cached_parts = self.cached_parts.clone();
         registry.register(
             "cached_parts",
