--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -19,7 +19,6 @@
         Forecast,
         PlainTimes, //
     },
-    capacity::Forecast,
     constraint::Constraint,
     context::ReportedEngine,
     message::{
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -168,6 +168,8 @@
     /// Locks what is known of the speeds of targets.
     pub(super) fn capacity(&self) -> MutexGuard<'_, Capacity> {
         self.capacity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the state of admission.
     pub(super) fn admission(&self) -> MutexGuard<'_, AdmissionControl> {
         self.admission
