--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -68,11 +68,25 @@
     /// capacity; `None` when `platform_features` decide that.
     #[serde(default)]
     pub overload_control: Option<bool>,
+    /// Memory of the machine in MB, from which the budget for request bodies and buffered
+    /// answers is derived; 0 when the machine states no limit.
+    #[serde(default)]
+    pub memory_mb: u64,
+    /// Longest time for which a request body may arrive without a further byte.
+    #[serde(default = "default_body_progress_ms")]
+    pub body_progress_ms: u64,
+    /// Most connections of callers that are open at once; 0 for no limit.
+    #[serde(default)]
+    pub max_connections: u32,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+const fn default_body_progress_ms() -> u64 {
+    10_000
+}
+
 impl Settings for DirectEntrySettings {
     const DEFAULT_TEXT: &'static str = r#"{
   // Name of the instance, unique in the fleet.
@@ -112,6 +126,14 @@
   // Whether the entry decides which requests go first when targets are short of
   // capacity, or null for what "platform_features" say.
   "overload_control": null,
+  // Memory of the machine in MB, from which the budget for request bodies and buffered
+  // answers is derived, or 0 when the machine states no limit.
+  "memory_mb": 0,
+  // Longest time for which a request body may arrive without a further byte, in
+  // milliseconds.
+  "body_progress_ms": 10000,
+  // Most connections of callers that are open at once, or 0 for no limit.
+  "max_connections": 0,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "json", "level": "info"}
@@ -130,6 +152,7 @@
         checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
         checker.duration_ms(&["retry_window_s"], self.retry_window_ms, 100);
         checker.duration_ms(&["old_weights_ms"], self.old_weights_ms, 0);
+        checker.duration_ms(&["body_progress_ms"], self.body_progress_ms, 100);
         checker.range(
             &["retries_per_thousand"],
             u64::from(self.retries_per_thousand),
