Bound the memory of request bodies

Entries read a body before they looked at the key, and held all arriving bodies without a bound on their sum. 150 callers with bodies of 4 MiB took 614 MB of an entry.

The head decides first: route, key, quota and announced length. A body over the limit is answered 413 and not read on. Bodies are charged to one budget before they are stored (a quarter of memory_mb); what does not fit takes the place of bodies that have not progressed for a second, or is refused as memory_full. A body without a further byte for body_progress_ms, or incomplete at the request's deadline, is answered 408. Route and key are checked again when the configuration changed while the body arrived.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,13 +4,14 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`answer`],
-//! [`blame`], [`capacity`], [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`],
+//! [`blame`], [`capacity`], [`kv_store`], [`memory_budget`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`],
 //! [`sampling`], [`service_rollout`], [`stall`], [`steering`], [`turns`], [`urgency`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod agent;
 pub mod answer;
 mod attempt;
 pub mod blame;
+mod body;
 pub mod cache;
 pub mod call;
 pub mod capacity;
@@ -21,6 +22,7 @@
 mod exchange;
 mod follow;
 pub mod kv_store;
+pub mod memory_budget;
 pub mod message;
 pub mod order;
 pub mod outlier;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -30,6 +30,7 @@
         Misdirection,
         Verdict, //
     },
+    body::MemoryGuard,
     cache::prompt_keys,
     call::{
         self,
@@ -88,6 +89,10 @@
     /// fields that the entry itself sets.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Memory that the body is charged, until the request ends.
+    pub(super) body_memory: Option<MemoryGuard>,
+    /// Version of the configuration by which the request was admitted.
+    pub(super) table_version: u64,
     pub(super) route: Arc<Route>,
     pub(super) service: Name,
     pub(super) organisation: Option<Arc<Organisation>>,
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -26,6 +26,10 @@
         CacheUpdate,
         CachedParts, //
     },
+    memory_budget::{
+        self,
+        MemoryBudget, //
+    },
     peers::{
         self,
         EngineState,
@@ -88,6 +92,7 @@
     pub(super) log: Logger,
     pub(super) platform_state: ArcSwap<PlatformState>,
     pub(super) metrics: Metrics,
+    memory: Mutex<MemoryBudget>,
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
     service_rollouts: Mutex<ServiceRollouts>,
@@ -113,8 +118,10 @@
         has_overload_control: bool,
         log: Logger,
     ) -> Self {
+        let budget_bytes = memory_budget::budget_bytes(settings.get().memory_mb);
         Self {
             has_overload_control,
+            memory: Mutex::new(MemoryBudget::new(budget_bytes)),
             settings: Arc::new(settings),
             incarnation: Incarnation::random(),
             clock: Clock::start(),
@@ -134,6 +141,11 @@
         }
     }
 
+    /// Locks the memory budget for request bodies and buffered answers.
+    pub(super) fn memory(&self) -> MutexGuard<'_, MemoryBudget> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the quotas. A poisoned lock is used all the same, because a panic of
     /// another thread ends the process.
     pub(super) fn quotas(&self) -> MutexGuard<'_, Quotas> {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -134,6 +134,8 @@
     fn metrics(&self) -> String {
         let running = i64::try_from(self.running()).unwrap_or(i64::MAX);
         self.metrics.running.set(running);
+        let held_bytes = i64::try_from(self.memory().held_bytes()).unwrap_or(i64::MAX);
+        self.metrics.caller_memory_bytes.set(held_bytes);
         let quarantined = self.quarantine().quarantined_count();
         let quarantined = i64::try_from(quarantined).unwrap_or(i64::MAX);
         self.metrics.quarantined_parts.set(quarantined);
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -5,11 +5,7 @@
     sync::Arc, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use ntex::http::{
     HeaderMap,
     Payload,
@@ -28,11 +24,16 @@
         IncomingRequest,
         PUBLIC_LABEL, //
     },
+    body::{
+        self,
+        BodyLimits, //
+    },
     choice::TargetChoice,
     events::{
         EventBatch,
         EventSplitter, //
     },
+    memory_budget::Holder,
     platform::Platform,
     quarantine::{
         Admission,
@@ -119,26 +120,18 @@
         upload::discard(&mut payload).await;
         return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS), PUBLIC_LABEL);
     };
-    let body = match read_body(&mut payload, table.limits.max_body_bytes).await {
-        Ok(body) => body,
+    let length_bytes = body::announced_bytes(request.headers());
+    let is_too_large = length_bytes.is_some_and(|bytes| bytes > table.limits.max_body_bytes);
+    let (route, organisation) = match admit(table, &request, &head.key) {
+        Ok(admitted) => admitted,
         Err(kind) => {
-            upload::discard(&mut payload).await;
+            discard(&mut payload, is_too_large).await;
             return refuse(kind, None, PUBLIC_LABEL);
         }
     };
-    let (route, organisation) = match admit(table, &request, &head.key) {
-        Ok(admitted) => admitted,
-        Err(kind) => return refuse(kind, None, PUBLIC_LABEL),
-    };
     let cost = request_cost(&head, organisation.as_deref());
-    let incoming = build_incoming::<P>(
-        &request,
-        head,
-        body,
-        (route, organisation),
-        arrived_at_us,
-        table,
-    );
+    let mut incoming =
+        build_incoming::<P>(&request, head, (route, organisation), arrived_at_us, table);
     if let Admission::Refused { part, trial_at_us } = worker.admit_parts(&incoming) {
         info!(worker.context.log, "request has a quarantined prompt part";
             "event" => Event::RequestRefused,
@@ -146,6 +139,7 @@
             "part" => format!("{part:x}"));
         let wait_ms = retry_after_ms(trial_at_us, arrived_at_us);
         let label = incoming.label();
+        discard(&mut payload, is_too_large).await;
         return refuse(ErrorKind::PromptQuarantined, Some(wait_ms), label);
     }
     if let Some(organisation) = &incoming.organisation {
@@ -162,22 +156,62 @@
                 "rate_per_s" => organisation.rate_per_s,
                 "burst" => organisation.burst,
                 "retry_after_ms" => wait_ms);
+            discard(&mut payload, is_too_large).await;
             return refuse(ErrorKind::RateLimited, Some(wait_ms), &organisation.name);
         }
     }
+    let limits = BodyLimits {
+        max_bytes: table.limits.max_body_bytes,
+        length_bytes,
+        deadline_us: incoming.deadline_us,
+    };
+    let read = read_body(&worker, &request, &mut payload, &mut incoming, &limits).await;
+    if let Err(kind) = read {
+        if let Some(organisation) = &incoming.organisation {
+            worker.context.quotas().refund(&organisation.name, cost);
+        }
+        discard(&mut payload, kind == ErrorKind::BodyTooLarge).await;
+        return refuse(kind, None, incoming.label());
+    }
     forward(worker, incoming, unsent, cost, running).await
 }
 
-async fn read_body(payload: &mut Payload, limit_bytes: usize) -> Result<Bytes, ErrorKind> {
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let part = part.map_err(|_| ErrorKind::BadRequest)?;
-        if body.len() + part.len() > limit_bytes {
-            return Err(ErrorKind::BodyTooLarge);
+/// Reads and drops the body of a refused request, unless it exceeds the limit. Then it is
+/// not read on, and the server closes the connection after the answer.
+async fn discard(payload: &mut Payload, is_too_large: bool) {
+    if !is_too_large {
+        upload::discard(payload).await;
+    }
+}
+
+/// Reads the body of a request. Refuses the request when its key or route is gone when
+/// the body has arrived.
+async fn read_body<P: Platform>(
+    worker: &Worker<P>,
+    request: &Request,
+    payload: &mut Payload,
+    incoming: &mut IncomingRequest,
+    limits: &BodyLimits,
+) -> Result<(), ErrorKind> {
+    if limits
+        .length_bytes
+        .is_some_and(|bytes| bytes > limits.max_bytes)
+    {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    let holder = incoming
+        .organisation_name()
+        .map_or(Holder::Keyless, |name| Holder::Organisation(name.clone()));
+    let (body, body_memory) = body::read(worker, payload, holder, limits).await?;
+    incoming.body = body;
+    incoming.body_memory = body_memory;
+    let platform_state = worker.context.platform_state.load();
+    match &platform_state.table {
+        Some(table) if table.version != incoming.table_version => {
+            admit(table, request, &incoming.head.key).map(|_| ())
         }
-        body.extend_from_slice(&part);
+        _ => Ok(()),
     }
-    Ok(body.freeze())
 }
 
 type Admitted = (Arc<Route>, Option<Arc<Organisation>>);
@@ -223,7 +257,6 @@
 fn build_incoming<P: Platform>(
     request: &Request,
     head: super::message::RequestHead,
-    body: Bytes,
     (route, organisation): Admitted,
     arrived_at_us: u64,
     table: &RoutingTable,
@@ -261,7 +294,9 @@
             .unwrap_or_default(),
         head,
         headers,
-        body,
+        body: Bytes::new(),
+        body_memory: None,
+        table_version: table.version,
         service,
         kv_stores: Arc::clone(table.kv_stores()),
         route,
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -24,6 +24,7 @@
         AttemptFailure,
         IncomingRequest, //
     },
+    body::WaitingBodies,
     context::Context,
     message::{
         AnswerHead,
@@ -154,6 +155,9 @@
 pub(super) struct Worker<P> {
     pub(super) context: Arc<Context>,
     pub(super) connections: Rc<Connections>,
+    pub(super) waiting_bodies: WaitingBodies,
+    /// Longest time for which a body may arrive without a further byte.
+    pub(super) body_progress_ms: u64,
     pub(super) observations: RefCell<HashMap<Name, TargetObservations>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     configured_version: Cell<u64>,
@@ -168,6 +172,8 @@
         ntex::rt::spawn(Rc::clone(&connections).watch(move || shared.is_leaving()));
         Rc::new(Self {
             connections,
+            waiting_bodies: WaitingBodies::default(),
+            body_progress_ms: context.settings.get().body_progress_ms,
             context,
             observations: RefCell::default(),
             budgets: RefCell::default(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -93,6 +93,8 @@
     CostAboveBurst => "cost_above_burst", 413, NotRun, None;
     /// The queue of every candidate target is full.
     Overloaded => "overloaded", 503, NotRun, Some(1);
+    /// The memory for request bodies is in use.
+    MemoryFull => "memory_full", 503, NotRun, Some(1);
     /// No live target serves the route.
     NoTarget => "no_target", 503, NotRun, Some(2);
     /// A part of the prompt has crashed several engines.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -110,6 +110,10 @@
     pub cached_parts: Gauge,
     /// Parts of prompts that are quarantined because engines crashed on them.
     pub quarantined_parts: Gauge,
+    /// Memory that request bodies and buffered answers are charged.
+    pub caller_memory_bytes: Gauge,
+    /// Request bodies that were dropped for others because they stopped arriving.
+    pub evicted_bodies: Counter,
     /// Times that the engine beside an agent stopped answering.
     pub engine_losses: Counter,
 }
@@ -165,6 +169,8 @@
             running: Gauge::default(),
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            caller_memory_bytes: Gauge::default(),
+            evicted_bodies: Counter::default(),
             engine_losses: Counter::default(),
             registry: Registry::default(),
         };
@@ -239,6 +245,11 @@
                 &self.confined_placements,
             ),
             ("orders", "Orders to the engine", &self.orders),
+            (
+                "evicted_bodies",
+                "Stalled request bodies dropped for others",
+                &self.evicted_bodies,
+            ),
             (
                 "engine_losses",
                 "Times that the engine stopped answering",
@@ -254,6 +265,13 @@
             self.revision.clone(),
         );
         registry.register("running", "Requests that are running", self.running.clone());
+        let caller_memory = self.caller_memory_bytes.clone();
+        registry.register_with_unit(
+            "caller_memory",
+            "Memory of request bodies and buffered answers",
+            Unit::Bytes,
+            caller_memory,
+        );
         let quarantined_parts = self.quarantined_parts.clone();
         registry.register(
             "quarantined_parts",
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -32,7 +32,7 @@
 use serde_json::Value;
 
 /// Long enough that only a hang reaches it.
-pub(super) const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
 
 static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
 
