--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,14 +4,17 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`admission`], [`answer`],
-//! [`blame`], [`capacity`], [`kv_store`], [`outlier`], [`placement`], [`quarantine`], [`quota`], [`routing`],
-//! [`sampling`], [`service_rollout`], [`stall`], [`steering`], [`turns`], [`urgency`]) use neither sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
+//! [`blame`], [`capacity`], [`constraint`], [`kv_store`], [`memory_budget`], [`outlier`],
+//! [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
+//! [`service_rollout`], [`stall`], [`steering`], [`turns`], [`urgency`]) use neither
+//! sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
 
 pub mod admission;
 pub mod agent;
 pub mod answer;
 mod attempt;
 pub mod blame;
+mod body;
 pub mod cache;
 pub mod call;
 pub mod capacity;
@@ -23,6 +26,7 @@
 mod exchange;
 mod follow;
 pub mod kv_store;
+pub mod memory_budget;
 pub mod message;
 pub mod order;
 pub mod outlier;
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -28,6 +28,7 @@
         IncomingRequest, //
     },
     capacity::OwnRequests,
+    body::WaitingBodies,
     context::Context,
     message::{
         AnswerHead,
@@ -193,6 +194,9 @@
 pub(super) struct Worker<P> {
     pub(super) context: Arc<Context>,
     pub(super) connections: Rc<Connections>,
+    pub(super) waiting_bodies: WaitingBodies,
+    /// Longest time for which a body may arrive without a further byte.
+    pub(super) body_progress_ms: u64,
     pub(super) observations: RefCell<HashMap<Name, TargetObservations>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     configured_version: Cell<u64>,
@@ -207,6 +211,8 @@
         ntex::rt::spawn(Rc::clone(&connections).watch(move || shared.is_leaving()));
         Rc::new(Self {
             connections,
+            waiting_bodies: WaitingBodies::default(),
+            body_progress_ms: context.settings.get().body_progress_ms,
             context,
             observations: RefCell::default(),
             budgets: RefCell::default(),
