Send cold targets only the rate that they tolerate

A target that has just started is slow, and its service states how many requests a second it tolerates meanwhile, over all entries (`cold-per-s`). Entries did not read that, and an empty cold target even ranked best.

The module `warmup` keeps the end of each cold period, the latest of start, record, responses (`yuccalatch-cold-ms`) and other entries' reports, and divides the rate into tokens at equal distances in time, each of which belongs to one registered entry. Unused tokens expire, so that shares neither gather nor move to others. A cold target costs 100 ms more in the ranking; one whose share is used up is no candidate, and a request with no other one waits until the goal of its route and is refused, not run. Slow responses and refusals of cold targets count neither as outliers nor as evidence about releases.

Tested in virtual time with 1, 4, 28 and 31 entries, rates of 2 to 60 a second, clocks equal and 50 ms apart: never over the rate x 1.5 + 5 in a second, and the whole rate is used under steady traffic; 14 of 28 entries use 0.4 to 0.6 of it. Through processes, with one entry: a lone cold target gets its rate and the rest is answered 503; a target that states that it is cold gets none of 20 requests beside a warm one.

Not measured: the cost of 100 ms, which is an estimate.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -45,5 +45,6 @@
 pub mod target;
 pub mod turns;
 pub mod urgency;
+pub mod warmup;
 pub mod watchers;
 mod worker;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -292,6 +292,7 @@
         "load_age_us" => choice.load_age_us,
         "weights" => choice.weights,
         "suits_length" => choice.suits_length,
+        "cold" => choice.is_cold,
         "forecast_us" => choice.forecast.first_token_us,
         "prompt_tokens" => prompt.map(|prompt| prompt.input_tokens),
         "shared_tokens" => prompt.map(Prompt::shared_tokens),
@@ -312,15 +313,16 @@
     let sent = timeout_at(until, call::send(target.address, request, CONNECT_TIMEOUT)).await;
     let response = match sent {
         Err(_) => {
-            worker.observe_failure(&target.id);
+            worker.observe_failure(&target.id, AttemptFailure::Silent);
             return Err(AttemptFailure::Silent);
         }
         Ok(Err(error)) => {
-            worker.observe_failure(&target.id);
-            return Err(match error {
+            let failure = match error {
                 CallError::Unsent(_) => AttemptFailure::Unsent,
                 CallError::Broken(_) => AttemptFailure::Broken,
-            });
+            };
+            worker.observe_failure(&target.id, failure);
+            return Err(failure);
         }
         Ok(Ok(response)) => response,
     };
@@ -357,8 +359,9 @@
             Err(AttemptFailure::Misdirected(misdirection))
         }
         Verdict::Invalid(invalid) => {
-            worker.observe_failure(&target.id);
-            Err(AttemptFailure::Invalid(invalid))
+            let failure = AttemptFailure::Invalid(invalid);
+            worker.observe_failure(&target.id, failure);
+            Err(failure)
         }
         Verdict::UnstatedRefusal => {
             worker.observe(target, &head, false);
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -79,6 +79,8 @@
     pub(super) import_from: Option<SocketAddr>,
     /// Whether the target is one that prompts of the request's length prefer.
     pub(super) suits_length: bool,
+    /// Whether the target is cold.
+    pub(super) is_cold: bool,
     /// When the target is expected to answer.
     pub(super) forecast: Forecast,
 }
@@ -137,7 +139,14 @@
         let engines = self.context.engines();
         let no_observations = TargetObservations::default();
         let constraint = Constraint::new(platform_state);
-        let releases = self.choose_release(platform_state, incoming, tried);
+        let cold = self.context.cold_targets(platform_state, &incoming.service);
+        let is_used_up = |id: &Name| cold.get(id) == Some(&false);
+        let releases = self.choose_release(
+            platform_state,
+            incoming,
+            |id| !tried.contains(id) && !is_used_up(id),
+            !tried.is_empty(),
+        );
         let mut all_sources: Vec<ImportSources> = Vec::new();
         let mut choice_observations = Vec::new();
         let mut choices: Vec<TargetChoice> = Vec::new();
@@ -187,7 +196,7 @@
             let is_other_release = releases
                 .as_ref()
                 .is_some_and(|choice| choice.side_of(&record.release) != choice.side);
-            if is_other_release || tried.contains(&record.id) {
+            if is_other_release || tried.contains(&record.id) || is_used_up(&record.id) {
                 continue;
             }
             choice_observations.push(observed);
@@ -204,6 +213,7 @@
                 },
                 import_from: None,
                 suits_length: true,
+                is_cold: cold.contains_key(&record.id),
                 forecast: Forecast::default(),
             });
         }
@@ -238,6 +248,7 @@
                     own_prefill_tokens: observed.own_prefill_tokens,
                     failure_share: observed.outlier.failure_share(),
                     availability: choice.availability,
+                    is_cold: choice.is_cold,
                     is_outdated: prompt.is_some_and(|prompt| {
                         let rollout = platform_state.rollouts.get(&prompt.model);
                         rollout
@@ -259,6 +270,19 @@
             .collect()
     }
 
+    /// Returns whether a request could run at a cold target that takes no request of this
+    /// entry now, but will.
+    pub(super) fn has_used_up_target(
+        &self,
+        platform_state: &PlatformState,
+        incoming: &IncomingRequest,
+    ) -> bool {
+        let cold = self.context.cold_targets(platform_state, &incoming.service);
+        let constraint = Constraint::new(platform_state);
+        let mut targets = constraint.targets(platform_state, &incoming.service);
+        targets.any(|record| cold.contains_key(&record.id))
+    }
+
     /// Returns for each choice the cost of the prompt's length there, 0 where engines are
     /// not divided between short and long prompts.
     fn steering_costs_ms(
@@ -319,7 +343,8 @@
         &self,
         platform_state: &PlatformState,
         incoming: &IncomingRequest,
-        tried: &HashSet<Name>,
+        is_usable: impl Fn(&Name) -> bool,
+        has_tried: bool,
     ) -> Option<ReleaseChoice> {
         let point = xxh3_64_with_seed(incoming.id().as_bytes(), RELEASE_SEED);
         let mut choice = self
@@ -329,11 +354,9 @@
         let constraint = Constraint::new(platform_state);
         let has_targets = |side: Side| {
             let mut targets = constraint.targets(platform_state, &incoming.service);
-            targets.any(|record| {
-                choice.side_of(&record.release) == side && !tried.contains(&record.id)
-            })
+            targets.any(|record| choice.side_of(&record.release) == side && is_usable(&record.id))
         };
-        let is_retry = !tried.is_empty() && has_targets(choice.retry_side);
+        let is_retry = has_tried && has_targets(choice.retry_side);
         let side = if is_retry {
             choice.retry_side
         } else {
@@ -381,6 +404,7 @@
     let seed = xxh3_64(incoming.id().as_bytes());
     let draw = |suits: bool, size: Option<usize>| {
         let positions: Vec<usize> = (0..choices.len())
+            .filter(|at| !choices[*at].is_cold)
             .filter(|at| is_open(&choices[*at]) && (steering_costs_ms[*at] == 0.0) == suits)
             .collect();
         let size = size.unwrap_or_else(|| sampling::sample_size(positions.len(), entries));
@@ -389,7 +413,9 @@
         let chosen = positions.into_iter().zip(drawn);
         chosen.filter_map(|(at, is_drawn)| is_drawn.then_some(at))
     };
-    let mut is_sampled = vec![false; choices.len()];
+    // Few cold targets take requests at a time. All of these are compared, as a sample of
+    // cold ones alone would come before warm ones.
+    let mut is_sampled: Vec<bool> = choices.iter().map(|choice| choice.is_cold).collect();
     for at in draw(true, None).chain(draw(false, Some(1))) {
         is_sampled[at] = true;
     }
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -1,7 +1,11 @@
 //! State shared by the control thread and the traffic thread of an entry.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -36,7 +40,12 @@
     quota::Quotas,
     routing::RoutingTable,
     service_rollout::ServiceRollouts,
-    steering::Steering, //
+    steering::Steering,
+    warmup::{
+        ColdBounds,
+        Sharers,
+        Warmup, //
+    },
 };
 use crate::{
     clock::{
@@ -92,6 +101,7 @@
     quarantine: Mutex<Quarantine>,
     service_rollouts: Mutex<ServiceRollouts>,
     steering: Mutex<Steering>,
+    warmup: Mutex<Warmup>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     /// Whether the entry decides which requests go first when targets are short of
     /// capacity.
@@ -125,6 +135,7 @@
             quarantine: Mutex::default(),
             service_rollouts: Mutex::default(),
             steering: Mutex::default(),
+            warmup: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -159,6 +170,61 @@
         self.steering.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the warm-up of targets.
+    pub(super) fn warmup(&self) -> MutexGuard<'_, Warmup> {
+        self.warmup.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls a function with what decides about requests to cold targets.
+    fn with_warmup<T>(
+        &self,
+        platform_state: &PlatformState,
+        decide: impl FnOnce(&mut Warmup, ColdBounds, Sharers<'_>, u64) -> T,
+    ) -> T {
+        let settings = self.settings.get();
+        let bounds = ColdBounds {
+            over_permille: settings.cold_over_permille,
+            slack: settings.cold_slack,
+        };
+        let registered: BTreeSet<&Name> = platform_state.entries.keys().collect();
+        let sharers = Sharers {
+            own: &settings.name,
+            registered: &registered,
+            now_us: self.clock.now_us(),
+        };
+        decide(&mut self.warmup(), bounds, sharers, self.wall_us())
+    }
+
+    /// Returns the cold targets of a service, each with whether this entry may send it a
+    /// request now.
+    pub(super) fn cold_targets(
+        &self,
+        platform_state: &PlatformState,
+        service: &Name,
+    ) -> BTreeMap<Name, bool> {
+        if self.warmup().cold_count(self.wall_us()) == 0 {
+            return BTreeMap::new();
+        }
+        self.with_warmup(platform_state, |warmup, bounds, sharers, wall_us| {
+            warmup.cold_targets(service, bounds, sharers, wall_us)
+        })
+    }
+
+    /// Counts a request to a target if that is cold. Returns whether it may be sent.
+    pub(super) fn take_cold_share(&self, platform_state: &PlatformState, target: &Name) -> bool {
+        if !self.is_cold(target) {
+            return true;
+        }
+        self.with_warmup(platform_state, |warmup, bounds, sharers, wall_us| {
+            warmup.take(target, bounds, sharers, wall_us)
+        })
+    }
+
+    /// Returns whether a target is cold.
+    pub(super) fn is_cold(&self, target: &Name) -> bool {
+        self.warmup().is_cold(target, self.wall_us())
+    }
+
     /// Returns the wall-clock time in microseconds, by which entries number the blocks of
     /// answers that they count.
     pub(super) fn wall_us(&self) -> u64 {
@@ -173,6 +239,8 @@
             .charge_reported_use(&entry.name, entry.incarnation, &entry.used, now_us);
         let quarantined = self.quarantine().merge(&entry.parts, now_us);
         self.log_quarantined(&quarantined, &entry.name);
+        self.warmup()
+            .merge(&entry.name, &entry.cold_until_ms, now_us, self.wall_us());
         self.service_rollouts()
             .merge(entry.incarnation, &entry.rollouts, now_us);
     }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -387,12 +387,33 @@
             }
         }
         self.log_evacuations(&platform_state);
+        if let Some(table) = &platform_state.table {
+            let wall_us = self.context.wall_us();
+            let mut warmup = self.context.warmup();
+            warmup.sync(table, &platform_state.targets, wall_us);
+        }
         let now_us = self.context.clock.now_us();
         let orders = platform_state.service_rollouts.values();
         self.context.service_rollouts().sync(orders, now_us);
         self.context.platform_state.store(Arc::new(platform_state));
     }
 
+    /// Logs which targets have turned cold or warm.
+    fn log_warmup(&self) {
+        let wall_us = self.context.wall_us();
+        let mut warmup = self.context.warmup();
+        for (target, is_cold) in warmup.take_changes(wall_us) {
+            let (event, message) = if is_cold {
+                (Event::TargetCold, "target is cold and gets few requests")
+            } else {
+                (Event::TargetWarm, "target is warm")
+            };
+            info!(self.context.log, "{}", message; "event" => event, "target" => &*target);
+        }
+        let count = i64::try_from(warmup.cold_count(wall_us)).unwrap_or(i64::MAX);
+        self.context.metrics.cold_targets.set(count);
+    }
+
     /// Logs which data centres are evacuated or restored by the state to be published.
     fn log_evacuations(&self, platform_state: &PlatformState) {
         let published = self.context.platform_state.load();
@@ -444,6 +465,7 @@
                 self.publish(self.configuration_version(), "expiry");
             }
             self.context.quotas().charge_assumed_use(now_us);
+            self.log_warmup();
             self.advance_rollouts(&mut rollout_writes, now_us);
             let fresh_until_us = if self.is_following_peers() {
                 0
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -33,6 +33,7 @@
         control_address: settings.control_address,
         used: context.quotas().used(),
         parts: context.quarantine().report(context.clock.now_us()),
+        cold_until_ms: context.warmup().cold_ends(context.wall_us()),
         rollouts: context
             .service_rollouts()
             .report(context.clock.now_us(), context.wall_us()),
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -114,6 +114,8 @@
     pub is_leaving: bool,
     /// Time for which a target that refused a request wants none from this entry.
     pub retry_after_ms: Option<u64>,
+    /// Remaining cold time of the target, when it states it.
+    pub cold_left_ms: Option<u64>,
 }
 
 /// State of an engine, as it reports it on request.
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -141,6 +141,8 @@
     pub(super) parts: PartsReport,
     /// Progress of the rollouts of services.
     pub(super) rollouts: Vec<RolloutReport>,
+    /// Cold targets with the ends of their cold periods as Unix time in milliseconds.
+    pub(super) cold_until_ms: Vec<(Name, u64)>,
 }
 
 /// Answer of an entry to an exchange request.
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -87,6 +87,8 @@
     pub availability: Availability,
     /// Whether its weights are older than the operator wants, or unknown.
     pub is_outdated: bool,
+    /// Whether the target is cold, and so slow at first.
+    pub is_cold: bool,
     /// Tokens of the prompt that the target has cached or can import.
     pub cached: CachedTokens,
     /// Cost of the prompt's length at an engine that prompts of other length prefer, 0
@@ -118,6 +120,11 @@
 /// delays the load of weights. Counted as delay of the first token.
 const CLOSING_COST_MS: f64 = 80.0;
 
+/// Cost of a request at a cold target, counted as delay of the first token. A warm engine
+/// is preferred until about 25 requests more run there, a warm target of another kind until
+/// all its slots are busy.
+const COLD_COST_MS: f64 = 100.0;
+
 /// Cost of a request that starts on outdated weights, counted as delay of the first
 /// token.
 const OUTDATED_COST_MS: f64 = 60.0;
@@ -144,6 +151,7 @@
 ///     failure_share: 0.0,
 ///     availability: Availability::Open,
 ///     is_outdated: false,
+///     is_cold: false,
 ///     cached: CachedTokens::default(),
 ///     steering_cost_ms: 0.0,
 ///     is_sampled: true,
@@ -191,11 +199,12 @@
                 Availability::ClosingSoon => CLOSING_COST_MS,
                 _ => 0.0,
             };
+            let cold_ms = if candidate.is_cold { COLD_COST_MS } else { 0.0 };
             // A closing target only costs more. If it came after all open ones, the
             // few open engines would get all requests when most are about to load.
             let class = candidate.availability.max(Availability::ClosingSoon);
             let is_left_out = !candidate.is_sampled && !is_preferred;
-            (class, is_left_out, cost + closing_ms, at)
+            (class, is_left_out, cost + closing_ms + cold_ms, at)
         })
         .collect();
     costs.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -207,8 +207,8 @@
             return false;
         }
         self.worker
-            .record_sample(&self.incoming, &self.target, Sample::FAILURE);
-        self.worker.observe_failure(&self.target.id);
+            .record_failed_sample(&self.incoming, &self.target, failure);
+        self.worker.observe_failure(&self.target.id, failure);
         let is_resumed = self.resume(failure).await;
         if is_resumed {
             self.event_at_us = self.worker.now_us();
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -126,7 +126,8 @@
     }
 
     /// Returns the best target. The first attempt waits for an engine while all of them
-    /// load weights.
+    /// load weights, and until the route's goal while only cold targets are left that take
+    /// no request of this entry now.
     async fn choose_target<P: Platform>(
         &self,
         worker: &Rc<Worker<P>>,
@@ -135,14 +136,32 @@
         let goal_us = incoming.route.goal_ms * US_PER_MS;
         let until_us = incoming.arrived_at_us + goal_us.max(MIN_LOAD_WAIT_US);
         let until_us = until_us.min(incoming.deadline_us);
+        let cold_until_us = incoming.deadline_us.min(incoming.arrived_at_us + goal_us);
         loop {
             let platform_state = worker.context.platform_state.load_full();
             let best = worker
                 .rank_targets(&platform_state, incoming, &self.tried_targets)
                 .into_iter()
-                .next()?;
+                .next();
+            let Some(best) = best else {
+                if self.count > 0 || !worker.has_used_up_target(&platform_state, incoming) {
+                    return None;
+                }
+                if worker.now_us() >= cold_until_us {
+                    worker.context.metrics.cold_refusals.inc();
+                    return None;
+                }
+                tokio::time::sleep(CHECK_INTERVAL).await;
+                continue;
+            };
             if best.availability != Availability::Paused {
-                return Some(best);
+                let id = &best.target.id;
+                if worker.context.take_cold_share(&platform_state, id) {
+                    return Some(best);
+                }
+                // The token has expired since the ranking.
+                tokio::time::sleep(CHECK_INTERVAL).await;
+                continue;
             }
             let may_wait = self.count == 0 && incoming.head.prompt.is_some();
             if !may_wait || worker.now_us() >= until_us {
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -84,6 +84,11 @@
     pub kv_store_address: Option<SocketAddr>,
     /// Data centre of the KV cache store, `None` when it is not stated.
     pub kv_store_data_centre: Option<Name>,
+    /// Time for which its targets are cold after their start.
+    pub cold_start_ms: u64,
+    /// Requests that a cold target tolerates in a thousand seconds, over all entries; 0
+    /// when its targets are never cold.
+    pub cold_milli_per_s: u64,
 }
 
 /// An organisation whose callers send requests, with its API keys and rate.
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -365,7 +365,7 @@
                 last_failure = Some(failure);
                 worker.note_unbegun_answer(&incoming, &target.id, failure);
                 if !failure.is_not_run() {
-                    worker.record_sample(&incoming, target, Sample::FAILURE);
+                    worker.record_failed_sample(&incoming, target, failure);
                 }
                 info!(worker.context.log, "attempt failed";
                     "event" => Event::AttemptRetried,
@@ -434,11 +434,12 @@
         let until = attempt::timer_instant(worker, until_us);
         let mut splitter = EventSplitter::new(after);
         let first_batch = read_events(&mut answer, &mut splitter, until).await;
-        let first_batch = first_batch.inspect_err(|_| worker.observe_failure(&target.id))?;
+        let first_batch =
+            first_batch.inspect_err(|failure| worker.observe_failure(&target.id, *failure))?;
         answer.in_flight.note_prefill_done();
         return Ok(ReceivedAnswer::Stream(answer, splitter, first_batch));
     }
     let body = answer.collect(until).await;
-    let body = body.inspect_err(|_| worker.observe_failure(&target.id))?;
+    let body = body.inspect_err(|failure| worker.observe_failure(&target.id, *failure))?;
     Ok(ReceivedAnswer::Collected(answer, body))
 }
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -43,6 +43,10 @@
     pub started_at_ms: u64,
     /// Version of the loaded weights, by model.
     pub weights: BTreeMap<Name, u64>,
+    /// Remaining cold time when the record was written.
+    pub cold_left_ms: u64,
+    /// Revision of the store at the record's last change.
+    pub revision: u64,
 }
 
 /// Weights that the operator wants on all engines of a model.
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -259,27 +259,55 @@
         }
     }
 
+    /// Records the remaining cold time that an answer states. Returns whether the target is
+    /// cold.
+    fn note_cold_time(&self, id: &Name, head: &AnswerHead) -> bool {
+        let wall_us = self.context.wall_us();
+        let mut warmup = self.context.warmup();
+        warmup.report(id, head.cold_left_ms.unwrap_or(0), wall_us);
+        warmup.is_cold(id, wall_us)
+    }
+
+    /// Returns whether a failure is a slow response or a refusal of a cold target, which
+    /// says nothing about the target or its release.
+    fn is_due_to_cold(&self, id: &Name, failure: AttemptFailure) -> bool {
+        let is_slow = matches!(
+            failure,
+            AttemptFailure::Silent | AttemptFailure::UnstatedRefusal
+        );
+        is_slow && self.context.is_cold(id)
+    }
+
     /// Records what an answer reports about its target.
     pub(super) fn observe(&self, target: &TargetRecord, head: &AnswerHead, is_good: bool) {
         let now_us = self.now_us();
+        let is_cold = self.note_cold_time(&target.id, head);
         let mut observations = self.observations.borrow_mut();
         let observed = observations.entry(target.id.clone()).or_default();
         observed.update(target, head, now_us);
-        observed.outlier.record_answer(is_good);
+        if is_good || !is_cold {
+            observed.outlier.record_answer(is_good);
+        }
     }
 
     /// Records that a target refused a request; it is avoided for `pause_us`.
     pub(super) fn observe_refusal(&self, target: &TargetRecord, head: &AnswerHead, pause_us: u64) {
         let now_us = self.now_us();
+        let is_cold = self.note_cold_time(&target.id, head);
         let mut observations = self.observations.borrow_mut();
         let observed = observations.entry(target.id.clone()).or_default();
         observed.update(target, head, now_us);
-        observed.outlier.record_refusal(now_us, pause_us);
+        if !is_cold {
+            observed.outlier.record_refusal(now_us, pause_us);
+        }
     }
 
     /// Records that a target was unreachable, did not answer in time or sent a broken
     /// answer.
-    pub(super) fn observe_failure(&self, id: &Name) {
+    pub(super) fn observe_failure(&self, id: &Name, failure: AttemptFailure) {
+        if self.is_due_to_cold(id, failure) {
+            return;
+        }
         let now_us = self.now_us();
         let mut observations = self.observations.borrow_mut();
         observations
@@ -323,13 +351,31 @@
         self.context.log_quarantined(&quarantined, source);
     }
 
-    /// Records how a target answered, as evidence about its release.
+    /// Records that an attempt may have run and failed, as evidence about the release of
+    /// its target.
+    pub(super) fn record_failed_sample(
+        &self,
+        incoming: &IncomingRequest,
+        target: &TargetRecord,
+        failure: AttemptFailure,
+    ) {
+        if !self.is_due_to_cold(&target.id, failure) {
+            self.record_sample(incoming, target, Sample::FAILURE);
+        }
+    }
+
+    /// Records how a target answered, as evidence about its release. Times of a cold target
+    /// are none.
     pub(super) fn record_sample(
         &self,
         incoming: &IncomingRequest,
         target: &TargetRecord,
-        sample: Sample,
+        mut sample: Sample,
     ) {
+        if self.context.is_cold(&target.id) {
+            sample.first_token_us = None;
+            sample.between_tokens_us = None;
+        }
         let wall_us = self.context.wall_us();
         self.context.service_rollouts().record(
             &incoming.service,
--- a/src/event.rs
+++ b/src/event.rs
@@ -98,6 +98,10 @@
     DataCentreEvacuated = 6008;
     /// A data centre is no longer evacuated.
     DataCentreRestored = 6009;
+    /// A target is cold and gets few requests.
+    TargetCold = 6010;
+    /// A target is no longer cold.
+    TargetWarm = 6011;
     /// A move changed its state.
     MoveChanged = 7001;
     /// A version was removed from traffic.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -110,6 +110,10 @@
     pub cached_parts: Gauge,
     /// Parts of prompts that are quarantined because engines crashed on them.
     pub quarantined_parts: Gauge,
+    /// Targets that are cold.
+    pub cold_targets: Gauge,
+    /// Requests that were refused because only cold targets were left.
+    pub cold_refusals: Counter,
     /// Data centres whose targets get no new requests.
     pub evacuated_data_centres: Gauge,
     /// Times that the engine beside an agent stopped answering.
@@ -167,6 +171,8 @@
             running: Gauge::default(),
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            cold_targets: Gauge::default(),
+            cold_refusals: Counter::default(),
             evacuated_data_centres: Gauge::default(),
             engine_losses: Counter::default(),
             registry: Registry::default(),
@@ -241,6 +247,11 @@
                 "Placements of organisations far above their rate",
                 &self.confined_placements,
             ),
+            (
+                "cold_refusals",
+                "Requests refused because only cold targets were left",
+                &self.cold_refusals,
+            ),
             ("orders", "Orders to the engine", &self.orders),
             (
                 "engine_losses",
@@ -268,6 +279,11 @@
             "Data centres whose targets get no new requests",
             self.evacuated_data_centres.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold",
+            self.cold_targets.clone(),
+        );
         let cached_parts = self.cached_parts.clone();
         registry.register(
             "cached_parts",
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -14,7 +14,8 @@
         Checker,
         Floor,
         LogSettings,
-        Seconds, //
+        Seconds,
+        Thousandths, //
     },
 };
 use crate::names::Name;
@@ -68,11 +69,30 @@
     /// capacity; `None` when `platform_features` decide that.
     #[serde(default)]
     pub overload_control: Option<bool>,
+    /// Factor by which requests to a cold target may exceed the rate that it tolerates, in
+    /// any one second over all entries.
+    #[serde(default = "default_cold_over", rename = "cold_over")]
+    #[serde_as(as = "Thousandths")]
+    pub cold_over_permille: u64,
+    /// Requests in addition to `cold_over`. A fraction is dropped.
+    #[serde(default = "default_cold_slack")]
+    #[serde_as(as = "Floor")]
+    pub cold_slack: u32,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+/// Default of `cold_over`, as deployments with cold targets state it.
+const fn default_cold_over() -> u64 {
+    1_500
+}
+
+/// Default of `cold_slack`, as deployments with cold targets state it.
+const fn default_cold_slack() -> u32 {
+    5
+}
+
 impl Settings for DirectEntrySettings {
     const DEFAULT_TEXT: &'static str = r#"{
   // Name of the instance, unique in the fleet.
@@ -112,6 +132,11 @@
   // Whether the entry decides which requests go first when targets are short of
   // capacity, or null for what "platform_features" say.
   "overload_control": null,
+  // Factor by which requests to a cold target may exceed the rate that it
+  // tolerates, in any one second over all entries.
+  "cold_over": 1.5,
+  // Requests in addition to "cold_over".
+  "cold_slack": 5,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "json", "level": "info"}
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -70,6 +70,27 @@
     }
 }
 
+/// Thousandths of a factor that is written with a fraction.
+pub(super) struct Thousandths;
+
+impl SerializeAs<u64> for Thousandths {
+    fn serialize_as<S: Serializer>(value: &u64, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_f64(*value as f64 / 1e3)
+    }
+}
+
+impl<'de> DeserializeAs<'de, u64> for Thousandths {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+        let value = f64::deserialize(deserializer)?;
+        if (0.0..=1e6).contains(&value) {
+            return Ok((value * 1e3) as u64);
+        }
+        Err(D::Error::custom(format!(
+            "{value} is not a factor (hint: write a number from 0 to 1000000)"
+        )))
+    }
+}
+
 /// Longest duration in seconds.
 const MAX_DURATION_S: u64 = MAX_DURATION_MS / 1_000;
 
--- a/tests/kv_stores.rs
+++ b/tests/kv_stores.rs
@@ -35,6 +35,8 @@
         engine: None,
         kv_store_address: Some(address(*number)),
         kv_store_data_centre: None,
+        cold_start_ms: 0,
+        cold_milli_per_s: 0,
     };
     RoutingTable::new(&Configuration {
         version: 1,
--- a/tests/stale_loads.rs
+++ b/tests/stale_loads.rs
@@ -88,6 +88,7 @@
             failure_share: 0.0,
             availability: Availability::Open,
             is_outdated: outdated(at),
+            is_cold: false,
             cached: CachedTokens::default(),
             steering_cost_ms: 0.0,
             is_sampled: is_sampled[at],
--- a/tests/target_list.rs
+++ b/tests/target_list.rs
@@ -42,6 +42,8 @@
         state: TargetState::Ready,
         started_at_ms: 0,
         weights: BTreeMap::new(),
+        cold_left_ms: 0,
+        revision: 1,
     }
 }
 
--- a/tests/target_ranking.rs
+++ b/tests/target_ranking.rs
@@ -38,6 +38,7 @@
         failure_share: 0.0,
         availability: Availability::Open,
         is_outdated: false,
+        is_cold: false,
         cached: CachedTokens::default(),
         steering_cost_ms: 0.0,
         is_sampled: true,
--- a/tests/weight_turns.rs
+++ b/tests/weight_turns.rs
@@ -44,6 +44,8 @@
         state,
         started_at_ms: 0,
         weights: BTreeMap::from([("m".into(), 1)]),
+        cold_left_ms: 0,
+        revision: 1,
     })
 }
 
