--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -147,6 +147,8 @@
     pub(super) running_prompts: Vec<(Name, RunningPrompts)>,
     /// Loads and paces that targets have stated to the entry.
     pub(super) statements: Vec<TargetStatement>,
+    /// Cold targets with the ends of their cold periods as Unix time in milliseconds.
+    pub(super) cold_until_ms: Vec<(Name, u64)>,
 }
 
 /// Answer of an entry to an exchange request.
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -407,7 +407,7 @@
                     worker.record_request(target, sent_at_us);
                 }
                 if !failure.is_not_run() {
-                    worker.record_sample(&incoming, target, Sample::FAILURE);
+                    worker.record_failed_sample(&incoming, target, failure);
                 }
                 info!(worker.context.log, "attempt failed";
                     "event" => Event::AttemptRetried,
@@ -486,11 +486,12 @@
         let until = attempt::timer_instant(worker, until_us);
         let mut splitter = EventSplitter::new(after);
         let first_batch = read_events(&mut answer, &mut splitter, until).await;
-        let first_batch = first_batch.inspect_err(|_| worker.observe_failure(&target.id))?;
+        let first_batch =
+            first_batch.inspect_err(|failure| worker.observe_failure(&target.id, *failure))?;
         answer.in_flight.note_prefill_done();
         return Ok(ReceivedAnswer::Stream(answer, splitter, first_batch));
     }
     let body = answer.collect(until).await;
-    let body = body.inspect_err(|_| worker.observe_failure(&target.id))?;
+    let body = body.inspect_err(|failure| worker.observe_failure(&target.id, *failure))?;
     Ok(ReceivedAnswer::Collected(answer, body))
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -131,6 +131,10 @@
     pub cached_parts: Gauge,
     /// Parts of prompts that are quarantined because engines crashed on them.
     pub quarantined_parts: Gauge,
+    /// Targets that are cold.
+    pub cold_targets: Gauge,
+    /// Requests that were refused because only cold targets were left.
+    pub cold_refusals: Counter,
     /// Data centres whose targets get no new requests.
     pub evacuated_data_centres: Gauge,
     /// Memory that request bodies and buffered answers are charged.
@@ -198,6 +202,8 @@
             running: Gauge::default(),
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            cold_targets: Gauge::default(),
+            cold_refusals: Counter::default(),
             evacuated_data_centres: Gauge::default(),
             caller_memory_bytes: Gauge::default(),
             evicted_bodies: Counter::default(),
@@ -277,6 +283,11 @@
                 "Placements of organisations far above their rate",
                 &self.confined_placements,
             ),
+            (
+                "cold_refusals",
+                "Requests refused because only cold targets were left",
+                &self.cold_refusals,
+            ),
             ("orders", "Orders to the engine", &self.orders),
             (
                 "evicted_bodies",
@@ -331,6 +342,11 @@
             "Data centres whose targets get no new requests",
             self.evacuated_data_centres.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold",
+            self.cold_targets.clone(),
+        );
         let cached_parts = self.cached_parts.clone();
         registry.register(
             "cached_parts",
--- a/tests/stale_loads.rs
+++ b/tests/stale_loads.rs
@@ -89,6 +89,7 @@
             failure_share: 0.0,
             availability: Availability::Open,
             is_outdated: outdated(at),
+            is_cold: false,
             cached: CachedTokens::default(),
             steering_cost_ms: 0.0,
             expected_ms: None,
--- a/tests/target_ranking.rs
+++ b/tests/target_ranking.rs
@@ -39,6 +39,7 @@
         failure_share: 0.0,
         availability: Availability::Open,
         is_outdated: false,
+        is_cold: false,
         cached: CachedTokens::default(),
         steering_cost_ms: 0.0,
         expected_ms: None,
