Learn how fast engines that state their pace read prompts

Cause: all engines counted as equally fast, 50 prompt tokens a millisecond. An engine that is 2.4 times slower than another got as many long prompts.

Change: where engines state their pace, an entry fits the times by token, running and waiting request to the first tokens of its own streams, for the service, with a factor for each engine and its present pace. The order of engines uses these costs, with the prompt's unshared part and the entry's own requests since the report. The forecast is the expected first token without the penalties of the order. Short and long prompts are then also divided without overload control, by the learned reading speed.

--- a/src/direct/capacity.rs
+++ b/src/direct/capacity.rs
@@ -18,7 +18,14 @@
     Serialize, //
 };
 
-use super::message::TargetLoad;
+use super::{
+    message::TargetLoad,
+    placement::{
+        PREFILL_TOKENS_PER_MS,
+        RUNNING_COST_MS,
+        WAITING_COST_MS, //
+    },
+};
 use crate::{
     clock::{
         US_PER_MS,
@@ -92,6 +99,126 @@
 /// Relative deviation of a forecast that is assumed while none has been measured.
 const SPREAD: f64 = 0.5;
 
+/// Time to the first token at an idle engine that has the whole prompt cached, assumed
+/// while none has been measured.
+const BASE_MS: f64 = 20.0;
+
+/// Part of the error of a forecast by which one measured time moves the learned costs.
+/// About 50 requests replace the assumed costs.
+const COST_STEP: f64 = 0.05;
+
+/// Bounds of learned costs, relative to the assumed ones, so that a few odd times cannot
+/// turn the order of engines over.
+const COST_BOUNDS: (f64, f64) = (0.1, 6.0);
+
+/// Bounds of an engine's own factor on the costs of its service.
+const FACTOR_BOUNDS: (f64, f64) = (0.3, 3.0);
+
+/// What delays the first token of a request at an engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EngineWork {
+    /// Prompt tokens that the engine reads before, those of other prompts included.
+    pub tokens: u64,
+    /// Requests that run at the engine.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+impl EngineWork {
+    /// Returns the times that the assumed costs give.
+    fn assumed_ms(&self) -> [f64; 4] {
+        [
+            self.tokens as f64 / PREFILL_TOKENS_PER_MS,
+            f64::from(self.running) * RUNNING_COST_MS,
+            f64::from(self.waiting) * WAITING_COST_MS,
+            BASE_MS,
+        ]
+    }
+}
+
+/// Times by which work at an engine delays the first token of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineCosts {
+    /// Prompt tokens that it reads in a millisecond.
+    pub tokens_per_ms: f64,
+    /// Delay by each running request.
+    pub running_ms: f64,
+    /// Delay by each waiting request.
+    pub waiting_ms: f64,
+    /// Time to the first token at an idle engine that has the prompt cached.
+    pub base_ms: f64,
+}
+
+impl Default for EngineCosts {
+    fn default() -> Self {
+        Self {
+            tokens_per_ms: PREFILL_TOKENS_PER_MS,
+            running_ms: RUNNING_COST_MS,
+            waiting_ms: WAITING_COST_MS,
+            base_ms: BASE_MS,
+        }
+    }
+}
+
+impl EngineCosts {
+    /// Returns the expected time to the first token.
+    ///
+    /// ```
+    /// use yuccalatch::direct::capacity::{EngineCosts, EngineWork};
+    ///
+    /// let costs = EngineCosts::default();
+    /// let idle_ms = costs.first_token_ms(&EngineWork::default());
+    /// let work = EngineWork { tokens: 5_000, ..EngineWork::default() };
+    /// assert_eq!(costs.first_token_ms(&work), idle_ms + 100.0);
+    /// ```
+    pub fn first_token_ms(&self, work: &EngineWork) -> f64 {
+        work.tokens as f64 / self.tokens_per_ms
+            + f64::from(work.running) * self.running_ms
+            + f64::from(work.waiting) * self.waiting_ms
+            + self.base_ms
+    }
+}
+
+/// Costs of a service's engines relative to the assumed ones, at the usual pace. They are
+/// fitted to measured times by normalised least mean squares.
+#[derive(Clone, Copy, Debug)]
+struct CostFit([f64; 4]);
+
+impl Default for CostFit {
+    fn default() -> Self {
+        Self([1.0; 4])
+    }
+}
+
+impl CostFit {
+    fn expected_ms(&self, work: &EngineWork) -> f64 {
+        let parts = self.0.iter().zip(work.assumed_ms());
+        parts.map(|(cost, assumed_ms)| cost * assumed_ms).sum()
+    }
+
+    fn learn(&mut self, work: &EngineWork, took_ms: f64) {
+        let expected_ms = self.expected_ms(work);
+        let error_ms = (took_ms - expected_ms).clamp(-expected_ms, expected_ms * 2.0);
+        let assumed_ms = work.assumed_ms();
+        let squares: f64 = assumed_ms.iter().map(|ms| ms * ms).sum();
+        for (cost, ms) in self.0.iter_mut().zip(assumed_ms) {
+            let learned = *cost + COST_STEP * error_ms * ms / squares;
+            *cost = learned.clamp(COST_BOUNDS.0, COST_BOUNDS.1);
+        }
+    }
+
+    fn costs(&self, factor: f64) -> EngineCosts {
+        let [tokens, running, waiting, base] = self.0;
+        EngineCosts {
+            tokens_per_ms: PREFILL_TOKENS_PER_MS / (tokens * factor),
+            running_ms: RUNNING_COST_MS * running * factor,
+            waiting_ms: WAITING_COST_MS * waiting * factor,
+            base_ms: BASE_MS * base * factor,
+        }
+    }
+}
+
 /// Average of samples that lose weight with their age.
 #[derive(Clone, Copy, Debug, Default)]
 struct Average {
@@ -161,6 +288,9 @@
     own_statement: Option<(TargetLoad, u64)>,
     /// Time of a request at the usual pace that does not wait.
     request_ms: Average,
+    /// Measured times to the first token at the usual pace, relative to the costs of the
+    /// service.
+    cost_factor: Average,
 }
 
 /// What is known of the targets of a service together.
@@ -170,6 +300,7 @@
     pace: Average,
     busy_share: Average,
     request_ms: Average,
+    cost_fit: CostFit,
     /// Deviations of measured times from the expected ones, relative to these.
     deviation: Average,
     targets: HashMap<Name, TargetCapacity>,
@@ -446,6 +577,98 @@
         })
     }
 
+    /// Records the time to the first token of a request at an engine, with what delayed it.
+    /// Ignored for services without a pace.
+    ///
+    /// ```
+    /// use yuccalatch::direct::{
+    ///     capacity::{Capacity, EngineWork},
+    ///     message::TargetLoad,
+    /// };
+    ///
+    /// let mut capacity = Capacity::default();
+    /// let (service, engine) = ("s".into(), "e".into());
+    /// let load = TargetLoad { pace_percent: Some(100), ..TargetLoad::default() };
+    /// capacity.record_load(&service, &engine, &load, 0);
+    /// let work = EngineWork { tokens: 9_000, ..EngineWork::default() };
+    /// for _ in 0..200 {
+    ///     capacity.record_first_token(&service, &engine, &work, 400_000, 0);
+    /// }
+    /// assert!(capacity.tokens_per_ms(&service, 0) < 30.0);
+    /// ```
+    pub fn record_first_token(
+        &mut self,
+        service: &Name,
+        engine: &Name,
+        work: &EngineWork,
+        took_us: u64,
+        now_us: u64,
+    ) {
+        let Some(service) = self.paced(service, now_us) else {
+            return;
+        };
+        let mean_pace = service.pace.value(USUAL_PACE, now_us);
+        let known = service.targets.entry(engine.clone()).or_default();
+        let pace = known.pace.expected(mean_pace, now_us) / USUAL_PACE;
+        let took_ms = took_us as f64 / US_PER_MS as f64 / pace;
+        let fitted_ms = service.cost_fit.expected_ms(work);
+        let expected_ms = fitted_ms * known.cost_factor.value(1.0, now_us);
+        let factor = (took_ms / fitted_ms).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
+        known.cost_factor.add(factor, now_us);
+        service.cost_fit.learn(work, took_ms);
+        let deviation = (took_ms - expected_ms).abs() / expected_ms.max(1.0);
+        service.deviation.add(deviation, now_us);
+    }
+
+    /// Returns the costs of work at an engine at its present pace, `None` when the engines
+    /// of its service state no pace.
+    ///
+    /// ```
+    /// use yuccalatch::direct::capacity::Capacity;
+    ///
+    /// assert_eq!(Capacity::default().engine_costs(&"s".into(), &"e".into(), 0), None);
+    /// ```
+    pub fn engine_costs(&self, service: &Name, engine: &Name, now_us: u64) -> Option<EngineCosts> {
+        let service = self.services.get(service)?;
+        if now_us >= service.paced_until_us {
+            return None;
+        }
+        let known = service.targets.get(engine).copied().unwrap_or_default();
+        let mean_pace = service.pace.value(USUAL_PACE, now_us);
+        let pace = known.pace.expected(mean_pace, now_us) / USUAL_PACE;
+        let factor = known.cost_factor.value(1.0, now_us) * pace;
+        Some(service.cost_fit.costs(factor))
+    }
+
+    /// Returns how many prompt tokens an engine of a service reads in a millisecond.
+    ///
+    /// ```
+    /// use yuccalatch::direct::capacity::Capacity;
+    ///
+    /// assert_eq!(Capacity::default().tokens_per_ms(&"s".into(), 0), 50.0);
+    /// ```
+    pub fn tokens_per_ms(&self, service: &Name, now_us: u64) -> f64 {
+        let known = self.services.get(service);
+        let known = known.filter(|known| now_us < known.paced_until_us);
+        known.map_or(PREFILL_TOKENS_PER_MS, |known| {
+            let pace = known.pace.value(USUAL_PACE, now_us) / USUAL_PACE;
+            known.cost_fit.costs(pace).tokens_per_ms
+        })
+    }
+
+    /// Returns the typical deviation of a service's measured times from the forecasts,
+    /// relative to these.
+    ///
+    /// ```
+    /// use yuccalatch::direct::capacity::Capacity;
+    ///
+    /// assert_eq!(Capacity::default().spread(&"s".into(), 0), 0.0);
+    /// ```
+    pub fn spread(&self, service: &Name, now_us: u64) -> f64 {
+        let known = self.services.get(service);
+        known.map_or(0.0, |known| known.deviation.value(SPREAD, now_us))
+    }
+
     /// Forgets targets that `is_present` rejects.
     ///
     /// ```
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -15,6 +15,8 @@
     attempt::IncomingRequest,
     cache::prompt_keys,
     capacity::{
+        EngineCosts,
+        EngineWork,
         Forecast,
         PlainTimes, //
     },
@@ -60,6 +62,13 @@
 /// what else is drawn by the request's id.
 const RELEASE_SEED: u64 = 1;
 
+/// Age of the load in an engine's report when the report arrives.
+const REPORT_DELAY_US: u64 = 200 * US_PER_MS;
+
+/// Tokens to import from which a time to the first token is not learned from, as it is
+/// that of the import.
+const MIN_IMPORT_TOKENS: u64 = 512;
+
 /// Estimated time to the first token of a request at an engine.
 const FIRST_TOKEN_US: u64 = 250 * US_PER_MS;
 
@@ -86,6 +95,8 @@
     pub(super) suits_length: bool,
     /// When the target is expected to answer.
     pub(super) forecast: Forecast,
+    /// What delays the first token at an engine, as far as its cache is known.
+    pub(super) work: Option<EngineWork>,
 }
 
 impl TargetChoice {
@@ -96,6 +107,30 @@
         let known = leading.max(self.cached.importable_tokens);
         prompt.shared_tokens().saturating_sub(known)
     }
+
+    /// Adds the requests of this entry that the engine's last report does not contain.
+    fn add_unreported(&mut self, observed: &TargetObservations, now_us: u64) {
+        let age_us = self.load_age_us.unwrap_or(u64::MAX);
+        let reported_at_us = now_us.saturating_sub(age_us.saturating_add(REPORT_DELAY_US));
+        let own = observed.own_requests(reported_at_us);
+        let running = self.load.running.saturating_add(own.unreported);
+        self.load.running = running.max(own.running);
+    }
+
+    /// Returns what delays the first token of a prompt at an engine, `None` when its cache
+    /// is unknown or parts are imported.
+    fn engine_work(&self, prompt: &Prompt, observed: &TargetObservations) -> Option<EngineWork> {
+        let leading = self.cached.leading_tokens?;
+        if self.cached.importable_tokens >= leading + MIN_IMPORT_TOKENS {
+            return None;
+        }
+        let own_tokens = prompt.input_tokens.saturating_sub(leading);
+        Some(EngineWork {
+            tokens: own_tokens + observed.own_prefill_tokens,
+            running: self.load.running,
+            waiting: self.load.waiting,
+        })
+    }
 }
 
 /// Shared parts of a prompt under one namespace, and the engines that have cached
@@ -212,6 +247,7 @@
                 import_from: None,
                 suits_length: true,
                 forecast: Forecast::default(),
+                work: None,
             });
         }
         for choice in &mut choices {
@@ -244,7 +280,22 @@
                 capacity.plain_times(&incoming.service, id, own, now_us)
             })
             .collect();
+        let engine_costs: Vec<Option<EngineCosts>> = choices
+            .iter()
+            .map(|choice| {
+                prompt.and_then(|_| {
+                    capacity.engine_costs(&incoming.service, &choice.target.id, now_us)
+                })
+            })
+            .collect();
+        let spread = capacity.spread(&incoming.service, now_us);
         drop(capacity);
+        if let Some(prompt) = prompt.filter(|_| is_paced) {
+            for (choice, observed) in choices.iter_mut().zip(&choice_observations) {
+                choice.add_unreported(observed, now_us);
+                choice.work = choice.engine_work(prompt, observed);
+            }
+        }
         for (choice, cost_ms) in choices.iter_mut().zip(&steering_costs_ms) {
             choice.suits_length = *cost_ms == 0.0;
         }
@@ -252,24 +303,28 @@
             .iter()
             .zip(choice_observations)
             .zip(is_sampled.into_iter().zip(steering_costs_ms))
-            .zip(&plain_times)
+            .zip(plain_times.iter().zip(&engine_costs))
             .map(
-                |(((choice, observed), (is_sampled, steering_cost_ms)), times)| Candidate {
-                    is_sampled,
-                    expected_ms: times.map(|times| times.rank_ms),
-                    steering_cost_ms,
-                    id: &choice.target.id,
-                    load: choice.load,
-                    own_running: observed.own_running,
-                    own_prefill_tokens: observed.own_prefill_tokens,
-                    failure_share: observed.outlier.failure_share(),
-                    availability: choice.availability,
-                    is_outdated: prompt.is_some_and(|prompt| {
-                        let rollout = platform_state.rollouts.get(&prompt.model);
-                        rollout
-                            .is_some_and(|rollout| choice.weights < Some(rollout.weights.version))
-                    }),
-                    cached: choice.cached,
+                |(((choice, observed), (is_sampled, steering_cost_ms)), (times, costs))| {
+                    Candidate {
+                        is_sampled,
+                        expected_ms: times.map(|times| times.rank_ms),
+                        engine_costs: *costs,
+                        steering_cost_ms,
+                        id: &choice.target.id,
+                        load: choice.load,
+                        own_running: observed.own_running,
+                        own_prefill_tokens: observed.own_prefill_tokens,
+                        failure_share: observed.outlier.failure_share(),
+                        availability: choice.availability,
+                        is_outdated: prompt.is_some_and(|prompt| {
+                            let rollout = platform_state.rollouts.get(&prompt.model);
+                            rollout.is_some_and(|rollout| {
+                                choice.weights < Some(rollout.weights.version)
+                            })
+                        }),
+                        cached: choice.cached,
+                    }
                 },
             )
             .collect();
@@ -284,6 +339,15 @@
                     choice.forecast.first_token_us = times.answer_us;
                     choice.forecast.spread_us = times.spread_us;
                 }
+                if let Some(costs) = &engine_costs[at] {
+                    // The cost has penalties that are no time.
+                    if let Some(work) = &choice.work {
+                        let first_ms = costs.first_token_ms(work);
+                        choice.forecast = Forecast::from_cost_ms(first_ms, has_free_place(&choice));
+                    }
+                    choice.forecast.spread_us =
+                        (choice.forecast.first_token_us as f64 * spread) as u64;
+                }
                 Some(choice)
             })
             .collect()
@@ -316,18 +380,30 @@
 
     /// Returns whether a prompt is long for the streams of its service, `None` when the
     /// service's engines are not divided by that.
+    ///
+    /// They are divided with overload control, and where they state their pace: a slow
+    /// engine reads a long prompt so slowly that its streams stall.
     fn prompt_length(
         &self,
         platform_state: &PlatformState,
         incoming: &IncomingRequest,
     ) -> Option<PromptLength> {
-        if !self.context.has_overload_control {
+        let (is_paced, tokens_per_ms) = {
+            let capacity = self.context.capacity();
+            let now_us = self.now_us();
+            let service = &incoming.service;
+            (
+                capacity.states_pace(service, now_us),
+                capacity.tokens_per_ms(service, now_us),
+            )
+        };
+        if !self.context.has_overload_control && !is_paced {
             return None;
         }
         let prompt = incoming.head.prompt.as_ref()?;
         let table = platform_state.table.as_ref()?;
         let gap_ms = table.gap_goal_ms(&incoming.service)?;
-        let gap_tokens = gap_ms as f64 * placement::PREFILL_TOKENS_PER_MS;
+        let gap_tokens = gap_ms as f64 * tokens_per_ms;
         Some(prompt_length(prompt, gap_tokens as u64))
     }
 
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -11,9 +11,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::message::{
-    Prompt,
-    TargetLoad, //
+use super::{
+    capacity::EngineCosts,
+    message::{
+        Prompt,
+        TargetLoad, //
+    },
 };
 use crate::names::Name;
 
@@ -23,10 +26,10 @@
 
 /// Time by which each running request delays the first token of another one: its
 /// share of a batch step and of the context that the step reads.
-const RUNNING_COST_MS: f64 = 4.0;
+pub(super) const RUNNING_COST_MS: f64 = 4.0;
 
 /// Time by which each waiting request delays the first token of another one.
-const WAITING_COST_MS: f64 = 60.0;
+pub(super) const WAITING_COST_MS: f64 = 60.0;
 
 /// Cost of a failed attempt, counted as delay of the first token.
 const FAILURE_COST_MS: f64 = 800.0;
@@ -95,6 +98,9 @@
     /// Expected time of the request at a target that is no engine, `None` when the targets
     /// of its service state no pace; they are then compared by load.
     pub expected_ms: Option<f64>,
+    /// Learned costs of work at an engine, `None` when the engines of its service state no
+    /// pace; they then count as equally fast.
+    pub engine_costs: Option<EngineCosts>,
     /// Whether the request compares this target even if it is neither a home of the
     /// subject nor has its parts cached.
     pub is_sampled: bool,
@@ -150,6 +156,7 @@
 ///     cached: CachedTokens::default(),
 ///     steering_cost_ms: 0.0,
 ///     expected_ms: None,
+///     engine_costs: None,
 ///     is_sampled: true,
 /// }).collect();
 /// assert_eq!(rank(&candidates, None, 0, 1), [1, 0]);
@@ -274,35 +281,47 @@
     } else {
         0.0
     };
-    shared_parts_cost_ms(candidate.cached, prompt, home_index)
+    let costs = candidate.engine_costs.unwrap_or_default();
+    // What every engine has to read matters only where they differ in speed.
+    let own_part_ms = candidate.engine_costs.map_or(0.0, |costs| {
+        let unshared_tokens = prompt.input_tokens.saturating_sub(prompt.shared_tokens());
+        unshared_tokens as f64 / costs.tokens_per_ms + costs.base_ms
+    });
+    own_part_ms
+        + shared_parts_cost_ms(candidate.cached, prompt, home_index, costs.tokens_per_ms)
         + outdated_ms
         + candidate.steering_cost_ms
         + candidate.own_prefill_tokens as f64 * entries.min(MAX_ALIKE_ENTRIES) as f64
-            / PREFILL_TOKENS_PER_MS
-        + f64::from(candidate.load.running.max(candidate.own_running)) * RUNNING_COST_MS
-        + f64::from(candidate.load.waiting) * WAITING_COST_MS
+            / costs.tokens_per_ms
+        + f64::from(candidate.load.running.max(candidate.own_running)) * costs.running_ms
+        + f64::from(candidate.load.waiting) * costs.waiting_ms
         + candidate.failure_share * FAILURE_COST_MS
 }
 
 /// Returns the time in which an engine computes or imports the shared parts of a
 /// prompt.
-fn shared_parts_cost_ms(cached: CachedTokens, prompt: &Prompt, home_index: Option<usize>) -> f64 {
+fn shared_parts_cost_ms(
+    cached: CachedTokens,
+    prompt: &Prompt,
+    home_index: Option<usize>,
+    tokens_per_ms: f64,
+) -> f64 {
     let subject_tokens = prompt.parts.last().map_or(0, |part| part.tokens);
     let Some(leading) = cached.leading_tokens else {
         return match home_index {
             Some(0) => 0.0,
             Some(_) => SECOND_HOME_COST_MS,
-            None => SECOND_HOME_COST_MS + subject_tokens as f64 / PREFILL_TOKENS_PER_MS,
+            None => SECOND_HOME_COST_MS + subject_tokens as f64 / tokens_per_ms,
         };
     };
     let shared = prompt.shared_tokens();
     let imported = cached.importable_tokens.saturating_sub(leading);
     let missing = shared.saturating_sub(leading + imported);
-    let mut cost_ms = missing as f64 / PREFILL_TOKENS_PER_MS;
+    let mut cost_ms = missing as f64 / tokens_per_ms;
     if imported > 0 {
         let import_ms = IMPORT_COST_MS + imported as f64 / IMPORT_TOKENS_PER_MS;
         // Few tokens are computed before they would be imported.
-        cost_ms += import_ms.min(imported as f64 / PREFILL_TOKENS_PER_MS);
+        cost_ms += import_ms.min(imported as f64 / tokens_per_ms);
     }
     if missing > 0 && home_index != Some(0) {
         cost_ms += NOT_HOME_COST_MS;
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -330,6 +330,7 @@
                 worker.record_sample(&incoming, target, sample);
                 if first_batch.is_some() {
                     worker.note_begun_answer(&incoming, sent_at_us);
+                    worker.record_first_token(&choice, sent_at_us);
                 }
                 log.is_relayed = true;
                 let (status, headers) = (answer.status, answer.headers().clone());
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -28,6 +28,7 @@
         IncomingRequest, //
     },
     capacity::OwnRequests,
+    choice::TargetChoice,
     context::Context,
     message::{
         AnswerHead,
@@ -329,6 +330,19 @@
         capacity.record_request(&target.service, &target.id, took_us, now_us);
     }
 
+    /// Records the time to the first token of a request at an engine.
+    pub(super) fn record_first_token(&self, choice: &TargetChoice, sent_at_us: u64) {
+        // What the engine has to read is not known exactly without a report of its cache.
+        let Some(work) = &choice.work else {
+            return;
+        };
+        let now_us = self.now_us();
+        let took_us = now_us.saturating_sub(sent_at_us);
+        let target = &choice.target;
+        let mut capacity = self.context.capacity();
+        capacity.record_first_token(&target.service, &target.id, work, took_us, now_us);
+    }
+
     /// Records that a target refused a request; it is avoided for `pause_us`.
     pub(super) fn observe_refusal(&self, target: &TargetRecord, head: &AnswerHead, pause_us: u64) {
         let now_us = self.now_us();
--- a/tests/stale_loads.rs
+++ b/tests/stale_loads.rs
@@ -92,6 +92,7 @@
             cached: CachedTokens::default(),
             steering_cost_ms: 0.0,
             expected_ms: None,
+            engine_costs: None,
             is_sampled: is_sampled[at],
         };
         (0..ENGINES).map(candidate).collect()
--- a/tests/target_ranking.rs
+++ b/tests/target_ranking.rs
@@ -42,6 +42,7 @@
         cached: CachedTokens::default(),
         steering_cost_ms: 0.0,
         expected_ms: None,
+        engine_costs: None,
         is_sampled: true,
     }
 }
--- a/tests/target_speeds.rs
+++ b/tests/target_speeds.rs
@@ -156,6 +156,7 @@
                     cached: CachedTokens::default(),
                     steering_cost_ms: 0.0,
                     expected_ms: times.map(|times| times.rank_ms),
+                    engine_costs: None,
                     is_sampled: is_sampled[at],
                 }
             };
