Take account of the memory that engines report

Cause: ten long prompts fill an engine's memory although its batch has 32 slots. Such an engine seemed to have free places.

Change: agents pass on the memory in the engine's report. An engine without room for a prompt and its expected output, beside what is in use and what this entry has sent since the report, has no free place, and its forecast has the time until there is room. The wait counts in the order of engines only where they state their pace. The log line of a choice has the forecast with its spread, the free place and the wait.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -282,6 +282,7 @@
                 weights: report.weights,
                 running: report.running,
                 waiting: report.waiting,
+                memory: report.memory,
             });
             if now_us >= next_report_at_us || has_urgent_change(reported.as_ref(), state.as_ref()) {
                 next_report_at_us = now_us + self.report_to_entries(state.as_ref());
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -242,7 +242,8 @@
         let cached_tokens = cached_tokens.max(choice.cached.importable_tokens);
         prompt.input_tokens.saturating_sub(cached_tokens)
     });
-    let in_flight = worker.track_in_flight(&target.id, prefill_tokens);
+    let memory_tokens = prompt.map_or(0, Prompt::expected_tokens);
+    let in_flight = worker.track_in_flight(&target.id, (prefill_tokens, memory_tokens));
     let keys = match (prompt, &choice.namespace) {
         (Some(prompt), Some(namespace)) => prompt_keys(namespace, prompt),
         _ => Vec::new(),
@@ -290,6 +291,9 @@
         "weights" => choice.weights,
         "suits_length" => choice.suits_length,
         "forecast_us" => choice.forecast.first_token_us,
+        "spread_us" => choice.forecast.spread_us,
+        "has_free_place" => choice.forecast.has_free_place,
+        "memory_wait_us" => choice.memory_wait_us,
         "prompt_tokens" => prompt.map(|prompt| prompt.input_tokens),
         "shared_tokens" => prompt.map(Prompt::shared_tokens),
         "cached_tokens" => choice.cached.leading_tokens,
--- a/src/direct/capacity.rs
+++ b/src/direct/capacity.rs
@@ -19,7 +19,10 @@
 };
 
 use super::{
-    message::TargetLoad,
+    message::{
+        EngineMemory,
+        TargetLoad, //
+    },
     placement::{
         PREFILL_TOKENS_PER_MS,
         RUNNING_COST_MS,
@@ -148,6 +151,8 @@
     pub waiting_ms: f64,
     /// Time to the first token at an idle engine that has the prompt cached.
     pub base_ms: f64,
+    /// Time until the engine's memory has room for the request.
+    pub memory_wait_ms: f64,
 }
 
 impl Default for EngineCosts {
@@ -157,6 +162,7 @@
             running_ms: RUNNING_COST_MS,
             waiting_ms: WAITING_COST_MS,
             base_ms: BASE_MS,
+            memory_wait_ms: 0.0,
         }
     }
 }
@@ -177,9 +183,34 @@
             + f64::from(work.running) * self.running_ms
             + f64::from(work.waiting) * self.waiting_ms
             + self.base_ms
+            + self.memory_wait_ms
     }
 }
 
+/// Returns the time until an engine's memory has room for `needed_tokens`, 0 when it has
+/// now. `sent_tokens` are those of requests that the report does not contain.
+///
+/// Requests end evenly over the time that one runs, and free what they use.
+///
+/// ```
+/// use yuccalatch::direct::{capacity::memory_wait_ms, message::EngineMemory};
+///
+/// let memory = EngineMemory { used_tokens: 90_000, total_tokens: 97_000 };
+/// assert_eq!(memory_wait_ms(&memory, 0, 6_000, 300.0), 0.0);
+/// assert!(memory_wait_ms(&memory, 4_000, 6_000, 300.0) > 0.0);
+/// ```
+pub fn memory_wait_ms(
+    memory: &EngineMemory,
+    sent_tokens: u64,
+    needed_tokens: u64,
+    run_ms: f64,
+) -> f64 {
+    let used_tokens = memory.used_tokens.saturating_add(sent_tokens);
+    let wanted_tokens = used_tokens.saturating_add(needed_tokens);
+    let missing_tokens = wanted_tokens.saturating_sub(memory.total_tokens);
+    run_ms * missing_tokens as f64 / used_tokens.max(1) as f64
+}
+
 /// Costs of a service's engines relative to the assumed ones, at the usual pace. They are
 /// fitted to measured times by normalised least mean squares.
 #[derive(Clone, Copy, Debug)]
@@ -215,6 +246,7 @@
             running_ms: RUNNING_COST_MS * running * factor,
             waiting_ms: WAITING_COST_MS * waiting * factor,
             base_ms: BASE_MS * base * factor,
+            memory_wait_ms: 0.0,
         }
     }
 }
@@ -330,6 +362,8 @@
     pub running: u32,
     /// Those of them that its last reported load does not contain.
     pub unreported: u32,
+    /// Tokens of prompts and expected output of these.
+    pub unreported_tokens: u64,
 }
 
 /// Expected times of a request at a target that is no engine.
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -18,7 +18,8 @@
         EngineCosts,
         EngineWork,
         Forecast,
-        PlainTimes, //
+        PlainTimes,
+        memory_wait_ms, //
     },
     context::ReportedEngine,
     message::{
@@ -97,6 +98,9 @@
     pub(super) forecast: Forecast,
     /// What delays the first token at an engine, as far as its cache is known.
     pub(super) work: Option<EngineWork>,
+    /// Time until the engine's memory has room for the request, 0 when it has now or is
+    /// not reported.
+    pub(super) memory_wait_us: u64,
 }
 
 impl TargetChoice {
@@ -248,6 +252,9 @@
                 suits_length: true,
                 forecast: Forecast::default(),
                 work: None,
+                memory_wait_us: prompt.map_or(0, |prompt| {
+                    memory_wait_us(prompt, observed, reported_engine, now_us)
+                }),
             });
         }
         for choice in &mut choices {
@@ -284,7 +291,13 @@
             .iter()
             .map(|choice| {
                 prompt.and_then(|_| {
-                    capacity.engine_costs(&incoming.service, &choice.target.id, now_us)
+                    let costs =
+                        capacity.engine_costs(&incoming.service, &choice.target.id, now_us)?;
+                    let memory_wait_ms = choice.memory_wait_us as f64 / US_PER_MS as f64;
+                    Some(EngineCosts {
+                        memory_wait_ms,
+                        ..costs
+                    })
                 })
             })
             .collect();
@@ -339,6 +352,9 @@
                     choice.forecast.first_token_us = times.answer_us;
                     choice.forecast.spread_us = times.spread_us;
                 }
+                if engine_costs[at].is_none() {
+                    choice.forecast.first_token_us += choice.memory_wait_us;
+                }
                 if let Some(costs) = &engine_costs[at] {
                     // The cost has penalties that are no time.
                     if let Some(work) = &choice.work {
@@ -513,6 +529,25 @@
         && choice.availability == Availability::Open
         && load.waiting == 0
         && load.running < load.slots
+        && choice.memory_wait_us == 0
+}
+
+/// Returns the time until the memory of an engine has room for a request.
+fn memory_wait_us(
+    prompt: &Prompt,
+    observed: &TargetObservations,
+    reported_engine: Option<&ReportedEngine>,
+    now_us: u64,
+) -> u64 {
+    let reported = reported_engine.and_then(|engine| Some((engine, engine.state.memory?)));
+    let Some((engine, memory)) = reported else {
+        return 0;
+    };
+    let reported_at_us = engine.reported_at_us.saturating_sub(REPORT_DELAY_US);
+    let sent_tokens = observed.own_requests(reported_at_us).unreported_tokens;
+    let run_ms = (expected_end_us(prompt, now_us) - now_us) as f64 / US_PER_MS as f64;
+    let wait_ms = memory_wait_ms(&memory, sent_tokens, prompt.expected_tokens(), run_ms);
+    (wait_ms * US_PER_MS as f64) as u64
 }
 
 /// Returns the latest reported version of a target's weights, `None` when unknown.
--- a/src/direct/message.rs
+++ b/src/direct/message.rs
@@ -3,6 +3,11 @@
 
 use std::net::SocketAddr;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 use crate::names::Name;
 
 /// Part of a prompt that other requests may share, and that engines cache.
@@ -36,6 +41,12 @@
         self.input_tokens + self.max_output_tokens
     }
 
+    /// Returns the tokens of memory that the request is expected to need.
+    pub const fn expected_tokens(&self) -> u64 {
+        self.input_tokens
+            .saturating_add(self.expected_output_tokens)
+    }
+
     /// Returns the total length of the shared parts.
     pub fn shared_tokens(&self) -> u64 {
         self.parts.iter().map(|part| part.tokens).sum()
@@ -119,6 +130,15 @@
     pub retry_after_ms: Option<u64>,
 }
 
+/// Memory of an engine for prompts and output.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineMemory {
+    /// Tokens in use that cannot be reclaimed.
+    pub used_tokens: u64,
+    /// Tokens that the memory holds.
+    pub total_tokens: u64,
+}
+
 /// State of an engine, as it reports it on request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EngineReport {
@@ -132,6 +152,8 @@
     pub running: u32,
     /// Number of queued requests.
     pub waiting: u32,
+    /// Memory, `None` when the engine does not report it.
+    pub memory: Option<EngineMemory>,
 }
 
 /// Changes of an engine's prefix cache.
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -36,6 +36,7 @@
         CacheUpdate, //
     },
     capacity::TargetStatement,
+    message::EngineMemory,
     platform_state::PlatformState,
     quarantine::PartsReport,
     routing::Configuration,
@@ -127,6 +128,8 @@
     pub(super) running: u32,
     /// Queued requests.
     pub(super) waiting: u32,
+    /// Memory, `None` when the engine does not report it.
+    pub(super) memory: Option<EngineMemory>,
 }
 
 /// State that entries report to each other.
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -285,7 +285,7 @@
     // What every engine has to read matters only where they differ in speed.
     let own_part_ms = candidate.engine_costs.map_or(0.0, |costs| {
         let unshared_tokens = prompt.input_tokens.saturating_sub(prompt.shared_tokens());
-        unshared_tokens as f64 / costs.tokens_per_ms + costs.base_ms
+        unshared_tokens as f64 / costs.tokens_per_ms + costs.base_ms + costs.memory_wait_ms
     });
     own_part_ms
         + shared_parts_cost_ms(candidate.cached, prompt, home_index, costs.tokens_per_ms)
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -123,8 +123,9 @@
     load_at_us: Option<u64>,
     /// Requests of this entry that run there.
     pub(super) own_running: u32,
-    /// Times at which this entry sent its latest requests.
-    sent_at_us: VecDeque<u64>,
+    /// Times at which this entry sent its latest requests, with the tokens of memory that
+    /// each needs.
+    sent: VecDeque<(u64, u64)>,
     /// Prompt tokens of these requests that are probably not computed yet.
     pub(super) own_prefill_tokens: u64,
     pub(super) outlier: OutlierDetector,
@@ -148,24 +149,28 @@
     /// Returns the requests of this entry, with those that a load reported at
     /// `reported_at_us` does not contain.
     pub(super) fn own_requests(&self, reported_at_us: u64) -> OwnRequests {
-        let unreported = self.sent_at_us.iter().rev();
-        let unreported = unreported.take_while(|at_us| **at_us >= reported_at_us);
-        let unreported = u32::try_from(unreported.count()).unwrap_or(u32::MAX);
-        OwnRequests {
-            running: self.own_running,
-            unreported: unreported.min(self.own_running),
-        }
+        let latest = self.sent.iter().rev().take(self.own_running as usize);
+        let unreported = latest.take_while(|(at_us, _)| *at_us >= reported_at_us);
+        unreported.fold(
+            OwnRequests {
+                running: self.own_running,
+                ..OwnRequests::default()
+            },
+            |own, (_, tokens)| OwnRequests {
+                running: own.running,
+                unreported: own.unreported + 1,
+                unreported_tokens: own.unreported_tokens.saturating_add(*tokens),
+            },
+        )
     }
 
     /// Records that this entry sends a request.
-    fn record_sent(&mut self, now_us: u64) {
-        let is_old = |at_us: &u64| at_us.saturating_add(SENT_REQUEST_LIFETIME_US) <= now_us;
-        while self.sent_at_us.len() >= MAX_SENT_REQUESTS
-            || self.sent_at_us.front().is_some_and(is_old)
-        {
-            self.sent_at_us.pop_front();
+    fn record_sent(&mut self, memory_tokens: u64, now_us: u64) {
+        let is_old = |sent: &(u64, u64)| sent.0.saturating_add(SENT_REQUEST_LIFETIME_US) <= now_us;
+        while self.sent.len() >= MAX_SENT_REQUESTS || self.sent.front().is_some_and(is_old) {
+            self.sent.pop_front();
         }
-        self.sent_at_us.push_back(now_us);
+        self.sent.push_back((now_us, memory_tokens));
     }
 
     /// Returns whether the target has stated that it wants no requests now.
@@ -285,17 +290,18 @@
         }
     }
 
-    /// Counts a request as running at a target until the guard is dropped.
+    /// Counts a request as running at a target until the guard is dropped. It has tokens to
+    /// read, and needs memory for tokens.
     pub(super) fn track_in_flight(
         self: &Rc<Self>,
         id: &Name,
-        prefill_tokens: u64,
+        (prefill_tokens, memory_tokens): (u64, u64),
     ) -> InFlightGuard<P> {
         let now_us = self.now_us();
         let mut observations = self.observations.borrow_mut();
         let observed = observations.entry(id.clone()).or_default();
         observed.own_running += 1;
-        observed.record_sent(now_us);
+        observed.record_sent(memory_tokens, now_us);
         observed.own_prefill_tokens += prefill_tokens;
         InFlightGuard {
             worker: Rc::clone(self),
--- a/tests/engine_speeds.rs
+++ b/tests/engine_speeds.rs
@@ -5,9 +5,11 @@
     direct::{
         capacity::{
             Capacity,
-            EngineWork, //
+            EngineWork,
+            memory_wait_ms, //
         },
         message::{
+            EngineMemory,
             Prompt,
             PromptPart,
             TargetLoad, //
@@ -127,6 +129,25 @@
     }
 }
 
+/// An engine with 32 slots whose memory holds ten prompts of 9,700 tokens would get the
+/// eleventh, and compute one of them twice.
+#[test]
+fn an_engine_whose_memory_holds_ten_prompts_has_no_room_for_more() {
+    let needed_tokens = 9_700;
+    let wait_ms = |running: u64, sent: u64| {
+        let memory = EngineMemory {
+            used_tokens: running * needed_tokens,
+            total_tokens: 97_317,
+        };
+        memory_wait_ms(&memory, sent * needed_tokens, needed_tokens, 300.0)
+    };
+    assert_eq!(wait_ms(9, 0), 0.0);
+    assert!((20.0..40.0).contains(&wait_ms(10, 0)));
+    // What this entry has sent since the report counts as well.
+    assert_eq!(wait_ms(9, 1), wait_ms(10, 0));
+    assert!(wait_ms(9, 4) > wait_ms(9, 1) * 3.0);
+}
+
 /// Learned times must not move the requests of services whose engines state no pace.
 #[test]
 fn engines_without_a_pace_have_no_learned_costs() {
