--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -263,7 +263,8 @@
     let target = &*choice.target;
     let prompt = incoming.head.prompt.as_ref();
     let prefill_tokens = prompt.map_or(0, |prompt| choice.uncached_input_tokens(prompt));
-    let in_flight = worker.track_in_flight(&target.id, prefill_tokens);
+    let memory_tokens = prompt.map_or(0, Prompt::expected_tokens);
+    let in_flight = worker.track_in_flight(&target.id, (prefill_tokens, memory_tokens));
     let keys = match (prompt, &choice.namespace) {
         (Some(prompt), Some(namespace)) => prompt_keys(namespace, prompt),
         _ => Vec::new(),
@@ -324,6 +325,9 @@
         "suits_length" => choice.suits_length,
         "cold" => choice.is_cold,
         "forecast_us" => choice.forecast.first_token_us,
+        "spread_us" => choice.forecast.spread_us,
+        "has_free_place" => choice.forecast.has_free_place,
+        "memory_wait_us" => choice.memory_wait_us,
         "prompt_tokens" => prompt.map(|prompt| prompt.input_tokens),
         "shared_tokens" => prompt.map(Prompt::shared_tokens),
         "cached_tokens" => choice.cached.leading_tokens,
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -37,6 +37,7 @@
     },
     capacity::TargetStatement,
     constraint::Evacuations,
+    message::EngineMemory,
     platform_state::PlatformState,
     quarantine::PartsReport,
     routing::Configuration,
@@ -129,6 +130,8 @@
     pub(super) running: u32,
     /// Queued requests.
     pub(super) waiting: u32,
+    /// Memory, `None` when the engine does not report it.
+    pub(super) memory: Option<EngineMemory>,
 }
 
 /// State that entries report to each other.
