--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -40,6 +40,7 @@
     steering::{
         self,
         PromptLength,
+        ServiceSize,
         prompt_length, //
     },
     target::TargetRecord,
@@ -420,16 +421,17 @@
             return vec![0.0; choices.len()];
         };
         let ids = choices.iter().map(|choice| &choice.target.id);
-        let entries = platform_state.entries.len();
-        let slots = first.target.slots;
-        let is_short =
-            self.context
-                .steering()
-                .divide(&incoming.service, ids, (slots, entries), self.now_us());
-        is_short
-            .into_iter()
-            .map(|is_short| steering::cost_ms(length, is_short))
-            .collect()
+        let reported = choices.iter().filter(|choice| choice.load_age_us.is_some());
+        let running: u32 = reported.clone().map(|choice| choice.load.running).sum();
+        let size = ServiceSize {
+            slots: first.target.slots,
+            entries: platform_state.entries.len(),
+            // Missing reports of a few engines hardly change the division.
+            running: (reported.count() * 2 > choices.len()).then_some(running),
+        };
+        let mut steering = self.context.steering();
+        let is_short = steering.divide(&incoming.service, ids, size, self.now_us());
+        steering::costs_ms(length, &is_short)
     }
 
     /// Returns whether a prompt is long for the streams of its service, `None` when the
@@ -462,18 +464,12 @@
     }
 
     /// Counts a request in the traffic that divides the engines of its service.
-    pub(super) fn record_length(&self, incoming: &IncomingRequest, choice: &TargetChoice) {
+    pub(super) fn record_length(&self, incoming: &IncomingRequest) {
         let platform_state = self.context.platform_state.load();
         let length = self.prompt_length(&platform_state, incoming);
         if let (Some(length), Some(prompt)) = (length, &incoming.head.prompt) {
             let now_us = self.now_us();
-            let run_us = match length {
-                PromptLength::Short => expected_end_us(prompt, now_us) - now_us,
-                PromptLength::Long => {
-                    let tokens = choice.uncached_input_tokens(prompt) as f64;
-                    (tokens / placement::PREFILL_TOKENS_PER_MS * US_PER_MS as f64) as u64
-                }
-            };
+            let run_us = expected_end_us(prompt, now_us) - now_us;
             let mut steering = self.context.steering();
             steering.record(&incoming.service, length, run_us, now_us);
         }
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -273,8 +273,6 @@
             .merge(&entry.name, &entry.cold_until_ms, now_us, self.wall_us());
         self.service_rollouts()
             .merge(entry.incarnation, &entry.rollouts, now_us);
-        self.steering()
-            .merge(&entry.name, &entry.running_prompts, now_us);
         self.capacity().merge(&entry.statements, now_us);
     }
 
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -45,7 +45,6 @@
         RolloutOrder,
         RolloutReport, //
     },
-    steering::RunningPrompts,
     target::{
         TargetRecord,
         WantedWeights, //
@@ -146,8 +145,6 @@
     pub(super) parts: PartsReport,
     /// Progress of the rollouts of services.
     pub(super) rollouts: Vec<RolloutReport>,
-    /// Traffic of each service whose engines are divided by the length of prompts.
-    pub(super) running_prompts: Vec<(Name, RunningPrompts)>,
     /// Loads and paces that targets have stated to the entry.
     pub(super) statements: Vec<TargetStatement>,
     /// Cold targets with the ends of their cold periods as Unix time in milliseconds.
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -240,7 +240,14 @@
         .filter(|at| !has_suitable || suits(&candidates[*at]))
         .collect();
     let ids = positions.iter().map(|at| candidates[*at].id);
-    let homes = rendezvous_order(ids, prompt, salt);
+    // Engines that are set apart for short prompts leave fewer for each preamble. The
+    // long ones use all the others then, so that none gets several preambles and another
+    // one none.
+    let homes = if positions.len() < candidates.len() {
+        subject_order(ids, prompt, salt)
+    } else {
+        rendezvous_order(ids, prompt, salt)
+    };
     let homes = homes.into_iter().take(HOMES_PER_SUBJECT);
     homes.map(|home| positions[home]).collect()
 }
@@ -278,6 +285,24 @@
     order
 }
 
+/// Returns the positions of all targets, the best home of a prompt's subject first,
+/// whatever its preamble.
+fn subject_order<'a>(
+    ids: impl Iterator<Item = &'a Name>,
+    prompt: &Prompt,
+    salt: u64,
+) -> Vec<usize> {
+    let Some(subject) = prompt.parts.last() else {
+        return Vec::new();
+    };
+    let weights: Vec<u64> = ids
+        .map(|id| xxh3_64_with_seed(id.as_bytes(), subject.id ^ salt))
+        .collect();
+    let mut order: Vec<usize> = (0..weights.len()).collect();
+    order.sort_unstable_by_key(|at| Reverse(weights[*at]));
+    order
+}
+
 /// Returns the expected time to the first token at an engine, plus penalties.
 fn engine_cost_ms(
     candidate: &Candidate<'_>,
