Run requests only in the regions that they are allowed in

Routes and organisations state `allow-regions`, which entries did not read: their requests went to any data centre, and imported from any engine and KV cache store.

The setting `regions` maps data centres to regions (the platform's table `zones`; null is an empty one). A data centre of unknown region is in no allowed region, and neither is a KV cache store without `zone`.

Sources of imports are chosen from the same records; no test names one outside of the regions.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to run a request at one target.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -50,6 +51,7 @@
         SystemFields, //
     },
     platform::Platform,
+    platform_state::PlatformState,
     routing::{
         Organisation,
         Route, //
@@ -134,6 +136,18 @@
         }
     }
 
+    /// Returns the rules for the targets of the request. `regions` maps data centres to
+    /// their regions.
+    pub(super) fn constraint<'a>(
+        &'a self,
+        platform_state: &'a PlatformState,
+        regions: &'a BTreeMap<Name, Name>,
+    ) -> Constraint<'a> {
+        let organisation = self.organisation.as_ref();
+        let organisation = organisation.map_or(&[][..], |each| &each.allowed_regions);
+        Constraint::new(platform_state).within(regions, [&self.route.allowed_regions, organisation])
+    }
+
     /// Returns the configured priority of the request; 0 is served first.
     pub(super) fn rank(&self) -> u8 {
         let organisation = self.organisation.as_ref();
@@ -254,7 +268,8 @@
         .filter(|_| choice.weights.is_some())
         .and_then(|prompt| {
             let down = worker.context.down_kv_stores();
-            let constraint = Constraint::new(&platform_state);
+            let settings = worker.context.settings.get();
+            let constraint = incoming.constraint(&platform_state, &settings.regions);
             let stores = constraint.kv_stores(&platform_state, &incoming.kv_stores);
             select_store(&stores, &down, prompt)
         });
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -15,7 +15,6 @@
     attempt::IncomingRequest,
     cache::prompt_keys,
     capacity::Forecast,
-    constraint::Constraint,
     context::ReportedEngine,
     message::{
         Prompt,
@@ -138,7 +137,8 @@
         let observations = self.observations.borrow();
         let engines = self.context.engines();
         let no_observations = TargetObservations::default();
-        let constraint = Constraint::new(platform_state);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
         let cold = self.context.cold_targets(platform_state, &incoming.service);
         let is_used_up = |id: &Name| cold.get(id) == Some(&false);
         let releases = self.choose_release(
@@ -278,7 +278,8 @@
         incoming: &IncomingRequest,
     ) -> bool {
         let cold = self.context.cold_targets(platform_state, &incoming.service);
-        let constraint = Constraint::new(platform_state);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
         let mut targets = constraint.targets(platform_state, &incoming.service);
         targets.any(|record| cold.contains_key(&record.id))
     }
@@ -351,7 +352,8 @@
             .context
             .service_rollouts()
             .choose(&incoming.service, point)?;
-        let constraint = Constraint::new(platform_state);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
         let has_targets = |side: Side| {
             let mut targets = constraint.targets(platform_state, &incoming.service);
             targets.any(|record| choice.side_of(&record.release) == side && is_usable(&record.id))
--- a/src/direct/constraint.rs
+++ b/src/direct/constraint.rs
@@ -3,10 +3,14 @@
 //! Load pattern: operators evacuate a data centre while traffic runs, some of them several
 //! at once or again after a short time, and requests, retries and resumed streams must not
 //! reach it any more. All candidates of a request come from [`Constraint`], so that no path
-//! misses a rule.
+//! misses a rule. Requests of some routes and organisations may only run in certain
+//! regions, also when there is no capacity left.
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     sync::Arc, //
 };
@@ -38,17 +42,41 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Constraint<'a> {
     evacuated: Option<&'a BTreeSet<Name>>,
+    /// Region of each data centre, with the allowed regions of the route and of the
+    /// organisation. An empty list allows all.
+    regions: Option<(&'a BTreeMap<Name, Name>, [&'a [Name]; 2])>,
 }
 
 impl<'a> Constraint<'a> {
-    /// Builds the rules that are in force.
+    /// Builds the rules for a request without allowed regions.
     pub fn new(platform_state: &'a PlatformState) -> Self {
         let evacuations = platform_state.evacuations.as_ref();
         Self {
             evacuated: evacuations.map(|evacuations| &evacuations.data_centres),
+            regions: None,
         }
     }
 
+    /// Adds the allowed regions of a request's route and organisation; both apply. `regions`
+    /// maps data centres to their regions. A data centre without one is in no allowed region.
+    ///
+    /// ```
+    /// use yuccalatch::direct::{constraint::Constraint, platform_state::PlatformState};
+    ///
+    /// let (state, regions) = (PlatformState::default(), [("north".into(), "eu".into())].into());
+    /// let allowed = ["eu".into()];
+    /// let constraint = Constraint::new(&state).within(&regions, [&allowed, &[]]);
+    /// assert!(constraint.allows(Some(&"north".into())));
+    /// assert!(!constraint.allows(Some(&"south".into())));
+    /// assert!(!constraint.allows(None));
+    /// ```
+    #[must_use]
+    pub fn within(mut self, regions: &'a BTreeMap<Name, Name>, allowed: [&'a [Name]; 2]) -> Self {
+        let has_rules = allowed.iter().any(|names| !names.is_empty());
+        self.regions = has_rules.then_some((regions, allowed));
+        self
+    }
+
     /// Returns whether requests may reach a data centre. `None` is one that is not stated.
     ///
     /// ```
@@ -66,9 +94,21 @@
     /// assert!(constraint.allows(None));
     /// ```
     pub fn allows(&self, data_centre: Option<&Name>) -> bool {
-        data_centre.is_none_or(|data_centre| {
+        let is_evacuated = data_centre.is_some_and(|data_centre| {
             self.evacuated
-                .is_none_or(|evacuated| !evacuated.contains(data_centre))
+                .is_some_and(|evacuated| evacuated.contains(data_centre))
+        });
+        !is_evacuated && self.is_in_allowed_region(data_centre)
+    }
+
+    fn is_in_allowed_region(&self, data_centre: Option<&Name>) -> bool {
+        let Some((regions, allowed)) = self.regions else {
+            return true;
+        };
+        let region = data_centre.and_then(|data_centre| regions.get(data_centre));
+        region.is_some_and(|region| {
+            let mut lists = allowed.iter();
+            lists.all(|names| names.is_empty() || names.contains(region))
         })
     }
 
--- a/src/direct/quota.rs
+++ b/src/direct/quota.rs
@@ -76,6 +76,7 @@
 /// let organisation = Arc::new(Organisation {
 ///     name: "a".into(), keys: vec![], priority: None, is_isolated: false,
 ///     rate_per_s: 100, burst: 800, counts_tokens: true, default_tokens: 1,
+///     allowed_regions: vec![],
 /// });
 /// let mut quotas = Quotas::default();
 /// quotas.configure(&[organisation], 0, 0);
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -54,6 +54,8 @@
     pub max_targets: u32,
     /// Whether requests need no key.
     pub is_public: bool,
+    /// Regions whose targets requests may reach; all when the list is empty.
+    pub allowed_regions: Vec<Name>,
 }
 
 impl Route {
@@ -110,6 +112,8 @@
     pub counts_tokens: bool,
     /// Cost of a request that states no token counts, where tokens are counted.
     pub default_tokens: u64,
+    /// Regions whose targets its requests may reach; all when the list is empty.
+    pub allowed_regions: Vec<Name>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/src/direct/stall.rs
+++ b/src/direct/stall.rs
@@ -28,7 +28,7 @@
 ///     name: "r".into(), host: "a.example".into(), prefix: "/".into(),
 ///     is_idempotent: false, is_stream: true, can_resume: true,
 ///     timeout_ms: 9_000, goal_ms: 600, gap_goal_ms: 200, priority: 0,
-///     shares: vec![], max_targets: 2, is_public: false,
+///     shares: vec![], max_targets: 2, is_public: false, allowed_regions: vec![],
 /// };
 /// assert_eq!(stalled_at_us(&route, 1_000_000), Some(2_800_000));
 /// route.can_resume = false;
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -1,12 +1,18 @@
 //! Settings of the entry and agent programs of the direct path.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
 
 use serde::{
     Deserialize,
     Serialize, //
 };
-use serde_with::serde_as;
+use serde_with::{
+    DefaultOnNull,
+    serde_as, //
+};
 
 use super::{
     Finding, Settings,
@@ -69,6 +75,10 @@
     /// capacity; `None` when `platform_features` decide that.
     #[serde(default)]
     pub overload_control: Option<bool>,
+    /// Region of each data centre.
+    #[serde(default)]
+    #[serde_as(as = "DefaultOnNull")]
+    pub regions: BTreeMap<Name, Name>,
     /// Factor by which requests to a cold target may exceed the rate that it tolerates, in
     /// any one second over all entries.
     #[serde(default = "default_cold_over", rename = "cold_over")]
@@ -132,6 +142,8 @@
   // Whether the entry decides which requests go first when targets are short of
   // capacity, or null for what "platform_features" say.
   "overload_control": null,
+  // Region of each data centre.
+  "regions": {},
   // Factor by which requests to a cold target may exceed the rate that it
   // tolerates, in any one second over all entries.
   "cold_over": 1.5,
--- a/tests/direct_routing.rs
+++ b/tests/direct_routing.rs
@@ -29,6 +29,7 @@
         }],
         max_targets: 1,
         is_public: false,
+        allowed_regions: vec![],
     }
 }
 
@@ -46,6 +47,7 @@
             burst: 10,
             counts_tokens: true,
             default_tokens: 1,
+            allowed_regions: vec![],
         }],
         limits: CallerLimits {
             max_body_bytes: 1,
--- a/tests/shared_quotas.rs
+++ b/tests/shared_quotas.rs
@@ -34,6 +34,7 @@
         burst: rate_per_s,
         counts_tokens: true,
         default_tokens: 1,
+        allowed_regions: vec![],
     })
 }
 
