--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -22,7 +22,6 @@
         PlainTimes,
         memory_wait_ms, //
     },
-    constraint::Constraint,
     context::ReportedEngine,
     message::{
         Prompt,
@@ -199,7 +198,8 @@
         let observations = self.observations.borrow();
         let engines = self.context.engines();
         let no_observations = TargetObservations::default();
-        let constraint = Constraint::new(platform_state);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
         let cold = self.context.cold_targets(platform_state, &incoming.service);
         let is_used_up = |id: &Name| cold.get(id) == Some(&false);
         let releases = self.choose_release(
@@ -403,7 +403,8 @@
         incoming: &IncomingRequest,
     ) -> bool {
         let cold = self.context.cold_targets(platform_state, &incoming.service);
-        let constraint = Constraint::new(platform_state);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
         let mut targets = constraint.targets(platform_state, &incoming.service);
         targets.any(|record| cold.contains_key(&record.id))
     }
@@ -489,7 +490,8 @@
             .context
             .service_rollouts()
             .choose(&incoming.service, point)?;
-        let constraint = Constraint::new(platform_state);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
         let has_targets = |side: Side| {
             let mut targets = constraint.targets(platform_state, &incoming.service);
             targets.any(|record| choice.side_of(&record.release) == side && is_usable(&record.id))
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -1,12 +1,18 @@
 //! Settings of the entry and agent programs of the direct path.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
 
 use serde::{
     Deserialize,
     Serialize, //
 };
-use serde_with::serde_as;
+use serde_with::{
+    DefaultOnNull,
+    serde_as, //
+};
 
 use super::{
     Finding, Settings,
@@ -79,6 +85,10 @@
     /// Most connections of callers that are open at once; 0 for no limit.
     #[serde(default)]
     pub max_connections: u32,
+    /// Region of each data centre.
+    #[serde(default)]
+    #[serde_as(as = "DefaultOnNull")]
+    pub regions: BTreeMap<Name, Name>,
     /// Factor by which requests to a cold target may exceed the rate that it tolerates, in
     /// any one second over all entries.
     #[serde(default = "default_cold_over", rename = "cold_over")]
@@ -154,6 +164,8 @@
   "body_progress_ms": 10000,
   // Most connections of callers that are open at once, or 0 for no limit.
   "max_connections": 0,
+  // Region of each data centre.
+  "regions": {},
   // Factor by which requests to a cold target may exceed the rate that it
   // tolerates, in any one second over all entries.
   "cold_over": 1.5,
