Bound connections, unread answers and messages of an entry

After the bound on request bodies, an entry still held whole answers that callers did not read, messages to the control listener and any number of connections.

Answers are charged with their request and written in parts; while one does not fit, its target is not read. Messages of entries and agents have a budget of their own. Connections of callers are limited by max_connections, or two thirds of the new max_descriptors; the longest idle one is closed first. Metrics and one log line a second (YL2007) count what was closed.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -1,16 +1,14 @@
 //! One attempt to run a request at one target.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use ntex::http::{
     HeaderMap,
     Method, //
@@ -30,7 +28,11 @@
         Misdirection,
         Verdict, //
     },
-    body::MemoryGuard,
+    body::{
+        self,
+        Bodies,
+        MemoryGuard, //
+    },
     cache::prompt_keys,
     call::{
         self,
@@ -89,8 +91,8 @@
     /// fields that the entry itself sets.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    /// Memory that the body is charged, until the request ends.
-    pub(super) body_memory: Option<MemoryGuard>,
+    /// Memory that the body and the answer are charged, until the request ends.
+    pub(super) memory: MemoryGuard,
     /// Version of the configuration by which the request was admitted.
     pub(super) table_version: u64,
     pub(super) route: Arc<Route>,
@@ -177,6 +179,8 @@
     NotContinued,
     /// An event of the stream has another id than the one that follows.
     OutOfOrder,
+    /// The answer did not fit the memory budget in time.
+    NoMemory,
 }
 
 impl From<SplitError> for AttemptFailure {
@@ -206,6 +210,7 @@
             Self::UnstatedRefusal => "unstated_refusal",
             Self::NotContinued => "not_continued",
             Self::OutOfOrder => "out_of_order",
+            Self::NoMemory => "no_memory",
         }
     }
 }
@@ -401,20 +406,45 @@
     }
 
     /// Reads the whole body. Fails with [`AttemptFailure::Broken`] when it exceeds
-    /// [`MAX_ANSWER_BYTES`].
-    pub(super) async fn collect(&mut self, until: Instant) -> Result<Bytes, AttemptFailure> {
+    /// [`MAX_ANSWER_BYTES`]. While it does not fit the memory budget, the target is not
+    /// read, and so holds it.
+    pub(super) async fn collect(
+        &mut self,
+        bodies: &Bodies,
+        memory: &MemoryGuard,
+        until: Instant,
+    ) -> Result<Bytes, AttemptFailure> {
+        let length_bytes = body::announced_bytes(self.headers());
+        let is_waiting = Cell::new(false);
+        // The request's body, and an answer of an earlier attempt that may be passed on.
+        let held_bytes = memory.bytes();
         let read = async {
-            let mut body = BytesMut::new();
+            let mut body = Vec::new();
             while let Some(part) = self.next().await? {
-                if body.len() + part.len() > MAX_ANSWER_BYTES {
+                let needed_bytes = body.len() + part.len();
+                if needed_bytes > MAX_ANSWER_BYTES {
                     return Err(AttemptFailure::Broken);
                 }
+                if needed_bytes > body.capacity() {
+                    // An announced length is charged at once, so that no two answers wait
+                    // for each other halfway.
+                    let announced_bytes = length_bytes.unwrap_or(body.capacity() * 2);
+                    let capacity = announced_bytes.clamp(needed_bytes, MAX_ANSWER_BYTES);
+                    is_waiting.set(true);
+                    bodies.wait_to_grow(memory, held_bytes + capacity).await;
+                    is_waiting.set(false);
+                    body.reserve_exact(capacity - body.len());
+                }
                 body.extend_from_slice(&part);
             }
-            Ok(body.freeze())
+            Ok(Bytes::from(body))
         };
-        timeout_at(until, read)
-            .await
-            .unwrap_or(Err(AttemptFailure::Silent))
+        timeout_at(until, read).await.unwrap_or_else(|_| {
+            Err(if is_waiting.get() {
+                AttemptFailure::NoMemory
+            } else {
+                AttemptFailure::Silent
+            })
+        })
     }
 }
--- a/src/direct/body.rs
+++ b/src/direct/body.rs
@@ -1,4 +1,4 @@
-//! Reads request bodies within the memory budget of the entry.
+//! Reads request bodies and answers within a memory budget.
 
 use std::{
     cell::{
@@ -7,7 +7,13 @@
     },
     collections::HashMap,
     rc::Rc,
-    sync::Arc, //
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -25,18 +31,20 @@
 };
 use tokio::{
     sync::Notify,
-    time::timeout_at, //
+    time::{
+        Instant,
+        timeout_at, //
+    },
 };
 
 use super::{
-    attempt::timer_instant,
     context::Context,
     memory_budget::{
         ChargeId,
-        Growth,
-        Holder, //
+        Content,
+        Holder,
+        MemoryBudget, //
     },
-    worker::Worker, //
 };
 use crate::{
     clock::US_PER_MS,
@@ -46,36 +54,41 @@
 /// Size up to which a body of announced length is allocated at once.
 const SMALL_BODY_BYTES: usize = 64 << 10;
 
+/// Interval at which an answer that does not fit the budget tries again.
+const GROW_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Smallest allocation for a body of unknown length.
 const MIN_ALLOCATION_BYTES: usize = 4 << 10;
 
 /// Charge of the memory budget that ends when the guard is dropped.
 pub(super) struct MemoryGuard {
-    context: Arc<Context>,
+    memory: SharedBudget,
     id: ChargeId,
+    /// Bytes that are charged.
+    bytes: Cell<usize>,
 }
 
 impl MemoryGuard {
-    pub(super) fn new(context: &Arc<Context>, holder: Holder) -> Self {
-        Self {
-            id: context.memory().begin(holder),
-            context: Arc::clone(context),
-        }
-    }
-
-    fn grow(&self, bytes: usize) -> Growth {
-        let now_us = self.context.clock.now_us();
-        let mut memory = self.context.memory();
-        memory.grow(self.id, bytes as u64, now_us)
+    pub(super) const fn bytes(&self) -> usize {
+        self.bytes.get()
     }
 }
 
 impl Drop for MemoryGuard {
     fn drop(&mut self) {
-        self.context.memory().release(self.id);
+        lock(&self.memory).release(self.id);
     }
 }
 
+/// Memory budget that threads share.
+pub(super) type SharedBudget = Arc<Mutex<MemoryBudget>>;
+
+/// Locks a budget. A poisoned lock is used all the same, because a panic of another
+/// thread ends the process.
+pub(super) fn lock(memory: &SharedBudget) -> MutexGuard<'_, MemoryBudget> {
+    memory.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A body that waits for more bytes, and that other bodies may take the place of.
 #[derive(Default)]
 struct WaitingBody {
@@ -84,33 +97,76 @@
     evicted: Notify,
 }
 
-/// Bodies of a traffic thread that wait for more bytes.
-#[derive(Default)]
-pub(super) struct WaitingBodies(RefCell<HashMap<ChargeId, Rc<WaitingBody>>>);
+/// Bodies that one thread reads, all of them charged to one budget.
+pub(super) struct Bodies {
+    context: Arc<Context>,
+    memory: SharedBudget,
+    /// Bodies that wait for more bytes.
+    waiting: RefCell<HashMap<ChargeId, Rc<WaitingBody>>>,
+    /// Longest time for which a body may arrive without a further byte.
+    progress_us: u64,
+}
 
-impl WaitingBodies {
-    /// Frees the memory of bodies that have lost their place.
-    fn evict(&self, ids: &[ChargeId]) {
-        for id in ids {
-            if let Some(body) = self.0.borrow_mut().remove(id) {
+impl Bodies {
+    pub(super) fn new(context: &Arc<Context>, memory: &SharedBudget) -> Self {
+        Self {
+            context: Arc::clone(context),
+            memory: Arc::clone(memory),
+            waiting: RefCell::default(),
+            progress_us: context.settings.get().body_progress_ms * US_PER_MS,
+        }
+    }
+
+    /// Begins a charge of no bytes.
+    pub(super) fn begin(&self, holder: Holder) -> MemoryGuard {
+        MemoryGuard {
+            id: lock(&self.memory).begin(holder),
+            memory: Arc::clone(&self.memory),
+            bytes: Cell::new(0),
+        }
+    }
+
+    /// Charges up to `bytes` in all and frees the bodies that lose their place for it.
+    /// Returns whether the bytes may be stored.
+    fn grow(&self, guard: &MemoryGuard, content: Content, bytes: usize) -> bool {
+        let now_us = self.context.clock.now_us();
+        let growth = lock(&self.memory).grow(guard.id, content, bytes as u64, now_us);
+        if growth.is_granted {
+            guard.bytes.set(bytes.max(guard.bytes.get()));
+        }
+        for id in &growth.evicted {
+            self.context.metrics.evicted_bodies.inc();
+            if let Some(body) = self.waiting.borrow_mut().remove(id) {
                 body.data.take();
                 body.is_evicted.set(true);
                 body.evicted.notify_one();
             }
         }
+        growth.is_granted
+    }
+
+    /// Waits until `bytes` in all may be stored for an answer.
+    pub(super) async fn wait_to_grow(&self, guard: &MemoryGuard, bytes: usize) {
+        while !self.grow(guard, Content::Answer, bytes) {
+            tokio::time::sleep(GROW_INTERVAL).await;
+        }
+    }
+
+    fn timer_instant(&self, at_us: u64) -> Instant {
+        Instant::from_std(self.context.clock.instant(at_us))
     }
 }
 
 /// Removes a body from those that wait when its request ends, at whatever point.
 struct WaitingEntry<'a> {
-    bodies: &'a WaitingBodies,
+    bodies: &'a Bodies,
     id: ChargeId,
     body: Rc<WaitingBody>,
 }
 
 impl Drop for WaitingEntry<'_> {
     fn drop(&mut self) {
-        self.bodies.0.borrow_mut().remove(&self.id);
+        self.bodies.waiting.borrow_mut().remove(&self.id);
     }
 }
 
@@ -129,38 +185,36 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-/// Reads a body. The guard holds its memory until the request ends.
-pub(super) async fn read<P>(
-    worker: &Worker<P>,
+/// Reads a body, which is charged to `guard`.
+pub(super) async fn read(
+    bodies: &Bodies,
     payload: &mut Payload,
-    holder: Holder,
+    guard: &MemoryGuard,
     limits: &BodyLimits,
-) -> Result<(Bytes, Option<MemoryGuard>), ErrorKind> {
+) -> Result<Bytes, ErrorKind> {
     if matches!(payload, Payload::None) {
-        return Ok((Bytes::new(), None));
+        return Ok(Bytes::new());
     }
-    let Some(first) = next_part(worker, payload, limits).await? else {
-        return Ok((Bytes::new(), None));
+    let Some(first) = next_part(bodies, payload, limits).await? else {
+        return Ok(Bytes::new());
     };
-    let guard = MemoryGuard::new(&worker.context, holder);
     let mut data = Vec::new();
-    store(worker, &guard, &mut data, &first, limits)?;
+    store(bodies, guard, &mut data, &first, limits)?;
     drop(first);
     // A small body has usually arrived with its head.
     loop {
         match payload.next().now_or_never() {
-            Some(None) => return Ok((Bytes::from(data), Some(guard))),
-            Some(Some(part)) => store(worker, &guard, &mut data, &check(part)?, limits)?,
+            Some(None) => return Ok(Bytes::from(data)),
+            Some(Some(part)) => store(bodies, guard, &mut data, &check(part)?, limits)?,
             None => break,
         }
     }
-    let body = read_rest(worker, payload, &guard, data, limits).await?;
-    Ok((body, Some(guard)))
+    read_rest(bodies, payload, guard, data, limits).await
 }
 
 /// Reads the rest of a body, which may be dropped for others while it waits.
-async fn read_rest<P>(
-    worker: &Worker<P>,
+async fn read_rest(
+    bodies: &Bodies,
     payload: &mut Payload,
     guard: &MemoryGuard,
     data: Vec<u8>,
@@ -169,31 +223,31 @@
     let body = Rc::new(WaitingBody::default());
     body.data.replace(data);
     let entry = WaitingEntry {
-        bodies: &worker.waiting_bodies,
+        bodies,
         id: guard.id,
         body,
     };
-    let waiting = &worker.waiting_bodies.0;
+    let waiting = &bodies.waiting;
     waiting
         .borrow_mut()
         .insert(guard.id, Rc::clone(&entry.body));
     loop {
-        let now_us = worker.now_us();
-        worker.context.memory().note_progress(guard.id, now_us);
+        let now_us = bodies.context.clock.now_us();
+        lock(&bodies.memory).note_progress(guard.id, now_us);
         let part = tokio::select! {
             biased;
             () = entry.body.evicted.notified() => return Err(ErrorKind::MemoryFull),
-            part = next_part(worker, payload, limits) => part?,
+            part = next_part(bodies, payload, limits) => part?,
         };
         if entry.body.is_evicted.get() {
             return Err(ErrorKind::MemoryFull);
         }
         let Some(part) = part else {
-            worker.context.memory().complete(guard.id);
+            lock(&bodies.memory).complete(guard.id);
             return Ok(Bytes::from(entry.body.data.take()));
         };
         store(
-            worker,
+            bodies,
             guard,
             &mut entry.body.data.borrow_mut(),
             &part,
@@ -202,14 +256,14 @@
     }
 }
 
-async fn next_part<P>(
-    worker: &Worker<P>,
+async fn next_part(
+    bodies: &Bodies,
     payload: &mut Payload,
     limits: &BodyLimits,
 ) -> Result<Option<Part>, ErrorKind> {
-    let progress_us = worker.body_progress_ms * US_PER_MS;
-    let until_us = (worker.now_us() + progress_us).min(limits.deadline_us);
-    let part = timeout_at(timer_instant(worker, until_us), payload.next()).await;
+    let until_us = bodies.context.clock.now_us() + bodies.progress_us;
+    let until = bodies.timer_instant(until_us.min(limits.deadline_us));
+    let part = timeout_at(until, payload.next()).await;
     let part = part.map_err(|_| ErrorKind::BodyTimeout)?;
     part.map(check).transpose()
 }
@@ -219,8 +273,8 @@
 }
 
 /// Appends a part to a body after its memory has been charged.
-fn store<P>(
-    worker: &Worker<P>,
+fn store(
+    bodies: &Bodies,
     guard: &MemoryGuard,
     data: &mut Vec<u8>,
     part: &[u8],
@@ -232,14 +286,7 @@
     }
     if needed_bytes > data.capacity() {
         let capacity = next_capacity(data.capacity(), needed_bytes, limits);
-        let growth = guard.grow(capacity);
-        worker.waiting_bodies.evict(&growth.evicted);
-        worker
-            .context
-            .metrics
-            .evicted_bodies
-            .inc_by(growth.evicted.len() as u64);
-        if !growth.is_granted {
+        if !bodies.grow(guard, Content::Request, capacity) {
             return Err(ErrorKind::MemoryFull);
         }
         data.reserve_exact(capacity - data.len());
--- a/src/direct/call.rs
+++ b/src/direct/call.rs
@@ -47,7 +47,8 @@
 };
 
 /// Most bytes that are read before the head of the final answer is complete. Interim
-/// answers (1xx) count, as a target may send them without end.
+/// answers (1xx) count, as a target may send them without end. Also the size of the buffer
+/// for reading, which would otherwise grow to 400 KiB for each long answer.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// A request to a target.
@@ -179,7 +180,9 @@
             CallError::Unsent(error.to_string())
         }
     };
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(to_call_error)?;
     let connection = Connection(spawn_local(async move {
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -21,6 +21,7 @@
 };
 
 use super::{
+    body::SharedBudget,
     cache::{
         CachePosition,
         CacheUpdate,
@@ -52,7 +53,10 @@
         Incarnation,
         Name, //
     },
-    process::metrics::Metrics,
+    process::{
+        connections::ClosedConnections,
+        metrics::Metrics, //
+    },
     settings::{
         DirectEntrySettings,
         LiveSettings, //
@@ -92,7 +96,8 @@
     pub(super) log: Logger,
     pub(super) platform_state: ArcSwap<PlatformState>,
     pub(super) metrics: Metrics,
-    memory: Mutex<MemoryBudget>,
+    /// Memory budget for the bodies of callers and for buffered answers.
+    pub(super) memory: SharedBudget,
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
     service_rollouts: Mutex<ServiceRollouts>,
@@ -121,7 +126,7 @@
         let budget_bytes = memory_budget::budget_bytes(settings.get().memory_mb);
         Self {
             has_overload_control,
-            memory: Mutex::new(MemoryBudget::new(budget_bytes)),
+            memory: Arc::new(Mutex::new(MemoryBudget::new(budget_bytes))),
             settings: Arc::new(settings),
             incarnation: Incarnation::random(),
             clock: Clock::start(),
@@ -141,9 +146,16 @@
         }
     }
 
-    /// Locks the memory budget for request bodies and buffered answers.
-    pub(super) fn memory(&self) -> MutexGuard<'_, MemoryBudget> {
-        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Counts and logs connections of a listener that were closed to keep the limits, once
+    /// for all of a second.
+    pub(super) fn note_closed_connections(&self, listener: &str, closed: ClosedConnections) {
+        self.metrics.closed_connections.inc_by(closed.surplus);
+        self.metrics.unread_answers.inc_by(closed.unread);
+        warn!(self.log, "connections were closed to keep the limits";
+            "event" => Event::CallersClosed,
+            "listener" => listener,
+            "surplus" => closed.surplus,
+            "unread" => closed.unread);
     }
 
     /// Locks the quotas. A poisoned lock is used all the same, because a panic of
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -18,7 +18,10 @@
         TcpListener, //
     },
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::Duration, //
 };
 
@@ -44,6 +47,10 @@
 };
 
 use super::{
+    body::{
+        self,
+        Bodies, //
+    },
     context::Context,
     exchange,
     follow::{
@@ -51,6 +58,10 @@
         TopicChanges,
         follow, //
     },
+    memory_budget::{
+        self,
+        MemoryBudget, //
+    },
     peers::{
         self,
         ExchangeRequest, //
@@ -85,6 +96,7 @@
     process::{
         admin::Observed,
         client,
+        connections::Connections,
         http_server,
         lifecycle,
         reload,
@@ -106,6 +118,10 @@
 /// keeps an idle connection.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(120);
 
+/// Most connections of other entries and agents. Above them, the longest idle one is
+/// closed; its owner opens another for its next message.
+const MAX_CONTROL_CONNECTIONS: usize = 1_024;
+
 /// Interval of the control thread's periodic work.
 const CONTROL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -134,7 +150,7 @@
     fn metrics(&self) -> String {
         let running = i64::try_from(self.running()).unwrap_or(i64::MAX);
         self.metrics.running.set(running);
-        let held_bytes = i64::try_from(self.memory().held_bytes()).unwrap_or(i64::MAX);
+        let held_bytes = i64::try_from(body::lock(&self.memory).held_bytes()).unwrap_or(i64::MAX);
         self.metrics.caller_memory_bytes.set(held_bytes);
         let quarantined = self.quarantine().quarantined_count();
         let quarantined = i64::try_from(quarantined).unwrap_or(i64::MAX);
@@ -186,14 +202,15 @@
         .set_keepalive(CALLER_KEEP_ALIVE);
     let config = SharedCfg::new("callers").add(http);
     let shared = Arc::clone(&context);
-    let factory = async move || {
-        let worker = Worker::<P>::new(Arc::clone(&shared));
+    let max_connections = context.settings.get().max_caller_connections();
+    let factory = async move |connections| {
+        let worker = Worker::<P>::new(Arc::clone(&shared), connections);
         fn_service(move |request: Request| {
             let worker = Rc::clone(&worker);
             async move { Ok::<Response, std::io::Error>(serve::handle(worker, request).await) }
         })
     };
-    let server = http_server::start(caller, config, 1, factory)?;
+    let server = http_server::start_bounded(caller, config, max_connections, factory)?;
     let settings = Arc::clone(&context.settings);
     ntex::rt::spawn(reload::follow(settings, context.log.clone()));
     stop::requested().await?;
@@ -246,13 +263,29 @@
     control: TcpListener,
 ) -> Result<()> {
     let server_context = Arc::clone(&context);
-    let _server = http_server::start(control, SharedCfg::new("entries"), 1, async move || {
+    let budget_bytes = memory_budget::control_budget_bytes(context.settings.get().memory_mb);
+    let memory = Arc::new(Mutex::new(MemoryBudget::new(budget_bytes)));
+    let config = SharedCfg::new("entries");
+    let max_connections = MAX_CONTROL_CONNECTIONS;
+    let factory = async move |connections: Rc<Connections>| {
         let context = Arc::clone(&server_context);
+        let bodies = Rc::new(Bodies::new(&context, &memory));
+        let reporting = Arc::clone(&context);
+        let report = move |closed| reporting.note_closed_connections("control", closed);
+        ntex::rt::spawn(Rc::clone(&connections).watch(|| false));
+        ntex::rt::spawn(Rc::clone(&connections).enforce_limits(report));
         fn_service(move |request: Request| {
             let context = Arc::clone(&context);
-            async move { Ok::<Response, std::io::Error>(exchange::answer(&context, request).await) }
+            let bodies = Rc::clone(&bodies);
+            let busy = connections.enter(request.io());
+            async move {
+                let answer = exchange::answer(&context, &bodies, request).await;
+                drop(busy);
+                Ok::<Response, std::io::Error>(answer)
+            }
         })
-    })?;
+    };
+    let _server = http_server::start_bounded(control, config, max_connections, factory)?;
     let control = Rc::new(Control::<P> {
         store: P::build_store_client(context.settings.get().platform_address).await?,
         client: client::build("entries").await?,
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -1,18 +1,20 @@
 //! Answers of an entry to the exchange requests of other entries and of agents.
 
-use futures_util::StreamExt;
-use ntex::{
-    http::{
-        Request,
-        Response,
-        StatusCode, //
-    },
-    util::BytesMut,
+use ntex::http::{
+    Request,
+    Response,
+    StatusCode, //
 };
 use slog::warn;
 
 use super::{
+    body::{
+        self,
+        Bodies,
+        BodyLimits, //
+    },
     context::Context,
+    memory_budget::Holder,
     peers::{
         self,
         EntryState,
@@ -20,10 +22,14 @@
     },
 };
 use crate::{
+    clock::US_PER_S,
     error::ErrorKind,
     event::Event, //
 };
 
+/// Longest time until a message has arrived. Its sender has given up by then.
+const MESSAGE_TIMEOUT_US: u64 = 5 * US_PER_S;
+
 /// Returns the state that this entry reports to others.
 pub(super) fn own_state(context: &Context) -> EntryState {
     let settings = context.settings.get();
@@ -40,21 +46,24 @@
 }
 
 /// Answers an exchange request of another entry or of an agent.
-pub(super) async fn answer(context: &Context, mut request: Request) -> Response {
+pub(super) async fn answer(context: &Context, bodies: &Bodies, mut request: Request) -> Response {
     if request.uri().path() != peers::PATH {
         return Response::new(StatusCode::NOT_FOUND);
     }
     let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let Ok(part) = part else {
-            return Response::new(StatusCode::BAD_REQUEST);
-        };
-        if body.len() + part.len() > peers::MAX_MESSAGE_BYTES {
-            return Response::new(StatusCode::PAYLOAD_TOO_LARGE);
+    let limits = BodyLimits {
+        max_bytes: peers::MAX_MESSAGE_BYTES,
+        length_bytes: body::announced_bytes(request.headers()),
+        deadline_us: context.clock.now_us() + MESSAGE_TIMEOUT_US,
+    };
+    let memory = bodies.begin(Holder::Peer);
+    let body = match body::read(bodies, &mut payload, &memory, &limits).await {
+        Ok(body) => body,
+        Err(kind) => {
+            let status = StatusCode::from_u16(kind.answer().status);
+            return Response::new(status.unwrap_or(StatusCode::BAD_REQUEST));
         }
-        body.extend_from_slice(&part);
-    }
+    };
     let Ok(exchange_request) = postcard::from_bytes::<ExchangeRequest>(&body) else {
         return Response::new(StatusCode::BAD_REQUEST);
     };
--- a/src/direct/memory_budget.rs
+++ b/src/direct/memory_budget.rs
@@ -19,27 +19,44 @@
 /// while a body grows or is written, and the buffers of connections.
 const MEMORY_PER_BUDGET: u64 = 4;
 
+/// Divisor from the budget for callers to the one for other entries and agents, whose
+/// messages are usually a few KiB long.
+const BUDGET_PER_CONTROL_BUDGET: u64 = 8;
+
 /// Time without a new byte after which an arriving body may lose its place to others. A
 /// caller within the limits sends 4 MiB in less.
 const STALLED_US: u64 = 1_000 * US_PER_MS;
 
-/// Size up to which a charge may use the whole budget. Most requests and answers are
-/// smaller, and pass while large ones wait.
+/// Size up to which a body or answer may use parts of the budget that large ones leave
+/// free. Most are smaller, and pass while large ones wait.
 const SMALL_BYTES: u64 = 64 << 10;
 
 /// Whose memory a charge takes.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Holder {
-    /// Callers without a valid key, on public routes. They share an eighth of the budget.
+    /// Callers without a valid key, on public routes. Their bodies share an eighth of the
+    /// budget.
     Keyless,
-    /// An organisation, which gets at most three quarters of the budget.
+    /// An organisation, whose bodies get at most three quarters of the budget.
     Organisation(Name),
+    /// Other entries and agents, which have a budget of their own.
+    Peer,
 }
 
 /// Identifies a charge.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ChargeId(u64);
 
+/// What a charge grows for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Content {
+    /// Body of a request that is not sent yet, and may still be refused.
+    Request,
+    /// Answer to a request that has run. Its part of the budget is larger, as requests
+    /// that wait for their answers would otherwise wait for each other.
+    Answer,
+}
+
 /// Answer to a charge that wants to grow.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Growth {
@@ -83,15 +100,26 @@
     }
 }
 
+/// Returns the budget for messages of other entries and agents.
+///
+/// ```
+/// use yuccalatch::direct::memory_budget::control_budget_bytes;
+///
+/// assert_eq!(control_budget_bytes(0), 32 << 20);
+/// ```
+pub const fn control_budget_bytes(memory_mb: u64) -> u64 {
+    budget_bytes(memory_mb) / BUDGET_PER_CONTROL_BUDGET
+}
+
 impl MemoryBudget {
     /// Creates a budget of which nothing is held.
     ///
     /// ```
-    /// use yuccalatch::direct::memory_budget::{Holder, MemoryBudget};
+    /// use yuccalatch::direct::memory_budget::{Content, Holder, MemoryBudget};
     ///
     /// let mut budget = MemoryBudget::new(1 << 20);
     /// let body = budget.begin(Holder::Organisation("mill".into()));
-    /// assert!(budget.grow(body, 4_096, 0).is_granted);
+    /// assert!(budget.grow(body, Content::Request, 4_096, 0).is_granted);
     /// assert_eq!(budget.held_bytes(), 4_096);
     /// budget.release(body);
     /// assert_eq!(budget.held_bytes(), 0);
@@ -141,19 +169,24 @@
 
     /// Charges up to `bytes` in all, if they fit without or instead of stalled bodies. A
     /// charge fits whatever its size when nothing else is held.
-    pub fn grow(&mut self, id: ChargeId, bytes: u64, now_us: u64) -> Growth {
+    pub fn grow(&mut self, id: ChargeId, content: Content, bytes: u64, now_us: u64) -> Growth {
         let mut growth = Growth::default();
         let Some(charge) = self.charges.get(&id) else {
             return growth;
         };
         let holder = charge.holder.clone();
         let own_bytes = charge.bytes;
+        let more_bytes = bytes.saturating_sub(own_bytes);
+        let is_small = match content {
+            Content::Request => bytes <= SMALL_BYTES,
+            Content::Answer => more_bytes <= SMALL_BYTES,
+        };
+        let (total_bytes, share_bytes) = self.parts(&holder, content, is_small);
         loop {
             let others_bytes = self.held_bytes - own_bytes;
             let holder_bytes = self.held_by.get(&holder).copied().unwrap_or(0) - own_bytes;
-            let is_share_full =
-                holder_bytes > 0 && holder_bytes + bytes > self.share(&holder, bytes);
-            let is_full = others_bytes + bytes > self.total(bytes) || is_share_full;
+            let is_share_full = holder_bytes > 0 && holder_bytes + bytes > share_bytes;
+            let is_full = others_bytes + bytes > total_bytes || is_share_full;
             if others_bytes == 0 || !is_full {
                 break;
             }
@@ -164,7 +197,6 @@
             self.release(stalled);
             growth.evicted.push(stalled);
         }
-        let more_bytes = bytes.saturating_sub(own_bytes);
         if let Some(charge) = self.charges.get_mut(&id) {
             charge.bytes += more_bytes;
         }
@@ -188,23 +220,23 @@
         }
     }
 
-    /// Returns the part of the budget that all charges may take when one of this size is
-    /// added.
-    const fn total(&self, bytes: u64) -> u64 {
-        if bytes <= SMALL_BYTES {
-            self.limit_bytes
-        } else {
-            self.limit_bytes / 8 * 7
-        }
-    }
-
-    /// Returns the part of the budget that a holder may take.
-    const fn share(&self, holder: &Holder, bytes: u64) -> u64 {
-        match holder {
-            Holder::Keyless => self.limit_bytes / 8,
-            Holder::Organisation(_) if bytes <= SMALL_BYTES => self.limit_bytes,
-            Holder::Organisation(_) => self.limit_bytes / 4 * 3,
-        }
+    /// Returns the parts of the budget that all charges, and those of the holder, may take
+    /// after this one has grown.
+    const fn parts(&self, holder: &Holder, content: Content, is_small: bool) -> (u64, u64) {
+        let total = match (content, is_small) {
+            (Content::Request, false) => 14,
+            (Content::Request, true) | (Content::Answer, false) => 15,
+            (Content::Answer, true) => 16,
+        };
+        let share = match (holder, content, is_small) {
+            (Holder::Peer, ..) | (_, Content::Answer, true) => 16,
+            (Holder::Keyless, Content::Request, _) => 2,
+            (Holder::Keyless, Content::Answer, false) => 4,
+            (Holder::Organisation(_), Content::Request, _) => 12,
+            (Holder::Organisation(_), Content::Answer, false) => 14,
+        };
+        let sixteenth_bytes = self.limit_bytes / 16;
+        (total * sixteenth_bytes, share * sixteenth_bytes)
     }
 
     fn longest_stalled(
--- a/src/direct/reply.rs
+++ b/src/direct/reply.rs
@@ -1,11 +1,18 @@
 //! Answers of an entry to callers.
 
+use std::{
+    error::Error,
+    rc::Rc, //
+};
+
 use bytes::Bytes;
+use futures_util::stream;
 use ntex::http::{
-    HeaderMap,
-    Response,
-    ResponseBuilder,
-    StatusCode, //
+    HeaderMap, Response, ResponseBuilder, StatusCode,
+    body::{
+        Body,
+        SizedStream, //
+    },
 };
 use serde_json::json;
 
@@ -99,6 +106,30 @@
     builder
 }
 
+/// Size of the parts in which a long body is written. The server writes the next one when
+/// the caller has taken most of the last.
+const PART_BYTES: usize = 32 << 10;
+
+/// Length up to which a body is passed to the server at once.
+const SHORT_BODY_BYTES: usize = 64 << 10;
+
+/// Returns the body of an answer. A long one is written in parts, so that a connection
+/// whose caller does not read holds it only once; `held` is dropped after the last part.
+pub(super) fn answer_body<H: 'static>(data: Bytes, held: H) -> Body {
+    if data.len() <= SHORT_BODY_BYTES {
+        return Body::Bytes(to_ntex_bytes(data));
+    }
+    let length_bytes = data.len() as u64;
+    let parts = stream::unfold((data, held), |(mut data, held)| async move {
+        if data.is_empty() {
+            return None;
+        }
+        let part = data.split_to(data.len().min(PART_BYTES));
+        Some((Ok::<_, Rc<dyn Error>>(to_ntex_bytes(part)), (data, held)))
+    });
+    Body::from_message(SizedStream::new(length_bytes, Box::pin(parts)))
+}
+
 /// Copies bytes of a target's answer into the type of the HTTP server.
 pub(super) fn to_ntex_bytes(data: Bytes) -> ntex::util::Bytes {
     ntex::util::Bytes::copy_from_slice(&data)
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -26,6 +26,7 @@
     },
     body::{
         self,
+        Bodies,
         BodyLimits, //
     },
     choice::TargetChoice,
@@ -130,8 +131,14 @@
         }
     };
     let cost = request_cost(&head, organisation.as_deref());
-    let mut incoming =
-        build_incoming::<P>(&request, head, (route, organisation), arrived_at_us, table);
+    let mut incoming = build_incoming::<P>(
+        &request,
+        head,
+        (route, organisation),
+        arrived_at_us,
+        table,
+        &worker.bodies,
+    );
     if let Admission::Refused { part, trial_at_us } = worker.admit_parts(&incoming) {
         info!(worker.context.log, "request has a quarantined prompt part";
             "event" => Event::RequestRefused,
@@ -199,12 +206,7 @@
     {
         return Err(ErrorKind::BodyTooLarge);
     }
-    let holder = incoming
-        .organisation_name()
-        .map_or(Holder::Keyless, |name| Holder::Organisation(name.clone()));
-    let (body, body_memory) = body::read(worker, payload, holder, limits).await?;
-    incoming.body = body;
-    incoming.body_memory = body_memory;
+    incoming.body = body::read(&worker.bodies, payload, &incoming.memory, limits).await?;
     let platform_state = worker.context.platform_state.load();
     match &platform_state.table {
         Some(table) if table.version != incoming.table_version => {
@@ -260,7 +262,13 @@
     (route, organisation): Admitted,
     arrived_at_us: u64,
     table: &RoutingTable,
+    bodies: &Bodies,
 ) -> IncomingRequest {
+    let holder = organisation
+        .as_ref()
+        .map_or(Holder::Keyless, |organisation| {
+            Holder::Organisation(organisation.name.clone())
+        });
     let filter = HeaderFilter::new(
         Direction::ToTarget,
         request
@@ -295,7 +303,7 @@
         head,
         headers,
         body: Bytes::new(),
-        body_memory: None,
+        memory: bodies.begin(holder),
         table_version: table.version,
         service,
         kv_stores: Arc::clone(table.kv_stores()),
@@ -399,7 +407,7 @@
                 attempts.record_failure(failure);
                 last_failure = Some(failure);
                 worker.note_unbegun_answer(&incoming, &target.id, failure);
-                if !failure.is_not_run() {
+                if !failure.is_not_run() && failure != AttemptFailure::NoMemory {
                     worker.record_sample(&incoming, target, Sample::FAILURE);
                 }
                 info!(worker.context.log, "attempt failed";
@@ -415,7 +423,7 @@
     if let Some((answer, body)) = last_answer {
         log.status = answer.status.code().as_u16();
         let mut builder = reply::forwarded_builder(answer.status, answer.headers(), is_leaving);
-        return builder.body(reply::to_ntex_bytes(body));
+        return builder.body(reply::answer_body(body, (incoming.memory, running)));
     }
     let Some(not_run) = attempts.not_run() else {
         let failure = match last_failure {
@@ -473,7 +481,13 @@
         answer.in_flight.note_prefill_done();
         return Ok(ReceivedAnswer::Stream(answer, splitter, first_batch));
     }
-    let body = answer.collect(until).await;
-    let body = body.inspect_err(|_| worker.observe_failure(&target.id))?;
+    let body = answer
+        .collect(&worker.bodies, &incoming.memory, until)
+        .await;
+    let body = body.inspect_err(|failure| {
+        if *failure != AttemptFailure::NoMemory {
+            worker.observe_failure(&target.id);
+        }
+    })?;
     Ok(ReceivedAnswer::Collected(answer, body))
 }
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -24,7 +24,7 @@
         AttemptFailure,
         IncomingRequest, //
     },
-    body::WaitingBodies,
+    body::Bodies,
     context::Context,
     message::{
         AnswerHead,
@@ -155,9 +155,7 @@
 pub(super) struct Worker<P> {
     pub(super) context: Arc<Context>,
     pub(super) connections: Rc<Connections>,
-    pub(super) waiting_bodies: WaitingBodies,
-    /// Longest time for which a body may arrive without a further byte.
-    pub(super) body_progress_ms: u64,
+    pub(super) bodies: Bodies,
     pub(super) observations: RefCell<HashMap<Name, TargetObservations>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     configured_version: Cell<u64>,
@@ -166,14 +164,14 @@
 }
 
 impl<P> Worker<P> {
-    pub(super) fn new(context: Arc<Context>) -> Rc<Self> {
-        let connections = Rc::<Connections>::default();
-        let shared = Arc::clone(&context);
+    pub(super) fn new(context: Arc<Context>, connections: Rc<Connections>) -> Rc<Self> {
+        let (shared, closing) = (Arc::clone(&context), Arc::clone(&context));
         ntex::rt::spawn(Rc::clone(&connections).watch(move || shared.is_leaving()));
+        let report = move |closed| closing.note_closed_connections("callers", closed);
+        ntex::rt::spawn(Rc::clone(&connections).enforce_limits(report));
         Rc::new(Self {
             connections,
-            waiting_bodies: WaitingBodies::default(),
-            body_progress_ms: context.settings.get().body_progress_ms,
+            bodies: Bodies::new(&context, &context.memory),
             context,
             observations: RefCell::default(),
             budgets: RefCell::default(),
--- a/src/event.rs
+++ b/src/event.rs
@@ -60,6 +60,8 @@
     /// Requests with a part of their prompts are refused, because engines crashed on
     /// it.
     PartQuarantined = 2006;
+    /// Connections were closed to keep the limits.
+    CallersClosed = 2007;
     /// A stream was resumed on a new connection.
     StreamResumed = 3001;
     /// A stream was continued on another target.
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fmt,
-    net::TcpListener, //
+    net::TcpListener,
+    rc::Rc, //
 };
 
 use error_stack::ResultExt;
@@ -22,7 +23,10 @@
             control::Reason, //
         }, //
     },
-    io::Filter,
+    io::{
+        Filter,
+        Io, //
+    },
     server::{
         Server,
         ServerBuilder, //
@@ -30,11 +34,13 @@
     service::{
         IntoServiceFactory,
         ServiceFactory,
+        chain_factory,
         fn_service, //
     },
     time::Seconds, //
 };
 
+use super::connections::Connections;
 use crate::error::{
     ErrorKind,
     Result, //
@@ -133,6 +139,44 @@
     Ok(server.run())
 }
 
+/// Starts a server with one worker thread, as [`start`] does, on which at most
+/// `max_connections` are open; 0 for no limit. `factory` gets the table of its
+/// connections, which it has to watch.
+pub(crate) fn start_bounded<F, I, S, B>(
+    listener: TcpListener,
+    config: impl Into<SharedCfg>,
+    max_connections: usize,
+    factory: F,
+) -> Result<Server>
+where
+    F: AsyncFn(Rc<Connections>) -> I + Clone + Send + 'static,
+    I: IntoServiceFactory<S, Request, SharedCfg> + 'static,
+    S: ServiceFactory<Request, SharedCfg> + 'static,
+    S::Error: ResponseError,
+    S::InitError: fmt::Debug,
+    S::Response: Into<Response<B>>,
+    S::Service: 'static,
+    B: MessageBody + 'static,
+{
+    let config = config.into();
+    let server = ServerBuilder::default()
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(SHUTDOWN_TIMEOUT)
+        .listen("http", listener, async move |service| {
+            service.config(config.clone());
+            let connections = Connections::new(max_connections);
+            let http = HttpService::new(factory(Rc::clone(&connections)).await);
+            let accept = fn_service(async move |io: Io| {
+                connections.accept(&io.get_ref());
+                Ok(io)
+            });
+            chain_factory(accept).and_then(http)
+        })
+        .change_context(ErrorKind::Io)?;
+    Ok(server.run())
+}
+
 /// Answers an unreadable request, and accepts every other event of a connection.
 fn acknowledge<F: Filter, E: ResponseError>(
     control: Control<F, E>,
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -112,6 +112,10 @@
     pub quarantined_parts: Gauge,
     /// Memory that request bodies and buffered answers are charged.
     pub caller_memory_bytes: Gauge,
+    /// Connections of callers closed because too many were open.
+    pub closed_connections: Counter,
+    /// Connections closed because their callers did not read an answer.
+    pub unread_answers: Counter,
     /// Request bodies that were dropped for others because they stopped arriving.
     pub evicted_bodies: Counter,
     /// Times that the engine beside an agent stopped answering.
@@ -170,6 +174,8 @@
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
             caller_memory_bytes: Gauge::default(),
+            closed_connections: Counter::default(),
+            unread_answers: Counter::default(),
             evicted_bodies: Counter::default(),
             engine_losses: Counter::default(),
             registry: Registry::default(),
@@ -245,6 +251,16 @@
                 &self.confined_placements,
             ),
             ("orders", "Orders to the engine", &self.orders),
+            (
+                "closed_connections",
+                "Connections closed because too many were open",
+                &self.closed_connections,
+            ),
+            (
+                "unread_answers",
+                "Connections closed because an answer was not read",
+                &self.unread_answers,
+            ),
             (
                 "evicted_bodies",
                 "Stalled request bodies dropped for others",
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -75,9 +75,13 @@
     /// Longest time for which a request body may arrive without a further byte.
     #[serde(default = "default_body_progress_ms")]
     pub body_progress_ms: u64,
-    /// Most connections of callers that are open at once; 0 for no limit.
+    /// Most connections of callers that are open at once; 0 for two thirds of
+    /// `max_descriptors`.
     #[serde(default)]
     pub max_connections: u32,
+    /// Descriptors that the machine allows the process; 0 when it states no limit.
+    #[serde(default)]
+    pub max_descriptors: u32,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
@@ -87,6 +91,28 @@
     10_000
 }
 
+impl DirectEntrySettings {
+    /// Returns the most connections of callers that are open at once, 0 for no limit. A
+    /// third of the descriptors is kept for targets, control, checks and the store.
+    ///
+    /// ```
+    /// use yuccalatch::settings::{DirectEntrySettings, default_text, parse};
+    ///
+    /// let text = default_text::<DirectEntrySettings>();
+    /// let mut settings: DirectEntrySettings = parse("entry.json", text).unwrap();
+    /// assert_eq!(settings.max_caller_connections(), 0);
+    /// settings.max_descriptors = 3_075;
+    /// assert_eq!(settings.max_caller_connections(), 2_050);
+    /// ```
+    pub fn max_caller_connections(&self) -> usize {
+        let connections = match self.max_connections {
+            0 => self.max_descriptors / 3 * 2,
+            stated => stated,
+        };
+        connections as usize
+    }
+}
+
 impl Settings for DirectEntrySettings {
     const DEFAULT_TEXT: &'static str = r#"{
   // Name of the instance, unique in the fleet.
@@ -132,8 +158,11 @@
   // Longest time for which a request body may arrive without a further byte, in
   // milliseconds.
   "body_progress_ms": 10000,
-  // Most connections of callers that are open at once, or 0 for no limit.
+  // Most connections of callers that are open at once, or 0 for two thirds of
+  // "max_descriptors".
   "max_connections": 0,
+  // Descriptors that the machine allows the process, or 0 when it states no limit.
+  "max_descriptors": 0,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "json", "level": "info"}
