Bound the connections of the admin listeners

Any number of connections could be open on the listeners for checks and metrics of entries and agents, with their answers unread. At most 128 are, and unread ones are aborted, as on the other listeners. Bodies were not read before and are not now.

--- a/src/process/admin.rs
+++ b/src/process/admin.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::TcpListener,
+    rc::Rc,
     sync::Arc, //
 };
 
@@ -17,10 +18,14 @@
 
 use slog::{
     Logger,
-    error, //
+    error,
+    warn, //
 };
 
-use super::http_server;
+use super::{
+    connections::Connections,
+    http_server, //
+};
 use crate::{
     error::{
         ErrorKind,
@@ -29,6 +34,10 @@
     event::Event, //
 };
 
+/// Most connections of a listener. The load balancer and collectors open a few; above
+/// them, the oldest is closed.
+const MAX_CONNECTIONS: usize = 128;
+
 /// State of a process that the admin listener serves.
 pub trait Observed: Send + Sync + 'static {
     /// Returns whether the load balancer may send work to this process.
@@ -39,30 +48,38 @@
 }
 
 /// Serves `/healthz`, `/ready` (also as `/readyz`) and `/metrics` until the process ends.
-///
-/// # Errors
-///
-/// Returns [`ErrorKind::Io`] when the listener cannot be used.
-pub async fn serve<O: Observed>(listener: TcpListener, observed: Arc<O>) -> Result<()> {
-    let server = http_server::start(listener, SharedCfg::default(), 1, async move || {
+/// No body is read: the HTTP server closes the connection of a request that has one.
+async fn serve<O: Observed>(listener: TcpListener, observed: Arc<O>, log: Logger) -> Result<()> {
+    let config = SharedCfg::default();
+    let factory = async move |connections: Rc<Connections>| {
+        let log = log.clone();
+        ntex::rt::spawn(Rc::clone(&connections).watch(|| false));
+        ntex::rt::spawn(connections.enforce_limits(move |closed| {
+            warn!(log, "connections were closed to keep the limits";
+                "event" => Event::CallersClosed,
+                "listener" => "admin",
+                "surplus" => closed.surplus,
+                "unread" => closed.unread);
+        }));
         App::new()
             .state(Arc::clone(&observed))
             .route("/healthz", web::get().to(healthy))
             .route("/ready", web::get().to(ready::<O>))
             .route("/readyz", web::get().to(ready::<O>))
             .route("/metrics", web::get().to(metrics::<O>))
-    })?;
+    };
+    let server = http_server::start_bounded(listener, config, MAX_CONNECTIONS, factory)?;
     server.await.change_context(ErrorKind::Io)
 }
 
-/// Serves as [`serve`] does and logs a failure, which does not affect the traffic
+/// Serves `/healthz`, `/ready` (also as `/readyz`) and `/metrics` and logs a failure, which does not affect the traffic
 /// of the process.
 pub(crate) async fn keep_serving<O: Observed>(
     listener: TcpListener,
     observed: Arc<O>,
     log: Logger,
 ) {
-    if let Err(report) = serve(listener, observed).await {
+    if let Err(report) = serve(listener, observed, log.clone()).await {
         error!(log, "admin listener failed; health and metrics are no longer served";
             "event" => Event::Fatal, "error" => ?report);
     }
