--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -330,6 +330,7 @@
                 worker.record_sample(&incoming, target, sample);
                 if first_batch.is_some() {
                     worker.note_begun_answer(&incoming, sent_at_us);
+                    worker.record_forecast_error(&choice, sent_at_us);
                     worker.record_first_token(&choice, sent_at_us);
                 }
                 log.is_relayed = true;
@@ -357,6 +358,7 @@
                     worker.note_begun_answer(&incoming, sent_at_us);
                 }
                 if answer.status.code().is_success() && incoming.head.prompt.is_none() {
+                    worker.record_forecast_error(&choice, sent_at_us);
                     worker.record_request(target, sent_at_us);
                 }
                 last_answer = Some((answer, body));
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -349,6 +349,14 @@
         capacity.record_first_token(&target.service, &target.id, work, took_us, now_us);
     }
 
+    /// Records how far the forecast of a choice was from the measured time.
+    pub(super) fn record_forecast_error(&self, choice: &TargetChoice, sent_at_us: u64) {
+        let took_us = self.now_us().saturating_sub(sent_at_us);
+        let error_us = choice.forecast.first_token_us as f64 - took_us as f64;
+        let forecast_error = &self.context.metrics.forecast_error;
+        forecast_error.observe(error_us / US_PER_S as f64);
+    }
+
     /// Records that a target refused a request; it is avoided for `pause_us`.
     pub(super) fn observe_refusal(&self, target: &TargetRecord, head: &AnswerHead, pause_us: u64) {
         let now_us = self.now_us();
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -42,6 +42,12 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// Upper bounds of the buckets of forecast errors, in seconds; an answer that came later
+/// than expected has a negative error.
+const ERROR_BUCKETS_S: [f64; 15] = [
+    -2.0, -1.0, -0.5, -0.2, -0.1, -0.05, -0.02, 0.0, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0,
+];
+
 /// Labels of the metrics that are kept for each organisation.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct OrganisationLabels {
@@ -79,6 +85,9 @@
     between_tokens: HistogramFamily,
     queue_wait: HistogramFamily,
     total: HistogramFamily,
+    /// Predicted less measured seconds to the first token of an engine or the answer of
+    /// another target.
+    pub forecast_error: Histogram,
     /// Tokens admitted, by organisation.
     pub admitted_tokens: Family<OrganisationLabels, Counter>,
     /// Prompt blocks found in a cache.
@@ -150,6 +159,7 @@
             between_tokens: histogram_family(),
             queue_wait: histogram_family(),
             total: histogram_family(),
+            forecast_error: Histogram::new(ERROR_BUCKETS_S),
             admitted_tokens: Family::default(),
             matched_blocks: Counter::default(),
             prompt_blocks: Counter::default(),
@@ -194,6 +204,12 @@
         for (name, help, family) in latencies {
             registry.register_with_unit(name, help, Unit::Seconds, family.clone());
         }
+        registry.register_with_unit(
+            "forecast_error",
+            "Predicted less measured time to the first token or plain answer",
+            Unit::Seconds,
+            self.forecast_error.clone(),
+        );
         let admitted = self.admitted_tokens.clone();
         registry.register("admitted_tokens", "Tokens admitted", admitted);
         let counters = [
