--- a/src/direct/constraint.rs
+++ b/src/direct/constraint.rs
@@ -38,13 +38,21 @@
     pub data_centres: BTreeSet<Name>,
 }
 
+/// Regions in which one request may run.
+#[derive(Clone, Copy, Debug)]
+struct AllowedRegions<'a> {
+    /// Region of each data centre.
+    regions: &'a BTreeMap<Name, Name>,
+    /// Those of the route and of the organisation. An empty list allows all.
+    allowed: [&'a [Name]; 2],
+}
+
 /// Rules for the targets of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Constraint<'a> {
     evacuated: Option<&'a BTreeSet<Name>>,
-    /// Region of each data centre, with the allowed regions of the route and of the
-    /// organisation. An empty list allows all.
-    regions: Option<(&'a BTreeMap<Name, Name>, [&'a [Name]; 2])>,
+    /// `None` when the request may run in any region.
+    regions: Option<AllowedRegions<'a>>,
 }
 
 impl<'a> Constraint<'a> {
@@ -73,7 +81,7 @@
     #[must_use]
     pub fn within(mut self, regions: &'a BTreeMap<Name, Name>, allowed: [&'a [Name]; 2]) -> Self {
         let has_rules = allowed.iter().any(|names| !names.is_empty());
-        self.regions = has_rules.then_some((regions, allowed));
+        self.regions = has_rules.then_some(AllowedRegions { regions, allowed });
         self
     }
 
@@ -102,7 +110,7 @@
     }
 
     fn is_in_allowed_region(&self, data_centre: Option<&Name>) -> bool {
-        let Some((regions, allowed)) = self.regions else {
+        let Some(AllowedRegions { regions, allowed }) = self.regions else {
             return true;
         };
         let region = data_centre.and_then(|data_centre| regions.get(data_centre));
