--- a/tests/engine_speeds.rs
+++ b/tests/engine_speeds.rs
@@ -56,6 +56,7 @@
         own_prefill_tokens: 0,
         failure_share: 0.0,
         availability: Availability::Open,
+        is_cold: false,
         is_outdated: false,
         cached: CachedTokens {
             leading_tokens: Some(6_300),
