--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -1,16 +1,15 @@
 //! One attempt to run a request at one target.
 
 use std::{
+    cell::Cell,
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use ntex::http::{
     HeaderMap,
     Method, //
@@ -34,6 +33,11 @@
         Misdirection,
         Verdict, //
     },
+    body::{
+        self,
+        Bodies,
+        MemoryGuard, //
+    },
     cache::prompt_keys,
     call::{
         self,
@@ -54,6 +58,7 @@
         SystemFields, //
     },
     platform::Platform,
+    platform_state::PlatformState,
     routing::{
         Organisation,
         Route, //
@@ -94,6 +99,10 @@
     /// fields that the entry itself sets.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Memory that the body and the answer are charged, until the request ends.
+    pub(super) memory: MemoryGuard,
+    /// Version of the configuration by which the request was admitted.
+    pub(super) table_version: u64,
     pub(super) route: Arc<Route>,
     pub(super) service: Name,
     pub(super) organisation: Option<Arc<Organisation>>,
@@ -153,6 +162,18 @@
         }
     }
 
+    /// Returns the rules for the targets of the request. `regions` maps data centres to
+    /// their regions.
+    pub(super) fn constraint<'a>(
+        &'a self,
+        platform_state: &'a PlatformState,
+        regions: &'a BTreeMap<Name, Name>,
+    ) -> Constraint<'a> {
+        let organisation = self.organisation.as_ref();
+        let organisation = organisation.map_or(&[][..], |each| &each.allowed_regions);
+        Constraint::new(platform_state).within(regions, [&self.route.allowed_regions, organisation])
+    }
+
     /// Returns the configured priority of the request; 0 is served first.
     pub(super) fn rank(&self) -> u8 {
         let organisation = self.organisation.as_ref();
@@ -192,6 +213,8 @@
     NotContinued,
     /// An event of the stream has another id than the one that follows.
     OutOfOrder,
+    /// The answer did not fit the memory budget in time.
+    NoMemory,
 }
 
 impl From<SplitError> for AttemptFailure {
@@ -221,6 +244,7 @@
             Self::UnstatedRefusal => "unstated_refusal",
             Self::NotContinued => "not_continued",
             Self::OutOfOrder => "out_of_order",
+            Self::NoMemory => "no_memory",
         }
     }
 }
@@ -258,7 +282,8 @@
     let target = &*choice.target;
     let prompt = incoming.head.prompt.as_ref();
     let prefill_tokens = prompt.map_or(0, |prompt| choice.uncached_input_tokens(prompt));
-    let in_flight = worker.track_in_flight(&target.id, prefill_tokens);
+    let memory_tokens = prompt.map_or(0, Prompt::expected_tokens);
+    let in_flight = worker.track_in_flight(&target.id, (prefill_tokens, memory_tokens));
     let keys = match (prompt, &choice.namespace) {
         (Some(prompt), Some(namespace)) => prompt_keys(namespace, prompt),
         _ => Vec::new(),
@@ -269,7 +294,8 @@
         .filter(|_| choice.weights.is_some())
         .and_then(|prompt| {
             let down = worker.context.down_kv_stores();
-            let constraint = Constraint::new(&platform_state);
+            let settings = worker.context.settings.get();
+            let constraint = incoming.constraint(&platform_state, &settings.regions);
             let stores = constraint.kv_stores(&platform_state, &incoming.kv_stores);
             select_store(&stores, &down, prompt)
         });
@@ -317,7 +343,11 @@
         "load_age_us" => choice.load_age_us,
         "weights" => choice.weights,
         "suits_length" => choice.suits_length,
+        "cold" => choice.is_cold,
         "forecast_us" => choice.forecast.first_token_us,
+        "spread_us" => choice.forecast.spread_us,
+        "has_free_place" => choice.forecast.has_free_place,
+        "memory_wait_us" => choice.memory_wait_us,
         "prompt_tokens" => prompt.map(|prompt| prompt.input_tokens),
         "shared_tokens" => prompt.map(Prompt::shared_tokens),
         "cached_tokens" => choice.cached.leading_tokens,
@@ -337,15 +367,16 @@
     let sent = timeout_at(until, call::send(target.address, request, CONNECT_TIMEOUT)).await;
     let response = match sent {
         Err(_) => {
-            worker.observe_failure(&target.id);
+            worker.observe_failure(&target.id, AttemptFailure::Silent);
             return Err(AttemptFailure::Silent);
         }
         Ok(Err(error)) => {
-            worker.observe_failure(&target.id);
-            return Err(match error {
+            let failure = match error {
                 CallError::Unsent(_) => AttemptFailure::Unsent,
                 CallError::Broken(_) => AttemptFailure::Broken,
-            });
+            };
+            worker.observe_failure(&target.id, failure);
+            return Err(failure);
         }
         Ok(Ok(response)) => response,
     };
@@ -382,8 +413,9 @@
             Err(AttemptFailure::Misdirected(misdirection))
         }
         Verdict::Invalid(invalid) => {
-            worker.observe_failure(&target.id);
-            Err(AttemptFailure::Invalid(invalid))
+            let failure = AttemptFailure::Invalid(invalid);
+            worker.observe_failure(&target.id, failure);
+            Err(failure)
         }
         Verdict::UnstatedRefusal => {
             worker.observe(target, &head, false);
@@ -424,20 +456,45 @@
     }
 
     /// Reads the whole body. Fails with [`AttemptFailure::Broken`] when it exceeds
-    /// [`MAX_ANSWER_BYTES`].
-    pub(super) async fn collect(&mut self, until: Instant) -> Result<Bytes, AttemptFailure> {
+    /// [`MAX_ANSWER_BYTES`]. While it does not fit the memory budget, the target is not
+    /// read, and so holds it.
+    pub(super) async fn collect(
+        &mut self,
+        bodies: &Bodies,
+        memory: &MemoryGuard,
+        until: Instant,
+    ) -> Result<Bytes, AttemptFailure> {
+        let length_bytes = body::announced_bytes(self.headers());
+        let is_waiting = Cell::new(false);
+        // The request's body, and an answer of an earlier attempt that may be passed on.
+        let held_bytes = memory.bytes();
         let read = async {
-            let mut body = BytesMut::new();
+            let mut body = Vec::new();
             while let Some(part) = self.next().await? {
-                if body.len() + part.len() > MAX_ANSWER_BYTES {
+                let needed_bytes = body.len() + part.len();
+                if needed_bytes > MAX_ANSWER_BYTES {
                     return Err(AttemptFailure::Broken);
                 }
+                if needed_bytes > body.capacity() {
+                    // An announced length is charged at once, so that no two answers wait
+                    // for each other halfway.
+                    let announced_bytes = length_bytes.unwrap_or(body.capacity() * 2);
+                    let capacity = announced_bytes.clamp(needed_bytes, MAX_ANSWER_BYTES);
+                    is_waiting.set(true);
+                    bodies.wait_to_grow(memory, held_bytes + capacity).await;
+                    is_waiting.set(false);
+                    body.reserve_exact(capacity - body.len());
+                }
                 body.extend_from_slice(&part);
             }
-            Ok(body.freeze())
+            Ok(Bytes::from(body))
         };
-        timeout_at(until, read)
-            .await
-            .unwrap_or(Err(AttemptFailure::Silent))
+        timeout_at(until, read).await.unwrap_or_else(|_| {
+            Err(if is_waiting.get() {
+                AttemptFailure::NoMemory
+            } else {
+                AttemptFailure::Silent
+            })
+        })
     }
 }
--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -16,10 +16,12 @@
     attempt::IncomingRequest,
     cache::prompt_keys,
     capacity::{
+        EngineCosts,
+        EngineWork,
         Forecast,
-        PlainTimes, //
+        PlainTimes,
+        memory_wait_ms, //
     },
-    constraint::Constraint,
     context::ReportedEngine,
     message::{
         Prompt,
@@ -37,6 +39,7 @@
     steering::{
         self,
         PromptLength,
+        ServiceSize,
         prompt_length, //
     },
     target::TargetRecord,
@@ -59,6 +62,13 @@
 /// what else is drawn by the request's id.
 const RELEASE_SEED: u64 = 1;
 
+/// Age of the load in an engine's report when the report arrives.
+const REPORT_DELAY_US: u64 = 200 * US_PER_MS;
+
+/// Tokens to import from which a time to the first token is not learned from, as it is
+/// that of the import.
+const MIN_IMPORT_TOKENS: u64 = 512;
+
 /// Estimated time to the first token of a request at an engine.
 const FIRST_TOKEN_US: u64 = 250 * US_PER_MS;
 
@@ -83,8 +93,15 @@
     pub(super) import_from: Option<SocketAddr>,
     /// Whether the target is one that prompts of the request's length prefer.
     pub(super) suits_length: bool,
+    /// Whether the target is cold.
+    pub(super) is_cold: bool,
     /// When the target is expected to answer.
     pub(super) forecast: Forecast,
+    /// What delays the first token at an engine, as far as its cache is known.
+    pub(super) work: Option<EngineWork>,
+    /// Time until the engine's memory has room for the request, 0 when it has now or is
+    /// not reported.
+    pub(super) memory_wait_us: u64,
 }
 
 impl TargetChoice {
@@ -112,6 +129,30 @@
             is_full: self.load.waiting > 0 || self.load.running >= self.load.slots,
         }
     }
+
+    /// Adds the requests of this entry that the engine's last report does not contain.
+    fn add_unreported(&mut self, observed: &TargetObservations, now_us: u64) {
+        let age_us = self.load_age_us.unwrap_or(u64::MAX);
+        let reported_at_us = now_us.saturating_sub(age_us.saturating_add(REPORT_DELAY_US));
+        let own = observed.own_requests(reported_at_us);
+        let running = self.load.running.saturating_add(own.unreported);
+        self.load.running = running.max(own.running);
+    }
+
+    /// Returns what delays the first token of a prompt at an engine, `None` when its cache
+    /// is unknown or parts are imported.
+    fn engine_work(&self, prompt: &Prompt, observed: &TargetObservations) -> Option<EngineWork> {
+        let leading = self.cached.leading_tokens?;
+        if self.cached.importable_tokens >= leading + MIN_IMPORT_TOKENS {
+            return None;
+        }
+        let own_tokens = prompt.input_tokens.saturating_sub(leading);
+        Some(EngineWork {
+            tokens: own_tokens + observed.own_prefill_tokens,
+            running: self.load.running,
+            waiting: self.load.waiting,
+        })
+    }
 }
 
 /// Shared parts of a prompt under one namespace, and the engines that have cached
@@ -157,8 +198,16 @@
         let observations = self.observations.borrow();
         let engines = self.context.engines();
         let no_observations = TargetObservations::default();
-        let constraint = Constraint::new(platform_state);
-        let releases = self.choose_release(platform_state, incoming, tried);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
+        let cold = self.context.cold_targets(platform_state, &incoming.service);
+        let is_used_up = |id: &Name| cold.get(id) == Some(&false);
+        let releases = self.choose_release(
+            platform_state,
+            incoming,
+            |id| !tried.contains(id) && !is_used_up(id),
+            !tried.is_empty(),
+        );
         let mut all_sources: Vec<ImportSources> = Vec::new();
         let mut choice_observations = Vec::new();
         let mut choices: Vec<TargetChoice> = Vec::new();
@@ -208,7 +257,7 @@
             let is_other_release = releases
                 .as_ref()
                 .is_some_and(|choice| choice.side_of(&record.release) != choice.side);
-            if is_other_release || tried.contains(&record.id) {
+            if is_other_release || tried.contains(&record.id) || is_used_up(&record.id) {
                 continue;
             }
             choice_observations.push(observed);
@@ -225,7 +274,12 @@
                 },
                 import_from: None,
                 suits_length: true,
+                is_cold: cold.contains_key(&record.id),
                 forecast: Forecast::default(),
+                work: None,
+                memory_wait_us: prompt.map_or(0, |prompt| {
+                    memory_wait_us(prompt, observed, reported_engine, now_us)
+                }),
             });
         }
         for choice in &mut choices {
@@ -258,7 +312,28 @@
                 capacity.plain_times(&incoming.service, id, own, now_us)
             })
             .collect();
+        let engine_costs: Vec<Option<EngineCosts>> = choices
+            .iter()
+            .map(|choice| {
+                prompt.and_then(|_| {
+                    let costs =
+                        capacity.engine_costs(&incoming.service, &choice.target.id, now_us)?;
+                    let memory_wait_ms = choice.memory_wait_us as f64 / US_PER_MS as f64;
+                    Some(EngineCosts {
+                        memory_wait_ms,
+                        ..costs
+                    })
+                })
+            })
+            .collect();
+        let spread = capacity.spread(&incoming.service, now_us);
         drop(capacity);
+        if let Some(prompt) = prompt.filter(|_| is_paced) {
+            for (choice, observed) in choices.iter_mut().zip(&choice_observations) {
+                choice.add_unreported(observed, now_us);
+                choice.work = choice.engine_work(prompt, observed);
+            }
+        }
         for (choice, cost_ms) in choices.iter_mut().zip(&steering_costs_ms) {
             choice.suits_length = *cost_ms == 0.0;
         }
@@ -266,24 +341,29 @@
             .iter()
             .zip(choice_observations)
             .zip(is_sampled.into_iter().zip(steering_costs_ms))
-            .zip(&plain_times)
+            .zip(plain_times.iter().zip(&engine_costs))
             .map(
-                |(((choice, observed), (is_sampled, steering_cost_ms)), times)| Candidate {
-                    is_sampled,
-                    expected_ms: times.map(|times| times.rank_ms),
-                    steering_cost_ms,
-                    id: &choice.target.id,
-                    load: choice.load,
-                    own_running: observed.own_running,
-                    own_prefill_tokens: observed.own_prefill_tokens,
-                    failure_share: observed.outlier.failure_share(),
-                    availability: choice.availability,
-                    is_outdated: prompt.is_some_and(|prompt| {
-                        let rollout = platform_state.rollouts.get(&prompt.model);
-                        rollout
-                            .is_some_and(|rollout| choice.weights < Some(rollout.weights.version))
-                    }),
-                    cached: choice.cached,
+                |(((choice, observed), (is_sampled, steering_cost_ms)), (times, costs))| {
+                    Candidate {
+                        is_sampled,
+                        expected_ms: times.map(|times| times.rank_ms),
+                        engine_costs: *costs,
+                        steering_cost_ms,
+                        id: &choice.target.id,
+                        load: choice.load,
+                        own_running: observed.own_running,
+                        own_prefill_tokens: observed.own_prefill_tokens,
+                        failure_share: observed.outlier.failure_share(),
+                        availability: choice.availability,
+                        is_cold: choice.is_cold,
+                        is_outdated: prompt.is_some_and(|prompt| {
+                            let rollout = platform_state.rollouts.get(&prompt.model);
+                            rollout.is_some_and(|rollout| {
+                                choice.weights < Some(rollout.weights.version)
+                            })
+                        }),
+                        cached: choice.cached,
+                    }
                 },
             )
             .collect();
@@ -298,11 +378,37 @@
                     choice.forecast.first_token_us = times.answer_us;
                     choice.forecast.spread_us = times.spread_us;
                 }
+                if engine_costs[at].is_none() {
+                    choice.forecast.first_token_us += choice.memory_wait_us;
+                }
+                if let Some(costs) = &engine_costs[at] {
+                    // The cost has penalties that are no time.
+                    if let Some(work) = &choice.work {
+                        let first_ms = costs.first_token_ms(work);
+                        choice.forecast = Forecast::from_cost_ms(first_ms, has_free_place(&choice));
+                    }
+                    choice.forecast.spread_us =
+                        (choice.forecast.first_token_us as f64 * spread) as u64;
+                }
                 Some(choice)
             })
             .collect()
     }
 
+    /// Returns whether a request could run at a cold target that takes no request of this
+    /// entry now, but will.
+    pub(super) fn has_used_up_target(
+        &self,
+        platform_state: &PlatformState,
+        incoming: &IncomingRequest,
+    ) -> bool {
+        let cold = self.context.cold_targets(platform_state, &incoming.service);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
+        let mut targets = constraint.targets(platform_state, &incoming.service);
+        targets.any(|record| cold.contains_key(&record.id))
+    }
+
     /// Returns for each choice the cost of the prompt's length there, 0 where engines are
     /// not divided between short and long prompts.
     fn steering_costs_ms(
@@ -316,48 +422,55 @@
             return vec![0.0; choices.len()];
         };
         let ids = choices.iter().map(|choice| &choice.target.id);
-        let entries = platform_state.entries.len();
-        let slots = first.target.slots;
-        let is_short =
-            self.context
-                .steering()
-                .divide(&incoming.service, ids, (slots, entries), self.now_us());
-        is_short
-            .into_iter()
-            .map(|is_short| steering::cost_ms(length, is_short))
-            .collect()
+        let reported = choices.iter().filter(|choice| choice.load_age_us.is_some());
+        let running: u32 = reported.clone().map(|choice| choice.load.running).sum();
+        let size = ServiceSize {
+            slots: first.target.slots,
+            entries: platform_state.entries.len(),
+            // Missing reports of a few engines hardly change the division.
+            running: (reported.count() * 2 > choices.len()).then_some(running),
+        };
+        let mut steering = self.context.steering();
+        let is_short = steering.divide(&incoming.service, ids, size, self.now_us());
+        steering::costs_ms(length, &is_short)
     }
 
     /// Returns whether a prompt is long for the streams of its service, `None` when the
     /// service's engines are not divided by that.
+    ///
+    /// They are divided with overload control, and where they state their pace: a slow
+    /// engine reads a long prompt so slowly that its streams stall.
     fn prompt_length(
         &self,
         platform_state: &PlatformState,
         incoming: &IncomingRequest,
     ) -> Option<PromptLength> {
-        if !self.context.has_overload_control {
+        let (is_paced, tokens_per_ms) = {
+            let capacity = self.context.capacity();
+            let now_us = self.now_us();
+            let service = &incoming.service;
+            (
+                capacity.states_pace(service, now_us),
+                capacity.tokens_per_ms(service, now_us),
+            )
+        };
+        if !self.context.has_overload_control && !is_paced {
             return None;
         }
         let prompt = incoming.head.prompt.as_ref()?;
         let table = platform_state.table.as_ref()?;
         let gap_ms = table.gap_goal_ms(&incoming.service)?;
-        let gap_tokens = gap_ms as f64 * placement::PREFILL_TOKENS_PER_MS;
+        let gap_tokens = gap_ms as f64 * tokens_per_ms;
         Some(prompt_length(prompt, gap_tokens as u64))
     }
 
     /// Counts a request in the traffic that divides the engines of its service.
-    pub(super) fn record_length(&self, incoming: &IncomingRequest, choice: &TargetChoice) {
+    pub(super) fn record_length(&self, incoming: &IncomingRequest) {
         let platform_state = self.context.platform_state.load();
         let length = self.prompt_length(&platform_state, incoming);
         if let (Some(length), Some(prompt)) = (length, &incoming.head.prompt) {
             let now_us = self.now_us();
-            let run_us = match length {
-                PromptLength::Short => expected_end_us(prompt, now_us) - now_us,
-                PromptLength::Long => {
-                    let tokens = choice.uncached_input_tokens(prompt) as f64;
-                    (tokens / placement::PREFILL_TOKENS_PER_MS * US_PER_MS as f64) as u64
-                }
-            };
+            let run_us = expected_end_us(prompt, now_us) - now_us;
             let mut steering = self.context.steering();
             steering.record(&incoming.service, length, run_us, now_us);
         }
@@ -369,21 +482,21 @@
         &self,
         platform_state: &PlatformState,
         incoming: &IncomingRequest,
-        tried: &HashSet<Name>,
+        is_usable: impl Fn(&Name) -> bool,
+        has_tried: bool,
     ) -> Option<ReleaseChoice> {
         let point = xxh3_64_with_seed(incoming.id().as_bytes(), RELEASE_SEED);
         let mut choice = self
             .context
             .service_rollouts()
             .choose(&incoming.service, point)?;
-        let constraint = Constraint::new(platform_state);
+        let settings = self.context.settings.get();
+        let constraint = incoming.constraint(platform_state, &settings.regions);
         let has_targets = |side: Side| {
             let mut targets = constraint.targets(platform_state, &incoming.service);
-            targets.any(|record| {
-                choice.side_of(&record.release) == side && !tried.contains(&record.id)
-            })
+            targets.any(|record| choice.side_of(&record.release) == side && is_usable(&record.id))
         };
-        let is_retry = !tried.is_empty() && has_targets(choice.retry_side);
+        let is_retry = has_tried && has_targets(choice.retry_side);
         let side = if is_retry {
             choice.retry_side
         } else {
@@ -434,6 +547,7 @@
     let seed = xxh3_64(incoming.id().as_bytes());
     let draw = |suits: bool, size: Option<usize>| {
         let positions: Vec<usize> = (0..choices.len())
+            .filter(|at| !choices[*at].is_cold)
             .filter(|at| is_open(&choices[*at]) && (steering_costs_ms[*at] == 0.0) == suits)
             .collect();
         let size = size.unwrap_or_else(|| sampling::sample_size(positions.len(), entries));
@@ -442,7 +556,9 @@
         let chosen = positions.into_iter().zip(drawn);
         chosen.filter_map(|(at, is_drawn)| is_drawn.then_some(at))
     };
-    let mut is_sampled = vec![false; choices.len()];
+    // Few cold targets take requests at a time. All of these are compared, as a sample of
+    // cold ones alone would come before warm ones.
+    let mut is_sampled: Vec<bool> = choices.iter().map(|choice| choice.is_cold).collect();
     for at in draw(true, None).chain(draw(false, Some(1))) {
         is_sampled[at] = true;
     }
@@ -456,6 +572,25 @@
         && choice.availability == Availability::Open
         && load.waiting == 0
         && load.running < load.slots
+        && choice.memory_wait_us == 0
+}
+
+/// Returns the time until the memory of an engine has room for a request.
+fn memory_wait_us(
+    prompt: &Prompt,
+    observed: &TargetObservations,
+    reported_engine: Option<&ReportedEngine>,
+    now_us: u64,
+) -> u64 {
+    let reported = reported_engine.and_then(|engine| Some((engine, engine.state.memory?)));
+    let Some((engine, memory)) = reported else {
+        return 0;
+    };
+    let reported_at_us = engine.reported_at_us.saturating_sub(REPORT_DELAY_US);
+    let sent_tokens = observed.own_requests(reported_at_us).unreported_tokens;
+    let run_ms = (expected_end_us(prompt, now_us) - now_us) as f64 / US_PER_MS as f64;
+    let wait_ms = memory_wait_ms(&memory, sent_tokens, prompt.expected_tokens(), run_ms);
+    (wait_ms * US_PER_MS as f64) as u64
 }
 
 /// Returns the latest reported version of a target's weights, `None` when unknown.
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -1,7 +1,11 @@
 //! State shared by the control thread and the traffic thread of an entry.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        BTreeSet,
+        HashMap, //
+    },
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -22,12 +26,17 @@
 
 use super::{
     admission::AdmissionControl,
+    body::SharedBudget,
     cache::{
         CachePosition,
         CacheUpdate,
         CachedParts, //
     },
     capacity::Capacity,
+    memory_budget::{
+        self,
+        MemoryBudget, //
+    },
     peers::{
         self,
         EngineState,
@@ -38,7 +47,12 @@
     quota::Quotas,
     routing::RoutingTable,
     service_rollout::ServiceRollouts,
-    steering::Steering, //
+    steering::Steering,
+    warmup::{
+        ColdBounds,
+        Sharers,
+        Warmup, //
+    },
 };
 use crate::{
     clock::{
@@ -50,7 +64,10 @@
         Incarnation,
         Name, //
     },
-    process::metrics::Metrics,
+    process::{
+        connections::ClosedConnections,
+        metrics::Metrics, //
+    },
     settings::{
         DirectEntrySettings,
         LiveSettings, //
@@ -90,12 +107,15 @@
     pub(super) log: Logger,
     pub(super) platform_state: ArcSwap<PlatformState>,
     pub(super) metrics: Metrics,
+    /// Memory budget for the bodies of callers and for buffered answers.
+    pub(super) memory: SharedBudget,
     quotas: Mutex<Quotas>,
     quarantine: Mutex<Quarantine>,
     service_rollouts: Mutex<ServiceRollouts>,
     steering: Mutex<Steering>,
     capacity: Mutex<Capacity>,
     admission: Mutex<AdmissionControl>,
+    warmup: Mutex<Warmup>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     /// Whether the entry decides which requests go first when targets are short of
     /// capacity.
@@ -117,8 +137,10 @@
         has_overload_control: bool,
         log: Logger,
     ) -> Self {
+        let budget_bytes = memory_budget::budget_bytes(settings.get().memory_mb);
         Self {
             has_overload_control,
+            memory: Arc::new(Mutex::new(MemoryBudget::new(budget_bytes))),
             settings: Arc::new(settings),
             incarnation: Incarnation::random(),
             clock: Clock::start(),
@@ -131,6 +153,7 @@
             steering: Mutex::default(),
             capacity: Mutex::default(),
             admission: Mutex::default(),
+            warmup: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -140,6 +163,18 @@
         }
     }
 
+    /// Counts and logs connections of a listener that were closed to keep the limits, once
+    /// for all of a second.
+    pub(super) fn note_closed_connections(&self, listener: &str, closed: ClosedConnections) {
+        self.metrics.closed_connections.inc_by(closed.surplus);
+        self.metrics.unread_answers.inc_by(closed.unread);
+        warn!(self.log, "connections were closed to keep the limits";
+            "event" => Event::CallersClosed,
+            "listener" => listener,
+            "surplus" => closed.surplus,
+            "unread" => closed.unread);
+    }
+
     /// Locks the quotas. A poisoned lock is used all the same, because a panic of
     /// another thread ends the process.
     pub(super) fn quotas(&self) -> MutexGuard<'_, Quotas> {
@@ -177,6 +212,61 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the warm-up of targets.
+    pub(super) fn warmup(&self) -> MutexGuard<'_, Warmup> {
+        self.warmup.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls a function with what decides about requests to cold targets.
+    fn with_warmup<T>(
+        &self,
+        platform_state: &PlatformState,
+        decide: impl FnOnce(&mut Warmup, ColdBounds, Sharers<'_>, u64) -> T,
+    ) -> T {
+        let settings = self.settings.get();
+        let bounds = ColdBounds {
+            over_permille: settings.cold_over_permille,
+            slack: settings.cold_slack,
+        };
+        let registered: BTreeSet<&Name> = platform_state.entries.keys().collect();
+        let sharers = Sharers {
+            own: &settings.name,
+            registered: &registered,
+            now_us: self.clock.now_us(),
+        };
+        decide(&mut self.warmup(), bounds, sharers, self.wall_us())
+    }
+
+    /// Returns the cold targets of a service, each with whether this entry may send it a
+    /// request now.
+    pub(super) fn cold_targets(
+        &self,
+        platform_state: &PlatformState,
+        service: &Name,
+    ) -> BTreeMap<Name, bool> {
+        if self.warmup().cold_count(self.wall_us()) == 0 {
+            return BTreeMap::new();
+        }
+        self.with_warmup(platform_state, |warmup, bounds, sharers, wall_us| {
+            warmup.cold_targets(service, bounds, sharers, wall_us)
+        })
+    }
+
+    /// Counts a request to a target if that is cold. Returns whether it may be sent.
+    pub(super) fn take_cold_share(&self, platform_state: &PlatformState, target: &Name) -> bool {
+        if !self.is_cold(target) {
+            return true;
+        }
+        self.with_warmup(platform_state, |warmup, bounds, sharers, wall_us| {
+            warmup.take(target, bounds, sharers, wall_us)
+        })
+    }
+
+    /// Returns whether a target is cold.
+    pub(super) fn is_cold(&self, target: &Name) -> bool {
+        self.warmup().is_cold(target, self.wall_us())
+    }
+
     /// Returns the wall-clock time in microseconds, by which entries number the blocks of
     /// answers that they count.
     pub(super) fn wall_us(&self) -> u64 {
@@ -191,10 +281,10 @@
             .charge_reported_use(&entry.name, entry.incarnation, &entry.used, now_us);
         let quarantined = self.quarantine().merge(&entry.parts, now_us);
         self.log_quarantined(&quarantined, &entry.name);
+        self.warmup()
+            .merge(&entry.name, &entry.cold_until_ms, now_us, self.wall_us());
         self.service_rollouts()
             .merge(entry.incarnation, &entry.rollouts, now_us);
-        self.steering()
-            .merge(&entry.name, &entry.running_prompts, now_us);
         self.capacity().merge(&entry.statements, now_us);
     }
 
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -37,6 +37,7 @@
     },
     capacity::TargetStatement,
     constraint::Evacuations,
+    message::EngineMemory,
     platform_state::PlatformState,
     quarantine::PartsReport,
     routing::Configuration,
@@ -44,7 +45,6 @@
         RolloutOrder,
         RolloutReport, //
     },
-    steering::RunningPrompts,
     target::{
         TargetRecord,
         WantedWeights, //
@@ -129,6 +129,8 @@
     pub(super) running: u32,
     /// Queued requests.
     pub(super) waiting: u32,
+    /// Memory, `None` when the engine does not report it.
+    pub(super) memory: Option<EngineMemory>,
 }
 
 /// State that entries report to each other.
@@ -143,10 +145,10 @@
     pub(super) parts: PartsReport,
     /// Progress of the rollouts of services.
     pub(super) rollouts: Vec<RolloutReport>,
-    /// Traffic of each service whose engines are divided by the length of prompts.
-    pub(super) running_prompts: Vec<(Name, RunningPrompts)>,
     /// Loads and paces that targets have stated to the entry.
     pub(super) statements: Vec<TargetStatement>,
+    /// Cold targets with the ends of their cold periods as Unix time in milliseconds.
+    pub(super) cold_until_ms: Vec<(Name, u64)>,
 }
 
 /// Answer of an entry to an exchange request.
--- a/src/direct/placement.rs
+++ b/src/direct/placement.rs
@@ -11,9 +11,12 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::message::{
-    Prompt,
-    TargetLoad, //
+use super::{
+    capacity::EngineCosts,
+    message::{
+        Prompt,
+        TargetLoad, //
+    },
 };
 use crate::names::Name;
 
@@ -23,10 +26,10 @@
 
 /// Time by which each running request delays the first token of another one: its
 /// share of a batch step and of the context that the step reads.
-const RUNNING_COST_MS: f64 = 4.0;
+pub(super) const RUNNING_COST_MS: f64 = 4.0;
 
 /// Time by which each waiting request delays the first token of another one.
-const WAITING_COST_MS: f64 = 60.0;
+pub(super) const WAITING_COST_MS: f64 = 60.0;
 
 /// Cost of a failed attempt, counted as delay of the first token.
 const FAILURE_COST_MS: f64 = 800.0;
@@ -87,6 +90,8 @@
     pub availability: Availability,
     /// Whether its weights are older than the operator wants, or unknown.
     pub is_outdated: bool,
+    /// Whether the target is cold, and so slow at first.
+    pub is_cold: bool,
     /// Tokens of the prompt that the target has cached or can import.
     pub cached: CachedTokens,
     /// Cost of the prompt's length at an engine that prompts of other length prefer, 0
@@ -95,6 +100,9 @@
     /// Expected time of the request at a target that is no engine, `None` when the targets
     /// of its service state no pace; they are then compared by load.
     pub expected_ms: Option<f64>,
+    /// Learned costs of work at an engine, `None` when the engines of its service state no
+    /// pace; they then count as equally fast.
+    pub engine_costs: Option<EngineCosts>,
     /// Whether the request compares this target even if it is neither a home of the
     /// subject nor has its parts cached.
     pub is_sampled: bool,
@@ -121,6 +129,11 @@
 /// delays the load of weights. Counted as delay of the first token.
 const CLOSING_COST_MS: f64 = 80.0;
 
+/// Cost of a request at a cold target, counted as delay of the first token. A warm engine
+/// is preferred until about 25 requests more run there, a warm target of another kind until
+/// all its slots are busy.
+const COLD_COST_MS: f64 = 100.0;
+
 /// Cost of a request that starts on outdated weights, counted as delay of the first
 /// token.
 const OUTDATED_COST_MS: f64 = 60.0;
@@ -147,9 +160,11 @@
 ///     failure_share: 0.0,
 ///     availability: Availability::Open,
 ///     is_outdated: false,
+///     is_cold: false,
 ///     cached: CachedTokens::default(),
 ///     steering_cost_ms: 0.0,
 ///     expected_ms: None,
+///     engine_costs: None,
 ///     is_sampled: true,
 /// }).collect();
 /// assert_eq!(rank(&candidates, None, 0, 1), [1, 0]);
@@ -195,11 +210,12 @@
                 Availability::ClosingSoon => CLOSING_COST_MS,
                 _ => 0.0,
             };
+            let cold_ms = if candidate.is_cold { COLD_COST_MS } else { 0.0 };
             // A closing target only costs more. If it came after all open ones, the
             // few open engines would get all requests when most are about to load.
             let class = candidate.availability.max(Availability::ClosingSoon);
             let is_left_out = !candidate.is_sampled && !is_preferred;
-            (class, is_left_out, cost + closing_ms, at)
+            (class, is_left_out, cost + closing_ms + cold_ms, at)
         })
         .collect();
     costs.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
@@ -224,7 +240,14 @@
         .filter(|at| !has_suitable || suits(&candidates[*at]))
         .collect();
     let ids = positions.iter().map(|at| candidates[*at].id);
-    let homes = rendezvous_order(ids, prompt, salt);
+    // Engines that are set apart for short prompts leave fewer for each preamble. The
+    // long ones use all the others then, so that none gets several preambles and another
+    // one none.
+    let homes = if positions.len() < candidates.len() {
+        subject_order(ids, prompt, salt)
+    } else {
+        rendezvous_order(ids, prompt, salt)
+    };
     let homes = homes.into_iter().take(HOMES_PER_SUBJECT);
     homes.map(|home| positions[home]).collect()
 }
@@ -262,6 +285,24 @@
     order
 }
 
+/// Returns the positions of all targets, the best home of a prompt's subject first,
+/// whatever its preamble.
+fn subject_order<'a>(
+    ids: impl Iterator<Item = &'a Name>,
+    prompt: &Prompt,
+    salt: u64,
+) -> Vec<usize> {
+    let Some(subject) = prompt.parts.last() else {
+        return Vec::new();
+    };
+    let weights: Vec<u64> = ids
+        .map(|id| xxh3_64_with_seed(id.as_bytes(), subject.id ^ salt))
+        .collect();
+    let mut order: Vec<usize> = (0..weights.len()).collect();
+    order.sort_unstable_by_key(|at| Reverse(weights[*at]));
+    order
+}
+
 /// Returns the expected time to the first token at an engine, plus penalties.
 fn engine_cost_ms(
     candidate: &Candidate<'_>,
@@ -274,35 +315,47 @@
     } else {
         0.0
     };
-    shared_parts_cost_ms(candidate.cached, prompt, home_index)
+    let costs = candidate.engine_costs.unwrap_or_default();
+    // What every engine has to read matters only where they differ in speed.
+    let own_part_ms = candidate.engine_costs.map_or(0.0, |costs| {
+        let unshared_tokens = prompt.input_tokens.saturating_sub(prompt.shared_tokens());
+        unshared_tokens as f64 / costs.tokens_per_ms + costs.base_ms + costs.memory_wait_ms
+    });
+    own_part_ms
+        + shared_parts_cost_ms(candidate.cached, prompt, home_index, costs.tokens_per_ms)
         + outdated_ms
         + candidate.steering_cost_ms
         + candidate.own_prefill_tokens as f64 * entries.min(MAX_ALIKE_ENTRIES) as f64
-            / PREFILL_TOKENS_PER_MS
-        + f64::from(candidate.load.running.max(candidate.own_running)) * RUNNING_COST_MS
-        + f64::from(candidate.load.waiting) * WAITING_COST_MS
+            / costs.tokens_per_ms
+        + f64::from(candidate.load.running.max(candidate.own_running)) * costs.running_ms
+        + f64::from(candidate.load.waiting) * costs.waiting_ms
         + candidate.failure_share * FAILURE_COST_MS
 }
 
 /// Returns the time in which an engine computes or imports the shared parts of a
 /// prompt.
-fn shared_parts_cost_ms(cached: CachedTokens, prompt: &Prompt, home_index: Option<usize>) -> f64 {
+fn shared_parts_cost_ms(
+    cached: CachedTokens,
+    prompt: &Prompt,
+    home_index: Option<usize>,
+    tokens_per_ms: f64,
+) -> f64 {
     let subject_tokens = prompt.parts.last().map_or(0, |part| part.tokens);
     let Some(leading) = cached.leading_tokens else {
         return match home_index {
             Some(0) => 0.0,
             Some(_) => SECOND_HOME_COST_MS,
-            None => SECOND_HOME_COST_MS + subject_tokens as f64 / PREFILL_TOKENS_PER_MS,
+            None => SECOND_HOME_COST_MS + subject_tokens as f64 / tokens_per_ms,
         };
     };
     let shared = prompt.shared_tokens();
     let imported = cached.importable_tokens.saturating_sub(leading);
     let missing = shared.saturating_sub(leading + imported);
-    let mut cost_ms = missing as f64 / PREFILL_TOKENS_PER_MS;
+    let mut cost_ms = missing as f64 / tokens_per_ms;
     if imported > 0 {
         let import_ms = IMPORT_COST_MS + imported as f64 / IMPORT_TOKENS_PER_MS;
         // Few tokens are computed before they would be imported.
-        cost_ms += import_ms.min(imported as f64 / PREFILL_TOKENS_PER_MS);
+        cost_ms += import_ms.min(imported as f64 / tokens_per_ms);
     }
     if missing > 0 && home_index != Some(0) {
         cost_ms += NOT_HOME_COST_MS;
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -140,7 +140,7 @@
         let choice = self.choose_target(worker, incoming).await?;
         if is_first {
             worker.note_first_attempt(&incoming.service);
-            worker.record_length(incoming, &choice);
+            worker.record_length(incoming);
         } else if !worker.take_retry(&incoming.service) {
             return None;
         }
@@ -151,7 +151,8 @@
     }
 
     /// Returns the best target. The first attempt waits for an engine while all of them
-    /// load weights, and for capacity when admission says so.
+    /// load weights, for capacity when admission says so, and until the route's goal while
+    /// only cold targets are left that take no request of this entry now.
     async fn choose_target<P: Platform>(
         &mut self,
         worker: &Rc<Worker<P>>,
@@ -160,13 +161,22 @@
         let goal_us = incoming.route.goal_ms * US_PER_MS;
         let until_us = incoming.arrived_at_us + goal_us.max(MIN_LOAD_WAIT_US);
         let until_us = until_us.min(incoming.deadline_us);
-        let is_resumed = self.count > 0 || incoming.head.last_event_id.is_some();
-        let is_admitted = is_resumed || !worker.has_admission(incoming);
+        let cold_until_us = incoming.deadline_us.min(incoming.arrived_at_us + goal_us);
         let mut wait = None;
         loop {
             let platform_state = worker.context.platform_state.load_full();
-            let mut choices = worker.rank_targets(&platform_state, incoming, &self.tried_targets);
-            let best = choices.first()?;
+            let choices = worker.rank_targets(&platform_state, incoming, &self.tried_targets);
+            let Some(best) = choices.first() else {
+                if self.count > 0 || !worker.has_used_up_target(&platform_state, incoming) {
+                    return None;
+                }
+                if worker.now_us() >= cold_until_us {
+                    worker.context.metrics.cold_refusals.inc();
+                    return None;
+                }
+                tokio::time::sleep(CHECK_INTERVAL).await;
+                continue;
+            };
             if best.availability == Availability::Paused {
                 let may_wait = self.count == 0 && incoming.head.prompt.is_some();
                 if !may_wait || worker.now_us() >= until_us {
@@ -175,44 +185,70 @@
                 tokio::time::sleep(CHECK_INTERVAL).await;
                 continue;
             }
-            let demand = incoming.demand();
-            let now_us = worker.now_us();
-            if is_admitted {
-                if worker.has_admission(incoming) {
-                    let mut admission = worker.context.admission();
-                    admission.note_present(demand.service, demand.rank, now_us);
-                }
-                return choices.into_iter().next();
-            }
-            // Targets that failed or pause come last and are no alternative to the best.
-            let class = best.availability.max(Availability::ClosingSoon);
-            choices.retain(|choice| choice.availability <= class);
-            let offers: Vec<Offer> = choices.iter().map(TargetChoice::offer).collect();
-            let at = select_offer(&offers, &demand, now_us);
-            let choice = choices.swap_remove(at);
-            let decision = worker
-                .context
-                .admission()
-                .decide(&demand, choice.offer(), wait, now_us);
-            match decision {
-                Decision::Send => {
-                    worker.count_wait(wait, "sent");
-                    return Some(choice);
+            match self.admit(worker, incoming, choices, &mut wait) {
+                Ok(choice) => {
+                    let id = &choice.target.id;
+                    if worker.context.take_cold_share(&platform_state, id) {
+                        return Some(choice);
+                    }
+                    // The token has expired since the ranking.
+                    tokio::time::sleep(CHECK_INTERVAL).await;
                 }
-                Decision::Refuse(refusal) => {
-                    worker.count_wait(wait, "refused");
-                    worker.log_admission_refusal(incoming, &choice, refusal);
-                    self.refusal = Some(refusal);
-                    return None;
-                }
-                Decision::Wait(next) => {
-                    wait = Some(next);
-                    let check_in_us = next.check_at_us.saturating_sub(now_us);
+                Err(check_at_us) => {
+                    let check_in_us = check_at_us?.saturating_sub(worker.now_us());
                     tokio::time::sleep(Duration::from_micros(check_in_us)).await;
                 }
             }
         }
     }
+
+    /// Returns the target to which a request may be sent now, out of those in the order of
+    /// placement. Otherwise returns when to decide again, `None` when the request is
+    /// refused.
+    fn admit<P: Platform>(
+        &mut self,
+        worker: &Rc<Worker<P>>,
+        incoming: &IncomingRequest,
+        mut choices: Vec<TargetChoice>,
+        wait: &mut Option<Wait>,
+    ) -> Result<TargetChoice, Option<u64>> {
+        let demand = incoming.demand();
+        let now_us = worker.now_us();
+        let is_resumed = self.count > 0 || incoming.head.last_event_id.is_some();
+        let has_admission = worker.has_admission(incoming);
+        if is_resumed || !has_admission {
+            if has_admission {
+                let mut admission = worker.context.admission();
+                admission.note_present(demand.service, demand.rank, now_us);
+            }
+            return Ok(choices.swap_remove(0));
+        }
+        // Targets that failed or pause come last and are no alternative to the best.
+        let class = choices[0].availability.max(Availability::ClosingSoon);
+        choices.retain(|choice| choice.availability <= class);
+        let offers: Vec<Offer> = choices.iter().map(TargetChoice::offer).collect();
+        let choice = choices.swap_remove(select_offer(&offers, &demand, now_us));
+        let decision = worker
+            .context
+            .admission()
+            .decide(&demand, choice.offer(), *wait, now_us);
+        match decision {
+            Decision::Send => {
+                worker.count_wait(*wait, "sent");
+                Ok(choice)
+            }
+            Decision::Refuse(refusal) => {
+                worker.count_wait(*wait, "refused");
+                worker.log_admission_refusal(incoming, &choice, refusal);
+                self.refusal = Some(refusal);
+                Err(None)
+            }
+            Decision::Wait(next) => {
+                *wait = Some(next);
+                Err(Some(next.check_at_us))
+            }
+        }
+    }
 }
 
 impl<P> Worker<P> {
--- a/src/direct/routing.rs
+++ b/src/direct/routing.rs
@@ -54,6 +54,8 @@
     pub max_targets: u32,
     /// Whether requests need no key.
     pub is_public: bool,
+    /// Regions whose targets requests may reach; all when the list is empty.
+    pub allowed_regions: Vec<Name>,
 }
 
 impl Route {
@@ -84,6 +86,11 @@
     pub kv_store_address: Option<SocketAddr>,
     /// Data centre of the KV cache store, `None` when it is not stated.
     pub kv_store_data_centre: Option<Name>,
+    /// Time for which its targets are cold after their start.
+    pub cold_start_ms: u64,
+    /// Requests that a cold target tolerates in a thousand seconds, over all entries; 0
+    /// when its targets are never cold.
+    pub cold_milli_per_s: u64,
 }
 
 /// An organisation whose callers send requests, with its API keys and rate.
@@ -105,6 +112,8 @@
     pub counts_tokens: bool,
     /// Cost of a request that states no token counts, where tokens are counted.
     pub default_tokens: u64,
+    /// Regions whose targets its requests may reach; all when the list is empty.
+    pub allowed_regions: Vec<Name>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -5,11 +5,7 @@
     sync::Arc, //
 };
 
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use ntex::http::{
     HeaderMap,
     Payload,
@@ -29,11 +25,17 @@
         IncomingRequest,
         PUBLIC_LABEL, //
     },
+    body::{
+        self,
+        Bodies,
+        BodyLimits, //
+    },
     choice::TargetChoice,
     events::{
         EventBatch,
         EventSplitter, //
     },
+    memory_budget::Holder,
     platform::Platform,
     quarantine::{
         Admission,
@@ -120,25 +122,23 @@
         upload::discard(&mut payload).await;
         return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS), PUBLIC_LABEL);
     };
-    let body = match read_body(&mut payload, table.limits.max_body_bytes).await {
-        Ok(body) => body,
+    let length_bytes = body::announced_bytes(request.headers());
+    let is_too_large = length_bytes.is_some_and(|bytes| bytes > table.limits.max_body_bytes);
+    let (route, organisation) = match admit(table, &request, &head.key) {
+        Ok(admitted) => admitted,
         Err(kind) => {
-            upload::discard(&mut payload).await;
+            discard(&mut payload, is_too_large).await;
             return refuse(kind, None, PUBLIC_LABEL);
         }
     };
-    let (route, organisation) = match admit(table, &request, &head.key) {
-        Ok(admitted) => admitted,
-        Err(kind) => return refuse(kind, None, PUBLIC_LABEL),
-    };
     let cost = request_cost(&head, organisation.as_deref());
-    let incoming = build_incoming::<P>(
+    let mut incoming = build_incoming::<P>(
         &request,
         head,
-        body,
         (route, organisation),
         arrived_at_us,
         table,
+        &worker.bodies,
     );
     if let Admission::Refused { part, trial_at_us } = worker.admit_parts(&incoming) {
         info!(worker.context.log, "request has a quarantined prompt part";
@@ -147,6 +147,7 @@
             "part" => format!("{part:x}"));
         let wait_ms = retry_after_ms(trial_at_us, arrived_at_us);
         let label = incoming.label();
+        discard(&mut payload, is_too_large).await;
         return refuse(ErrorKind::PromptQuarantined, Some(wait_ms), label);
     }
     if let Some(organisation) = &incoming.organisation {
@@ -163,22 +164,57 @@
                 "rate_per_s" => organisation.rate_per_s,
                 "burst" => organisation.burst,
                 "retry_after_ms" => wait_ms);
+            discard(&mut payload, is_too_large).await;
             return refuse(ErrorKind::RateLimited, Some(wait_ms), &organisation.name);
         }
     }
+    let limits = BodyLimits {
+        max_bytes: table.limits.max_body_bytes,
+        length_bytes,
+        deadline_us: incoming.deadline_us,
+    };
+    let read = read_body(&worker, &request, &mut payload, &mut incoming, &limits).await;
+    if let Err(kind) = read {
+        if let Some(organisation) = &incoming.organisation {
+            worker.context.quotas().refund(&organisation.name, cost);
+        }
+        discard(&mut payload, kind == ErrorKind::BodyTooLarge).await;
+        return refuse(kind, None, incoming.label());
+    }
     forward(worker, incoming, unsent, cost, running).await
 }
 
-async fn read_body(payload: &mut Payload, limit_bytes: usize) -> Result<Bytes, ErrorKind> {
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let part = part.map_err(|_| ErrorKind::BadRequest)?;
-        if body.len() + part.len() > limit_bytes {
-            return Err(ErrorKind::BodyTooLarge);
+/// Reads and drops the body of a refused request, unless it exceeds the limit. Then it is
+/// not read on, and the server closes the connection after the answer.
+async fn discard(payload: &mut Payload, is_too_large: bool) {
+    if !is_too_large {
+        upload::discard(payload).await;
+    }
+}
+
+/// Reads the body of a request. Refuses the request when its key or route is gone when
+/// the body has arrived.
+async fn read_body<P: Platform>(
+    worker: &Worker<P>,
+    request: &Request,
+    payload: &mut Payload,
+    incoming: &mut IncomingRequest,
+    limits: &BodyLimits,
+) -> Result<(), ErrorKind> {
+    if limits
+        .length_bytes
+        .is_some_and(|bytes| bytes > limits.max_bytes)
+    {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    incoming.body = body::read(&worker.bodies, payload, &incoming.memory, limits).await?;
+    let platform_state = worker.context.platform_state.load();
+    match &platform_state.table {
+        Some(table) if table.version != incoming.table_version => {
+            admit(table, request, &incoming.head.key).map(|_| ())
         }
-        body.extend_from_slice(&part);
+        _ => Ok(()),
     }
-    Ok(body.freeze())
 }
 
 type Admitted = (Arc<Route>, Option<Arc<Organisation>>);
@@ -224,11 +260,16 @@
 fn build_incoming<P: Platform>(
     request: &Request,
     head: super::message::RequestHead,
-    body: Bytes,
     (route, organisation): Admitted,
     arrived_at_us: u64,
     table: &RoutingTable,
+    bodies: &Bodies,
 ) -> IncomingRequest {
+    let holder = organisation
+        .as_ref()
+        .map_or(Holder::Keyless, |organisation| {
+            Holder::Organisation(organisation.name.clone())
+        });
     let filter = HeaderFilter::new(
         Direction::ToTarget,
         request
@@ -262,7 +303,9 @@
             .unwrap_or_default(),
         head,
         headers,
-        body,
+        body: Bytes::new(),
+        memory: bodies.begin(holder),
+        table_version: table.version,
         service,
         kv_stores: Arc::clone(table.kv_stores()),
         route,
@@ -331,6 +374,8 @@
                 worker.record_sample(&incoming, target, sample);
                 if first_batch.is_some() {
                     worker.note_begun_answer(&incoming, sent_at_us);
+                    worker.record_forecast_error(&choice, sent_at_us);
+                    worker.record_first_token(&choice, sent_at_us);
                 }
                 log.is_relayed = true;
                 let (status, headers) = (answer.status, answer.headers().clone());
@@ -357,6 +402,7 @@
                     worker.note_begun_answer(&incoming, sent_at_us);
                 }
                 if answer.status.code().is_success() && incoming.head.prompt.is_none() {
+                    worker.record_forecast_error(&choice, sent_at_us);
                     worker.record_request(target, sent_at_us);
                 }
                 last_answer = Some((answer, body));
@@ -371,8 +417,8 @@
                 if failure == AttemptFailure::Silent && incoming.head.prompt.is_none() {
                     worker.record_request(target, sent_at_us);
                 }
-                if !failure.is_not_run() {
-                    worker.record_sample(&incoming, target, Sample::FAILURE);
+                if !failure.is_not_run() && failure != AttemptFailure::NoMemory {
+                    worker.record_failed_sample(&incoming, target, failure);
                 }
                 info!(worker.context.log, "attempt failed";
                     "event" => Event::AttemptRetried,
@@ -387,7 +433,7 @@
     if let Some((answer, body)) = last_answer {
         log.status = answer.status.code().as_u16();
         let mut builder = reply::forwarded_builder(answer.status, answer.headers(), is_leaving);
-        return builder.body(reply::to_ntex_bytes(body));
+        return builder.body(reply::answer_body(body, (incoming.memory, running)));
     }
     let Some(not_run) = attempts.not_run() else {
         let failure = match last_failure {
@@ -451,11 +497,18 @@
         let until = attempt::timer_instant(worker, until_us);
         let mut splitter = EventSplitter::new(after);
         let first_batch = read_events(&mut answer, &mut splitter, until).await;
-        let first_batch = first_batch.inspect_err(|_| worker.observe_failure(&target.id))?;
+        let first_batch =
+            first_batch.inspect_err(|failure| worker.observe_failure(&target.id, *failure))?;
         answer.in_flight.note_prefill_done();
         return Ok(ReceivedAnswer::Stream(answer, splitter, first_batch));
     }
-    let body = answer.collect(until).await;
-    let body = body.inspect_err(|_| worker.observe_failure(&target.id))?;
+    let body = answer
+        .collect(&worker.bodies, &incoming.memory, until)
+        .await;
+    let body = body.inspect_err(|failure| {
+        if *failure != AttemptFailure::NoMemory {
+            worker.observe_failure(&target.id, *failure);
+        }
+    })?;
     Ok(ReceivedAnswer::Collected(answer, body))
 }
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -27,7 +27,9 @@
         AttemptFailure,
         IncomingRequest, //
     },
+    body::Bodies,
     capacity::OwnRequests,
+    choice::TargetChoice,
     context::Context,
     message::{
         AnswerHead,
@@ -122,8 +124,9 @@
     load_at_us: Option<u64>,
     /// Requests of this entry that run there.
     pub(super) own_running: u32,
-    /// Times at which this entry sent its latest requests.
-    sent_at_us: VecDeque<u64>,
+    /// Times at which this entry sent its latest requests, with the tokens of memory that
+    /// each needs.
+    sent: VecDeque<(u64, u64)>,
     /// Prompt tokens of these requests that are probably not computed yet.
     pub(super) own_prefill_tokens: u64,
     pub(super) outlier: OutlierDetector,
@@ -147,24 +150,28 @@
     /// Returns the requests of this entry, with those that a load reported at
     /// `reported_at_us` does not contain.
     pub(super) fn own_requests(&self, reported_at_us: u64) -> OwnRequests {
-        let unreported = self.sent_at_us.iter().rev();
-        let unreported = unreported.take_while(|at_us| **at_us >= reported_at_us);
-        let unreported = u32::try_from(unreported.count()).unwrap_or(u32::MAX);
-        OwnRequests {
-            running: self.own_running,
-            unreported: unreported.min(self.own_running),
-        }
+        let latest = self.sent.iter().rev().take(self.own_running as usize);
+        let unreported = latest.take_while(|(at_us, _)| *at_us >= reported_at_us);
+        unreported.fold(
+            OwnRequests {
+                running: self.own_running,
+                ..OwnRequests::default()
+            },
+            |own, (_, tokens)| OwnRequests {
+                running: own.running,
+                unreported: own.unreported + 1,
+                unreported_tokens: own.unreported_tokens.saturating_add(*tokens),
+            },
+        )
     }
 
     /// Records that this entry sends a request.
-    fn record_sent(&mut self, now_us: u64) {
-        let is_old = |at_us: &u64| at_us.saturating_add(SENT_REQUEST_LIFETIME_US) <= now_us;
-        while self.sent_at_us.len() >= MAX_SENT_REQUESTS
-            || self.sent_at_us.front().is_some_and(is_old)
-        {
-            self.sent_at_us.pop_front();
+    fn record_sent(&mut self, memory_tokens: u64, now_us: u64) {
+        let is_old = |sent: &(u64, u64)| sent.0.saturating_add(SENT_REQUEST_LIFETIME_US) <= now_us;
+        while self.sent.len() >= MAX_SENT_REQUESTS || self.sent.front().is_some_and(is_old) {
+            self.sent.pop_front();
         }
-        self.sent_at_us.push_back(now_us);
+        self.sent.push_back((now_us, memory_tokens));
     }
 
     /// Returns whether the target has stated that it wants no requests now.
@@ -193,6 +200,7 @@
 pub(super) struct Worker<P> {
     pub(super) context: Arc<Context>,
     pub(super) connections: Rc<Connections>,
+    pub(super) bodies: Bodies,
     pub(super) observations: RefCell<HashMap<Name, TargetObservations>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     configured_version: Cell<u64>,
@@ -201,12 +209,14 @@
 }
 
 impl<P> Worker<P> {
-    pub(super) fn new(context: Arc<Context>) -> Rc<Self> {
-        let connections = Rc::<Connections>::default();
-        let shared = Arc::clone(&context);
+    pub(super) fn new(context: Arc<Context>, connections: Rc<Connections>) -> Rc<Self> {
+        let (shared, closing) = (Arc::clone(&context), Arc::clone(&context));
         ntex::rt::spawn(Rc::clone(&connections).watch(move || shared.is_leaving()));
+        let report = move |closed| closing.note_closed_connections("callers", closed);
+        ntex::rt::spawn(Rc::clone(&connections).enforce_limits(report));
         Rc::new(Self {
             connections,
+            bodies: Bodies::new(&context, &context.memory),
             context,
             observations: RefCell::default(),
             budgets: RefCell::default(),
@@ -284,17 +294,18 @@
         }
     }
 
-    /// Counts a request as running at a target until the guard is dropped.
+    /// Counts a request as running at a target until the guard is dropped. It has tokens to
+    /// read, and needs memory for tokens.
     pub(super) fn track_in_flight(
         self: &Rc<Self>,
         id: &Name,
-        prefill_tokens: u64,
+        (prefill_tokens, memory_tokens): (u64, u64),
     ) -> InFlightGuard<P> {
         let now_us = self.now_us();
         let mut observations = self.observations.borrow_mut();
         let observed = observations.entry(id.clone()).or_default();
         observed.own_running += 1;
-        observed.record_sent(now_us);
+        observed.record_sent(memory_tokens, now_us);
         observed.own_prefill_tokens += prefill_tokens;
         InFlightGuard {
             worker: Rc::clone(self),
@@ -303,13 +314,35 @@
         }
     }
 
+    /// Records the remaining cold time that an answer states. Returns whether the target is
+    /// cold.
+    fn note_cold_time(&self, id: &Name, head: &AnswerHead) -> bool {
+        let wall_us = self.context.wall_us();
+        let mut warmup = self.context.warmup();
+        warmup.report(id, head.cold_left_ms.unwrap_or(0), wall_us);
+        warmup.is_cold(id, wall_us)
+    }
+
+    /// Returns whether a failure is a slow response or a refusal of a cold target, which
+    /// says nothing about the target or its release.
+    fn is_due_to_cold(&self, id: &Name, failure: AttemptFailure) -> bool {
+        let is_slow = matches!(
+            failure,
+            AttemptFailure::Silent | AttemptFailure::UnstatedRefusal
+        );
+        is_slow && self.context.is_cold(id)
+    }
+
     /// Records what an answer reports about its target.
     pub(super) fn observe(&self, target: &TargetRecord, head: &AnswerHead, is_good: bool) {
         let now_us = self.now_us();
+        let is_cold = self.note_cold_time(&target.id, head);
         let mut observations = self.observations.borrow_mut();
         let observed = observations.entry(target.id.clone()).or_default();
         observed.update(target, head, now_us);
-        observed.outlier.record_answer(is_good);
+        if is_good || !is_cold {
+            observed.outlier.record_answer(is_good);
+        }
         self.record_load(target, head, now_us);
     }
 
@@ -329,19 +362,46 @@
         capacity.record_request(&target.service, &target.id, took_us, now_us);
     }
 
+    /// Records the time to the first token of a request at an engine.
+    pub(super) fn record_first_token(&self, choice: &TargetChoice, sent_at_us: u64) {
+        // What the engine has to read is not known exactly without a report of its cache.
+        let Some(work) = &choice.work else {
+            return;
+        };
+        let now_us = self.now_us();
+        let took_us = now_us.saturating_sub(sent_at_us);
+        let target = &choice.target;
+        let mut capacity = self.context.capacity();
+        capacity.record_first_token(&target.service, &target.id, work, took_us, now_us);
+    }
+
+    /// Records how far the forecast of a choice was from the measured time.
+    pub(super) fn record_forecast_error(&self, choice: &TargetChoice, sent_at_us: u64) {
+        let took_us = self.now_us().saturating_sub(sent_at_us);
+        let error_us = choice.forecast.first_token_us as f64 - took_us as f64;
+        let forecast_error = &self.context.metrics.forecast_error;
+        forecast_error.observe(error_us / US_PER_S as f64);
+    }
+
     /// Records that a target refused a request; it is avoided for `pause_us`.
     pub(super) fn observe_refusal(&self, target: &TargetRecord, head: &AnswerHead, pause_us: u64) {
         let now_us = self.now_us();
+        let is_cold = self.note_cold_time(&target.id, head);
         let mut observations = self.observations.borrow_mut();
         let observed = observations.entry(target.id.clone()).or_default();
         observed.update(target, head, now_us);
-        observed.outlier.record_refusal(now_us, pause_us);
+        if !is_cold {
+            observed.outlier.record_refusal(now_us, pause_us);
+        }
         self.record_load(target, head, now_us);
     }
 
     /// Records that a target was unreachable, did not answer in time or sent a broken
     /// answer.
-    pub(super) fn observe_failure(&self, id: &Name) {
+    pub(super) fn observe_failure(&self, id: &Name, failure: AttemptFailure) {
+        if self.is_due_to_cold(id, failure) {
+            return;
+        }
         let now_us = self.now_us();
         let mut observations = self.observations.borrow_mut();
         observations
@@ -385,13 +445,31 @@
         self.context.log_quarantined(&quarantined, source);
     }
 
-    /// Records how a target answered, as evidence about its release.
+    /// Records that an attempt may have run and failed, as evidence about the release of
+    /// its target.
+    pub(super) fn record_failed_sample(
+        &self,
+        incoming: &IncomingRequest,
+        target: &TargetRecord,
+        failure: AttemptFailure,
+    ) {
+        if !self.is_due_to_cold(&target.id, failure) {
+            self.record_sample(incoming, target, Sample::FAILURE);
+        }
+    }
+
+    /// Records how a target answered, as evidence about its release. Times of a cold target
+    /// are none.
     pub(super) fn record_sample(
         &self,
         incoming: &IncomingRequest,
         target: &TargetRecord,
-        sample: Sample,
+        mut sample: Sample,
     ) {
+        if self.context.is_cold(&target.id) {
+            sample.first_token_us = None;
+            sample.between_tokens_us = None;
+        }
         let wall_us = self.context.wall_us();
         self.context.service_rollouts().record(
             &incoming.service,
--- a/src/event.rs
+++ b/src/event.rs
@@ -60,6 +60,8 @@
     /// Requests with a part of their prompts are refused, because engines crashed on
     /// it.
     PartQuarantined = 2006;
+    /// Connections were closed to keep the limits.
+    CallersClosed = 2007;
     /// A stream was resumed on a new connection.
     StreamResumed = 3001;
     /// A stream was continued on another target.
@@ -98,6 +100,10 @@
     DataCentreEvacuated = 6008;
     /// A data centre is no longer evacuated.
     DataCentreRestored = 6009;
+    /// A target is cold and gets few requests.
+    TargetCold = 6010;
+    /// A target is no longer cold.
+    TargetWarm = 6011;
     /// A move changed its state.
     MoveChanged = 7001;
     /// A version was removed from traffic.
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -42,6 +42,12 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// Upper bounds of the buckets of forecast errors, in seconds; an answer that came later
+/// than expected has a negative error.
+const ERROR_BUCKETS_S: [f64; 15] = [
+    -2.0, -1.0, -0.5, -0.2, -0.1, -0.05, -0.02, 0.0, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0,
+];
+
 /// Labels of the metrics that are kept for each organisation.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct OrganisationLabels {
@@ -100,6 +106,9 @@
     between_tokens: HistogramFamily,
     queue_wait: HistogramFamily,
     total: HistogramFamily,
+    /// Predicted less measured seconds to the first token of an engine or the answer of
+    /// another target.
+    pub forecast_error: Histogram,
     /// Tokens admitted, by organisation.
     pub admitted_tokens: Family<OrganisationLabels, Counter>,
     /// Prompt blocks found in a cache.
@@ -131,8 +140,20 @@
     pub cached_parts: Gauge,
     /// Parts of prompts that are quarantined because engines crashed on them.
     pub quarantined_parts: Gauge,
+    /// Targets that are cold.
+    pub cold_targets: Gauge,
+    /// Requests that were refused because only cold targets were left.
+    pub cold_refusals: Counter,
     /// Data centres whose targets get no new requests.
     pub evacuated_data_centres: Gauge,
+    /// Memory that request bodies and buffered answers are charged.
+    pub caller_memory_bytes: Gauge,
+    /// Connections of callers closed because too many were open.
+    pub closed_connections: Counter,
+    /// Connections closed because their callers did not read an answer.
+    pub unread_answers: Counter,
+    /// Request bodies that were dropped for others because they stopped arriving.
+    pub evicted_bodies: Counter,
     /// Times that the engine beside an agent stopped answering.
     pub engine_losses: Counter,
     /// Requests that admission refused, by reason.
@@ -179,6 +200,7 @@
             between_tokens: histogram_family(),
             queue_wait: histogram_family(),
             total: histogram_family(),
+            forecast_error: Histogram::new(ERROR_BUCKETS_S),
             admitted_tokens: Family::default(),
             matched_blocks: Counter::default(),
             prompt_blocks: Counter::default(),
@@ -194,7 +216,13 @@
             running: Gauge::default(),
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            cold_targets: Gauge::default(),
+            cold_refusals: Counter::default(),
             evacuated_data_centres: Gauge::default(),
+            caller_memory_bytes: Gauge::default(),
+            closed_connections: Counter::default(),
+            unread_answers: Counter::default(),
+            evicted_bodies: Counter::default(),
             engine_losses: Counter::default(),
             admission_refusals: Family::default(),
             admission_waits: Family::default(),
@@ -227,6 +255,12 @@
         for (name, help, family) in latencies {
             registry.register_with_unit(name, help, Unit::Seconds, family.clone());
         }
+        registry.register_with_unit(
+            "forecast_error",
+            "Predicted less measured time to the first token or plain answer",
+            Unit::Seconds,
+            self.forecast_error.clone(),
+        );
         let admitted = self.admitted_tokens.clone();
         registry.register("admitted_tokens", "Tokens admitted", admitted);
         let counters = [
@@ -271,7 +305,27 @@
                 "Placements of organisations far above their rate",
                 &self.confined_placements,
             ),
+            (
+                "cold_refusals",
+                "Requests refused because only cold targets were left",
+                &self.cold_refusals,
+            ),
             ("orders", "Orders to the engine", &self.orders),
+            (
+                "closed_connections",
+                "Connections closed because too many were open",
+                &self.closed_connections,
+            ),
+            (
+                "unread_answers",
+                "Connections closed because an answer was not read",
+                &self.unread_answers,
+            ),
+            (
+                "evicted_bodies",
+                "Stalled request bodies dropped for others",
+                &self.evicted_bodies,
+            ),
             (
                 "engine_losses",
                 "Times that the engine stopped answering",
@@ -302,6 +356,13 @@
             self.revision.clone(),
         );
         registry.register("running", "Requests that are running", self.running.clone());
+        let caller_memory = self.caller_memory_bytes.clone();
+        registry.register_with_unit(
+            "caller_memory",
+            "Memory of request bodies and buffered answers",
+            Unit::Bytes,
+            caller_memory,
+        );
         let quarantined_parts = self.quarantined_parts.clone();
         registry.register(
             "quarantined_parts",
@@ -313,6 +374,11 @@
             "Data centres whose targets get no new requests",
             self.evacuated_data_centres.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold",
+            self.cold_targets.clone(),
+        );
         let cached_parts = self.cached_parts.clone();
         registry.register(
             "cached_parts",
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -1,12 +1,18 @@
 //! Settings of the entry and agent programs of the direct path.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
 
 use serde::{
     Deserialize,
     Serialize, //
 };
-use serde_with::serde_as;
+use serde_with::{
+    DefaultOnNull,
+    serde_as, //
+};
 
 use super::{
     Finding, Settings,
@@ -14,7 +20,8 @@
         Checker,
         Floor,
         LogSettings,
-        Seconds, //
+        Seconds,
+        Thousandths, //
     },
 };
 use crate::names::Name;
@@ -68,11 +75,74 @@
     /// capacity; `None` when `platform_features` decide that.
     #[serde(default)]
     pub overload_control: Option<bool>,
+    /// Memory of the machine in MB, from which the budget for request bodies and buffered
+    /// answers is derived; 0 when the machine states no limit.
+    #[serde(default)]
+    pub memory_mb: u64,
+    /// Longest time for which a request body may arrive without a further byte.
+    #[serde(default = "default_body_progress_ms")]
+    pub body_progress_ms: u64,
+    /// Most connections of callers that are open at once; 0 for two thirds of
+    /// `max_descriptors`.
+    #[serde(default)]
+    pub max_connections: u32,
+    /// Region of each data centre.
+    #[serde(default)]
+    #[serde_as(as = "DefaultOnNull")]
+    pub regions: BTreeMap<Name, Name>,
+    /// Factor by which requests to a cold target may exceed the rate that it tolerates, in
+    /// any one second over all entries.
+    #[serde(default = "default_cold_over", rename = "cold_over")]
+    #[serde_as(as = "Thousandths")]
+    pub cold_over_permille: u64,
+    /// Requests in addition to `cold_over`. A fraction is dropped.
+    #[serde(default = "default_cold_slack")]
+    #[serde_as(as = "Floor")]
+    pub cold_slack: u32,
+    /// Descriptors that the machine allows the process; 0 when it states no limit.
+    #[serde(default)]
+    pub max_descriptors: u32,
     /// Log.
     #[serde(default)]
     pub log: LogSettings,
 }
 
+const fn default_body_progress_ms() -> u64 {
+    10_000
+}
+
+/// Default of `cold_over`, as deployments with cold targets state it.
+const fn default_cold_over() -> u64 {
+    1_500
+}
+
+/// Default of `cold_slack`, as deployments with cold targets state it.
+const fn default_cold_slack() -> u32 {
+    5
+}
+
+impl DirectEntrySettings {
+    /// Returns the most connections of callers that are open at once, 0 for no limit. A
+    /// third of the descriptors is kept for targets, control, checks and the store.
+    ///
+    /// ```
+    /// use yuccalatch::settings::{DirectEntrySettings, default_text, parse};
+    ///
+    /// let text = default_text::<DirectEntrySettings>();
+    /// let mut settings: DirectEntrySettings = parse("entry.json", text).unwrap();
+    /// assert_eq!(settings.max_caller_connections(), 0);
+    /// settings.max_descriptors = 3_075;
+    /// assert_eq!(settings.max_caller_connections(), 2_050);
+    /// ```
+    pub fn max_caller_connections(&self) -> usize {
+        let connections = match self.max_connections {
+            0 => self.max_descriptors / 3 * 2,
+            stated => stated,
+        };
+        connections as usize
+    }
+}
+
 impl Settings for DirectEntrySettings {
     const DEFAULT_TEXT: &'static str = r#"{
   // Name of the instance, unique in the fleet.
@@ -112,6 +182,24 @@
   // Whether the entry decides which requests go first when targets are short of
   // capacity, or null for what "platform_features" say.
   "overload_control": null,
+  // Memory of the machine in MB, from which the budget for request bodies and buffered
+  // answers is derived, or 0 when the machine states no limit.
+  "memory_mb": 0,
+  // Longest time for which a request body may arrive without a further byte, in
+  // milliseconds.
+  "body_progress_ms": 10000,
+  // Most connections of callers that are open at once, or 0 for two thirds of
+  // "max_descriptors".
+  "max_connections": 0,
+  // Region of each data centre.
+  "regions": {},
+  // Factor by which requests to a cold target may exceed the rate that it
+  // tolerates, in any one second over all entries.
+  "cold_over": 1.5,
+  // Requests in addition to "cold_over".
+  "cold_slack": 5,
+  // Descriptors that the machine allows the process, or 0 when it states no limit.
+  "max_descriptors": 0,
   // "format" is "terminal" or "json"; "level" is "critical", "error",
   // "warning", "info", "debug" or "trace".
   "log": {"format": "json", "level": "info"}
@@ -130,6 +218,7 @@
         checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
         checker.duration_ms(&["retry_window_s"], self.retry_window_ms, 100);
         checker.duration_ms(&["old_weights_ms"], self.old_weights_ms, 0);
+        checker.duration_ms(&["body_progress_ms"], self.body_progress_ms, 100);
         checker.range(
             &["retries_per_thousand"],
             u64::from(self.retries_per_thousand),
--- a/tests/stale_loads.rs
+++ b/tests/stale_loads.rs
@@ -89,9 +89,11 @@
             failure_share: 0.0,
             availability: Availability::Open,
             is_outdated: outdated(at),
+            is_cold: false,
             cached: CachedTokens::default(),
             steering_cost_ms: 0.0,
             expected_ms: None,
+            engine_costs: None,
             is_sampled: is_sampled[at],
         };
         (0..ENGINES).map(candidate).collect()
--- a/tests/target_ranking.rs
+++ b/tests/target_ranking.rs
@@ -39,9 +39,11 @@
         failure_share: 0.0,
         availability: Availability::Open,
         is_outdated: false,
+        is_cold: false,
         cached: CachedTokens::default(),
         steering_cost_ms: 0.0,
         expected_ms: None,
+        engine_costs: None,
         is_sampled: true,
     }
 }
