--- a/tests/target_speeds.rs
+++ b/tests/target_speeds.rs
@@ -152,6 +152,7 @@
                     own_prefill_tokens: 0,
                     failure_share: 0.0,
                     availability: Availability::Open,
+                    is_cold: false,
                     is_outdated: false,
                     cached: CachedTokens::default(),
                     steering_cost_ms: 0.0,
