Count failed exchanges and show when a later configuration is known

Change: YL4004 when another entry has a later configuration (its request states the version), outdated_us in YL4001, YL8005 for failed exchanges (one line a second), and three metrics: latest_revision, failed_exchanges, exchange_bytes. No decision depends on them.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -19,6 +19,7 @@
 pub mod call;
 pub mod capacity;
 mod choice;
+pub mod config_lag;
 pub mod constraint;
 mod context;
 pub mod entry;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -474,7 +474,8 @@
                 ),
             };
             ntex::rt::spawn(async move {
-                if let Ok(reply) = peers::exchange(&agent.client, address, &exchange_request).await
+                if let Ok((reply, _)) =
+                    peers::exchange(&agent.client, address, &exchange_request).await
                 {
                     agent.set_confirmed_position(address, reply.cache_position);
                     agent.apply_reply(reply);
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -21,6 +21,7 @@
 use arc_swap::ArcSwap;
 use slog::{
     Logger,
+    info,
     warn, //
 };
 
@@ -33,6 +34,7 @@
         CachedParts, //
     },
     capacity::Capacity,
+    config_lag::ConfigLag,
     memory_budget::{
         self,
         MemoryBudget, //
@@ -116,6 +118,7 @@
     capacity: Mutex<Capacity>,
     admission: Mutex<AdmissionControl>,
     warmup: Mutex<Warmup>,
+    config_lag: Mutex<ConfigLag>,
     engines: Mutex<HashMap<Name, ReportedEngine>>,
     /// Whether the entry decides which requests go first when targets are short of
     /// capacity.
@@ -154,6 +157,7 @@
             capacity: Mutex::default(),
             admission: Mutex::default(),
             warmup: Mutex::default(),
+            config_lag: Mutex::default(),
             engines: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
@@ -212,6 +216,29 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of later configurations.
+    pub(super) fn config_lag(&self) -> MutexGuard<'_, ConfigLag> {
+        self.config_lag
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that an entry has a version of the configuration.
+    pub(super) fn note_configuration(&self, entry: SocketAddr, version: u64) {
+        let now_us = self.clock.now_us();
+        let mut config_lag = self.config_lag();
+        if !config_lag.announce(version, now_us) {
+            return;
+        }
+        drop(config_lag);
+        let latest = i64::try_from(version).unwrap_or(i64::MAX);
+        self.metrics.latest_revision.set(latest);
+        info!(self.log, "another entry has a later configuration";
+            "event" => Event::RevisionKnown,
+            "latest_version" => version,
+            "entry" => %entry);
+    }
+
     /// Locks the warm-up of targets.
     pub(super) fn warmup(&self) -> MutexGuard<'_, Warmup> {
         self.warmup.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -25,6 +25,7 @@
     time::Duration, //
 };
 
+use error_stack::Report;
 use futures_util::future::join_all;
 use ntex::{
     SharedCfg,
@@ -91,7 +92,10 @@
         US_PER_MS,
         US_PER_S, //
     },
-    error::Result,
+    error::{
+        ErrorKind,
+        Result, //
+    },
     event::Event,
     names::Name,
     process::{
@@ -140,6 +144,9 @@
 /// Interval between checks of this entry's registration.
 const REGISTER_INTERVAL_US: u64 = US_PER_S;
 
+/// Shortest interval between log lines about failed exchanges.
+const FAILURES_LOG_INTERVAL_US: u64 = US_PER_S;
+
 /// Time limit for a registration.
 const REGISTER_TIMEOUT_MS: u64 = 1_000;
 
@@ -255,6 +262,15 @@
     client: ntex::client::Client,
     /// Until when this entry gets the changes of the object store from watchers.
     follow_peers_until_us: Cell<u64>,
+    failed_exchanges: Cell<FailedExchanges>,
+}
+
+/// Failed exchanges that are not logged yet.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailedExchanges {
+    unlogged: u64,
+    /// Earliest time of the next line.
+    log_at_us: u64,
 }
 
 /// Serves other entries and agents, follows the object store and exchanges state
@@ -293,6 +309,7 @@
         platform_state: RefCell::default(),
         health: Rc::default(),
         follow_peers_until_us: Cell::new(0),
+        failed_exchanges: Cell::default(),
         context,
     });
     for topic in [
@@ -409,15 +426,28 @@
         let platform_state = self.platform_state.borrow().clone();
         let version = self.configuration_version();
         if version != version_before {
+            let now_us = self.context.clock.now_us();
+            let (outdated_us, latest) = {
+                let mut config_lag = self.context.config_lag();
+                (
+                    config_lag.apply(version, now_us),
+                    config_lag.latest_version(),
+                )
+            };
             info!(self.context.log, "configuration applied";
                 "event" => Event::RevisionApplied,
                 "config_version" => version,
                 "version_before" => version_before,
+                "outdated_us" => outdated_us,
                 "source" => source);
-            let revision = i64::try_from(version).unwrap_or(i64::MAX);
-            self.context.metrics.revision.set(revision);
+            let metrics = &self.context.metrics;
+            metrics
+                .revision
+                .set(i64::try_from(version).unwrap_or(i64::MAX));
+            metrics
+                .latest_revision
+                .set(i64::try_from(latest).unwrap_or(i64::MAX));
             if let Some(table) = &platform_state.table {
-                let now_us = self.context.clock.now_us();
                 self.context.configure_quotas(table, now_us);
             }
         }
@@ -626,6 +656,26 @@
         }
     }
 
+    /// Counts a failed exchange, and logs one line for all that failed within a second.
+    fn note_failed_exchange(&self, address: SocketAddr, error: &Report<ErrorKind>) {
+        self.context.metrics.failed_exchanges.inc();
+        let now_us = self.context.clock.now_us();
+        let mut failures = self.failed_exchanges.get();
+        failures.unlogged += 1;
+        if now_us >= failures.log_at_us {
+            info!(self.context.log, "exchanges with other entries fail";
+                "event" => Event::ExchangesFail,
+                "failed" => failures.unlogged,
+                "entry" => %address,
+                "error" => ?error);
+            failures = FailedExchanges {
+                unlogged: 0,
+                log_at_us: now_us + FAILURES_LOG_INTERVAL_US,
+            };
+        }
+        self.failed_exchanges.set(failures);
+    }
+
     /// Exchanges state with another entry and applies its answer.
     /// `is_assigned_watcher` is whether that entry watches the object store for this
     /// one.
@@ -649,9 +699,15 @@
         };
         // The use of an entry that does not answer is charged by
         // `Quotas::charge_assumed_use`.
-        let Ok(reply) = peers::exchange(&self.client, address, &exchange_request).await else {
-            return;
+        let (reply, bytes) = match peers::exchange(&self.client, address, &exchange_request).await {
+            Ok(answered) => answered,
+            Err(error) => {
+                self.note_failed_exchange(address, &error);
+                return;
+            }
         };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.context.metrics.exchange_bytes.inc_by(bytes);
         let now_us = self.context.clock.now_us();
         if is_assigned_watcher
             && reply.store_fresh_for_us > 0
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -72,6 +72,10 @@
     let mut begun = Vec::new();
     if let Some(entry) = &exchange_request.entry {
         context.merge_entry_state(entry);
+        context.note_configuration(
+            entry.control_address,
+            exchange_request.configuration_version,
+        );
         let now_us = context.clock.now_us();
         begun = context.quarantine().begun_answers(&entry.parts, now_us);
     }
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -278,7 +278,7 @@
         .collect()
 }
 
-/// Sends an exchange request to one entry and returns its answer.
+/// Sends an exchange request to one entry and returns its answer with its size in bytes.
 ///
 /// # Errors
 ///
@@ -287,7 +287,7 @@
     client: &Client,
     address: SocketAddr,
     exchange_request: &ExchangeRequest,
-) -> Result<ExchangeReply> {
+) -> Result<(ExchangeReply, usize)> {
     let body = postcard::to_stdvec(exchange_request).change_context(ErrorKind::Internal)?;
     let call = async {
         let response = client
@@ -300,7 +300,8 @@
         }
         let body = response.body().limit(MAX_MESSAGE_BYTES).await;
         let body = body.map_err(|error| unavailable(error.to_string()))?;
-        postcard::from_bytes(&body).change_context(ErrorKind::PeerUnavailable)
+        let reply = postcard::from_bytes(&body).change_context(ErrorKind::PeerUnavailable)?;
+        Ok((reply, body.len()))
     };
     timeout(EXCHANGE_TIMEOUT, call)
         .await
--- a/src/event.rs
+++ b/src/event.rs
@@ -76,6 +76,8 @@
     RevisionRejected = 4002;
     /// API keys cannot be verified, because the entry may have missed withdrawals.
     KeysStale = 4003;
+    /// Another entry has a later configuration than this one.
+    RevisionKnown = 4004;
     /// An entry took over a limit ledger.
     LedgerTaken = 5001;
     /// An entry gave up a limit ledger.
@@ -125,6 +127,8 @@
     /// This entry receives changes in the object store from other entries and does
     /// not watch it itself.
     StoreLeftToOthers = 8004;
+    /// Exchanges with other entries fail.
+    ExchangesFail = 8005;
     /// A stand-in injects a fault.
     FaultInjected = 9001;
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -134,6 +134,12 @@
     pub orders: Counter,
     /// Configuration revision in use.
     pub revision: Gauge,
+    /// Latest configuration revision that this process knows to exist.
+    pub latest_revision: Gauge,
+    /// Exchanges with other entries that failed.
+    pub failed_exchanges: Counter,
+    /// Bytes of the messages that other entries have answered with.
+    pub exchange_bytes: Counter,
     /// Requests that are running.
     pub running: Gauge,
     /// Parts of prompts that the engine has cached.
@@ -213,6 +219,9 @@
             confined_placements: Counter::default(),
             orders: Counter::default(),
             revision: Gauge::default(),
+            latest_revision: Gauge::default(),
+            failed_exchanges: Counter::default(),
+            exchange_bytes: Counter::default(),
             running: Gauge::default(),
             cached_parts: Gauge::default(),
             quarantined_parts: Gauge::default(),
@@ -331,6 +340,16 @@
                 "Times that the engine stopped answering",
                 &self.engine_losses,
             ),
+            (
+                "failed_exchanges",
+                "Exchanges with other entries that failed",
+                &self.failed_exchanges,
+            ),
+            (
+                "exchange_bytes",
+                "Bytes of the answers of other entries",
+                &self.exchange_bytes,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
@@ -355,6 +374,11 @@
             "Configuration revision in use",
             self.revision.clone(),
         );
+        registry.register(
+            "latest_revision",
+            "Latest configuration revision that is known to exist",
+            self.latest_revision.clone(),
+        );
         registry.register("running", "Requests that are running", self.running.clone());
         let caller_memory = self.caller_memory_bytes.clone();
         registry.register_with_unit(
