Fetch large objects once, over one connection at a time

Cause: congestion collapse. Every entry with a later configuration put all of it into its answer to every exchange. An entry exchanges with each other one several times a second, so 24 copies of some 100 to 300 KB were on their way to it at once. On a link of 10 Mbit/s none arrived within the 0.4 s of an exchange; all were dropped and asked for again, without end. As no exchange succeeded, the entry also listed the store, whose answer had 1 s as a whole. Change: exchanges announce versions of the configuration and of the list of targets. Why this works: at most one copy shares the link with the answers of the store, and a transfer that progresses is never begun again. Messages between entries and agents change: replace both together.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -62,6 +62,10 @@
         PlatformState,
         WeightsRollout, //
     },
+    snapshot::{
+        self,
+        SnapshotRequest, //
+    },
     turns,
 };
 use crate::{
@@ -157,6 +161,8 @@
     entry_answered_at_us: Cell<u64>,
     platform_state: RefCell<PlatformState>,
     is_engine_silent: Cell<bool>,
+    /// Whether the list of targets is being fetched.
+    is_fetching: Cell<bool>,
     /// Until when the engine gets no further order, after it refused one.
     next_order_at_us: Cell<u64>,
     /// Whether the wanted weights were read from the object store.
@@ -197,6 +203,7 @@
             clock: Clock::start(),
             platform_state: RefCell::default(),
             is_engine_silent: Cell::new(false),
+            is_fetching: Cell::new(false),
             next_order_at_us: Cell::new(0),
             has_read_weights: Cell::new(false),
             cache: RefCell::default(),
@@ -432,6 +439,24 @@
         }
     }
 
+    /// Fetches the list of targets from an entry, unless that is being done.
+    async fn fetch_targets(&self, address: SocketAddr, revision: u64) {
+        if self.is_fetching.replace(true) {
+            return;
+        }
+        let snapshot_request = SnapshotRequest {
+            configuration_version: None,
+            targets_revision: Some(revision),
+        };
+        let fetched = snapshot::fetch(&self.client, address, snapshot_request).await;
+        self.is_fetching.set(false);
+        if let Ok((snapshot, _)) = fetched
+            && snapshot.apply(&mut self.platform_state.borrow_mut())
+        {
+            self.update_turns();
+        }
+    }
+
     /// Computes the turns in which engines load, from the current targets.
     fn update_turns(&self) {
         let mut platform_state = self.platform_state.borrow_mut();
@@ -461,10 +486,7 @@
             let agent = Rc::clone(self);
             let exchange_request = ExchangeRequest {
                 entry: None,
-                configuration_version: u64::MAX,
-                // One entry is asked for the list of targets; it answers with the
-                // list only when that is later.
-                targets_revision: (position == 0).then_some(revision),
+                configuration: None,
                 entries_digest: Some(entries_digest),
                 engine: state.cloned(),
                 cache: Some(
@@ -474,11 +496,16 @@
                 ),
             };
             ntex::rt::spawn(async move {
-                if let Ok((reply, _)) =
-                    peers::exchange(&agent.client, address, &exchange_request).await
-                {
-                    agent.set_confirmed_position(address, reply.cache_position);
-                    agent.apply_reply(reply);
+                let answered = peers::exchange(&agent.client, address, &exchange_request).await;
+                let Ok((reply, _)) = answered else {
+                    return;
+                };
+                agent.set_confirmed_position(address, reply.cache_position);
+                let later = reply.targets_revision.filter(|later| *later > revision);
+                agent.apply_reply(reply);
+                // The list of targets is taken from one entry.
+                if position == 0 && later.is_some() {
+                    agent.fetch_targets(address, revision).await;
                 }
             });
         }
--- a/src/direct/config_lag.rs
+++ b/src/direct/config_lag.rs
@@ -23,6 +23,8 @@
 pub struct ConfigLag {
     /// Version in use, 0 for none.
     version: u64,
+    /// Earliest known time at which the version in use existed.
+    since_us: u64,
     /// Later versions, with the earliest known time at which they existed.
     later: BTreeMap<u64, u64>,
 }
@@ -49,11 +51,40 @@
         let outdated_us = self
             .outdated_since_us()
             .map(|at_us| now_us.saturating_sub(at_us));
+        self.since_us = self.later.get(&version).map_or(now_us, |at_us| *at_us);
         self.version = version;
         self.later.retain(|later, _| *later > version);
         outdated_us
     }
 
+    /// Forgets the versions after `version`: a process that announced one does not have it.
+    ///
+    /// ```
+    /// use yuccalatch::direct::config_lag::ConfigLag;
+    ///
+    /// let mut lag = ConfigLag::default();
+    /// lag.announce(7, 0);
+    /// lag.retract_after(6);
+    /// assert_eq!(lag.outdated_since_us(), None);
+    /// ```
+    pub fn retract_after(&mut self, version: u64) {
+        self.later.retain(|later, _| *later <= version);
+    }
+
+    /// Returns the version in use and since when it has existed, `None` without one.
+    ///
+    /// ```
+    /// use yuccalatch::direct::config_lag::ConfigLag;
+    ///
+    /// let mut lag = ConfigLag::default();
+    /// lag.announce(7, 100);
+    /// lag.apply(7, 900);
+    /// assert_eq!(lag.version_in_use(), Some((7, 100)));
+    /// ```
+    pub fn version_in_use(&self) -> Option<(u64, u64)> {
+        (self.version > 0).then_some((self.version, self.since_us))
+    }
+
     /// Returns since when the version in use has been outdated, `None` when no later one
     /// is known.
     pub fn outdated_since_us(&self) -> Option<u64> {
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -24,6 +24,7 @@
     info,
     warn, //
 };
+use tokio::sync::Semaphore;
 
 use super::{
     admission::AdmissionControl,
@@ -49,6 +50,10 @@
     quota::Quotas,
     routing::RoutingTable,
     service_rollout::ServiceRollouts,
+    snapshot::{
+        self,
+        Announcement, //
+    },
     steering::Steering,
     warmup::{
         ColdBounds,
@@ -80,6 +85,10 @@
 /// engines that have left, are removed.
 const MAX_ENGINES: usize = 8_192;
 
+/// Longest age of a configuration that another entry announces. Entries hear of a later
+/// one within this time, so that an older statement is not plausible.
+const MAX_ANNOUNCED_AGE_US: u64 = 2_000 * US_PER_MS;
+
 /// State of an engine as its agent last reported it.
 pub(super) struct ReportedEngine {
     pub(super) state: EngineState,
@@ -123,6 +132,8 @@
     /// Whether the entry decides which requests go first when targets are short of
     /// capacity.
     pub(super) has_overload_control: bool,
+    /// Permits to send snapshots to other processes.
+    pub(super) uploads: Arc<Semaphore>,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
     /// Addresses of the KV cache stores that accept no connections.
@@ -159,6 +170,7 @@
             warmup: Mutex::default(),
             config_lag: Mutex::default(),
             engines: Mutex::default(),
+            uploads: Arc::new(Semaphore::new(snapshot::MAX_UPLOADS)),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             down_kv_stores: ArcSwap::default(),
@@ -223,14 +235,25 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an entry has a version of the configuration.
-    pub(super) fn note_configuration(&self, entry: SocketAddr, version: u64) {
-        let now_us = self.clock.now_us();
-        let mut config_lag = self.config_lag();
-        if !config_lag.announce(version, now_us) {
+    /// Returns which configuration this entry has, `None` without one.
+    pub(super) fn announcement(&self) -> Option<Announcement> {
+        let config_lag = self.config_lag();
+        let (version, since_us) = config_lag.version_in_use()?;
+        Some(Announcement {
+            version,
+            age_us: self.clock.now_us().saturating_sub(since_us),
+        })
+    }
+
+    /// Records which configuration another entry has.
+    pub(super) fn note_configuration(&self, entry: SocketAddr, announcement: Announcement) {
+        let Announcement { version, age_us } = announcement;
+        let age_us = age_us.min(MAX_ANNOUNCED_AGE_US);
+        let since_us = self.clock.now_us().saturating_sub(age_us);
+        let is_latest = self.config_lag().announce(version, since_us);
+        if !is_latest {
             return;
         }
-        drop(config_lag);
         let latest = i64::try_from(version).unwrap_or(i64::MAX);
         self.metrics.latest_revision.set(latest);
         info!(self.log, "another entry has a later configuration";
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -65,6 +65,7 @@
     },
     peers::{
         self,
+        ExchangeReply,
         ExchangeRequest, //
     },
     platform::{
@@ -84,6 +85,10 @@
         RolloutOrder,
         RolloutState, //
     },
+    snapshot::{
+        self,
+        SnapshotRequest, //
+    },
     watchers,
     worker::Worker, //
 };
@@ -262,6 +267,8 @@
     client: ntex::client::Client,
     /// Until when this entry gets the changes of the object store from watchers.
     follow_peers_until_us: Cell<u64>,
+    /// Whether a snapshot is being fetched. Another one would slow it down.
+    is_fetching: Cell<bool>,
     failed_exchanges: Cell<FailedExchanges>,
 }
 
@@ -309,6 +316,7 @@
         platform_state: RefCell::default(),
         health: Rc::default(),
         follow_peers_until_us: Cell::new(0),
+        is_fetching: Cell::new(false),
         failed_exchanges: Cell::default(),
         context,
     });
@@ -679,23 +687,14 @@
     /// Exchanges state with another entry and applies its answer.
     /// `is_assigned_watcher` is whether that entry watches the object store for this
     /// one.
-    async fn exchange(&self, address: SocketAddr, is_assigned_watcher: bool) {
-        let exchange_request = {
-            let platform_state = self.platform_state.borrow();
-            let wants_targets =
-                is_assigned_watcher || self.health.is_down() || !platform_state.has_targets;
-            ExchangeRequest {
-                entry: Some(exchange::own_state(&self.context)),
-                configuration_version: platform_state
-                    .configuration
-                    .as_ref()
-                    .map_or(0, |known| known.version),
-                targets_revision: wants_targets.then_some(platform_state.targets_revision),
-                // Entries take the list of entries from the object store.
-                entries_digest: None,
-                engine: None,
-                cache: None,
-            }
+    async fn exchange(self: Rc<Self>, address: SocketAddr, is_assigned_watcher: bool) {
+        let exchange_request = ExchangeRequest {
+            entry: Some(exchange::own_state(&self.context)),
+            configuration: self.context.announcement(),
+            // Entries take the list of entries from the object store.
+            entries_digest: None,
+            engine: None,
+            cache: None,
         };
         // The use of an entry that does not answer is charged by
         // `Quotas::charge_assumed_use`.
@@ -719,10 +718,61 @@
         if let Some(entry) = &reply.entry {
             self.context.merge_entry_state(entry);
         }
+        if let Some(announcement) = reply.configuration {
+            self.context.note_configuration(address, announcement);
+        }
+        let snapshot_request = self.missing(&reply, is_assigned_watcher);
         let before = self.configuration_version();
         let is_new = peers::apply_reply(&mut self.platform_state.borrow_mut(), reply, now_us);
         if is_new {
             self.publish(before, "entry");
         }
+        if !snapshot_request.is_empty() && !self.is_fetching.replace(true) {
+            self.fetch_snapshot(address, snapshot_request).await;
+            self.is_fetching.set(false);
+        }
+    }
+
+    /// Returns the request for what another entry announces and this one lacks.
+    fn missing(&self, reply: &ExchangeReply, is_assigned_watcher: bool) -> SnapshotRequest {
+        let platform_state = self.platform_state.borrow();
+        let own_version = self.configuration_version();
+        let own_revision = platform_state.targets_revision;
+        // Otherwise the list of targets comes from the store.
+        let wants_targets =
+            is_assigned_watcher || self.health.is_down() || !platform_state.has_targets;
+        let has_later_version = reply
+            .configuration
+            .is_some_and(|announcement| announcement.version > own_version);
+        let has_later_targets = reply
+            .targets_revision
+            .is_some_and(|revision| revision > own_revision);
+        SnapshotRequest {
+            configuration_version: has_later_version.then_some(own_version),
+            targets_revision: (wants_targets && has_later_targets).then_some(own_revision),
+        }
+    }
+
+    /// Fetches what this entry lacks from another one and applies it.
+    async fn fetch_snapshot(&self, address: SocketAddr, snapshot_request: SnapshotRequest) {
+        let fetched = snapshot::fetch(&self.client, address, snapshot_request).await;
+        let (snapshot, bytes) = match fetched {
+            Ok(fetched) => fetched,
+            Err(error) => {
+                self.note_failed_exchange(address, &error);
+                return;
+            }
+        };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.context.metrics.exchange_bytes.inc_by(bytes);
+        if let Some(own_version) = snapshot_request.configuration_version {
+            let version = snapshot.configuration_version().unwrap_or(own_version);
+            self.context.config_lag().retract_after(version);
+        }
+        let before = self.configuration_version();
+        let is_new = snapshot.apply(&mut self.platform_state.borrow_mut());
+        if is_new {
+            self.publish(before, "entry");
+        }
     }
 }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -1,10 +1,14 @@
-//! Answers of an entry to the exchange requests of other entries and of agents.
+//! Answers of an entry to the requests of other entries and of agents.
 
+use std::sync::Arc;
+
+use bytes::Bytes;
 use ntex::http::{
     Request,
     Response,
     StatusCode, //
 };
+use serde::Serialize;
 use slog::warn;
 
 use super::{
@@ -20,6 +24,12 @@
         EntryState,
         ExchangeRequest, //
     },
+    reply,
+    snapshot::{
+        self,
+        Snapshot,
+        SnapshotRequest, //
+    },
 };
 use crate::{
     clock::US_PER_S,
@@ -47,11 +57,13 @@
     }
 }
 
-/// Answers an exchange request of another entry or of an agent.
+/// Answers a request of another entry or of an agent.
 pub(super) async fn answer(context: &Context, bodies: &Bodies, mut request: Request) -> Response {
-    if request.uri().path() != peers::PATH {
-        return Response::new(StatusCode::NOT_FOUND);
-    }
+    let is_snapshot = match request.uri().path() {
+        peers::PATH => false,
+        snapshot::PATH => true,
+        _ => return Response::new(StatusCode::NOT_FOUND),
+    };
     let mut payload = request.take_payload();
     let limits = BodyLimits {
         max_bytes: peers::MAX_MESSAGE_BYTES,
@@ -66,16 +78,25 @@
             return Response::new(status.unwrap_or(StatusCode::BAD_REQUEST));
         }
     };
-    let Ok(exchange_request) = postcard::from_bytes::<ExchangeRequest>(&body) else {
-        return Response::new(StatusCode::BAD_REQUEST);
-    };
+    if is_snapshot {
+        return match postcard::from_bytes(&body) {
+            Ok(snapshot_request) => answer_snapshot(context, &snapshot_request),
+            Err(_) => Response::new(StatusCode::BAD_REQUEST),
+        };
+    }
+    match postcard::from_bytes(&body) {
+        Ok(exchange_request) => answer_exchange(context, &exchange_request),
+        Err(_) => Response::new(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn answer_exchange(context: &Context, exchange_request: &ExchangeRequest) -> Response {
     let mut begun = Vec::new();
     if let Some(entry) = &exchange_request.entry {
         context.merge_entry_state(entry);
-        context.note_configuration(
-            entry.control_address,
-            exchange_request.configuration_version,
-        );
+        if let Some(announcement) = exchange_request.configuration {
+            context.note_configuration(entry.control_address, announcement);
+        }
         let now_us = context.clock.now_us();
         begun = context.quarantine().begun_answers(&entry.parts, now_us);
     }
@@ -90,20 +111,37 @@
         entry
     });
     let reply = peers::build_reply(
-        &exchange_request,
+        exchange_request,
         entry,
+        context.announcement(),
         &platform_state,
         cache_position,
         context.store_fresh_for_us(),
     );
-    match postcard::to_stdvec(&reply) {
-        Ok(body) => Response::build(StatusCode::OK).body(body),
-        Err(error) => {
-            warn!(context.log, "answer to an entry or agent cannot be encoded";
-                "event" => Event::RevisionRejected,
-                "kind" => ErrorKind::Internal.name(),
-                "error" => %error);
-            Response::new(StatusCode::INTERNAL_SERVER_ERROR)
-        }
-    }
+    encode(context, &reply).map_or_else(Response::new, |body| {
+        Response::build(StatusCode::OK).body(body)
+    })
+}
+
+/// Sends what an entry or agent lacks, unless enough others are being sent theirs.
+fn answer_snapshot(context: &Context, snapshot_request: &SnapshotRequest) -> Response {
+    let Ok(upload) = Arc::clone(&context.uploads).try_acquire_owned() else {
+        return Response::new(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let snapshot = Snapshot::new(snapshot_request, &context.platform_state.load());
+    encode(context, &snapshot).map_or_else(Response::new, |body| {
+        let body = reply::answer_body(Bytes::from(body), upload);
+        Response::build(StatusCode::OK).body(body)
+    })
+}
+
+/// Encodes an answer. Returns the status of the answer when that fails.
+fn encode(context: &Context, message: &impl Serialize) -> Result<Vec<u8>, StatusCode> {
+    postcard::to_stdvec(message).map_err(|error| {
+        warn!(context.log, "answer to an entry or agent cannot be encoded";
+            "event" => Event::RevisionRejected,
+            "kind" => ErrorKind::Internal.name(),
+            "error" => %error);
+        StatusCode::INTERNAL_SERVER_ERROR
+    })
 }
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -11,7 +11,6 @@
         Hasher, //
     },
     net::SocketAddr,
-    sync::Arc,
     time::Duration, //
 };
 
@@ -40,15 +39,12 @@
     message::EngineMemory,
     platform_state::PlatformState,
     quarantine::PartsReport,
-    routing::Configuration,
     service_rollout::{
         RolloutOrder,
         RolloutReport, //
     },
-    target::{
-        TargetRecord,
-        WantedWeights, //
-    },
+    snapshot::Announcement,
+    target::WantedWeights,
 };
 use crate::{
     clock::US_PER_MS,
@@ -70,7 +66,7 @@
 /// that takes longer counts as unavailable.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Size limit of an exchange message; a configuration of a megabyte fits.
+/// Size limit of a message; a configuration of a megabyte fits.
 pub(super) const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
 /// Interval between an agent's reports to one entry, per entry of the fleet, so
@@ -101,10 +97,8 @@
 pub(super) struct ExchangeRequest {
     /// State of the sending entry, `None` from an agent.
     pub(super) entry: Option<EntryState>,
-    /// Version of the sender's configuration, 0 without one.
-    pub(super) configuration_version: u64,
-    /// Revision of the sender's list of targets, `None` when the list is not needed.
-    pub(super) targets_revision: Option<u64>,
+    /// Configuration of the sending entry, `None` without one.
+    pub(super) configuration: Option<Announcement>,
     /// Digest of the sender's list of entries, so that an unchanged list is not sent;
     /// `None` when the list is not needed.
     pub(super) entries_digest: Option<u64>,
@@ -156,10 +150,10 @@
 pub(super) struct ExchangeReply {
     /// State of the answering entry, `None` to an agent.
     pub(super) entry: Option<EntryState>,
-    /// Configuration, when it is later than the sender's.
-    pub(super) configuration: Option<Configuration>,
-    /// List of targets with its revision, when it is later than the sender's.
-    pub(super) targets: Option<(u64, Vec<TargetRecord>)>,
+    /// Configuration of the answering entry, `None` without one.
+    pub(super) configuration: Option<Announcement>,
+    /// Revision of the list of targets, `None` without one.
+    pub(super) targets_revision: Option<u64>,
     /// Wanted weights of all models.
     pub(super) weights: Vec<WantedWeights>,
     /// Orders to move services to other releases.
@@ -180,27 +174,11 @@
 pub(super) fn build_reply(
     exchange_request: &ExchangeRequest,
     entry: Option<EntryState>,
+    configuration: Option<Announcement>,
     platform_state: &PlatformState,
     cache_position: Option<CachePosition>,
     store_fresh_for_us: u64,
 ) -> ExchangeReply {
-    let configuration = platform_state
-        .configuration
-        .as_ref()
-        .filter(|configuration| configuration.version > exchange_request.configuration_version)
-        .map(|configuration| Configuration::clone(configuration));
-    let targets = exchange_request
-        .targets_revision
-        .filter(|revision| {
-            platform_state.has_targets && platform_state.targets_revision > *revision
-        })
-        .map(|_| {
-            let records = platform_state
-                .targets
-                .values()
-                .map(|record| (**record).clone());
-            (platform_state.targets_revision, records.collect())
-        });
     let entries = exchange_request.entries_digest.and_then(|digest| {
         let entries: Vec<SocketAddr> = platform_state.entry_addresses().collect();
         (entries_digest(&entries) != digest).then_some(entries)
@@ -212,7 +190,9 @@
         store_fresh_for_us,
         entry,
         configuration,
-        targets,
+        targets_revision: platform_state
+            .has_targets
+            .then_some(platform_state.targets_revision),
         weights: platform_state
             .rollouts
             .values()
@@ -230,28 +210,14 @@
     hasher.finish()
 }
 
-/// Applies the platform objects of an answer. Returns whether any was new.
+/// Applies the platform objects of an answer; the configuration and the targets are only
+/// announced there. Returns whether any was new.
 pub(super) fn apply_reply(
     platform_state: &mut PlatformState,
     reply: ExchangeReply,
     now_us: u64,
 ) -> bool {
     let mut is_new = false;
-    if let Some(configuration) = reply.configuration {
-        is_new |= platform_state.adopt_configuration(Arc::new(configuration));
-    }
-    if let Some((revision, records)) = reply.targets
-        && revision > platform_state.targets_revision
-    {
-        platform_state.targets_revision = revision;
-        platform_state.has_targets = true;
-        platform_state.deferred_removals.clear();
-        platform_state.targets = records
-            .into_iter()
-            .map(|record| (record.id.clone(), Arc::new(record)))
-            .collect();
-        is_new = true;
-    }
     for weights in reply.weights {
         is_new |= platform_state.adopt_weights(weights, now_us);
     }
@@ -308,6 +274,6 @@
         .unwrap_or_else(|_| Err(unavailable("no answer in time".to_owned())))
 }
 
-fn unavailable(reason: String) -> Report<ErrorKind> {
+pub(super) fn unavailable(reason: String) -> Report<ErrorKind> {
     Report::new(ErrorKind::PeerUnavailable).attach(reason)
 }
