Refuse requests when a configuration has not arrived in time

Cause: nothing compared the configuration in use with what other entries said they had. Class: readiness taken from having a state, not from its being current. Change: an entry knows from announcements since when a later configuration has existed. From 0.5 s before apply_ms it is not ready and refuses requests as not_ready (not run, Retry-After), until it has the configuration. Evidence: slow_links::an_entry_with_an_outdated_configuration_refuses_requests failed without the check ('says that it is ready') and passes with it.

--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -89,6 +89,10 @@
 /// one within this time, so that an older statement is not plausible.
 const MAX_ANNOUNCED_AGE_US: u64 = 2_000 * US_PER_MS;
 
+/// Time before the end of `apply_ms` from which an outdated entry refuses requests. The
+/// first entry needs a part of it to receive the configuration.
+const OUTDATED_MARGIN_US: u64 = 500 * US_PER_MS;
+
 /// State of an engine as its agent last reported it.
 pub(super) struct ReportedEngine {
     pub(super) state: EngineState,
@@ -235,6 +239,16 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether a later configuration has existed for so long that requests may no
+    /// longer be handled by the one in use.
+    pub(super) fn is_outdated(&self) -> bool {
+        let Some(since_us) = self.config_lag().outdated_since_us() else {
+            return false;
+        };
+        let bound_us = self.settings.get().apply_ms * US_PER_MS;
+        self.clock.now_us() >= since_us + bound_us.saturating_sub(OUTDATED_MARGIN_US)
+    }
+
     /// Returns which configuration this entry has, `None` without one.
     pub(super) fn announcement(&self) -> Option<Announcement> {
         let config_lag = self.config_lag();
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -157,7 +157,7 @@
 
 impl Observed for Context {
     fn is_ready(&self) -> bool {
-        self.platform_state.load().can_serve() && !self.is_leaving()
+        self.platform_state.load().can_serve() && !self.is_leaving() && !self.is_outdated()
     }
 
     fn metrics(&self) -> String {
@@ -270,6 +270,8 @@
     /// Whether a snapshot is being fetched. Another one would slow it down.
     is_fetching: Cell<bool>,
     failed_exchanges: Cell<FailedExchanges>,
+    /// Whether the last log line about it says that the configuration is outdated.
+    is_outdated: Cell<bool>,
 }
 
 /// Failed exchanges that are not logged yet.
@@ -318,6 +320,7 @@
         follow_peers_until_us: Cell::new(0),
         is_fetching: Cell::new(false),
         failed_exchanges: Cell::default(),
+        is_outdated: Cell::new(false),
         context,
     });
     for topic in [
@@ -487,6 +490,28 @@
         self.context.metrics.cold_targets.set(count);
     }
 
+    /// Logs when requests are refused because the configuration is outdated, and when they
+    /// are served again.
+    fn log_outdated(&self) {
+        let is_outdated = self.context.is_outdated();
+        if self.is_outdated.replace(is_outdated) == is_outdated {
+            return;
+        }
+        let version = self.configuration_version();
+        let latest_version = self.context.config_lag().latest_version();
+        if is_outdated {
+            warn!(self.context.log, "configuration is outdated: requests are refused";
+                "event" => Event::RevisionOutdated,
+                "config_version" => version,
+                "latest_version" => latest_version);
+        } else {
+            info!(self.context.log, "configuration is current: requests are served";
+                "event" => Event::RevisionCurrent,
+                "config_version" => version,
+                "latest_version" => latest_version);
+        }
+    }
+
     /// Logs which data centres are evacuated or restored by the state to be published.
     fn log_evacuations(&self, platform_state: &PlatformState) {
         let published = self.context.platform_state.load();
@@ -539,6 +564,7 @@
             }
             self.context.quotas().charge_assumed_use(now_us);
             self.log_warmup();
+            self.log_outdated();
             self.advance_rollouts(&mut rollout_writes, now_us);
             let fresh_until_us = if self.is_following_peers() {
                 0
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -117,7 +117,7 @@
     let Some(table) = platform_state
         .table
         .as_ref()
-        .filter(|_| platform_state.can_serve())
+        .filter(|_| platform_state.can_serve() && !worker.context.is_outdated())
     else {
         upload::discard(&mut payload).await;
         return refuse(ErrorKind::NotReady, Some(NO_TARGET_RETRY_MS), PUBLIC_LABEL);
--- a/src/event.rs
+++ b/src/event.rs
@@ -78,6 +78,10 @@
     KeysStale = 4003;
     /// Another entry has a later configuration than this one.
     RevisionKnown = 4004;
+    /// Requests are refused, because the configuration has been outdated for too long.
+    RevisionOutdated = 4005;
+    /// The configuration is no longer outdated.
+    RevisionCurrent = 4006;
     /// An entry took over a limit ledger.
     LedgerTaken = 5001;
     /// An entry gave up a limit ledger.
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -68,6 +68,9 @@
     /// Time after new weights were requested in which requests may still start on
     /// engines with older ones.
     pub old_weights_ms: u64,
+    /// Time within which a configuration has to be in force.
+    #[serde(default = "default_apply_ms")]
+    pub apply_ms: u64,
     /// Optional features of the platform that are in force, by the platform's names.
     #[serde(default)]
     pub platform_features: Vec<Name>,
@@ -107,6 +110,10 @@
     pub log: LogSettings,
 }
 
+const fn default_apply_ms() -> u64 {
+    2_000
+}
+
 const fn default_body_progress_ms() -> u64 {
     10_000
 }
@@ -177,6 +184,9 @@
   // Time after new weights were requested in which requests may still start on
   // engines with older ones, in milliseconds.
   "old_weights_ms": 6000,
+  // Time within which a configuration has to be in force, in milliseconds. An entry that
+  // knows of a later one for almost as long refuses requests.
+  "apply_ms": 2000,
   // Optional features of the platform that are in force, by the platform's names.
   "platform_features": [],
   // Whether the entry decides which requests go first when targets are short of
@@ -218,6 +228,7 @@
         checker.duration_ms(&["drain_ms"], self.drain_ms, 0);
         checker.duration_ms(&["retry_window_s"], self.retry_window_ms, 100);
         checker.duration_ms(&["old_weights_ms"], self.old_weights_ms, 0);
+        checker.duration_ms(&["apply_ms"], self.apply_ms, 1_000);
         checker.duration_ms(&["body_progress_ms"], self.body_progress_ms, 100);
         checker.range(
             &["retries_per_thousand"],
