Answer requests that last longer than a planned stop

What callers saw: in a planned stop of an entry, requests that were running or came late were cut without an answer when the process ended, orders that may not be repeated among them. Cause: the time of the stop was known to the thread that waits for the requests and to no request. Requests were accepted whatever their time limit and kept it. A stopping entry refuses orders (not run, Retry-After 0.05 s) whose time limit is longer than what is left. Streams that have begun are cut as before; they may be resumed elsewhere.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -215,6 +215,8 @@
     OutOfOrder,
     /// The answer did not fit the memory budget in time.
     NoMemory,
+    /// This process stops before the target has answered.
+    Interrupted,
 }
 
 impl From<SplitError> for AttemptFailure {
@@ -232,6 +234,11 @@
         matches!(self, Self::Unsent | Self::NotRun | Self::Misdirected(_))
     }
 
+    /// Returns whether the failure is due to this entry and says nothing about the target.
+    pub(super) const fn is_own(self) -> bool {
+        matches!(self, Self::NoMemory | Self::Interrupted)
+    }
+
     /// Returns the value for log lines.
     pub(super) const fn name(self) -> &'static str {
         match self {
@@ -245,6 +252,7 @@
             Self::NotContinued => "not_continued",
             Self::OutOfOrder => "out_of_order",
             Self::NoMemory => "no_memory",
+            Self::Interrupted => "interrupted",
         }
     }
 }
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -24,7 +24,16 @@
     info,
     warn, //
 };
-use tokio::sync::Semaphore;
+use tokio::{
+    sync::{
+        Semaphore,
+        watch, //
+    },
+    time::{
+        Instant,
+        sleep_until, //
+    },
+};
 
 use super::{
     admission::AdmissionControl,
@@ -89,6 +98,10 @@
 /// one within this time, so that an older statement is not plausible.
 const MAX_ANNOUNCED_AGE_US: u64 = 2_000 * US_PER_MS;
 
+/// Time before the end of the process at which requests without an answer of a target get
+/// one of the entry, so that it is sent in time.
+const LAST_ANSWERS_US: u64 = 400 * US_PER_MS;
+
 /// Time before the end of `apply_ms` from which an outdated entry refuses requests. The
 /// first entry needs a part of it to receive the configuration.
 const OUTDATED_MARGIN_US: u64 = 500 * US_PER_MS;
@@ -140,6 +153,8 @@
     pub(super) uploads: Arc<Semaphore>,
     is_leaving: AtomicBool,
     is_closed: AtomicBool,
+    /// When requests are answered at the latest, `None` until a stop begins.
+    drain_end_us: watch::Sender<Option<u64>>,
     /// Addresses of the KV cache stores that accept no connections.
     down_kv_stores: ArcSwap<Vec<SocketAddr>>,
     /// Until when what this entry itself has of the object store counts as current, 0
@@ -177,6 +192,7 @@
             uploads: Arc::new(Semaphore::new(snapshot::MAX_UPLOADS)),
             is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
+            drain_end_us: watch::Sender::new(None),
             down_kv_stores: ArcSwap::default(),
             store_fresh_until_us: AtomicU64::new(0),
             running: AtomicUsize::new(0),
@@ -406,9 +422,38 @@
         position
     }
 
-    /// Marks the entry as not ready, so that the balancer stops sending to it.
-    pub(super) fn leave(&self) {
+    /// Marks the entry as not ready, so that the balancer stops sending to it. The process
+    /// ends at `drain_until_us` at the latest.
+    pub(super) fn leave(&self, drain_until_us: u64) {
         self.is_leaving.store(true, Ordering::Relaxed);
+        let end_us = drain_until_us.saturating_sub(LAST_ANSWERS_US);
+        self.drain_end_us.send_replace(Some(end_us));
+    }
+
+    /// Returns until when requests have to be answered, `None` unless the process stops.
+    pub(super) fn drain_end_us(&self) -> Option<u64> {
+        *self.drain_end_us.borrow()
+    }
+
+    /// Waits for a future. Returns `None` when the process stops before it is ready.
+    pub(super) async fn until_drained<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let mut drain_end_us = self.drain_end_us.subscribe();
+        let drained = async {
+            let end_us = drain_end_us.wait_for(Option::is_some).await;
+            match end_us.as_deref() {
+                Ok(Some(end_us)) => {
+                    let end = Instant::from_std(self.clock.instant(*end_us));
+                    sleep_until(end).await;
+                }
+                // The sender lives as long as the context.
+                _ => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            () = drained => None,
+            result = future => Some(result),
+        }
     }
 
     /// Refuses all further requests.
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -236,10 +236,10 @@
 /// has removed this entry and the running requests have ended, at most for
 /// `drain_ms`.
 async fn drain(context: &Context) {
-    context.leave();
     let now_us = context.clock.now_us();
     let linger_until_us = now_us + STOP_LINGER_US;
     let drain_until_us = now_us + context.settings.get().drain_ms * US_PER_MS;
+    context.leave(drain_until_us);
     let is_done = |now_us| {
         if now_us >= linger_until_us {
             // The balancer sends to a stopping entry when its data centre has too few
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -140,6 +140,14 @@
         table,
         &worker.bodies,
     );
+    if outlasts_drain(&worker, &incoming) {
+        discard(&mut payload, is_too_large).await;
+        return refuse(
+            ErrorKind::Stopping,
+            Some(STOPPING_RETRY_MS),
+            incoming.label(),
+        );
+    }
     if let Admission::Refused { part, trial_at_us } = worker.admit_parts(&incoming) {
         info!(worker.context.log, "request has a quarantined prompt part";
             "event" => Event::RequestRefused,
@@ -184,6 +192,16 @@
     forward(worker, incoming, unsent, cost, running).await
 }
 
+/// Returns whether a request might still run when this process ends and may not be sent
+/// again then. Another entry can take it.
+fn outlasts_drain<P: Platform>(worker: &Worker<P>, incoming: &IncomingRequest) -> bool {
+    let route = &incoming.route;
+    let end_us = worker.context.drain_end_us();
+    !route.may_repeat()
+        && !route.is_stream
+        && end_us.is_some_and(|end_us| incoming.deadline_us > end_us)
+}
+
 /// Reads and drops the body of a refused request, unless it exceeds the limit. Then it is
 /// not read on, and the server closes the connection after the answer.
 async fn discard(payload: &mut Payload, is_too_large: bool) {
@@ -356,16 +374,21 @@
     let mut attempts = unsent.begin();
     let mut last_answer: Option<(Answer<P>, Bytes)> = None;
     let mut last_failure = None;
-    while let Some(choice) = attempts
-        .next_target(&worker, &incoming, last_answer.is_some())
+    let context = Arc::clone(&worker.context);
+    while let Some(choice) = context
+        .until_drained(attempts.next_target(&worker, &incoming, last_answer.is_some()))
         .await
+        .flatten()
     {
         let target = &choice.target;
         log.target = Some(target.id.clone());
         log.attempts = attempts.count();
         let sent_at_us = worker.now_us();
         let until_us = attempt_end_us(&worker, &incoming, &attempts);
-        match run_attempt(&worker, &incoming, &choice, until_us).await {
+        let answered = context
+            .until_drained(run_attempt(&worker, &incoming, &choice, until_us))
+            .await;
+        match answered.unwrap_or(Err(AttemptFailure::Interrupted)) {
             Ok(ReceivedAnswer::Stream(answer, splitter, first_batch)) => {
                 let sample = Sample {
                     first_token_us: Some(worker.now_us().saturating_sub(sent_at_us)),
@@ -413,11 +436,13 @@
             Err(failure) => {
                 attempts.record_failure(failure);
                 last_failure = Some(failure);
-                worker.note_unbegun_answer(&incoming, &target.id, failure);
+                if failure != AttemptFailure::Interrupted {
+                    worker.note_unbegun_answer(&incoming, &target.id, failure);
+                }
                 if failure == AttemptFailure::Silent && incoming.head.prompt.is_none() {
                     worker.record_request(target, sent_at_us);
                 }
-                if !failure.is_not_run() && failure != AttemptFailure::NoMemory {
+                if !failure.is_not_run() && !failure.is_own() {
                     worker.record_failed_sample(&incoming, target, failure);
                 }
                 info!(worker.context.log, "attempt failed";
@@ -447,13 +472,17 @@
         worker.context.quotas().refund(&organisation.name, cost);
     }
     let refusal = attempts.refusal();
-    let kind = if refusal.is_some() || last_failure.is_some() {
+    let is_stopping = worker.is_drained();
+    let kind = if is_stopping {
+        ErrorKind::Stopping
+    } else if refusal.is_some() || last_failure.is_some() {
         ErrorKind::Overloaded
     } else {
         ErrorKind::NoTarget
     };
     log.end(kind);
     let retry_after_ms = match refusal {
+        _ if is_stopping => STOPPING_RETRY_MS,
         Some(refusal) => refusal.retry_after_ms,
         // Many requests are refused at once when the targets are short of capacity.
         None if worker.context.has_overload_control => {
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -230,6 +230,12 @@
         self.context.clock.now_us()
     }
 
+    /// Returns whether the process stops and has no time left for requests.
+    pub(super) fn is_drained(&self) -> bool {
+        let end_us = self.context.drain_end_us();
+        end_us.is_some_and(|end_us| self.now_us() >= end_us)
+    }
+
     /// Applies a configuration with a new version to the quotas, and removes what was
     /// observed of targets that have left.
     pub(super) fn apply_configuration(&self, platform_state: &PlatformState) {
