--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -176,7 +176,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`ErrorKind::Io`](crate::error::ErrorKind::Io) when a listener cannot be opened.
+/// Returns [`ErrorKind::Io`] when a listener cannot be opened.
 pub fn run<P: Platform>(settings: LiveSettings<DirectEntrySettings>, log: &Logger) -> Result<()> {
     let addresses = settings.get();
     let caller = stop::bind(addresses.caller_address)?;
