Count exchanges in one place and simplify reading of transfers

Cause: a last read of the whole change. Change: one function each, and a line that says why the failure may be dropped. Behaviour, assertions and bounds are unchanged. Checked: formatter, linter, documentation build; slow_links, planned_stops, stale_watchers, store_pages, odd_entries pass.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -450,6 +450,7 @@
         };
         let fetched = snapshot::fetch(&self.client, address, snapshot_request).await;
         self.is_fetching.set(false);
+        // After a failure, the answer to the next report announces the list again.
         if let Ok((snapshot, _)) = fetched
             && snapshot.apply(&mut self.platform_state.borrow_mut())
         {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -710,6 +710,21 @@
         self.failed_exchanges.set(failures);
     }
 
+    /// Counts an exchange with another entry. Returns its answer, `None` when it failed.
+    fn count_exchange<T>(&self, address: SocketAddr, answered: Result<(T, usize)>) -> Option<T> {
+        match answered {
+            Ok((answer, bytes)) => {
+                let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+                self.context.metrics.exchange_bytes.inc_by(bytes);
+                Some(answer)
+            }
+            Err(error) => {
+                self.note_failed_exchange(address, &error);
+                None
+            }
+        }
+    }
+
     /// Exchanges state with another entry and applies its answer.
     /// `is_assigned_watcher` is whether that entry watches the object store for this
     /// one.
@@ -724,15 +739,10 @@
         };
         // The use of an entry that does not answer is charged by
         // `Quotas::charge_assumed_use`.
-        let (reply, bytes) = match peers::exchange(&self.client, address, &exchange_request).await {
-            Ok(answered) => answered,
-            Err(error) => {
-                self.note_failed_exchange(address, &error);
-                return;
-            }
+        let answered = peers::exchange(&self.client, address, &exchange_request).await;
+        let Some(reply) = self.count_exchange(address, answered) else {
+            return;
         };
-        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        self.context.metrics.exchange_bytes.inc_by(bytes);
         let now_us = self.context.clock.now_us();
         if is_assigned_watcher
             && reply.store_fresh_for_us > 0
@@ -782,15 +792,9 @@
     /// Fetches what this entry lacks from another one and applies it.
     async fn fetch_snapshot(&self, address: SocketAddr, snapshot_request: SnapshotRequest) {
         let fetched = snapshot::fetch(&self.client, address, snapshot_request).await;
-        let (snapshot, bytes) = match fetched {
-            Ok(fetched) => fetched,
-            Err(error) => {
-                self.note_failed_exchange(address, &error);
-                return;
-            }
+        let Some(snapshot) = self.count_exchange(address, fetched) else {
+            return;
         };
-        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        self.context.metrics.exchange_bytes.inc_by(bytes);
         if let Some(own_version) = snapshot_request.configuration_version {
             let version = snapshot.configuration_version().unwrap_or(own_version);
             self.context.config_lag().retract_after(version);
--- a/src/direct/transfer.rs
+++ b/src/direct/transfer.rs
@@ -55,12 +55,12 @@
     max_bytes: usize,
 ) -> Result<Vec<u8>, TransferError> {
     let until = Instant::now() + TRANSFER_TIMEOUT;
-    let mut body = Vec::new();
     let read = async {
+        let mut body = Vec::new();
         loop {
             match timeout(PROGRESS_TIMEOUT, response.next()).await {
                 Err(_) => return Err(TransferError::Stalled),
-                Ok(None) => return Ok(()),
+                Ok(None) => return Ok(body),
                 Ok(Some(Err(error))) => return Err(TransferError::Broken(error.to_string())),
                 Ok(Some(Ok(part))) if body.len() + part.len() > max_bytes => {
                     return Err(TransferError::TooLong);
@@ -69,9 +69,6 @@
             }
         }
     };
-    match timeout_at(until, read).await {
-        Ok(Ok(())) => Ok(body),
-        Ok(Err(error)) => Err(error),
-        Err(_) => Err(TransferError::Stalled),
-    }
+    let read = timeout_at(until, read).await;
+    read.unwrap_or(Err(TransferError::Stalled))
 }
