Make the object API of a test slower than every bound of its readers

Cause: the stand-in answered after 2,000 ms and entries read the configuration with a bound of 2,000 ms. Which of the two timers fires first is a race. When the answer won, the entry had news from the object API again, and the 15 s of silence that the test waits for began anew.

What the tests require is unchanged.

--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -290,11 +290,11 @@
     assert_eq!(executions(&fleet, "a"), 1);
 }
 
-/// Makes the object API slower than any call of the entries may take. The
-/// configuration can still be read, so that API keys do not become stale during the
-/// test.
+/// Makes the object API slower than any call may take; reads of the configuration have the
+/// longest bound, two seconds. The entries hear each other, so that API keys do not become
+/// stale during the test.
 fn slow_down_platform(fleet: &Fleet) {
-    let faults = json!({"slow_ms": 2_000});
+    let faults = json!({"slow_ms": 3_000});
     let answer = put(fleet.platform_address(), "/faults", &faults);
     assert_eq!(answer.status, 204, "{}", answer.text());
 }
