Wait in tests for log lines that another thread writes

The agent had refused the order; the line is written by the thread of the log and read by one of the test, and the assertion came at once. Two more assertions had the same race. The lines are still required.

--- a/tests/move_processes.rs
+++ b/tests/move_processes.rs
@@ -133,7 +133,10 @@
     let refused = order(&fleet, 5, unload("v2"));
     assert_eq!(kind(refused), Some(ErrorKind::OrderFenced));
     assert!(versions(&fleet).contains(&"v2".to_owned()));
-    assert!(fleet.targets[0].agent.log_contains("YL7003"));
+    // Another thread writes the log.
+    eventually("the refusal is logged", || {
+        fleet.targets[0].agent.log_contains("YL7003")
+    });
 }
 
 /// Guards against an agent that forgets the fencing number when it restarts, and
@@ -244,7 +247,9 @@
             assert_ne!(state, "done");
             state == "taken_back" && share == 0
         });
-        assert!(fleet.entries[entry].log_contains("YL7002"));
+        eventually("the cut is logged", || {
+            fleet.entries[entry].log_contains("YL7002")
+        });
     }
     eventually("the new version is unloaded", || versions(&fleet) == ["v1"]);
     traffic.stop();
--- a/tests/stream_failures.rs
+++ b/tests/stream_failures.rs
@@ -112,7 +112,10 @@
     let (stream, _) = start_stream(&fleet);
     fleet.targets[0].relay().freeze_open();
     assert_reference(&stream.finish());
-    assert!(fleet.entries[0].log_contains("YL3001"));
+    // Another thread writes the log.
+    eventually("the resumption is logged", || {
+        fleet.entries[0].log_contains("YL3001")
+    });
     assert!(!fleet.entries[0].log_contains("YL3002"));
 }
 
