Accept fractions of all bounds that a platform states

apply_ms, memory_mb and max_descriptors had to be whole numbers. The test, extended by these fields, failed with "invalid type: floating point, expected u64".

--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -70,6 +70,7 @@
     pub old_weights_ms: u64,
     /// Time within which a configuration has to be in force.
     #[serde(default = "default_apply_ms")]
+    #[serde_as(as = "Floor")]
     pub apply_ms: u64,
     /// Optional features of the platform that are in force, by the platform's names.
     #[serde(default)]
@@ -81,6 +82,7 @@
     /// Memory of the machine in MB, from which the budget for request bodies and buffered
     /// answers is derived; 0 when the machine states no limit.
     #[serde(default)]
+    #[serde_as(as = "Floor")]
     pub memory_mb: u64,
     /// Longest time for which a request body may arrive without a further byte.
     #[serde(default = "default_body_progress_ms")]
@@ -104,6 +106,7 @@
     pub cold_slack: u32,
     /// Descriptors that the machine allows the process; 0 when it states no limit.
     #[serde(default)]
+    #[serde_as(as = "Floor")]
     pub max_descriptors: u32,
     /// Log.
     #[serde(default)]
--- a/src/settings/shared.rs
+++ b/src/settings/shared.rs
@@ -29,22 +29,24 @@
 /// platform divides among instances have fractions.
 pub(super) struct Floor;
 
-impl SerializeAs<u32> for Floor {
-    fn serialize_as<S: Serializer>(value: &u32, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_u32(*value)
+impl<T: Copy + Into<u64>> SerializeAs<T> for Floor {
+    fn serialize_as<S: Serializer>(value: &T, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64((*value).into())
     }
 }
 
-impl<'de> DeserializeAs<'de, u32> for Floor {
-    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+impl<'de, T: TryFrom<u64>> DeserializeAs<'de, T> for Floor {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<T, D::Error> {
         let value = f64::deserialize(deserializer)?;
-        if (0.0..=f64::from(u32::MAX)).contains(&value) {
-            return Ok(value as u32);
-        }
-        Err(D::Error::custom(format!(
-            "{value} is not in the range from 0 to {} (hint: write a number in that range)",
-            u32::MAX
-        )))
+        let whole = (0.0..u64::MAX as f64)
+            .contains(&value)
+            .then_some(value as u64);
+        let whole = whole.and_then(|whole| T::try_from(whole).ok());
+        whole.ok_or_else(|| {
+            D::Error::custom(format!(
+                "{value} does not fit (hint: write a number in that range)"
+            ))
+        })
     }
 }
 
--- a/tests/settings_files.rs
+++ b/tests/settings_files.rs
@@ -156,7 +156,8 @@
     assert_eq!(*invalid.current_context(), ErrorKind::SettingsInvalid);
 }
 
-/// Bounds that a platform divides among instances have fractions.
+/// Guards against an entry that does not start because a bound has a fraction. Bounds that
+/// a platform divides among instances have them.
 #[test]
 fn fractions_of_bounds_are_accepted() {
     let text = default_text::<DirectEntrySettings>()
@@ -164,10 +165,16 @@
             "\"spare_retries\": 50",
             "\"spare_retries\": 38.2608695652174",
         )
-        .replace("\"retry_window_s\": 10", "\"retry_window_s\": 10.5");
+        .replace("\"retry_window_s\": 10", "\"retry_window_s\": 10.5")
+        .replace("\"apply_ms\": 2000", "\"apply_ms\": 2173.9")
+        .replace("\"memory_mb\": 0", "\"memory_mb\": 88.5")
+        .replace("\"max_descriptors\": 0", "\"max_descriptors\": 4100.5");
     let settings: DirectEntrySettings = parse("s.json", &text).unwrap();
     assert_eq!(settings.spare_retries, 38);
     assert_eq!(settings.retry_window_ms, 10_500);
+    assert_eq!(settings.apply_ms, 2_173);
+    assert_eq!(settings.memory_mb, 88);
+    assert_eq!(settings.max_descriptors, 4_100);
 
     let text = text.replace("38.2608695652174", "-1");
     assert!(problem::<DirectEntrySettings>(&text).contains("write a number in that range"));
