--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,7 @@
 mod live;
 mod shared;
 mod standin;
+mod variables;
 
 pub use agent::{
     AgentSettings,
@@ -30,8 +31,10 @@
     StandinKind,
     StandinSettings, //
 };
+pub use variables::expand_variables;
 
 use std::{
+    env,
     fs,
     path::Path, //
 };
@@ -111,7 +114,7 @@
     }
 }
 
-/// Reads settings from a file.
+/// Reads settings from a file, which may refer to [environment variables](expand_variables).
 ///
 /// # Errors
 ///
@@ -122,5 +125,6 @@
     let text = fs::read_to_string(path)
         .change_context(ErrorKind::Io)
         .attach_with(|| file.clone())?;
+    let text = expand_variables(&text, |name| env::var(name).ok());
     parse(&file, &text).change_context(ErrorKind::SettingsInvalid)
 }
