Report an entry that hears of no changes as not ready

What callers could see: requests handled by a configuration that had been replaced, at an entry that neither the object store nor another entry reached.

Cause: readiness followed from having a configuration. Now it also needs contact: an answer of the store, or an exchange with another entry, within apply_ms. The readiness check compares the clock itself, so that it also fails when the control thread gets no processor time. Requests that arrive all the same are served: the balancer sends them only when too few others are ready, and then refusing them would help nobody. An entry that knows of no others goes on alone. YL4007 and YL4008 say when this begins and ends.

--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -160,6 +160,10 @@
     /// Until when what this entry itself has of the object store counts as current, 0
     /// while other entries watch the store for it.
     store_fresh_until_us: AtomicU64,
+    /// When this entry counts as isolated unless it hears of changes before.
+    isolated_at_us: AtomicU64,
+    /// When another entry last sent or answered an exchange.
+    peer_heard_at_us: AtomicU64,
     /// Requests that have not been answered in full.
     pub(super) running: AtomicUsize,
 }
@@ -195,6 +199,8 @@
             drain_end_us: watch::Sender::new(None),
             down_kv_stores: ArcSwap::default(),
             store_fresh_until_us: AtomicU64::new(0),
+            isolated_at_us: AtomicU64::new(u64::MAX),
+            peer_heard_at_us: AtomicU64::new(0),
             running: AtomicUsize::new(0),
         }
     }
@@ -265,6 +271,22 @@
         self.clock.now_us() >= since_us + bound_us.saturating_sub(OUTDATED_MARGIN_US)
     }
 
+    /// Returns whether neither the object store nor another entry has answered for so long
+    /// that changes may have been missed. It also holds when the control thread gets no
+    /// processor time.
+    pub(super) fn is_isolated(&self) -> bool {
+        self.clock.now_us() >= self.isolated_at_us.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_isolated_at(&self, at_us: u64) {
+        self.isolated_at_us.store(at_us, Ordering::Relaxed);
+    }
+
+    /// Returns when another entry was last heard of, 0 before that.
+    pub(super) fn peer_heard_at_us(&self) -> u64 {
+        self.peer_heard_at_us.load(Ordering::Relaxed)
+    }
+
     /// Returns which configuration this entry has, `None` without one.
     pub(super) fn announcement(&self) -> Option<Announcement> {
         let config_lag = self.config_lag();
@@ -357,6 +379,7 @@
     /// prompt parts, of the releases of services and of the loads of targets.
     pub(super) fn merge_entry_state(&self, entry: &EntryState) {
         let now_us = self.clock.now_us();
+        self.peer_heard_at_us.store(now_us, Ordering::Relaxed);
         self.quotas()
             .charge_reported_use(&entry.name, entry.incarnation, &entry.used, now_us);
         let quarantined = self.quarantine().merge(&entry.parts, now_us);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -157,7 +157,10 @@
 
 impl Observed for Context {
     fn is_ready(&self) -> bool {
-        self.platform_state.load().can_serve() && !self.is_leaving() && !self.is_outdated()
+        self.platform_state.load().can_serve()
+            && !self.is_leaving()
+            && !self.is_outdated()
+            && !self.is_isolated()
     }
 
     fn metrics(&self) -> String {
@@ -272,6 +275,8 @@
     failed_exchanges: Cell<FailedExchanges>,
     /// Whether the last log line about it says that the configuration is outdated.
     is_outdated: Cell<bool>,
+    /// Whether the last log line about it says that the entry is isolated.
+    is_isolated: Cell<bool>,
 }
 
 /// Failed exchanges that are not logged yet.
@@ -321,6 +326,7 @@
         is_fetching: Cell::new(false),
         failed_exchanges: Cell::default(),
         is_outdated: Cell::new(false),
+        is_isolated: Cell::new(false),
         context,
     });
     for topic in [
@@ -512,6 +518,42 @@
         }
     }
 
+    /// Determines until when this entry hears of changes, and logs when that has ended and
+    /// when it begins again. An entry without others goes on alone.
+    fn update_isolation(&self, others: &BTreeSet<SocketAddr>) {
+        let store_answered_at_us = self.health.answered_at_us();
+        let peer_heard_at_us = self.context.peer_heard_at_us();
+        let bound_us = self.context.settings.get().apply_ms * US_PER_MS;
+        self.context.set_isolated_at(if others.is_empty() {
+            u64::MAX
+        } else {
+            watchers::isolated_at_us(store_answered_at_us, peer_heard_at_us, bound_us)
+        });
+        let is_isolated = self.context.is_isolated();
+        if self.is_isolated.replace(is_isolated) == is_isolated {
+            return;
+        }
+        if is_isolated {
+            warn!(self.context.log, "neither the object store nor another entry answers";
+                "event" => Event::EntryIsolated,
+                "store_answered_at_us" => store_answered_at_us,
+                "entry_heard_at_us" => peer_heard_at_us,
+                "entries" => others.len());
+        } else {
+            info!(self.context.log, "the object store or another entry answers";
+                "event" => Event::EntryConnected,
+                "config_version" => self.configuration_version());
+        }
+    }
+
+    /// Returns the control addresses of the other entries.
+    fn other_entries(&self) -> BTreeSet<SocketAddr> {
+        let settings = self.context.settings.get();
+        let platform_state = self.platform_state.borrow();
+        let own_address = settings.control_address;
+        peers::addresses(&platform_state, &settings.peers, Some(own_address))
+    }
+
     /// Logs which data centres are evacuated or restored by the state to be published.
     fn log_evacuations(&self, platform_state: &PlatformState) {
         let published = self.context.platform_state.load();
@@ -572,7 +614,9 @@
                 self.health.fresh_until_us()
             };
             self.context.set_store_fresh_until(fresh_until_us);
-            self.start_exchanges(&mut next_exchange_us, &mut urgent_at_us, now_us);
+            let others = self.other_entries();
+            self.update_isolation(&others);
+            self.start_exchanges(others, &mut next_exchange_us, &mut urgent_at_us, now_us);
             tokio::time::sleep(CONTROL_INTERVAL).await;
         }
     }
@@ -656,16 +700,11 @@
     /// organisation has used much since the last urgent report.
     fn start_exchanges(
         self: &Rc<Self>,
+        addresses: BTreeSet<SocketAddr>,
         next_us: &mut BTreeMap<SocketAddr, u64>,
         urgent_at_us: &mut u64,
         now_us: u64,
     ) {
-        let settings = self.context.settings.get();
-        let own_address = settings.control_address;
-        let addresses = {
-            let platform_state = self.platform_state.borrow();
-            peers::addresses(&platform_state, &settings.peers, Some(own_address))
-        };
         let interval_us = quota::exchange_interval_us(addresses.len() + 1);
         if now_us >= *urgent_at_us && self.context.quotas().take_urgent_report() {
             *urgent_at_us = now_us + quota::URGENT_INTERVAL_US;
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -87,6 +87,11 @@
         self.is_down.get()
     }
 
+    /// Returns when the store last answered, 0 before that.
+    pub(super) fn answered_at_us(&self) -> u64 {
+        self.answered_at_us.get()
+    }
+
     /// Returns until when what this process has of the store counts as current.
     pub(super) fn fresh_until_us(&self) -> u64 {
         self.freshness.get().until_us()
--- a/src/direct/watchers.rs
+++ b/src/direct/watchers.rs
@@ -88,6 +88,18 @@
     now_us + fresh_for_us.min(FOLLOW_PEERS_US)
 }
 
+/// Returns when an entry counts as isolated: it learns of changes from the object store or
+/// from other entries, and neither has answered for `bound_us`.
+///
+/// ```
+/// use yuccalatch::direct::watchers::isolated_at_us;
+///
+/// assert_eq!(isolated_at_us(5_000_000, 4_000_000, 3_000_000), 8_000_000);
+/// ```
+pub fn isolated_at_us(store_answered_at_us: u64, peer_heard_at_us: u64, bound_us: u64) -> u64 {
+    store_answered_at_us.max(peer_heard_at_us) + bound_us
+}
+
 /// Returns the watchers among the entries, by descending hash of their names.
 ///
 /// ```
--- a/src/event.rs
+++ b/src/event.rs
@@ -82,6 +82,10 @@
     RevisionOutdated = 4005;
     /// The configuration is no longer outdated.
     RevisionCurrent = 4006;
+    /// Neither the object store nor another entry answers this entry.
+    EntryIsolated = 4007;
+    /// The object store or another entry answers this entry again.
+    EntryConnected = 4008;
     /// An entry took over a limit ledger.
     LedgerTaken = 5001;
     /// An entry gave up a limit ledger.
