Take route and key of a waiting request from the latest configuration

What callers could see: a request that waited for capacity, or was tried again, was sent with a key that had been withdrawn, on a route that had been removed, or to the former service of its route. The time between that decision and the sending was bounded only by the time limit of the route.

Cause: the statement was read once, at the admission, and used for every attempt; only the arrival of the body checked it again. Now the choice of a target first takes route, service, organisation, KV cache stores and time limit from the configuration in force, in one place (direct/authorization.rs). A request that has perhaps run is not repeated where the later route forbids it; a stream that has begun runs to its end.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,7 +4,7 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`admission`], [`answer`],
-//! [`blame`], [`capacity`], [`constraint`], [`kv_store`], [`memory_budget`], [`outlier`],
+//! [`authorization`], [`blame`], [`capacity`], [`constraint`], [`kv_store`], [`memory_budget`], [`outlier`],
 //! [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
 //! [`service_rollout`], [`stall`], [`steering`], [`turns`], [`urgency`]) use neither
 //! sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
@@ -13,6 +13,7 @@
 pub mod agent;
 pub mod answer;
 mod attempt;
+pub mod authorization;
 pub mod blame;
 mod body;
 pub mod cache;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -33,6 +33,11 @@
         Misdirection,
         Verdict, //
     },
+    authorization::{
+        Authorization,
+        authorize,
+        choose_service, //
+    },
     body::{
         self,
         Bodies,
@@ -61,7 +66,8 @@
     platform_state::PlatformState,
     routing::{
         Organisation,
-        Route, //
+        Route,
+        RoutingTable, //
     },
     target::TargetRecord,
     urgency::{
@@ -75,6 +81,7 @@
 };
 use crate::{
     clock::US_PER_MS,
+    error::ErrorKind,
     event::Event,
     names::Name,
     process::metrics::UrgencyLabels, //
@@ -95,13 +102,15 @@
     pub(super) head: RequestHead,
     pub(super) method: Method,
     pub(super) path_and_query: String,
+    /// Host that the caller named.
+    pub(super) host: Name,
     /// The caller's header fields that are forwarded to the target, without the
     /// fields that the entry itself sets.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     /// Memory that the body and the answer are charged, until the request ends.
     pub(super) memory: MemoryGuard,
-    /// Version of the configuration by which the request was admitted.
+    /// Version of the configuration that states the route and the organisation.
     pub(super) table_version: u64,
     pub(super) route: Arc<Route>,
     pub(super) service: Name,
@@ -119,6 +128,42 @@
         self.head.id.as_deref().unwrap_or("-")
     }
 
+    /// Takes route, organisation, service and time limit from a configuration, which may have
+    /// changed while the request waited.
+    ///
+    /// Returns the refusal of a request whose route or key is gone, or whose key belongs to
+    /// another organisation: its quota was not charged.
+    pub(super) fn reauthorize(&mut self, table: &RoutingTable) -> Result<(), ErrorKind> {
+        if table.version == self.table_version {
+            return Ok(());
+        }
+        let path = self.path_and_query.split('?').next().unwrap_or_default();
+        let authorization = authorize(table, &self.host, path, self.head.key.as_ref())?;
+        let organisation = authorization.organisation.as_ref();
+        if organisation.map(|each| &each.name) != self.organisation_name() {
+            return Err(ErrorKind::NotReady);
+        }
+        let Authorization {
+            version,
+            route,
+            organisation,
+        } = authorization;
+        if !route
+            .shares
+            .iter()
+            .any(|share| share.service == self.service)
+        {
+            self.service = choose_service(&route, self.head.id.as_deref());
+        }
+        let answer_by_us = answer_by_us(self.arrived_at_us, route.timeout_ms);
+        self.deadline_us = answer_by_us.min(self.deadline_us);
+        self.kv_stores = Arc::clone(table.kv_stores());
+        self.route = route;
+        self.organisation = organisation;
+        self.table_version = version;
+        Ok(())
+    }
+
     /// Returns the organisation if its cached parts are kept apart from those of
     /// others.
     pub(super) fn isolated_organisation(&self) -> Option<&Name> {
@@ -192,6 +237,15 @@
     }
 }
 
+/// Time before the caller's deadline at which the entry answers at the latest, so
+/// that the answer still arrives in time.
+const ANSWER_MARGIN_US: u64 = 15 * US_PER_MS;
+
+/// Returns when a request that arrived at `arrived_at_us` is answered at the latest.
+pub(super) const fn answer_by_us(arrived_at_us: u64, time_limit_ms: u64) -> u64 {
+    (arrived_at_us + time_limit_ms.saturating_mul(US_PER_MS)).saturating_sub(ANSWER_MARGIN_US)
+}
+
 /// Why an attempt gave no answer to pass on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum AttemptFailure {
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -104,11 +104,12 @@
     pub(super) fn new(
         worker: &Rc<Worker<P>>,
         incoming: IncomingRequest,
-        attempts: RequestAttempts,
+        mut attempts: RequestAttempts,
         target: Arc<TargetRecord>,
         (answer, splitter, first_batch): (Answer<P>, EventSplitter, Option<EventBatch>),
         running: RunningRequest,
     ) -> Self {
+        attempts.note_begun();
         let is_complete = first_batch.is_none();
         Self {
             first_at_us: worker.now_us(),
@@ -257,7 +258,7 @@
         loop {
             let Some(choice) = self
                 .attempts
-                .next_target(&self.worker, &self.incoming, true)
+                .next_target(&self.worker, &mut self.incoming, true)
                 .await
             else {
                 return false;
--- a/src/direct/request_attempts.rs
+++ b/src/direct/request_attempts.rs
@@ -74,6 +74,8 @@
             count: 0,
             maybe_run_count: 0,
             refusal: None,
+            denial: None,
+            is_begun: false,
         }
     }
 }
@@ -87,6 +89,10 @@
     maybe_run_count: u32,
     /// Why no target was chosen, when admission refused the request.
     refusal: Option<Refusal>,
+    /// Why no target was chosen, when a later configuration does not allow the request.
+    denial: Option<ErrorKind>,
+    /// Whether a part of the answer was passed on.
+    is_begun: bool,
 }
 
 impl RequestAttempts {
@@ -99,6 +105,18 @@
         self.refusal
     }
 
+    /// Returns why the configuration does not allow the request any more, `None` while it
+    /// does.
+    pub(super) const fn denial(&self) -> Option<ErrorKind> {
+        self.denial
+    }
+
+    /// Records that a part of the answer is passed on. The request then runs to its end by
+    /// the configuration that allowed it.
+    pub(super) const fn note_begun(&mut self) {
+        self.is_begun = true;
+    }
+
     /// Records that the last attempt failed.
     pub(super) fn record_failure(&mut self, failure: AttemptFailure) {
         if failure.is_not_run() {
@@ -120,7 +138,7 @@
     pub(super) async fn next_target<P: Platform>(
         &mut self,
         worker: &Rc<Worker<P>>,
-        incoming: &IncomingRequest,
+        incoming: &mut IncomingRequest,
         has_run: bool,
     ) -> Option<TargetChoice> {
         let route = &incoming.route;
@@ -156,7 +174,7 @@
     async fn choose_target<P: Platform>(
         &mut self,
         worker: &Rc<Worker<P>>,
-        incoming: &IncomingRequest,
+        incoming: &mut IncomingRequest,
     ) -> Option<TargetChoice> {
         let goal_us = incoming.route.goal_ms * US_PER_MS;
         let until_us = incoming.arrived_at_us + goal_us.max(MIN_LOAD_WAIT_US);
@@ -165,6 +183,16 @@
         let mut wait = None;
         loop {
             let platform_state = worker.context.platform_state.load_full();
+            if let Some(table) = platform_state.table.as_ref().filter(|_| !self.is_begun)
+                && let Err(kind) = incoming.reauthorize(table)
+            {
+                self.denial = Some(kind);
+                return None;
+            }
+            // The later configuration may not allow that a request runs again.
+            if self.maybe_run_count > 0 && !incoming.route.may_repeat() {
+                return None;
+            }
             let choices = worker.rank_targets(&platform_state, incoming, &self.tried_targets);
             let Some(best) = choices.first() else {
                 if self.count > 0 || !worker.has_used_up_target(&platform_state, incoming) {
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -14,7 +14,6 @@
     StatusCode, //
 };
 use slog::info;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     admission::jittered_ms,
@@ -25,6 +24,11 @@
         IncomingRequest,
         PUBLIC_LABEL, //
     },
+    authorization::{
+        Authorization,
+        authorize,
+        choose_service, //
+    },
     body::{
         self,
         Bodies,
@@ -57,7 +61,6 @@
     request_log::RequestLog,
     routing::{
         Organisation,
-        Route,
         RoutingTable, //
     },
     worker::{
@@ -69,7 +72,6 @@
     clock::US_PER_MS,
     error::ErrorKind,
     event::Event,
-    names::Name,
     process::upload,
     request::headers::{
         Direction,
@@ -78,10 +80,6 @@
     version::evidence::counts::Sample,
 };
 
-/// Time before the caller's deadline at which the entry answers at the latest, so
-/// that the answer still arrives in time.
-const ANSWER_MARGIN_US: u64 = 15 * US_PER_MS;
-
 /// Retry time that a stopping entry sends, after which the caller goes to another
 /// entry.
 const STOPPING_RETRY_MS: u64 = 50;
@@ -124,18 +122,24 @@
     };
     let length_bytes = body::announced_bytes(request.headers());
     let is_too_large = length_bytes.is_some_and(|bytes| bytes > table.limits.max_body_bytes);
-    let (route, organisation) = match admit(table, &request, &head.key) {
-        Ok(admitted) => admitted,
+    let authorized = authorize(
+        table,
+        host(&request),
+        request.uri().path(),
+        head.key.as_ref(),
+    );
+    let authorization = match authorized {
+        Ok(authorization) => authorization,
         Err(kind) => {
             discard(&mut payload, is_too_large).await;
             return refuse(kind, None, PUBLIC_LABEL);
         }
     };
-    let cost = request_cost(&head, organisation.as_deref());
+    let cost = request_cost(&head, authorization.organisation.as_deref());
     let mut incoming = build_incoming::<P>(
         &request,
         head,
-        (route, organisation),
+        authorization,
         arrived_at_us,
         table,
         &worker.bodies,
@@ -181,7 +185,7 @@
         length_bytes,
         deadline_us: incoming.deadline_us,
     };
-    let read = read_body(&worker, &request, &mut payload, &mut incoming, &limits).await;
+    let read = read_body(&worker, &mut payload, &mut incoming, &limits).await;
     if let Err(kind) = read {
         if let Some(organisation) = &incoming.organisation {
             worker.context.quotas().refund(&organisation.name, cost);
@@ -210,11 +214,9 @@
     }
 }
 
-/// Reads the body of a request. Refuses the request when its key or route is gone when
-/// the body has arrived.
+/// Reads the body of a request.
 async fn read_body<P: Platform>(
     worker: &Worker<P>,
-    request: &Request,
     payload: &mut Payload,
     incoming: &mut IncomingRequest,
     limits: &BodyLimits,
@@ -226,39 +228,16 @@
         return Err(ErrorKind::BodyTooLarge);
     }
     incoming.body = body::read(&worker.bodies, payload, &incoming.memory, limits).await?;
-    let platform_state = worker.context.platform_state.load();
-    match &platform_state.table {
-        Some(table) if table.version != incoming.table_version => {
-            admit(table, request, &incoming.head.key).map(|_| ())
-        }
-        _ => Ok(()),
-    }
+    Ok(())
 }
 
-type Admitted = (Arc<Route>, Option<Arc<Organisation>>);
-
-/// Returns the route of a request and the organisation of its key. Refuses an
-/// unknown or missing key, unless the route is public or no organisations are
-/// configured.
-fn admit(
-    table: &RoutingTable,
-    request: &Request,
-    key: &Option<Name>,
-) -> Result<Admitted, ErrorKind> {
-    let host = request
-        .headers()
-        .get("host")
+/// Returns the host that a request names.
+fn host(request: &Request) -> &str {
+    let header = request.headers().get("host");
+    header
         .and_then(|value| value.to_str().ok())
         .or_else(|| request.uri().host())
-        .unwrap_or_default();
-    let route = table
-        .route(host, request.uri().path())
-        .ok_or(ErrorKind::RouteNotFound)?;
-    let organisation = key.as_ref().and_then(|key| table.organisation_by_key(key));
-    if organisation.is_none() && !route.is_public && table.has_organisations() {
-        return Err(ErrorKind::UnknownKey);
-    }
-    Ok((Arc::clone(route), organisation.cloned()))
+        .unwrap_or_default()
 }
 
 /// Returns the cost that is charged to the organisation's quota: tokens, or 1 where
@@ -278,11 +257,16 @@
 fn build_incoming<P: Platform>(
     request: &Request,
     head: super::message::RequestHead,
-    (route, organisation): Admitted,
+    authorization: Authorization,
     arrived_at_us: u64,
     table: &RoutingTable,
     bodies: &Bodies,
 ) -> IncomingRequest {
+    let Authorization {
+        version,
+        route,
+        organisation,
+    } = authorization;
     let holder = organisation
         .as_ref()
         .map_or(Holder::Keyless, |organisation| {
@@ -312,8 +296,7 @@
             .uri()
             .path_and_query()
             .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
-        deadline_us: (arrived_at_us + time_limit_ms.saturating_mul(US_PER_MS))
-            .saturating_sub(ANSWER_MARGIN_US),
+        deadline_us: attempt::answer_by_us(arrived_at_us, time_limit_ms),
         shared_parts: head
             .prompt
             .as_ref()
@@ -323,7 +306,8 @@
         headers,
         body: Bytes::new(),
         memory: bodies.begin(holder),
-        table_version: table.version,
+        host: host(request).into(),
+        table_version: version,
         service,
         kv_stores: Arc::clone(table.kv_stores()),
         route,
@@ -332,28 +316,6 @@
     }
 }
 
-/// Chooses the service of a request by the shares of its route. The same id always
-/// gets the same service.
-fn choose_service(route: &Route, id: Option<&str>) -> Name {
-    let total: u64 = route
-        .shares
-        .iter()
-        .map(|share| u64::from(share.weight))
-        .sum();
-    let mut point = xxh3_64(id.unwrap_or_default().as_bytes()) % total.max(1);
-    for share in &route.shares {
-        let weight = u64::from(share.weight);
-        if point < weight {
-            return share.service.clone();
-        }
-        point -= weight;
-    }
-    route
-        .shares
-        .first()
-        .map_or_else(|| Name::from(""), |share| share.service.clone())
-}
-
 /// A target's answer, as far as it was read during an attempt.
 enum ReceivedAnswer<P> {
     /// Answer with its whole body.
@@ -365,7 +327,7 @@
 /// Sends a request to targets until one answers or no attempt is left.
 async fn forward<P: Platform>(
     worker: Rc<Worker<P>>,
-    incoming: IncomingRequest,
+    mut incoming: IncomingRequest,
     unsent: Unsent,
     cost: u64,
     running: RunningRequest,
@@ -376,7 +338,7 @@
     let mut last_failure = None;
     let context = Arc::clone(&worker.context);
     while let Some(choice) = context
-        .until_drained(attempts.next_target(&worker, &incoming, last_answer.is_some()))
+        .until_drained(attempts.next_target(&worker, &mut incoming, last_answer.is_some()))
         .await
         .flatten()
     {
@@ -471,6 +433,10 @@
     if let Some(organisation) = &incoming.organisation {
         worker.context.quotas().refund(&organisation.name, cost);
     }
+    if let Some(kind) = attempts.denial() {
+        log.end(kind);
+        return reply::refusal_answer(kind, None, is_leaving, not_run);
+    }
     let refusal = attempts.refusal();
     let is_stopping = worker.is_drained();
     let kind = if is_stopping {
