Refuse late streams that may not be resumed, and unfinished bodies, in a stop

Callers saw: a stream on a route that cannot resume, sent 0.8 s after SIGTERM, was passed on and got 502 at the end; a request whose body had not arrived by then was cut without an answer, though no target had it.

Cause: the check for requests that may outlast the stop left out all streams, and the wait for a body had no bound by the stop.

planned_stops: both cases failed before (502 and a closed connection instead of 503). A third new case, a stream that outlasts the stop does not look complete, passed before.

--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -185,13 +185,16 @@
         length_bytes,
         deadline_us: incoming.deadline_us,
     };
-    let read = read_body(&worker, &mut payload, &mut incoming, &limits).await;
-    if let Err(kind) = read {
+    let read = read_body(&worker, &mut payload, &mut incoming, &limits);
+    let read = worker.context.until_drained(read).await;
+    if let Err(kind) = read.unwrap_or(Err(ErrorKind::Stopping)) {
         if let Some(organisation) = &incoming.organisation {
             worker.context.quotas().refund(&organisation.name, cost);
         }
-        discard(&mut payload, kind == ErrorKind::BodyTooLarge).await;
-        return refuse(kind, None, incoming.label());
+        let is_stopping = kind == ErrorKind::Stopping;
+        discard(&mut payload, is_stopping || kind == ErrorKind::BodyTooLarge).await;
+        let retry_after_ms = is_stopping.then_some(STOPPING_RETRY_MS);
+        return refuse(kind, retry_after_ms, incoming.label());
     }
     forward(worker, incoming, unsent, cost, running).await
 }
@@ -199,17 +202,14 @@
 /// Returns whether a request might still run when this process ends and may not be sent
 /// again then. Another entry can take it.
 fn outlasts_drain<P: Platform>(worker: &Worker<P>, incoming: &IncomingRequest) -> bool {
-    let route = &incoming.route;
     let end_us = worker.context.drain_end_us();
-    !route.may_repeat()
-        && !route.is_stream
-        && end_us.is_some_and(|end_us| incoming.deadline_us > end_us)
+    !incoming.route.may_repeat() && end_us.is_some_and(|end_us| incoming.deadline_us > end_us)
 }
 
-/// Reads and drops the body of a refused request, unless it exceeds the limit. Then it is
-/// not read on, and the server closes the connection after the answer.
-async fn discard(payload: &mut Payload, is_too_large: bool) {
-    if !is_too_large {
+/// Reads and drops the body of a refused request, unless `is_left` says that it is not read
+/// on. Then the server closes the connection after the answer.
+async fn discard(payload: &mut Payload, is_left: bool) {
+    if !is_left {
         upload::discard(payload).await;
     }
 }
