Let stalled answers give way to other requests in the memory budget

Bytes without end are bounded, but a target that announces a length and stops held the announced bytes until the deadline of its request, up to the time limit of the route. 24 such answers filled the budget of a small entry, and all other callers got 503.

Cause: the announced length of an answer is charged at once, and only arriving request bodies could lose their place. An answer that is collected now notes its progress as well; after a second without a byte it gives way to others that need memory, and its request ends with 502, as it has run.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -518,8 +518,9 @@
     }
 
     /// Reads the whole body. Fails with [`AttemptFailure::Broken`] when it exceeds
-    /// [`MAX_ANSWER_BYTES`]. While it does not fit the memory budget, the target is not
-    /// read, and so holds it.
+    /// [`MAX_ANSWER_BYTES`], and with [`AttemptFailure::NoMemory`] when the target has
+    /// stalled and others need its place. While the answer does not fit the memory budget,
+    /// the target is not read, and so holds it.
     pub(super) async fn collect(
         &mut self,
         bodies: &Bodies,
@@ -528,28 +529,28 @@
     ) -> Result<Bytes, AttemptFailure> {
         let length_bytes = body::announced_bytes(self.headers());
         let is_waiting = Cell::new(false);
-        // The request's body, and an answer of an earlier attempt that may be passed on.
-        let held_bytes = memory.bytes();
+        let buffer = bodies.begin_answer(memory);
         let read = async {
-            let mut body = Vec::new();
-            while let Some(part) = self.next().await? {
-                let needed_bytes = body.len() + part.len();
+            loop {
+                let part = buffer.receive(self.next()).await;
+                let Some(part) = part.ok_or(AttemptFailure::NoMemory)?? else {
+                    return Ok(buffer.into_bytes());
+                };
+                let needed_bytes = buffer.len() + part.len();
                 if needed_bytes > MAX_ANSWER_BYTES {
                     return Err(AttemptFailure::Broken);
                 }
-                if needed_bytes > body.capacity() {
+                if needed_bytes > buffer.capacity() {
                     // An announced length is charged at once, so that no two answers wait
                     // for each other halfway.
-                    let announced_bytes = length_bytes.unwrap_or(body.capacity() * 2);
+                    let announced_bytes = length_bytes.unwrap_or(buffer.capacity() * 2);
                     let capacity = announced_bytes.clamp(needed_bytes, MAX_ANSWER_BYTES);
                     is_waiting.set(true);
-                    bodies.wait_to_grow(memory, held_bytes + capacity).await;
+                    buffer.reserve(capacity).await;
                     is_waiting.set(false);
-                    body.reserve_exact(capacity - body.len());
                 }
-                body.extend_from_slice(&part);
+                buffer.append(&part);
             }
-            Ok(Bytes::from(body))
         };
         timeout_at(until, read).await.unwrap_or_else(|_| {
             Err(if is_waiting.get() {
--- a/src/direct/body.rs
+++ b/src/direct/body.rs
@@ -146,12 +146,33 @@
     }
 
     /// Waits until `bytes` in all may be stored for an answer.
-    pub(super) async fn wait_to_grow(&self, guard: &MemoryGuard, bytes: usize) {
+    async fn wait_to_grow(&self, guard: &MemoryGuard, bytes: usize) {
         while !self.grow(guard, Content::Answer, bytes) {
             tokio::time::sleep(GROW_INTERVAL).await;
         }
     }
 
+    /// Begins the buffer of an answer.
+    pub(super) fn begin_answer<'a>(&'a self, guard: &'a MemoryGuard) -> AnswerBuffer<'a> {
+        AnswerBuffer {
+            held_bytes: guard.bytes(),
+            guard,
+            entry: self.wait(guard.id, Vec::new()),
+        }
+    }
+
+    /// Lists a body among those that wait for more bytes.
+    fn wait(&self, id: ChargeId, data: Vec<u8>) -> WaitingEntry<'_> {
+        let body = Rc::new(WaitingBody::default());
+        body.data.replace(data);
+        self.waiting.borrow_mut().insert(id, Rc::clone(&body));
+        WaitingEntry {
+            bodies: self,
+            id,
+            body,
+        }
+    }
+
     fn timer_instant(&self, at_us: u64) -> Instant {
         Instant::from_std(self.context.clock.instant(at_us))
     }
@@ -170,6 +191,61 @@
     }
 }
 
+/// An answer that is collected whole. While its target stalls, others may take its place.
+pub(super) struct AnswerBuffer<'a> {
+    guard: &'a MemoryGuard,
+    /// Bytes that were charged before: the request's body, and an answer of an earlier
+    /// attempt that may be passed on.
+    held_bytes: usize,
+    entry: WaitingEntry<'a>,
+}
+
+impl AnswerBuffer<'_> {
+    /// Waits for the next part of the answer. Returns `None` when the answer has lost its
+    /// place.
+    pub(super) async fn receive<T>(&self, next: impl Future<Output = T>) -> Option<T> {
+        let bodies = self.entry.bodies;
+        let now_us = bodies.context.clock.now_us();
+        lock(&bodies.memory).note_progress(self.guard.id, now_us);
+        let part = tokio::select! {
+            biased;
+            () = self.entry.body.evicted.notified() => return None,
+            part = next => part,
+        };
+        lock(&bodies.memory).complete(self.guard.id);
+        (!self.entry.body.is_evicted.get()).then_some(part)
+    }
+
+    /// Returns the bytes that have arrived.
+    pub(super) fn len(&self) -> usize {
+        self.entry.body.data.borrow().len()
+    }
+
+    /// Returns the bytes for which memory is allocated.
+    pub(super) fn capacity(&self) -> usize {
+        self.entry.body.data.borrow().capacity()
+    }
+
+    /// Allocates memory for `capacity` bytes in all, when the budget has room for them.
+    pub(super) async fn reserve(&self, capacity: usize) {
+        let charged_bytes = self.held_bytes + capacity;
+        let bodies = self.entry.bodies;
+        bodies.wait_to_grow(self.guard, charged_bytes).await;
+        let mut data = self.entry.body.data.borrow_mut();
+        let length = data.len();
+        data.reserve_exact(capacity - length);
+    }
+
+    /// Appends a part, for which memory was reserved.
+    pub(super) fn append(&self, part: &[u8]) {
+        self.entry.body.data.borrow_mut().extend_from_slice(part);
+    }
+
+    pub(super) fn into_bytes(self) -> Bytes {
+        Bytes::from(self.entry.body.data.take())
+    }
+}
+
 /// Bounds of a body.
 pub(super) struct BodyLimits {
     pub(super) max_bytes: usize,
@@ -220,17 +296,7 @@
     data: Vec<u8>,
     limits: &BodyLimits,
 ) -> Result<Bytes, ErrorKind> {
-    let body = Rc::new(WaitingBody::default());
-    body.data.replace(data);
-    let entry = WaitingEntry {
-        bodies,
-        id: guard.id,
-        body,
-    };
-    let waiting = &bodies.waiting;
-    waiting
-        .borrow_mut()
-        .insert(guard.id, Rc::clone(&entry.body));
+    let entry = bodies.wait(guard.id, data);
     loop {
         let now_us = bodies.context.clock.now_us();
         lock(&bodies.memory).note_progress(guard.id, now_us);
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -413,6 +413,10 @@
                     "target" => &*target.id,
                     "try" => attempts.count(),
                     "cause" => failure.name());
+                // The place in the memory budget is lost for further attempts, too.
+                if failure == AttemptFailure::NoMemory {
+                    break;
+                }
             }
         }
     }
