Count the time before a request is read towards its deadline

What callers and targets saw: slow entries under a burst sent requests to targets after their callers had given up.

Cause: the time limit that a caller states counts from the sending, the entry counted it from the reading of the head. A thread that gets too little processor time reads late.

The traffic thread now ticks every 50 ms (direct/loop_lag.rs). How late it is bounds how long a request may have waited, and the deadline is that much earlier; a request without time left is refused with 503, not run, for another entry. YL1007 tells of half a second without processor time, and an entry whose traffic thread has not run for a second is not ready, though its other threads answer the check.

paused_entries (an entry is stopped for 1 s while requests with 0.5 s arrive, on a kept and on a new connection) failed before: 200 and two requests at the target instead of 503. loop_lag drives the decision without a clock.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,7 +4,7 @@
 //! targets understand deadlines, priorities and instance checks. An entry
 //! forwards the requests; the agent beside an engine only orders the engine to
 //! load weights and reports its state. Decision modules ([`admission`], [`answer`],
-//! [`authorization`], [`blame`], [`capacity`], [`constraint`], [`kv_store`], [`memory_budget`], [`outlier`],
+//! [`authorization`], [`blame`], [`capacity`], [`constraint`], [`kv_store`], [`loop_lag`], [`memory_budget`], [`outlier`],
 //! [`placement`], [`quarantine`], [`quota`], [`routing`], [`sampling`],
 //! [`service_rollout`], [`stall`], [`steering`], [`turns`], [`urgency`]) use neither
 //! sockets nor clocks. The traits in [`platform`] hide the platform's names and formats.
@@ -28,6 +28,7 @@
 mod exchange;
 mod follow;
 pub mod kv_store;
+pub mod loop_lag;
 pub mod memory_budget;
 pub mod message;
 pub mod order;
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -119,6 +119,8 @@
     /// Ids of the parts of the prompt that other requests share.
     pub(super) shared_parts: Vec<u64>,
     pub(super) arrived_at_us: u64,
+    /// When the caller may have sent the request; time limits count from then.
+    pub(super) sent_at_us: u64,
     pub(super) deadline_us: u64,
 }
 
@@ -155,7 +157,7 @@
         {
             self.service = choose_service(&route, self.head.id.as_deref());
         }
-        let answer_by_us = answer_by_us(self.arrived_at_us, route.timeout_ms);
+        let answer_by_us = answer_by_us(self.sent_at_us, route.timeout_ms);
         self.deadline_us = answer_by_us.min(self.deadline_us);
         self.kv_stores = Arc::clone(table.kv_stores());
         self.route = route;
@@ -241,9 +243,9 @@
 /// that the answer still arrives in time.
 const ANSWER_MARGIN_US: u64 = 15 * US_PER_MS;
 
-/// Returns when a request that arrived at `arrived_at_us` is answered at the latest.
-pub(super) const fn answer_by_us(arrived_at_us: u64, time_limit_ms: u64) -> u64 {
-    (arrived_at_us + time_limit_ms.saturating_mul(US_PER_MS)).saturating_sub(ANSWER_MARGIN_US)
+/// Returns when a request that was sent at `sent_at_us` is answered at the latest.
+pub(super) const fn answer_by_us(sent_at_us: u64, time_limit_ms: u64) -> u64 {
+    (sent_at_us + time_limit_ms.saturating_mul(US_PER_MS)).saturating_sub(ANSWER_MARGIN_US)
 }
 
 /// Why an attempt gave no answer to pass on.
--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -102,6 +102,10 @@
 /// one of the entry, so that it is sent in time.
 const LAST_ANSWERS_US: u64 = 400 * US_PER_MS;
 
+/// Time without a turn of the traffic thread from which the entry is not ready. Callers
+/// wait for a second until their connection is accepted.
+const MAX_TRAFFIC_STALL_US: u64 = 1_000 * US_PER_MS;
+
 /// Time before the end of `apply_ms` from which an outdated entry refuses requests. The
 /// first entry needs a part of it to receive the configuration.
 const OUTDATED_MARGIN_US: u64 = 500 * US_PER_MS;
@@ -162,6 +166,8 @@
     store_fresh_until_us: AtomicU64,
     /// When this entry counts as isolated unless it hears of changes before.
     isolated_at_us: AtomicU64,
+    /// When the traffic thread last ran.
+    traffic_ticked_at_us: AtomicU64,
     /// When another entry last sent or answered an exchange.
     peer_heard_at_us: AtomicU64,
     /// Requests that have not been answered in full.
@@ -200,6 +206,7 @@
             down_kv_stores: ArcSwap::default(),
             store_fresh_until_us: AtomicU64::new(0),
             isolated_at_us: AtomicU64::new(u64::MAX),
+            traffic_ticked_at_us: AtomicU64::new(u64::MAX),
             peer_heard_at_us: AtomicU64::new(0),
             running: AtomicUsize::new(0),
         }
@@ -282,6 +289,17 @@
         self.isolated_at_us.store(at_us, Ordering::Relaxed);
     }
 
+    /// Records that the traffic thread runs.
+    pub(super) fn note_traffic_tick(&self, now_us: u64) {
+        self.traffic_ticked_at_us.store(now_us, Ordering::Relaxed);
+    }
+
+    /// Returns whether the traffic thread has not run for so long that callers give up.
+    pub(super) fn is_traffic_stalled(&self) -> bool {
+        let ticked_at_us = self.traffic_ticked_at_us.load(Ordering::Relaxed);
+        self.clock.now_us().saturating_sub(ticked_at_us) >= MAX_TRAFFIC_STALL_US
+    }
+
     /// Returns when another entry was last heard of, 0 before that.
     pub(super) fn peer_heard_at_us(&self) -> u64 {
         self.peer_heard_at_us.load(Ordering::Relaxed)
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -161,6 +161,7 @@
             && !self.is_leaving()
             && !self.is_outdated()
             && !self.is_isolated()
+            && !self.is_traffic_stalled()
     }
 
     fn metrics(&self) -> String {
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -80,9 +80,8 @@
     version::evidence::counts::Sample,
 };
 
-/// Retry time that a stopping entry sends, after which the caller goes to another
-/// entry.
-const STOPPING_RETRY_MS: u64 = 50;
+/// Retry time that is sent when another entry can take the request at once.
+const ELSEWHERE_RETRY_MS: u64 = 50;
 
 /// Retry time that is sent when no target takes a request. A later one may succeed.
 const NO_TARGET_RETRY_MS: u64 = 400;
@@ -90,6 +89,7 @@
 /// Handles a request: reads it, checks its key and rate, and forwards it to a target.
 pub(super) async fn handle<P: Platform>(worker: Rc<Worker<P>>, mut request: Request) -> Response {
     let arrived_at_us = worker.now_us();
+    let sent_at_us = arrived_at_us.saturating_sub(worker.waited_us());
     let running = RunningRequest::new(&worker, request.io());
     let platform_state = worker.context.platform_state.load_full();
     worker.apply_configuration(&platform_state);
@@ -110,7 +110,7 @@
     };
     if worker.context.is_closed() {
         upload::discard(&mut payload).await;
-        return refuse(ErrorKind::Stopping, Some(STOPPING_RETRY_MS), PUBLIC_LABEL);
+        return refuse(ErrorKind::Stopping, Some(ELSEWHERE_RETRY_MS), PUBLIC_LABEL);
     }
     let Some(table) = platform_state
         .table
@@ -140,15 +140,23 @@
         &request,
         head,
         authorization,
-        arrived_at_us,
+        (arrived_at_us, sent_at_us),
         table,
         &worker.bodies,
     );
+    if arrived_at_us >= incoming.deadline_us {
+        discard(&mut payload, is_too_large).await;
+        return refuse(
+            ErrorKind::Overloaded,
+            Some(ELSEWHERE_RETRY_MS),
+            incoming.label(),
+        );
+    }
     if outlasts_drain(&worker, &incoming) {
         discard(&mut payload, is_too_large).await;
         return refuse(
             ErrorKind::Stopping,
-            Some(STOPPING_RETRY_MS),
+            Some(ELSEWHERE_RETRY_MS),
             incoming.label(),
         );
     }
@@ -193,7 +201,7 @@
         }
         let is_stopping = kind == ErrorKind::Stopping;
         discard(&mut payload, is_stopping || kind == ErrorKind::BodyTooLarge).await;
-        let retry_after_ms = is_stopping.then_some(STOPPING_RETRY_MS);
+        let retry_after_ms = is_stopping.then_some(ELSEWHERE_RETRY_MS);
         return refuse(kind, retry_after_ms, incoming.label());
     }
     forward(worker, incoming, unsent, cost, running).await
@@ -258,7 +266,7 @@
     request: &Request,
     head: super::message::RequestHead,
     authorization: Authorization,
-    arrived_at_us: u64,
+    (arrived_at_us, sent_at_us): (u64, u64),
     table: &RoutingTable,
     bodies: &Bodies,
 ) -> IncomingRequest {
@@ -296,7 +304,7 @@
             .uri()
             .path_and_query()
             .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned()),
-        deadline_us: attempt::answer_by_us(arrived_at_us, time_limit_ms),
+        deadline_us: attempt::answer_by_us(sent_at_us, time_limit_ms),
         shared_parts: head
             .prompt
             .as_ref()
@@ -313,6 +321,7 @@
         route,
         organisation,
         arrived_at_us,
+        sent_at_us,
     }
 }
 
@@ -452,7 +461,7 @@
     };
     log.end(kind);
     let retry_after_ms = match refusal {
-        _ if is_stopping => STOPPING_RETRY_MS,
+        _ if is_stopping => ELSEWHERE_RETRY_MS,
         Some(refusal) => refusal.retry_after_ms,
         // Many requests are refused at once when the targets are short of capacity.
         None if worker.context.has_overload_control => {
--- a/src/direct/worker.rs
+++ b/src/direct/worker.rs
@@ -16,10 +16,12 @@
         Arc,
         atomic::Ordering, //
     },
+    time::Duration, //
 };
 
 use lru::LruCache;
 use ntex::io::IoRef;
+use slog::warn;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
@@ -31,6 +33,10 @@
     capacity::OwnRequests,
     choice::TargetChoice,
     context::Context,
+    loop_lag::{
+        LoopLag,
+        TICK_INTERVAL_US, //
+    },
     message::{
         AnswerHead,
         TargetLoad, //
@@ -45,6 +51,7 @@
         US_PER_MS,
         US_PER_S, //
     },
+    event::Event,
     names::Name,
     process::connections::{
         BusyGuard,
@@ -65,6 +72,9 @@
 /// Age from which a reported load is ignored as outdated.
 const MAX_LOAD_AGE_US: u64 = 500 * US_PER_MS;
 
+/// Lateness of the traffic thread that is logged.
+const STALL_US: u64 = 500 * US_PER_MS;
+
 /// Most sent parts that are remembered, over all targets; each takes about 50 bytes.
 const MAX_SENT_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
@@ -204,26 +214,62 @@
     pub(super) observations: RefCell<HashMap<Name, TargetObservations>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     configured_version: Cell<u64>,
+    loop_lag: Cell<LoopLag>,
     sent_parts: RefCell<LruCache<u64, SentPart>>,
     platform: PhantomData<P>,
 }
 
-impl<P> Worker<P> {
+impl<P: 'static> Worker<P> {
     pub(super) fn new(context: Arc<Context>, connections: Rc<Connections>) -> Rc<Self> {
         let (shared, closing) = (Arc::clone(&context), Arc::clone(&context));
         ntex::rt::spawn(Rc::clone(&connections).watch(move || shared.is_leaving()));
         let report = move |closed| closing.note_closed_connections("callers", closed);
         ntex::rt::spawn(Rc::clone(&connections).enforce_limits(report));
-        Rc::new(Self {
+        let worker = Rc::new(Self {
             connections,
             bodies: Bodies::new(&context, &context.memory),
             context,
             observations: RefCell::default(),
             budgets: RefCell::default(),
             configured_version: Cell::new(0),
+            loop_lag: Cell::default(),
             sent_parts: RefCell::new(LruCache::new(MAX_SENT_PARTS)),
             platform: PhantomData,
-        })
+        });
+        worker.tick();
+        ntex::rt::spawn(Rc::clone(&worker).keep_ticking());
+        worker
+    }
+
+    /// Observes the lateness of this thread until the process ends.
+    async fn keep_ticking(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_micros(TICK_INTERVAL_US)).await;
+            let late_us = self.tick();
+            if late_us >= STALL_US {
+                warn!(self.context.log, "the traffic thread got no processor time";
+                    "event" => Event::ThreadStalled,
+                    "late_us" => late_us,
+                    "running" => self.context.running());
+            }
+        }
+    }
+}
+
+impl<P> Worker<P> {
+    /// Records that this thread runs. Returns how late it is.
+    fn tick(&self) -> u64 {
+        let now_us = self.now_us();
+        self.context.note_traffic_tick(now_us);
+        let mut loop_lag = self.loop_lag.get();
+        let late_us = loop_lag.tick(now_us);
+        self.loop_lag.set(loop_lag);
+        late_us
+    }
+
+    /// Returns for how long a request that is read now may have waited.
+    pub(super) fn waited_us(&self) -> u64 {
+        self.loop_lag.get().waited_us(self.now_us())
     }
 
     pub(super) fn now_us(&self) -> u64 {
--- a/src/event.rs
+++ b/src/event.rs
@@ -47,6 +47,8 @@
     SettingsKept = 1005;
     /// Changed settings are in force.
     SettingsReloaded = 1006;
+    /// The traffic thread of an entry got no processor time.
+    ThreadStalled = 1007;
     /// A request was answered.
     RequestDone = 2001;
     /// A request was refused.
