--- a/src/direct/context.rs
+++ b/src/direct/context.rs
@@ -155,7 +155,6 @@
     pub(super) has_overload_control: bool,
     /// Permits to send snapshots to other processes.
     pub(super) uploads: Arc<Semaphore>,
-    is_leaving: AtomicBool,
     is_closed: AtomicBool,
     /// When requests are answered at the latest, `None` until a stop begins.
     drain_end_us: watch::Sender<Option<u64>>,
@@ -200,7 +199,6 @@
             config_lag: Mutex::default(),
             engines: Mutex::default(),
             uploads: Arc::new(Semaphore::new(snapshot::MAX_UPLOADS)),
-            is_leaving: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             drain_end_us: watch::Sender::new(None),
             down_kv_stores: ArcSwap::default(),
@@ -466,7 +464,6 @@
     /// Marks the entry as not ready, so that the balancer stops sending to it. The process
     /// ends at `drain_until_us` at the latest.
     pub(super) fn leave(&self, drain_until_us: u64) {
-        self.is_leaving.store(true, Ordering::Relaxed);
         let end_us = drain_until_us.saturating_sub(LAST_ANSWERS_US);
         self.drain_end_us.send_replace(Some(end_us));
     }
@@ -531,7 +528,7 @@
     }
 
     pub(super) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
+        self.drain_end_us().is_some()
     }
 
     pub(super) fn running(&self) -> usize {
--- a/src/direct/peers.rs
+++ b/src/direct/peers.rs
@@ -19,7 +19,10 @@
     ResultExt, //
 };
 use ntex::{
-    client::Client,
+    client::{
+        Client,
+        ClientResponse, //
+    },
     http::Method, //
 };
 use serde::{
@@ -254,16 +257,8 @@
     address: SocketAddr,
     exchange_request: &ExchangeRequest,
 ) -> Result<(ExchangeReply, usize)> {
-    let body = postcard::to_stdvec(exchange_request).change_context(ErrorKind::Internal)?;
     let call = async {
-        let response = client
-            .request(Method::POST, url(address, PATH))
-            .send_body(body)
-            .await
-            .map_err(|error| unavailable(error.to_string()))?;
-        if !response.status().is_success() {
-            return Err(unavailable(format!("status {}", response.status())));
-        }
+        let response = post(client, address, PATH, exchange_request).await?;
         let body = response.body().limit(MAX_MESSAGE_BYTES).await;
         let body = body.map_err(|error| unavailable(error.to_string()))?;
         let reply = postcard::from_bytes(&body).change_context(ErrorKind::PeerUnavailable)?;
@@ -274,6 +269,28 @@
         .unwrap_or_else(|_| Err(unavailable("no answer in time".to_owned())))
 }
 
+/// Sends a message to an entry and returns the head of its answer.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::PeerUnavailable`] when the entry does not answer with success.
+pub(super) async fn post(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    message: &impl Serialize,
+) -> Result<ClientResponse> {
+    let body = postcard::to_stdvec(message).change_context(ErrorKind::Internal)?;
+    let call = client
+        .request(Method::POST, url(address, path))
+        .send_body(body);
+    let response = call.await.map_err(|error| unavailable(error.to_string()))?;
+    if !response.status().is_success() {
+        return Err(unavailable(format!("status {}", response.status())));
+    }
+    Ok(response)
+}
+
 pub(super) fn unavailable(reason: String) -> Report<ErrorKind> {
     Report::new(ErrorKind::PeerUnavailable).attach(reason)
 }
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -10,13 +10,7 @@
 };
 
 use error_stack::ResultExt;
-use ntex::{
-    client::Client,
-    http::{
-        Method,
-        StatusCode, //
-    },
-};
+use ntex::client::Client;
 use serde::{
     Deserialize,
     Serialize, //
@@ -26,6 +20,7 @@
 use super::{
     peers::{
         MAX_MESSAGE_BYTES,
+        post,
         unavailable, //
     },
     platform_state::PlatformState,
@@ -36,12 +31,9 @@
         read_body, //
     },
 };
-use crate::{
-    error::{
-        ErrorKind,
-        Result, //
-    },
-    process::client::url,
+use crate::error::{
+    ErrorKind,
+    Result, //
 };
 
 /// Path of snapshot requests on the control listener.
@@ -143,17 +135,11 @@
     address: SocketAddr,
     request: SnapshotRequest,
 ) -> Result<(Snapshot, usize)> {
-    let body = postcard::to_stdvec(&request).change_context(ErrorKind::Internal)?;
-    let call = client
-        .request(Method::POST, url(address, PATH))
-        .send_body(body);
+    let call = post(client, address, PATH, &request);
     let mut response = match timeout(PROGRESS_TIMEOUT, call).await {
-        Ok(response) => response.map_err(|error| unavailable(error.to_string()))?,
+        Ok(response) => response?,
         Err(_) => return Err(unavailable("no answer in time".to_owned())),
     };
-    if response.status() != StatusCode::OK {
-        return Err(unavailable(format!("status {}", response.status())));
-    }
     let body = read_body(&mut response, MAX_MESSAGE_BYTES)
         .await
         .map_err(|error| unavailable(error.to_string()))?;
